--- /dev/null
+++ b/include/buckthornmux/detail/net/http_types.h
@@ -0,0 +1,37 @@
+/// HTTP messages as plain structs, so that only net/ includes Beast.
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "buckthornmux/detail/core/error.h"
+#include "buckthornmux/detail/core/time.h"
+
+namespace buckthornmux::net {
+
+/// A request, received or to be sent.
+struct HttpRequest {
+  std::string method = "GET";
+  std::string target = "/";   ///< Path and query.
+  std::string body;           ///< JSON, or empty.
+  std::string authorization;  ///< "Bearer <key>", or empty.
+};
+
+/// An answer, received or to be sent.
+struct HttpResponse {
+  int status = 200;
+  std::string body;
+  std::string content_type = "application/json";
+  Millis retry_after{0};  ///< 0: no Retry-After header.
+};
+
+/// Answers one request: called once, from any thread.
+using Responder = std::function<void(HttpResponse)>;
+
+/// Takes one request on an I/O thread; must not block.
+using Handler = std::function<void(HttpRequest, Responder)>;
+
+/// Takes the end of a call, on an I/O thread.
+using Completion = std::function<void(Outcome<HttpResponse>)>;
+
+}  // namespace buckthornmux::net
--- /dev/null
+++ b/src/core/invariant.cc
@@ -0,0 +1,13 @@
+#include "buckthornmux/detail/core/invariant.h"
+
+#include <glog/logging.h>
+
+namespace buckthornmux {
+
+void InvariantBroken(std::string_view name, std::string_view detail) {
+  LOG(FATAL) << "event=invariant_broken name=" << name << " detail=\"" << detail
+             << "\"";
+  std::abort();  // LOG(FATAL) ends the process; this tells the compiler.
+}
+
+}  // namespace buckthornmux
--- /dev/null
+++ b/src/net/http_client.cc
@@ -0,0 +1,241 @@
+#include "buckthornmux/detail/net/http_client.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <deque>
+#include <future>
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "buckthornmux/detail/net/address.h"
+
+namespace buckthornmux::net {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+using SteadyClock = std::chrono::steady_clock;
+
+struct Connection {
+  explicit Connection(const asio::any_io_executor& executor)
+      : stream(executor) {}
+  beast::tcp_stream stream;
+  SteadyClock::time_point opened = SteadyClock::now();
+  bool used = false;  ///< Has carried an answer.
+};
+using ConnectionPtr = std::shared_ptr<Connection>;
+
+struct PendingCall {
+  HttpRequest request;
+  SteadyClock::time_point deadline;
+  Completion done;
+};
+
+struct Peer {
+  std::string address;
+  std::vector<ConnectionPtr> idle;
+  std::deque<PendingCall> waiting;
+  std::size_t active = 0;
+  SteadyClock::time_point last_answer;
+};
+
+Error Unreachable(const std::string& why) {
+  return {ErrorKind::kPeerUnreachable, why, {}};
+}
+
+Error Unknown(const std::string& why) {
+  return {ErrorKind::kOutcomeUnknown, why, {}};
+}
+
+}  // namespace
+
+struct HttpClient::Impl : std::enable_shared_from_this<HttpClient::Impl> {
+  Impl(asio::io_context& context, HttpClientOptions client_options)
+      : strand(asio::make_strand(context)), options(client_options) {}
+
+  void Submit(const std::string& address, PendingCall call) {
+    auto& slot = peers[address];
+    if (!slot) {
+      slot = std::make_shared<Peer>();
+      slot->address = address;
+    }
+    if (slot->waiting.size() >= options.max_waiting_per_peer) {
+      call.done(Unreachable("too many calls wait for " + address));
+      return;
+    }
+    slot->waiting.push_back(std::move(call));
+    Pump(slot);
+  }
+
+  void Pump(const std::shared_ptr<Peer>& peer) {
+    while (!peer->waiting.empty() &&
+           peer->active < options.max_connections_per_peer) {
+      PendingCall call = std::move(peer->waiting.front());
+      peer->waiting.pop_front();
+      ++peer->active;
+      asio::co_spawn(strand, Run(shared_from_this(), peer, std::move(call)),
+                     asio::detached);
+    }
+  }
+
+  asio::awaitable<ConnectionPtr> Open(Peer& peer,
+                                      SteadyClock::time_point deadline) {
+    const auto outcome = Capture([&] { return ParseAddress(peer.address); });
+    if (std::holds_alternative<Error>(outcome)) {
+      co_return nullptr;
+    }
+    const auto& address = std::get<Address>(outcome);
+    auto connection = std::make_shared<Connection>(strand);
+    connection->stream.expires_at(
+        std::min(deadline, SteadyClock::now() + options.connect_timeout));
+    error_code error;
+    co_await connection->stream.async_connect(
+        tcp::endpoint(address.ip, address.port),
+        asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+      co_return nullptr;
+    }
+    connection->stream.socket().set_option(tcp::no_delay(true), error);
+    co_return connection;
+  }
+
+  asio::awaitable<Outcome<HttpResponse>> Exchange(Connection& connection,
+                                                  const PendingCall& call,
+                                                  bool& sent, bool& reusable) {
+    http::request<http::string_body> message(
+        http::string_to_verb(call.request.method), call.request.target, 11);
+    message.set(http::field::host, "buckthornmux");
+    message.set(http::field::content_type, "application/json");
+    if (!call.request.authorization.empty()) {
+      message.set(http::field::authorization, call.request.authorization);
+    }
+    message.body() = call.request.body;
+    message.prepare_payload();
+    connection.stream.expires_at(call.deadline);
+    error_code error;
+    sent = true;
+    co_await http::async_write(
+        connection.stream, message,
+        asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+      co_return Unknown("sending: " + error.message());
+    }
+    beast::flat_buffer buffer;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(options.max_body_bytes);
+    co_await http::async_read(connection.stream, buffer, parser,
+                              asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+      co_return Unknown("waiting for the answer: " + error.message());
+    }
+    HttpResponse response;
+    response.status = static_cast<int>(parser.get().result_int());
+    response.body = std::move(parser.get().body());
+    response.content_type =
+        std::string(parser.get()[http::field::content_type]);
+    reusable = parser.get().keep_alive();
+    co_return response;
+  }
+
+  /// Drops idle connections that the other end has closed meanwhile, so that a
+  /// request is not sent into a connection known to be dead.
+  static ConnectionPtr TakeIdle(Peer& peer) {
+    while (!peer.idle.empty()) {
+      ConnectionPtr connection = std::move(peer.idle.back());
+      peer.idle.pop_back();
+      auto& socket = connection->stream.socket();
+      error_code error;
+      socket.non_blocking(true, error);
+      char byte = 0;
+      socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+      if (error == asio::error::would_block) {
+        return connection;
+      }
+    }
+    return nullptr;
+  }
+
+  static asio::awaitable<void> Run(std::shared_ptr<Impl> self,
+                                   std::shared_ptr<Peer> peer,
+                                   PendingCall call) {
+    Outcome<HttpResponse> outcome = Unreachable("timed out waiting in line");
+    ConnectionPtr connection;
+    bool sent = false;
+    bool reusable = false;
+    if (SteadyClock::now() < call.deadline) {
+      connection = TakeIdle(*peer);
+      if (!connection) {
+        connection = co_await self->Open(*peer, call.deadline);
+      }
+      if (!connection) {
+        outcome = Unreachable("can't connect to " + peer->address);
+      } else {
+        outcome = co_await self->Exchange(*connection, call, sent, reusable);
+      }
+    }
+    if (std::holds_alternative<HttpResponse>(outcome)) {
+      peer->last_answer = SteadyClock::now();
+      if (reusable) {
+        peer->idle.push_back(connection);
+      }
+    } else {
+      RetireSilent(*peer);
+    }
+    --peer->active;
+    call.done(std::move(outcome));
+    self->Pump(peer);
+  }
+
+  /// After a failed call no idle connection is trusted that was opened before
+  /// the peer last gave a sign of life.
+  static void RetireSilent(Peer& peer) {
+    std::erase_if(peer.idle, [&](const ConnectionPtr& connection) {
+      return connection->opened <= peer.last_answer;
+    });
+  }
+
+  asio::strand<asio::io_context::executor_type> strand;
+  HttpClientOptions options;
+  std::map<std::string, std::shared_ptr<Peer>, std::less<>> peers;
+};
+
+HttpClient::HttpClient(asio::io_context& io, HttpClientOptions options)
+    : m_impl(std::make_shared<Impl>(io, options)) {}
+
+HttpClient::~HttpClient() = default;
+
+void HttpClient::Call(std::string_view address, HttpRequest request,
+                      Millis timeout, Completion done) {
+  PendingCall call{std::move(request), SteadyClock::now() + timeout,
+                   std::move(done)};
+  asio::post(m_impl->strand, [impl = m_impl, peer = std::string(address),
+                              call = std::move(call)]() mutable {
+    impl->Submit(peer, std::move(call));
+  });
+}
+
+Outcome<HttpResponse> HttpClient::CallAndWait(std::string_view address,
+                                              HttpRequest request,
+                                              Millis timeout) {
+  auto promise = std::make_shared<std::promise<Outcome<HttpResponse>>>();
+  auto future = promise->get_future();
+  Call(address, std::move(request), timeout,
+       [promise](Outcome<HttpResponse> outcome) {
+         promise->set_value(std::move(outcome));
+       });
+  return future.get();
+}
+
+}  // namespace buckthornmux::net
--- /dev/null
+++ b/tests/unit-error.cc
@@ -0,0 +1,47 @@
+// The table from error kind to answer.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <set>
+
+#include "buckthornmux/detail/core/error.h"
+
+namespace buckthornmux {
+namespace {
+
+class ErrorTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ErrorTest);
+  CPPUNIT_TEST(NamesAndNumbersAreUnique);
+  CPPUNIT_TEST(NameLeadsBackToKind);
+  CPPUNIT_TEST(CaptureCarriesTheError);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void NamesAndNumbersAreUnique() {
+    std::set<std::string_view> names;
+    std::set<ErrorKind> kinds;
+    for (const ErrorAnswer& row : ErrorTable()) {
+      CPPUNIT_ASSERT(names.insert(row.name).second);
+      CPPUNIT_ASSERT(kinds.insert(row.kind).second);
+      CPPUNIT_ASSERT(row.http_status >= 400 && row.exit_code != 0);
+    }
+  }
+
+  void NameLeadsBackToKind() {
+    for (const ErrorAnswer& row : ErrorTable()) {
+      CPPUNIT_ASSERT(KindFromName(row.name) == row.kind);
+    }
+  }
+
+  void CaptureCarriesTheError() {
+    const auto outcome = Capture([]() -> Result<int> {
+      return Fail(ErrorKind::kTooLarge, "4 MB at most", "body");
+    });
+    CPPUNIT_ASSERT(std::get<Error>(outcome).kind == ErrorKind::kTooLarge);
+    CPPUNIT_ASSERT_EQUAL(std::string("body"), std::get<Error>(outcome).where);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ErrorTest);
+
+}  // namespace
+}  // namespace buckthornmux
--- /dev/null
+++ b/tests/unit-http.cc
@@ -0,0 +1,131 @@
+// HTTP server and client over loopback: bounds, timeouts, silent connections.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <thread>
+
+#include "buckthornmux/detail/net/http_client.h"
+#include "buckthornmux/detail/net/http_server.h"
+
+namespace buckthornmux::net {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr Millis kCallTimeout{2000};
+
+/// An io_context with one thread, stopped at the end of the test.
+struct IoThread {
+  asio::io_context io;
+  asio::executor_work_guard<asio::io_context::executor_type> work{
+      io.get_executor()};
+  std::thread thread{[this] { io.run(); }};
+  ~IoThread() {
+    io.stop();
+    thread.join();
+  }
+};
+
+std::string AddressOf(const HttpServer& server) {
+  return "127.0.0.1:" + std::to_string(server.Port());
+}
+
+/// Sends raw bytes and returns all that comes back until the end.
+std::string SendRaw(std::uint16_t port, const std::string& bytes) {
+  asio::io_context io;
+  asio::ip::tcp::socket socket(io);
+  socket.connect({asio::ip::make_address("127.0.0.1"), port});
+  boost::system::error_code error;
+  asio::write(socket, asio::buffer(bytes), error);
+  std::string answer;
+  asio::read(socket, asio::dynamic_buffer(answer), error);
+  return answer;
+}
+
+class HttpTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(HttpTest);
+  CPPUNIT_TEST(EchoesBody);
+  CPPUNIT_TEST(RefusesOversizedMalformedAndSlow);
+  CPPUNIT_TEST(TellsUnsentFromUnknown);
+  CPPUNIT_TEST(SilentConnectionsAreRetired);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void EchoesBody() {
+    IoThread io;
+    HttpServer server(io.io, {}, [](HttpRequest request, Responder respond) {
+      respond({.body = request.method + request.target + request.body});
+    });
+    HttpClient client(io.io, {});
+    const auto outcome = client.CallAndWait(
+        AddressOf(server), {.method = "POST", .target = "/x", .body = "abc"},
+        kCallTimeout);
+    CPPUNIT_ASSERT_EQUAL(std::string("POST/xabc"),
+                         std::get<HttpResponse>(outcome).body);
+  }
+
+  void RefusesOversizedMalformedAndSlow() {
+    IoThread io;
+    HttpServerOptions options;
+    options.max_body_bytes = 100;
+    options.read_timeout = Millis(100);
+    HttpServer server(io.io, options, [](HttpRequest, Responder respond) {
+      respond({.body = "never"});
+    });
+    const std::string head = "POST / HTTP/1.1\r\nHost: a\r\n";
+    CPPUNIT_ASSERT(SendRaw(server.Port(), head + "Content-Length: 200\r\n\r\n")
+                       .find("too_large") != std::string::npos);
+    CPPUNIT_ASSERT(
+        SendRaw(server.Port(), "nonsense\r\n\r\n").find("malformed") !=
+        std::string::npos);
+    CPPUNIT_ASSERT(SendRaw(server.Port(), head + "Content-Length: 9\r\n\r\nab")
+                       .find("too_slow") != std::string::npos);
+  }
+
+  void TellsUnsentFromUnknown() {
+    IoThread io;
+    HttpServer server(io.io, {}, [](HttpRequest, const Responder&) {});
+    HttpClient client(io.io, {});
+    const auto unsent = client.CallAndWait("127.0.0.1:1", {}, kCallTimeout);
+    CPPUNIT_ASSERT(std::get<Error>(unsent).kind == ErrorKind::kPeerUnreachable);
+    const auto unknown = client.CallAndWait(AddressOf(server), {}, Millis(100));
+    CPPUNIT_ASSERT(std::get<Error>(unknown).kind == ErrorKind::kOutcomeUnknown);
+  }
+
+  /// A peer whose open connections went silent answers on new ones: after one
+  /// time-out the next call must succeed.
+  void SilentConnectionsAreRetired() {
+    IoThread io;
+    asio::ip::tcp::acceptor acceptor(io.io,
+                                     {asio::ip::make_address("127.0.0.1"), 0});
+    std::thread peer([&] {
+      const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+      auto first = acceptor.accept();
+      std::string buffer(4096, '\0');
+      first.read_some(asio::buffer(buffer));
+      asio::write(first, asio::buffer(answer));
+      auto second = acceptor.accept();  // The first stays open and silent.
+      second.read_some(asio::buffer(buffer));
+      asio::write(second, asio::buffer(answer));
+    });
+    HttpClient client(io.io, {});
+    const std::string address =
+        "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    const auto first = client.CallAndWait(address, {}, kCallTimeout);
+    const auto silent = client.CallAndWait(address, {}, Millis(100));
+    const auto renewed = client.CallAndWait(address, {}, kCallTimeout);
+    peer.join();
+    CPPUNIT_ASSERT(std::holds_alternative<HttpResponse>(first));
+    CPPUNIT_ASSERT(std::holds_alternative<Error>(silent));
+    CPPUNIT_ASSERT(std::holds_alternative<HttpResponse>(renewed));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HttpTest);
+
+}  // namespace
+}  // namespace buckthornmux::net
