--- /dev/null
+++ b/include/buckthornmux/detail/peer/peer_links.h
@@ -0,0 +1,71 @@
+/// TCP links between entry hosts, and UDP heartbeats on the same port.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <span>
+#include <string>
+
+#include "buckthornmux/detail/peer/messages.h"
+
+namespace boost::asio {
+class io_context;
+}  // namespace boost::asio
+
+namespace buckthornmux::peer {
+
+/// Timing and bounds of links.
+struct PeerLinkOptions {
+  HostId self;
+  std::string incarnation;
+  std::string listen;  ///< IP:port, TCP and UDP.
+  Millis ping_every{500};
+  Millis silent_after{2000};  ///< No Pong for so long: reconnect.
+  Millis reconnect_pause{200};
+  std::size_t max_queued = 16'384;  ///< Messages for one peer.
+};
+
+/// Another entry host.
+struct PeerAddress {
+  HostId host;
+  std::string address;  ///< IP:port.
+};
+
+/// What links report, on their I/O thread.
+struct PeerEvents {
+  std::function<void(const HostId& from, Message)> message;
+  /// A link went up or down. What was sent on a link that went down may or may
+  /// not have arrived.
+  std::function<void(const HostId& peer, bool up)> link;
+  std::function<void(Heartbeat)> heartbeat;
+};
+
+/// @brief One outgoing connection per peer for what this host sends; what it
+///   receives comes on connections that peers open.
+class PeerLinks {
+ public:
+  /// Errors: throws boost::system::system_error where the address can't be
+  /// bound.
+  PeerLinks(boost::asio::io_context& io, PeerLinkOptions options,
+            PeerEvents events);
+  ~PeerLinks();
+  PeerLinks(const PeerLinks&) = delete;
+  PeerLinks& operator=(const PeerLinks&) = delete;
+
+  /// @brief Names the peers; links to others end. Self is left out.
+  void SetPeers(std::span<const PeerAddress> peers);
+
+  /// @brief Queues a message, from any thread.
+  /// @return false where it is surely not sent: unknown peer, link down or
+  ///   queue full
+  bool Send(const HostId& peer, const Message& message);
+
+  /// @brief Sends a heartbeat to every peer, from any thread.
+  void SendHeartbeat(const Heartbeat& heartbeat);
+
+ private:
+  struct Impl;
+  std::shared_ptr<Impl> m_impl;
+};
+
+}  // namespace buckthornmux::peer
--- a/include/buckthornmux/detail/store/store.h
+++ b/include/buckthornmux/detail/store/store.h
@@ -53,11 +53,13 @@
       watch;
 };
 
-/// Keys in use, one place for all.
-inline constexpr std::string_view kConfigKey = "config/current";
+/// Keys in use, one place for all. Whatever every entry host must follow lies
+/// below one prefix, so that one watch brings it all.
+inline constexpr std::string_view kStatePrefix = "state/";
+inline constexpr std::string_view kConfigKey = "state/config";
+inline constexpr std::string_view kMembersPrefix = "state/members/";
+inline constexpr std::string_view kOwnersPrefix = "state/owners/";
 inline constexpr std::string_view kAuditPrefix = "audit/";
-inline constexpr std::string_view kMembersPrefix = "members/";
-inline constexpr std::string_view kOwnersPrefix = "owners/";
 inline constexpr std::string_view kGrantsPrefix = "grants/";
 inline constexpr std::string_view kJournalPrefix = "journal/";
 
--- /dev/null
+++ b/src/peer/peer_links.cc
@@ -0,0 +1,398 @@
+#include "buckthornmux/detail/peer/peer_links.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <utility>
+
+#include "buckthornmux/detail/net/address.h"
+#include "frame_io.h"
+
+namespace buckthornmux::peer {
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+using udp = asio::ip::udp;
+using SteadyClock = std::chrono::steady_clock;
+
+constexpr std::size_t kMaxDatagramBytes = 60'000;
+
+net::Address MustParse(const std::string& text) {
+  const auto outcome = Capture([&] { return net::ParseAddress(text); });
+  if (const auto* error = std::get_if<Error>(&outcome)) {
+    throw boost::system::system_error(asio::error::invalid_argument,
+                                      error->message);
+  }
+  return std::get<net::Address>(outcome);
+}
+
+using SocketPtr = std::shared_ptr<tcp::socket>;
+
+/// One peer's outgoing connection.
+struct Link {
+  Link(asio::io_context& io, PeerAddress peer_address)
+      : peer(std::move(peer_address)), wake(io) {}
+  PeerAddress peer;
+  std::mutex mutex;  ///< Guards queue and up.
+  std::deque<std::string> queue;
+  bool up = false;
+  // Below: of the I/O thread only.
+  bool ended = false;
+  asio::steady_timer wake;
+  SocketPtr socket;  ///< Of the current connection; coroutines hold their own.
+  SteadyClock::time_point last_pong;
+
+  void CloseSocket() const {
+    error_code ignored;
+    if (socket) {
+      socket->close(ignored);
+    }
+  }
+};
+using LinkPtr = std::shared_ptr<Link>;
+
+}  // namespace
+
+struct PeerLinks::Impl : std::enable_shared_from_this<PeerLinks::Impl> {
+  Impl(asio::io_context& context, PeerLinkOptions link_options,
+       PeerEvents link_events)
+      : io(context),
+        options(std::move(link_options)),
+        events(std::move(link_events)),
+        acceptor(context),
+        datagrams(context) {}
+
+  void Listen() {
+    const net::Address address = MustParse(options.listen);
+    const tcp::endpoint endpoint(address.ip, address.port);
+    acceptor.open(endpoint.protocol());
+    acceptor.set_option(asio::socket_base::reuse_address(true));
+    acceptor.bind(endpoint);
+    acceptor.listen();
+    const udp::endpoint datagram_endpoint(address.ip, address.port);
+    datagrams.open(datagram_endpoint.protocol());
+    datagrams.bind(datagram_endpoint);
+  }
+
+  // The frames below are encoded outside of co_await expressions: g++ 12
+  // destroys aggregate temporaries inside them twice.
+  [[nodiscard]] std::string EncodeHello() const {
+    return Encode(Message(Hello{options.self, options.incarnation}));
+  }
+
+  // ---- Receiving ----------------------------------------------------------
+
+  static asio::awaitable<void> Accept(std::shared_ptr<Impl> self) {
+    while (!self->ended) {
+      error_code error;
+      auto socket = std::make_shared<tcp::socket>(self->io);
+      co_await self->acceptor.async_accept(
+          *socket, asio::redirect_error(asio::use_awaitable, error));
+      if (error == asio::error::operation_aborted) {
+        co_return;
+      }
+      if (!error) {
+        socket->set_option(tcp::no_delay(true), error);
+        self->incoming.push_back(socket);
+        asio::co_spawn(self->io, Receive(self, socket), asio::detached);
+      }
+    }
+  }
+
+  static asio::awaitable<void> Receive(std::shared_ptr<Impl> self,
+                                       std::shared_ptr<tcp::socket> socket) {
+    HostId from;
+    while (const auto bytes = co_await ReadFrame(*socket)) {
+      const auto outcome = Capture([&] { return DecodeMessage(*bytes); });
+      const auto* message = std::get_if<Message>(&outcome);
+      if (message == nullptr) {
+        break;  // Another version or no peer: the connection ends.
+      }
+      if (const auto* hello = std::get_if<Hello>(message)) {
+        from = hello->host;
+      } else if (std::holds_alternative<Ping>(*message)) {
+        if (!co_await WriteFrame(*socket, self->pong)) {
+          break;
+        }
+      } else if (!from.empty()) {
+        self->events.message(from, *message);
+      }
+    }
+    error_code ignored;
+    socket->close(ignored);
+    std::erase(self->incoming, socket);
+  }
+
+  static asio::awaitable<void> ReceiveHeartbeats(std::shared_ptr<Impl> self) {
+    std::string buffer(kMaxDatagramBytes, '\0');
+    while (!self->ended) {
+      error_code error;
+      const std::size_t size = co_await self->datagrams.async_receive(
+          asio::buffer(buffer),
+          asio::redirect_error(asio::use_awaitable, error));
+      if (error == asio::error::operation_aborted) {
+        co_return;
+      }
+      if (error) {
+        continue;
+      }
+      auto outcome = Capture([&] {
+        return DecodeHeartbeat(std::string_view(buffer).substr(0, size));
+      });
+      if (auto* heartbeat = std::get_if<Heartbeat>(&outcome)) {
+        self->events.heartbeat(std::move(*heartbeat));
+      }
+    }
+  }
+
+  // ---- Sending ------------------------------------------------------------
+
+  asio::awaitable<bool> Connect(Link& link) {
+    const net::Address address = MustParse(link.peer.address);
+    auto socket = std::make_shared<tcp::socket>(io);
+    link.socket = socket;
+    asio::steady_timer limit(io, options.silent_after);
+    limit.async_wait([socket](error_code cancelled) {
+      if (!cancelled) {
+        error_code ignored;
+        socket->close(ignored);
+      }
+    });
+    error_code error;
+    co_await socket->async_connect(
+        tcp::endpoint(address.ip, address.port),
+        asio::redirect_error(asio::use_awaitable, error));
+    limit.cancel();
+    if (error || !socket->is_open()) {
+      co_return false;
+    }
+    socket->set_option(tcp::no_delay(true), error);
+    link.last_pong = SteadyClock::now();
+    const std::string hello = EncodeHello();
+    co_return co_await WriteFrame(*socket, hello);
+  }
+
+  /// Reads Pongs until the connection breaks.
+  static asio::awaitable<void> WatchPongs(std::shared_ptr<Impl> /*self*/,
+                                          LinkPtr link, SocketPtr socket) {
+    while (co_await ReadFrame(*socket)) {
+      link->last_pong = SteadyClock::now();
+    }
+    error_code ignored;
+    socket->close(ignored);
+    link->wake.cancel();
+  }
+
+  asio::awaitable<bool> WriteQueued(Link& link) {
+    std::deque<std::string> taken;
+    {
+      const std::scoped_lock lock(link.mutex);
+      taken.swap(link.queue);
+    }
+    for (const std::string& bytes : taken) {
+      if (!co_await WriteFrame(*link.socket, bytes)) {
+        co_return false;
+      }
+    }
+    co_return true;
+  }
+
+  asio::awaitable<void> Write(LinkPtr link) {
+    auto next_ping = SteadyClock::now();
+    while (!link->ended && link->socket->is_open()) {
+      const auto now = SteadyClock::now();
+      if (now - link->last_pong > options.silent_after) {
+        co_return;
+      }
+      if (now >= next_ping) {
+        next_ping = now + options.ping_every;
+        if (!co_await WriteFrame(*link->socket, ping)) {
+          co_return;
+        }
+      }
+      if (!co_await WriteQueued(*link)) {
+        co_return;
+      }
+      bool waiting = false;
+      {
+        const std::scoped_lock lock(link->mutex);
+        waiting = !link->queue.empty();
+      }
+      if (!waiting) {
+        link->wake.expires_at(next_ping);
+        error_code ignored;
+        co_await link->wake.async_wait(
+            asio::redirect_error(asio::use_awaitable, ignored));
+      }
+    }
+  }
+
+  void SetUp(Link& link, bool up) {
+    {
+      const std::scoped_lock lock(link.mutex);
+      if (link.up == up) {
+        return;
+      }
+      link.up = up;
+      link.queue.clear();
+    }
+    events.link(link.peer.host, up);
+  }
+
+  /// A write that hangs because the peer's window is full ends with the socket.
+  static asio::awaitable<void> CloseWhenSilent(std::shared_ptr<Impl> self,
+                                               LinkPtr link, SocketPtr socket) {
+    asio::steady_timer timer(self->io);
+    while (!link->ended && socket->is_open()) {
+      timer.expires_after(self->options.ping_every);
+      error_code ignored;
+      co_await timer.async_wait(
+          asio::redirect_error(asio::use_awaitable, ignored));
+      const auto silence = SteadyClock::now() - link->last_pong;
+      if (silence > self->options.silent_after) {
+        socket->close(ignored);
+        link->wake.cancel();
+      }
+    }
+  }
+
+  static asio::awaitable<void> RunLink(std::shared_ptr<Impl> self,
+                                       LinkPtr link) {
+    while (!link->ended && !self->ended) {
+      if (co_await self->Connect(*link)) {
+        asio::co_spawn(self->io, WatchPongs(self, link, link->socket),
+                       asio::detached);
+        asio::co_spawn(self->io, CloseWhenSilent(self, link, link->socket),
+                       asio::detached);
+        self->SetUp(*link, true);
+        co_await self->Write(link);
+        self->SetUp(*link, false);
+      }
+      link->CloseSocket();
+      error_code ignored;
+      asio::steady_timer pause(self->io, self->options.reconnect_pause);
+      co_await pause.async_wait(
+          asio::redirect_error(asio::use_awaitable, ignored));
+    }
+  }
+
+  void SetPeersNow(const std::vector<PeerAddress>& peers) {
+    const std::scoped_lock lock(mutex);
+    std::erase_if(links, [&](const auto& entry) {
+      const Link& link = *entry.second;
+      const bool kept = std::ranges::any_of(peers, [&](const auto& peer) {
+        return peer.host == link.peer.host && peer.address == link.peer.address;
+      });
+      if (!kept) {
+        End(*entry.second);
+      }
+      return !kept;
+    });
+    for (const PeerAddress& peer : peers) {
+      if (peer.host == options.self || links.contains(peer.host)) {
+        continue;
+      }
+      auto link = std::make_shared<Link>(io, peer);
+      links.emplace(peer.host, link);
+      asio::co_spawn(io, RunLink(shared_from_this(), link), asio::detached);
+    }
+  }
+
+  static void End(Link& link) {
+    link.ended = true;
+    link.CloseSocket();
+    link.wake.cancel();
+  }
+
+  void EndAll() {
+    ended = true;
+    error_code ignored;
+    acceptor.close(ignored);
+    datagrams.close(ignored);
+    for (const auto& socket : incoming) {
+      socket->close(ignored);
+    }
+    const std::scoped_lock lock(mutex);
+    for (const auto& [host, link] : links) {
+      End(*link);
+    }
+    links.clear();
+  }
+
+  asio::io_context& io;
+  PeerLinkOptions options;
+  PeerEvents events;
+  const std::string ping = Encode(Message(Ping{}));
+  const std::string pong = Encode(Message(Pong{}));
+  tcp::acceptor acceptor;
+  udp::socket datagrams;
+  bool ended = false;
+  std::vector<std::shared_ptr<tcp::socket>> incoming;
+  std::mutex mutex;  ///< Guards links.
+  std::map<HostId, LinkPtr> links;
+};
+
+PeerLinks::PeerLinks(asio::io_context& io, PeerLinkOptions options,
+                     PeerEvents events)
+    : m_impl(
+          std::make_shared<Impl>(io, std::move(options), std::move(events))) {
+  m_impl->Listen();
+  asio::co_spawn(io, Impl::Accept(m_impl), asio::detached);
+  asio::co_spawn(io, Impl::ReceiveHeartbeats(m_impl), asio::detached);
+}
+
+PeerLinks::~PeerLinks() {
+  asio::post(m_impl->io, [impl = m_impl] { impl->EndAll(); });
+}
+
+void PeerLinks::SetPeers(std::span<const PeerAddress> peers) {
+  asio::post(m_impl->io, [impl = m_impl, copy = std::vector<PeerAddress>(
+                                             peers.begin(), peers.end())] {
+    impl->SetPeersNow(copy);
+  });
+}
+
+bool PeerLinks::Send(const HostId& peer, const Message& message) {
+  LinkPtr link;
+  {
+    const std::scoped_lock lock(m_impl->mutex);
+    const auto found = m_impl->links.find(peer);
+    if (found == m_impl->links.end()) {
+      return false;
+    }
+    link = found->second;
+  }
+  std::string bytes = Encode(message);
+  {
+    const std::scoped_lock lock(link->mutex);
+    if (!link->up || link->queue.size() >= m_impl->options.max_queued) {
+      return false;
+    }
+    link->queue.push_back(std::move(bytes));
+  }
+  asio::post(m_impl->io, [link] { link->wake.cancel(); });
+  return true;
+}
+
+void PeerLinks::SendHeartbeat(const Heartbeat& heartbeat) {
+  asio::post(m_impl->io, [impl = m_impl, bytes = Encode(heartbeat)] {
+    const std::scoped_lock lock(impl->mutex);
+    for (const auto& [host, link] : impl->links) {
+      const net::Address address = MustParse(link->peer.address);
+      error_code ignored;
+      impl->datagrams.send_to(asio::buffer(bytes),
+                              udp::endpoint(address.ip, address.port), 0,
+                              ignored);
+    }
+  });
+}
+
+}  // namespace buckthornmux::peer
--- /dev/null
+++ b/tests/unit-peer.cc
@@ -0,0 +1,155 @@
+// Peer messages and links over loopback.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+
+#include "buckthornmux/detail/peer/peer_links.h"
+
+namespace buckthornmux::peer {
+namespace {
+
+namespace asio = boost::asio;
+constexpr std::chrono::seconds kPatience{5};
+
+struct IoThread {
+  asio::io_context io;
+  asio::executor_work_guard<asio::io_context::executor_type> work{
+      io.get_executor()};
+  std::thread thread{[this] { io.run(); }};
+  ~IoThread() {
+    io.stop();
+    thread.join();
+  }
+};
+
+/// Collects what one host's links report.
+struct Inbox {
+  std::mutex mutex;
+  std::condition_variable changed;
+  std::vector<Message> messages;
+  std::vector<Heartbeat> heartbeats;
+  std::vector<bool> links;
+
+  PeerEvents Events() {
+    return {.message =
+                [this](const HostId&, Message message) {
+                  Note([&] { messages.push_back(std::move(message)); });
+                },
+            .link = [this](const HostId&,
+                           bool up) { Note([&] { links.push_back(up); }); },
+            .heartbeat =
+                [this](Heartbeat heartbeat) {
+                  Note([&] { heartbeats.push_back(std::move(heartbeat)); });
+                }};
+  }
+
+  template <class F>
+  void Note(F f) {
+    const std::scoped_lock lock(mutex);
+    f();
+    changed.notify_all();
+  }
+
+  template <class Condition>
+  bool WaitFor(Condition condition) {
+    std::unique_lock lock(mutex);
+    return changed.wait_for(lock, kPatience, condition);
+  }
+};
+
+std::string FreeAddress() {
+  asio::io_context io;
+  const asio::ip::tcp::acceptor acceptor(
+      io, {asio::ip::make_address("127.0.0.1"), 0});
+  return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+}
+
+class PeerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PeerTest);
+  CPPUNIT_TEST(MessageSurvivesCodec);
+  CPPUNIT_TEST(RefusesForeignBytes);
+  CPPUNIT_TEST(SendsBothWays);
+  CPPUNIT_TEST(SilentLinkGoesDown);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void MessageSurvivesCodec() {
+    home::JobRequest request;
+    request.id = "r1";
+    request.demand.memory_mb = 17;
+    request.labels = {"gpu"};
+    request.expected_run = Millis(5);
+    const auto outcome = Capture([&] {
+      return DecodeMessage(Encode(Message(CallSubmit{7, request})));
+    });
+    const auto& back = std::get<CallSubmit>(std::get<Message>(outcome));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, back.call);
+    CPPUNIT_ASSERT(back.request.demand == request.demand);
+    CPPUNIT_ASSERT(back.request.labels == request.labels);
+  }
+
+  void RefusesForeignBytes() {
+    const std::string whole = Encode(Message(CallGone{7}));
+    for (const std::string& bytes :
+         {std::string("nonsense"), whole + "x",
+          whole.substr(0, whole.size() - 1), std::string()}) {
+      const auto outcome = Capture([&] { return DecodeMessage(bytes); });
+      CPPUNIT_ASSERT(std::get<Error>(outcome).kind == ErrorKind::kMalformed);
+    }
+  }
+
+  void SendsBothWays() {
+    Inbox inbox_a;
+    Inbox inbox_b;
+    IoThread io;
+    const std::string address_a = FreeAddress();
+    const std::string address_b = FreeAddress();
+    PeerLinks a(io.io, {.self = "a", .listen = address_a}, inbox_a.Events());
+    PeerLinks b(io.io, {.self = "b", .listen = address_b}, inbox_b.Events());
+    CPPUNIT_ASSERT(!a.Send("b", CallGone{1}));
+    const std::vector<PeerAddress> peers{{"a", address_a}, {"b", address_b}};
+    a.SetPeers(peers);
+    b.SetPeers(peers);
+    CPPUNIT_ASSERT(inbox_a.WaitFor([&] { return !inbox_a.links.empty(); }));
+    for (std::uint64_t i = 0; i < 100; ++i) {
+      CPPUNIT_ASSERT(a.Send("b", CallGone{i}));
+    }
+    CPPUNIT_ASSERT(
+        inbox_b.WaitFor([&] { return inbox_b.messages.size() == 100; }));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{99},
+                         std::get<CallGone>(inbox_b.messages.back()).call);
+    a.SendHeartbeat({.host = "a", .sequence = 3});
+    CPPUNIT_ASSERT(
+        inbox_b.WaitFor([&] { return !inbox_b.heartbeats.empty(); }));
+  }
+
+  /// A peer that accepts but never answers a Ping is reported down.
+  void SilentLinkGoesDown() {
+    Inbox inbox;
+    IoThread io;
+    asio::ip::tcp::acceptor silent(io.io,
+                                   {asio::ip::make_address("127.0.0.1"), 0});
+    PeerLinks links(io.io,
+                    {.self = "a",
+                     .listen = FreeAddress(),
+                     .ping_every = Millis(20),
+                     .silent_after = Millis(100)},
+                    inbox.Events());
+    const std::vector<PeerAddress> peers{
+        {"b", "127.0.0.1:" + std::to_string(silent.local_endpoint().port())}};
+    links.SetPeers(peers);
+    CPPUNIT_ASSERT(inbox.WaitFor([&] {
+      return inbox.links.size() >= 2 && inbox.links[0] && !inbox.links[1];
+    }));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PeerTest);
+
+}  // namespace
+}  // namespace buckthornmux::peer
