--- a/include/buckthornmux/detail/core/error.h
+++ b/include/buckthornmux/detail/core/error.h
@@ -68,6 +68,7 @@
   Ran ran;             ///< What the kind says by default of the work.
   Millis retry_after;  ///< When to come back; 0: no use in coming back.
   int exit_code;       ///< Of the command line.
+  std::string_view advice;  ///< What it means and what to do, one line.
 };
 
 /// @brief Answers for every kind, in the order of their numbers.
