Settings, stored configuration, keys

Cause: every duty needs its settings, and a configuration that is changed by compare-and-swap and checked keys. Weighed: the audit trail as keys of its own would let a change be in force without its entry when the process dies between two writes; it travels inside the configuration's value instead, bounded. The revision is the store's own revision of the key, so there is one number, and it rises also when the key is written anew. A write whose answer was lost is tried again (the compare lets one through) and recognised by the id of its audit entry.

--- a/include/buckthornmux/detail/config/config.h
+++ b/include/buckthornmux/detail/config/config.h
@@ -36,13 +36,26 @@
   std::string hash;  ///< Hex of the salted hash of the secret part.
 };
 
-/// Everything operators declare, under one revision number.
+/// One change of the declared state.
+struct AuditEntry {
+  std::string id;  ///< Random; a writer knows its own write by it.
+  WallMillis at = 0;
+  std::string who;      ///< As the operator called itself.
+  std::string what;     ///< "apply", "grant" or "withdraw".
+  Revision from = 0;    ///< Revision that was changed; the entry's own revision
+                        ///< is the next entry's `from`, or the configuration's.
+  std::string summary;  ///< What changed, one line.
+};
+
+/// Everything operators declare, under one revision number. The audit trail
+/// travels inside, so that no change can be in force without its entry.
 struct Config {
-  Revision revision = 0;
+  Revision revision = 0;  ///< Of the store key that holds it; 0: none yet.
   std::vector<TargetSpec> targets;
   std::vector<Team> teams;
   std::vector<WorkKind> kinds;
   std::vector<TeamKey> keys;
+  std::vector<AuditEntry> audit;  ///< Oldest first, bounded.
 };
 
 }  // namespace buckthornmux::config
