Ownership: claims, takeover, handover and lease of ranges

Ranges are claimed from the owner records and registered members of one view, epoch above every one ever seen; a write whose answer was lost is resolved by the next view. Owners have to be read before members: else a member that registers between the two reads looks gone. A process whose lease lapsed registers under a new incarnation and claims its ranges anew, so that a late claim of another can't land under a lease that came back. ClaimAnswered gained the revision written, Registered is a new event.

--- a/include/buckthornmux/detail/member/ownership.h
+++ b/include/buckthornmux/detail/member/ownership.h
@@ -3,7 +3,10 @@
 /// Pure: (state, event, now) -> actions.
 #pragma once
 
+#include <map>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -29,6 +32,8 @@
   std::string incarnation;
   Epoch epoch = 0;
   Revision revision = 0;  ///< Of the store key; 0: never written.
+
+  bool operator==(const OwnerRecord&) const = default;
 };
 
 /// One member as this process sees it.
@@ -50,11 +55,19 @@
   std::vector<Range> ranges;
 };
 /// Members and owner records as read from the store, at `read_at` or later.
+/// The owners are read before the members: an owner that is missing among the
+/// members is then surely gone, because it had registered before it claimed.
 struct StoreView {
   Time read_at;
   std::vector<Member> members;
   std::vector<OwnerRecord> owners;
 };
+/// This process registered under a new lease and a new incarnation, after the
+/// former lease had lapsed; the lease request left at `sent_at`.
+struct Registered {
+  std::string incarnation;
+  Time sent_at;
+};
 /// This process renewed its member lease; the request left at `sent_at`.
 struct LeaseRenewed {
   Time sent_at;
@@ -64,6 +77,7 @@
   OwnerRecord record;  ///< As it was to be written.
   enum class End : std::uint8_t { kWritten, kLost, kUnavailable, kUnknown };
   End end = End::kWritten;
+  Revision revision = 0;  ///< Of the key since the write, where kWritten.
 };
 /// The caller of this module has let go of a range it was told to release.
 struct Released {
@@ -74,8 +88,8 @@
 /// Time passed.
 struct Tick {};
 
-using Event = std::variant<RangesWanted, StoreView, LeaseRenewed, ClaimAnswered,
-                           Released, Leave, Tick>;
+using Event = std::variant<RangesWanted, StoreView, Registered, LeaseRenewed,
+                           ClaimAnswered, Released, Leave, Tick>;
 
 // ---- Actions --------------------------------------------------------------
 
@@ -106,4 +120,79 @@
 
 using Action = std::variant<Claim, Gained, Lost, Release, LeaseHeld>;
 
+// ---- State ----------------------------------------------------------------
+
+/// Bounds and delays of ownership.
+struct OwnershipOptions {
+  Millis lease_ttl{6000};      ///< Of the member lease in the store.
+  int drift_per_mille = 10;    ///< Clocks of two hosts differ by less.
+  Millis takeover_delay{500};  ///< Since a range was seen without an owner that
+                               ///< is registered; released ranges wait none.
+  Millis max_view_age{3000};   ///< Older views are not acted upon.
+  Millis move_interval{500};   ///< Between two handovers for balance.
+  Millis claim_retry{500};     ///< After a claim without effect.
+};
+
+/// Where this process stands with a range.
+enum class Standing : std::uint8_t {
+  kNone,       ///< Not ours.
+  kOwned,      ///< Gained, in service.
+  kReleasing,  ///< Release was asked for, Released is awaited.
+  kReleased,   ///< Let go of; the record has still to be written.
+};
+
+/// One range as this process knows it.
+struct RangeState {
+  OwnerRecord record;  ///< The latest known, by revision.
+  Epoch highest = 0;   ///< Highest epoch ever seen; the next one is above it.
+  Standing standing = Standing::kNone;
+  Time known_at;                     ///< When `record` was written or read.
+  std::optional<OwnerRecord> claim;  ///< Claim sent and not answered yet.
+  Time claim_at;                     ///< No further claim before this time,
+  std::optional<Time> view_after;    ///< nor before a view read since then.
+  std::optional<Time> ownerless;     ///< Since when no registered owner.
+};
+
+/// All that ownership decides from.
+struct OwnershipState {
+  Member self;
+  OwnershipOptions options;
+  std::vector<RangesWanted::Range> wanted;
+  std::map<std::string, HostId, std::less<>> wanted_owners;
+  std::map<std::string, RangeState, std::less<>> ranges;
+  std::vector<Member> members;  ///< Of the last view.
+  std::optional<Time> read_at;  ///< Of the last view.
+  Time lease_until;
+  bool lease_held = false;
+  Time next_move;
+};
+
+/// @brief Starts with no range and no lease.
+/// @param self this process, as it registers
+/// @param options bounds and delays
+[[nodiscard]] OwnershipState MakeOwnership(Member self,
+                                           OwnershipOptions options);
+
+/// @brief Decides upon one event.
+/// @param state changed in place
+/// @param event what happened
+/// @param now time of the decision, never before that of the last one
+/// @return what to do, in this order
+/// Complexity: linear in ranges and members; a view that changes members or
+/// ranges costs ranges times members hashes.
+/// @par Example
+/// @code
+/// auto state = MakeOwnership(self, {});
+/// for (const Action& action : Apply(state, Tick{}, now)) { ... }
+/// @endcode
+[[nodiscard]] std::vector<Action> Apply(OwnershipState& state,
+                                        const Event& event, Time now);
+
+/// @brief Time up to which the member lease surely stands: a start that an
+///   unfenced target is sent must carry a `start_by` no later than this.
+[[nodiscard]] Time LeaseEnds(const OwnershipState& state);
+
+/// @brief Whether nothing is owned nor waits to be released any more.
+[[nodiscard]] bool OwnsNothing(const OwnershipState& state);
+
 }  // namespace buckthornmux::member
--- /dev/null
+++ b/src/member/ownership.cc
@@ -0,0 +1,342 @@
+#include "buckthornmux/detail/member/ownership.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "buckthornmux/detail/core/invariant.h"
+#include "buckthornmux/detail/member/rendezvous.h"
+
+namespace buckthornmux::member {
+namespace {
+
+using Actions = std::vector<Action>;
+constexpr int kPerMille = 1000;
+
+bool IsRegistered(const OwnershipState& state, const HostId& id,
+                  std::string_view incarnation) {
+  return std::ranges::any_of(state.members, [&](const Member& member) {
+    return member.id == id && member.incarnation == incarnation;
+  });
+}
+
+bool IsOurs(const OwnershipState& state, const OwnerRecord& record) {
+  return record.owner == state.self.id &&
+         record.incarnation == state.self.incarnation;
+}
+
+/// Whether the last view is young enough and shows this process registered.
+bool MayClaim(const OwnershipState& state, Time now) {
+  return state.lease_held && !state.self.leaving && state.read_at &&
+         now - *state.read_at <= state.options.max_view_age &&
+         IsRegistered(state, state.self.id, state.self.incarnation);
+}
+
+/// Whether the key may be written: no write is under way, and the outcome of
+/// the last one is known.
+bool MayWrite(const OwnershipState& state, const RangeState& range, Time now) {
+  const bool seen = !range.view_after ||
+                    (state.read_at && *state.read_at >= *range.view_after);
+  return !range.claim && seen && now >= range.claim_at;
+}
+
+void SendRecord(RangeState& range, OwnerRecord record, Actions& actions) {
+  record.revision = range.record.revision;
+  range.claim = record;
+  actions.emplace_back(Claim{std::move(record)});
+}
+
+void WriteRelease(const OwnershipState& state, RangeState& range, Time now,
+                  Actions& actions) {
+  if (!MayWrite(state, range, now)) {
+    return;
+  }
+  OwnerRecord record = range.record;
+  record.owner.clear();
+  record.incarnation.clear();
+  SendRecord(range, std::move(record), actions);
+}
+
+void StartRelease(const std::string& name, RangeState& range,
+                  Actions& actions) {
+  range.standing = Standing::kReleasing;
+  actions.emplace_back(Release{name});
+}
+
+/// The range is no longer ours, whatever we were about to do with it.
+void Drop(const std::string& name, RangeState& range, Actions& actions) {
+  if (range.standing == Standing::kOwned ||
+      range.standing == Standing::kReleasing) {
+    actions.emplace_back(Lost{name});
+  }
+  range.standing = Standing::kNone;
+}
+
+/// A record that says we own a range which we don't serve: a claim of ours
+/// whose answer was lost, or has just come.
+void TakeUp(const OwnershipState& state, const std::string& name,
+            RangeState& range, Actions& actions) {
+  if (state.self.leaving) {
+    range.standing = Standing::kReleased;
+    return;
+  }
+  range.standing = Standing::kOwned;
+  actions.emplace_back(Gained{name, range.record.epoch});
+}
+
+/// Takes in a record that is newer than the one known.
+void Learn(const OwnershipState& state, const std::string& name,
+           RangeState& range, const OwnerRecord& record, Time now,
+           Actions& actions) {
+  const bool same_epoch = record.epoch == range.record.epoch;
+  Invariant(!same_epoch || record.owner.empty() || range.record.epoch == 0 ||
+                record.owner == range.record.owner,
+            "one_owner_per_epoch", name);
+  range.record = record;
+  range.highest = std::max(range.highest, record.epoch);
+  range.known_at = now;
+  if (!IsOurs(state, record)) {
+    Drop(name, range, actions);
+  } else if (range.standing == Standing::kNone || !same_epoch) {
+    Drop(name, range, actions);
+    TakeUp(state, name, range, actions);
+  }
+}
+
+/// The key is gone although it was written: the service has lost data. Our
+/// epoch is kept, so that the next claim is above it.
+void LearnMissing(const std::string& name, RangeState& range, Time now,
+                  Actions& actions) {
+  Drop(name, range, actions);
+  range.record = OwnerRecord{.range = name};
+  range.known_at = now;
+}
+
+void NoteOwnerless(const OwnershipState& state, RangeState& range, Time now) {
+  const OwnerRecord& record = range.record;
+  if (!record.owner.empty() &&
+      IsRegistered(state, record.owner, record.incarnation)) {
+    range.ownerless.reset();
+  } else if (!range.ownerless) {
+    range.ownerless = now;
+  }
+}
+
+bool TakeoverDue(const OwnershipState& state, const RangeState& range,
+                 Time now) {
+  if (!range.ownerless) {
+    return false;
+  }
+  const bool was_released =
+      range.record.owner.empty() && range.record.epoch > 0;
+  const bool was_ours = range.record.owner == state.self.id;
+  return was_released || was_ours ||
+         now - *range.ownerless >= state.options.takeover_delay;
+}
+
+void ClaimOne(const OwnershipState& state, const std::string& name,
+              RangeState& range, Time now, Actions& actions) {
+  if (!MayWrite(state, range, now) || !TakeoverDue(state, range, now)) {
+    return;
+  }
+  const auto wanted = state.wanted_owners.find(name);
+  if (wanted == state.wanted_owners.end()) {
+    return;
+  }
+  const bool was_ours = range.record.owner == state.self.id;
+  if (wanted->second != state.self.id && !was_ours) {
+    return;
+  }
+  SendRecord(range,
+             {.range = name,
+              .owner = state.self.id,
+              .incarnation = state.self.incarnation,
+              .epoch = range.highest + 1},
+             actions);
+}
+
+/// Whether an owned range belongs elsewhere.
+bool IsMisplaced(const OwnershipState& state, const std::string& name) {
+  const auto wanted = state.wanted_owners.find(name);
+  return wanted == state.wanted_owners.end() || wanted->second != state.self.id;
+}
+
+/// Hands over one range at a time, and none while the store may be away.
+void Rebalance(OwnershipState& state, Time now, Actions& actions) {
+  if (now < state.next_move || state.wanted_owners.empty()) {
+    return;
+  }
+  const bool moving = std::ranges::any_of(state.ranges, [](const auto& entry) {
+    return entry.second.standing == Standing::kReleasing ||
+           entry.second.standing == Standing::kReleased;
+  });
+  if (moving) {
+    return;
+  }
+  for (auto& [name, range] : state.ranges) {
+    if (range.standing == Standing::kOwned && IsMisplaced(state, name)) {
+      StartRelease(name, range, actions);
+      state.next_move = now + state.options.move_interval;
+      return;
+    }
+  }
+}
+
+void SetLease(OwnershipState& state, Time now, Actions& actions) {
+  const bool held = now < state.lease_until;
+  if (held != state.lease_held) {
+    state.lease_held = held;
+    actions.emplace_back(LeaseHeld{held});
+  }
+}
+
+void ExtendLease(OwnershipState& state, Time sent_at) {
+  const Millis safe = state.options.lease_ttl *
+                      (kPerMille - state.options.drift_per_mille) / kPerMille;
+  state.lease_until = std::max(state.lease_until, sent_at + safe);
+}
+
+/// What has become due, after each event.
+void Proceed(OwnershipState& state, Time now, Actions& actions) {
+  SetLease(state, now, actions);
+  for (auto& [name, range] : state.ranges) {
+    if (range.standing == Standing::kReleased) {
+      WriteRelease(state, range, now, actions);
+    } else if (range.standing == Standing::kNone && MayClaim(state, now)) {
+      ClaimOne(state, name, range, now, actions);
+    }
+  }
+  if (MayClaim(state, now)) {
+    Rebalance(state, now, actions);
+  }
+}
+
+void Handle(OwnershipState& state, const RangesWanted& event, Time /*now*/,
+            Actions& /*actions*/) {
+  state.wanted = event.ranges;
+  for (const RangesWanted::Range& range : event.ranges) {
+    state.ranges[range.name].record.range = range.name;
+  }
+  state.wanted_owners = WantedOwners(state.wanted, state.members);
+}
+
+void Handle(OwnershipState& state, const StoreView& event, Time now,
+            Actions& actions) {
+  if (state.read_at && event.read_at < *state.read_at) {
+    return;
+  }
+  state.read_at = event.read_at;
+  state.members = event.members;
+  state.wanted_owners = WantedOwners(state.wanted, state.members);
+  std::map<std::string_view, const OwnerRecord*> records;
+  for (const OwnerRecord& record : event.owners) {
+    records[record.range] = &record;
+    state.ranges[record.range].record.range = record.range;
+  }
+  for (auto& [name, range] : state.ranges) {
+    const auto found = records.find(name);
+    if (found != records.end()) {
+      if (found->second->revision > range.record.revision) {
+        Learn(state, name, range, *found->second, now, actions);
+      }
+    } else if (range.record.revision > 0 && event.read_at >= range.known_at) {
+      LearnMissing(name, range, now, actions);
+    }
+    NoteOwnerless(state, range, now);
+  }
+}
+
+void Handle(OwnershipState& state, const Registered& event, Time /*now*/,
+            Actions& actions) {
+  // Whatever the former incarnation held may be another's by now; it is
+  // claimed anew, which also defeats claims of others still under way.
+  for (auto& [name, range] : state.ranges) {
+    Drop(name, range, actions);
+    range.claim.reset();
+  }
+  state.self.incarnation = event.incarnation;
+  state.lease_until = Time{};
+  ExtendLease(state, event.sent_at);
+}
+
+void Handle(OwnershipState& state, const LeaseRenewed& event, Time /*now*/,
+            Actions& /*actions*/) {
+  ExtendLease(state, event.sent_at);
+}
+
+void Handle(OwnershipState& state, const ClaimAnswered& event, Time now,
+            Actions& actions) {
+  const auto found = state.ranges.find(event.record.range);
+  if (found == state.ranges.end()) {
+    return;
+  }
+  auto& [name, range] = *found;
+  if (range.claim == event.record) {
+    range.claim.reset();
+  }
+  switch (event.end) {
+    case ClaimAnswered::End::kWritten:
+      if (event.revision > range.record.revision) {
+        OwnerRecord record = event.record;
+        record.revision = event.revision;
+        Learn(state, name, range, record, now, actions);
+        NoteOwnerless(state, range, now);
+      }
+      break;
+    case ClaimAnswered::End::kUnavailable:
+      range.claim_at = now + state.options.claim_retry;
+      break;
+    case ClaimAnswered::End::kLost:
+    case ClaimAnswered::End::kUnknown:
+      range.view_after = now;
+      break;
+  }
+}
+
+void Handle(OwnershipState& state, const Released& event, Time /*now*/,
+            Actions& /*actions*/) {
+  const auto found = state.ranges.find(event.range);
+  if (found != state.ranges.end() &&
+      found->second.standing == Standing::kReleasing) {
+    found->second.standing = Standing::kReleased;
+  }
+}
+
+void Handle(OwnershipState& state, const Leave& /*event*/, Time /*now*/,
+            Actions& actions) {
+  state.self.leaving = true;
+  for (auto& [name, range] : state.ranges) {
+    if (range.standing == Standing::kOwned) {
+      StartRelease(name, range, actions);
+    }
+  }
+}
+
+void Handle(OwnershipState& /*state*/, const Tick& /*event*/, Time /*now*/,
+            Actions& /*actions*/) {}
+
+}  // namespace
+
+OwnershipState MakeOwnership(Member self, OwnershipOptions options) {
+  OwnershipState state;
+  state.self = std::move(self);
+  state.options = options;
+  return state;
+}
+
+std::vector<Action> Apply(OwnershipState& state, const Event& event, Time now) {
+  Actions actions;
+  SetLease(state, now, actions);
+  std::visit([&](const auto& e) { Handle(state, e, now, actions); }, event);
+  Proceed(state, now, actions);
+  return actions;
+}
+
+Time LeaseEnds(const OwnershipState& state) { return state.lease_until; }
+
+bool OwnsNothing(const OwnershipState& state) {
+  return std::ranges::all_of(state.ranges, [](const auto& entry) {
+    return entry.second.standing == Standing::kNone && !entry.second.claim;
+  });
+}
+
+}  // namespace buckthornmux::member
--- /dev/null
+++ b/src/member/records.cc
@@ -0,0 +1,83 @@
+#include "buckthornmux/detail/member/records.h"
+
+#include <boost/json.hpp>
+
+namespace buckthornmux::member {
+namespace {
+
+namespace json = boost::json;
+
+Result<json::object> ParseObject(std::string_view text) {
+  boost::system::error_code error;
+  json::value value = json::parse(text, error);
+  if (error || !value.is_object()) {
+    return Fail(ErrorKind::kMalformed, "expected a JSON object");
+  }
+  return std::move(value.as_object());
+}
+
+Result<std::string> Text(const json::object& object, std::string_view name) {
+  const json::value* value = object.if_contains(name);
+  if (value == nullptr || !value->is_string()) {
+    return Fail(ErrorKind::kMalformed, "expected a string", std::string(name));
+  }
+  return std::string(value->as_string());
+}
+
+Result<Epoch> Number(const json::object& object, std::string_view name) {
+  const json::value* value = object.if_contains(name);
+  boost::system::error_code error;
+  const auto number = value == nullptr ? 0 : value->to_number<Epoch>(error);
+  if (value == nullptr || error) {
+    return Fail(ErrorKind::kMalformed, "expected a count", std::string(name));
+  }
+  return number;
+}
+
+}  // namespace
+
+std::string EncodeMember(const Member& member) {
+  return json::serialize(json::object{{"id", member.id},
+                                      {"incarnation", member.incarnation},
+                                      {"peer_address", member.peer_address},
+                                      {"http_address", member.http_address},
+                                      {"data_centre", member.data_centre},
+                                      {"leaving", member.leaving}});
+}
+
+Result<Member> DecodeMember(std::string_view text) {
+  BOOST_LEAF_AUTO(object, ParseObject(text));
+  Member member;
+  BOOST_LEAF_ASSIGN(member.id, Text(object, "id"));
+  BOOST_LEAF_ASSIGN(member.incarnation, Text(object, "incarnation"));
+  BOOST_LEAF_ASSIGN(member.peer_address, Text(object, "peer_address"));
+  BOOST_LEAF_ASSIGN(member.http_address, Text(object, "http_address"));
+  BOOST_LEAF_ASSIGN(member.data_centre, Text(object, "data_centre"));
+  const json::value* leaving = object.if_contains("leaving");
+  if (leaving == nullptr || !leaving->is_bool()) {
+    return Fail(ErrorKind::kMalformed, "expected true or false", "leaving");
+  }
+  member.leaving = leaving->as_bool();
+  return member;
+}
+
+std::string EncodeOwnerRecord(const OwnerRecord& record) {
+  return json::serialize(json::object{{"range", record.range},
+                                      {"owner", record.owner},
+                                      {"incarnation", record.incarnation},
+                                      {"epoch", record.epoch}});
+}
+
+Result<OwnerRecord> DecodeOwnerRecord(std::string_view text,
+                                      Revision revision) {
+  BOOST_LEAF_AUTO(object, ParseObject(text));
+  OwnerRecord record;
+  BOOST_LEAF_ASSIGN(record.range, Text(object, "range"));
+  BOOST_LEAF_ASSIGN(record.owner, Text(object, "owner"));
+  BOOST_LEAF_ASSIGN(record.incarnation, Text(object, "incarnation"));
+  BOOST_LEAF_ASSIGN(record.epoch, Number(object, "epoch"));
+  record.revision = revision;
+  return record;
+}
+
+}  // namespace buckthornmux::member
--- /dev/null
+++ b/tests/unit-ownership.cc
@@ -0,0 +1,277 @@
+// Ownership of ranges: claims, takeover, handover, leases, stored form.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <set>
+
+#include "buckthornmux/detail/member/ownership.h"
+#include "buckthornmux/detail/member/records.h"
+#include "buckthornmux/detail/member/rendezvous.h"
+
+namespace buckthornmux::member {
+namespace {
+
+using Range = RangesWanted::Range;
+
+constexpr Time kStart{Millis(1'000'000)};
+
+Member MakeMember(const std::string& id, const std::string& data_centre) {
+  return {.id = id, .incarnation = id + "-1", .data_centre = data_centre};
+}
+
+template <class T>
+std::vector<T> Only(const std::vector<Action>& actions) {
+  std::vector<T> found;
+  for (const Action& action : actions) {
+    if (const auto* wanted = std::get_if<T>(&action)) {
+      found.push_back(*wanted);
+    }
+  }
+  return found;
+}
+
+/// Process "a" with one range, registered and under lease at kStart.
+OwnershipState MakeReady() {
+  auto state = MakeOwnership(MakeMember("a", "east"), {});
+  (void)Apply(state, RangesWanted{{{.name = "shard/1", .data_centre = {}}}},
+              kStart);
+  (void)Apply(state, LeaseRenewed{kStart}, kStart);
+  return state;
+}
+
+StoreView View(Time at, std::vector<OwnerRecord> owners,
+               std::vector<Member> members = {MakeMember("a", "east")}) {
+  return {.read_at = at,
+          .members = std::move(members),
+          .owners = std::move(owners)};
+}
+
+ClaimAnswered Answer(const Claim& claim, ClaimAnswered::End end,
+                     Revision revision = 0) {
+  return {.record = claim.record, .end = end, .revision = revision};
+}
+
+/// MakeReady that has gained its range with epoch 1 at revision 10.
+OwnershipState MakeOwner() {
+  auto state = MakeReady();
+  const Time later = kStart + state.options.takeover_delay;
+  (void)Apply(state, View(kStart, {}), kStart);
+  const auto claims = Only<Claim>(Apply(state, Tick{}, later));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, claims.size());
+  const auto gained = Only<Gained>(
+      Apply(state, Answer(claims[0], ClaimAnswered::End::kWritten, 10), later));
+  CPPUNIT_ASSERT(gained.size() == 1 && gained[0].epoch == 1);
+  return state;
+}
+
+class OwnershipTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(OwnershipTest);
+  CPPUNIT_TEST(LostAnswerIsReadBack);
+  CPPUNIT_TEST(RegisteredOwnerIsLeftAlone);
+  CPPUNIT_TEST(GoneOwnerIsFollowed);
+  CPPUNIT_TEST(LeaseEndsButRangesStay);
+  CPPUNIT_TEST(NewIncarnationClaimsAnew);
+  CPPUNIT_TEST(LateViewIsIgnored);
+  CPPUNIT_TEST(LeaverReleasesAll);
+  CPPUNIT_TEST(RangeMovesToNewcomer);
+  CPPUNIT_TEST(LostRecordKeepsEpochsRising);
+  CPPUNIT_TEST(WantedOwnersAreLocalAndBalanced);
+  CPPUNIT_TEST(RecordsRoundTrip);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void LostAnswerIsReadBack() {
+    auto state = MakeReady();
+    (void)Apply(state, View(kStart, {}), kStart);
+    Time now = kStart + state.options.takeover_delay;
+    const auto claims = Only<Claim>(Apply(state, Tick{}, now));
+    auto actions =
+        Apply(state, Answer(claims[0], ClaimAnswered::End::kUnknown), now);
+    CPPUNIT_ASSERT(Only<Gained>(actions).empty());
+    CPPUNIT_ASSERT(
+        Only<Claim>(Apply(state, Tick{}, now + Millis(900))).empty());
+    OwnerRecord written = claims[0].record;
+    written.revision = 7;
+    now += Millis(1000);
+    const auto gained = Only<Gained>(Apply(state, View(now, {written}), now));
+    CPPUNIT_ASSERT(gained.size() == 1 && gained[0].epoch == 1);
+  }
+
+  void RegisteredOwnerIsLeftAlone() {
+    auto state = MakeReady();
+    const OwnerRecord other{"shard/1", "b", "b-1", 4, 9};
+    const std::vector<Member> both{MakeMember("a", "east"),
+                                   MakeMember("b", "east")};
+    for (Time now = kStart; now < kStart + Millis(4000); now += Millis(500)) {
+      const auto actions = Apply(state, View(now, {other}, both), now);
+      CPPUNIT_ASSERT(Only<Claim>(actions).empty());
+    }
+  }
+
+  /// Also where a new process runs on the owner's host: the incarnation counts.
+  void GoneOwnerIsFollowed() {
+    auto state = MakeReady();
+    const OwnerRecord other{"shard/1", "b", "b-0", 4, 9};
+    (void)Apply(state, View(kStart, {other}), kStart);
+    const Time now = kStart + state.options.takeover_delay;
+    const auto claims = Only<Claim>(Apply(state, Tick{}, now));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, claims.size());
+    CPPUNIT_ASSERT_EQUAL(Epoch{5}, claims[0].record.epoch);
+    CPPUNIT_ASSERT_EQUAL(Revision{9}, claims[0].record.revision);
+  }
+
+  void LeaseEndsButRangesStay() {
+    auto state = MakeOwner();
+    const Time end = kStart + Millis(5940);  // 6 s less 10 per mille.
+    CPPUNIT_ASSERT(LeaseEnds(state) == end);
+    CPPUNIT_ASSERT(
+        Only<LeaseHeld>(Apply(state, Tick{}, end - Millis(1))).empty());
+    const auto actions = Apply(state, Tick{}, end);
+    CPPUNIT_ASSERT(!Only<LeaseHeld>(actions).at(0).held);
+    CPPUNIT_ASSERT(Only<Lost>(actions).empty());
+    const Time hours = end + std::chrono::hours(5);
+    CPPUNIT_ASSERT(Apply(state, Tick{}, hours).empty());
+    CPPUNIT_ASSERT(
+        Only<LeaseHeld>(Apply(state, LeaseRenewed{hours}, hours)).at(0).held);
+  }
+
+  void NewIncarnationClaimsAnew() {
+    auto state = MakeOwner();
+    const Time now = kStart + Millis(20'000);
+    const auto actions = Apply(state, Registered{"a-2", now}, now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Only<Lost>(actions).size());
+    Member renewed = MakeMember("a", "east");
+    renewed.incarnation = "a-2";
+    const OwnerRecord former{"shard/1", "a", "a-1", 1, 10};
+    const auto claims =
+        Only<Claim>(Apply(state, View(now, {former}, {renewed}), now));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, claims.size());
+    CPPUNIT_ASSERT_EQUAL(Epoch{2}, claims[0].record.epoch);
+  }
+
+  void LateViewIsIgnored() {
+    auto state = MakeOwner();
+    const Time now = kStart + Millis(600);
+    CPPUNIT_ASSERT(
+        Only<Lost>(Apply(state, View(kStart + Millis(100), {}), now)).empty());
+    const OwnerRecord older{"shard/1", "b", "b-1", 0, 9};
+    CPPUNIT_ASSERT(Only<Lost>(Apply(state, View(now, {older}), now)).empty());
+    const OwnerRecord newer{"shard/1", "b", "b-1", 2, 11};
+    CPPUNIT_ASSERT_EQUAL(
+        std::size_t{1},
+        Only<Lost>(Apply(state, View(now, {newer}), now)).size());
+  }
+
+  void LeaverReleasesAll() {
+    auto state = MakeOwner();
+    const Time now = kStart + Millis(700);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         Only<Release>(Apply(state, Leave{}, now)).size());
+    auto claims = Only<Claim>(Apply(state, Released{"shard/1"}, now));
+    CPPUNIT_ASSERT(claims.at(0).record.owner.empty());
+    CPPUNIT_ASSERT_EQUAL(Epoch{1}, claims[0].record.epoch);
+    CPPUNIT_ASSERT(!OwnsNothing(state));
+    (void)Apply(state, Answer(claims[0], ClaimAnswered::End::kUnavailable),
+                now);
+    const Time again = now + state.options.claim_retry;
+    claims = Only<Claim>(Apply(state, Tick{}, again));
+    (void)Apply(state, Answer(claims.at(0), ClaimAnswered::End::kWritten, 12),
+                again);
+    CPPUNIT_ASSERT(OwnsNothing(state));
+    CPPUNIT_ASSERT(Apply(state, View(again, {}), again).empty());
+  }
+
+  void RangeMovesToNewcomer() {
+    const std::vector<Member> both{MakeMember("a", "east"),
+                                   MakeMember("b", "east")};
+    std::vector<Range> ranges;
+    std::vector<OwnerRecord> owners;
+    for (int i = 0; i < 20; ++i) {
+      ranges.push_back(
+          {.name = "partition/" + std::to_string(i), .data_centre = {}});
+      owners.push_back(
+          {ranges.back().name, "a", "a-1", 1, static_cast<Revision>(10 + i)});
+    }
+    auto state = MakeReady();
+    (void)Apply(state, RangesWanted{ranges}, kStart);
+    auto actions = Apply(state, View(kStart, owners), kStart);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{20}, Only<Gained>(actions).size());
+    Time now = kStart + Millis(10);
+    actions = Apply(state, View(now, owners, both), now);
+    const auto first = Only<Release>(actions);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, first.size());
+    now += Millis(1000);
+    (void)Apply(state, LeaseRenewed{now}, now);
+    CPPUNIT_ASSERT(Only<Release>(Apply(state, Tick{}, now)).empty());
+    const auto claims =
+        Only<Claim>(Apply(state, Released{first[0].range}, now));
+    actions = Apply(
+        state, Answer(claims.at(0), ClaimAnswered::End::kWritten, 50), now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Only<Release>(actions).size());
+  }
+
+  /// The service lost the key: the next epoch is still above ours.
+  void LostRecordKeepsEpochsRising() {
+    auto state = MakeOwner();
+    Time now = kStart + Millis(1000);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         Only<Lost>(Apply(state, View(now, {}), now)).size());
+    now += state.options.takeover_delay;
+    const auto claims = Only<Claim>(Apply(state, Tick{}, now));
+    CPPUNIT_ASSERT_EQUAL(Epoch{2}, claims.at(0).record.epoch);
+    CPPUNIT_ASSERT_EQUAL(Revision{0}, claims[0].record.revision);
+  }
+
+  void WantedOwnersAreLocalAndBalanced() {
+    std::vector<Member> members;
+    for (const char* id : {"a", "b", "c", "d", "e", "f", "g"}) {
+      members.push_back(MakeMember(id, id[0] < 'd' ? "east" : "west"));
+    }
+    members[6].leaving = true;
+    std::vector<Range> ranges;
+    for (int i = 0; i < 24; ++i) {
+      ranges.push_back(
+          {.name = "partition/" + std::to_string(i), .data_centre = {}});
+      ranges.push_back({.name = "shard/" + std::to_string(i),
+                        .data_centre = i % 2 == 0 ? "east" : "west"});
+    }
+    const auto owners = WantedOwners(ranges, members);
+    CPPUNIT_ASSERT_EQUAL(ranges.size(), owners.size());
+    std::map<HostId, int> load;
+    for (const Range& range : ranges) {
+      const HostId& owner = owners.at(range.name);
+      ++load[owner];
+      CPPUNIT_ASSERT(owner != "g");
+      CPPUNIT_ASSERT(range.data_centre.empty() ||
+                     (range.data_centre == "east") == (owner < "d"));
+    }
+    for (const auto& [id, count] : load) {
+      CPPUNIT_ASSERT_MESSAGE(id, count <= (4 + 1) + (4 + 1));
+    }
+    std::ranges::reverse(members);
+    std::ranges::reverse(ranges);
+    CPPUNIT_ASSERT(owners == WantedOwners(ranges, members));
+    CPPUNIT_ASSERT(WantedOwners(ranges, {}).empty());
+  }
+
+  void RecordsRoundTrip() {
+    Member member = MakeMember("a", "east");
+    member.leaving = true;
+    const auto back =
+        Capture([&] { return DecodeMember(EncodeMember(member)); });
+    CPPUNIT_ASSERT(std::get<Member>(back).leaving);
+    const OwnerRecord record{"shard/1", "b", "b-1", 1ULL << 60, 9};
+    const auto again = Capture(
+        [&] { return DecodeOwnerRecord(EncodeOwnerRecord(record), 9); });
+    CPPUNIT_ASSERT(std::get<OwnerRecord>(again) == record);
+    for (const char* text : {"", "[]", "{\"range\":1}", "{\"range\":\"x\"}"}) {
+      const auto failed = Capture([&] { return DecodeOwnerRecord(text, 1); });
+      CPPUNIT_ASSERT(std::get<Error>(failed).kind == ErrorKind::kMalformed);
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(OwnershipTest);
+
+}  // namespace
+}  // namespace buckthornmux::member
