--- a/include/buckthornmux/detail/config/settings.h
+++ b/include/buckthornmux/detail/config/settings.h
@@ -28,13 +28,13 @@
 
   // Store and membership.
   Millis store_call_timeout{1000};
-  Millis member_lease{10'000};     ///< A silent process loses what it owns.
+  Millis member_lease{6000};       ///< A silent process loses what it owns.
   Millis heartbeat_every{500};     ///< Between entry hosts, by UDP.
   Millis peer_silent_after{2500};  ///< Without a heartbeat.
   Millis view_every{1000};         ///< Between reads of members and owners.
   Millis host_list_every{1000};    ///< Between reads of the host list.
   Millis journal_flush_every{50};  ///< Longest wait of an accepted record.
-  Millis config_trust{10'000};     ///< Keys are refused when the revision is
+  Millis config_trust{2500};       ///< Keys are refused when the revision is
                                    ///< unconfirmed for longer.
 
   // Peers and targets.
@@ -57,6 +57,8 @@
   Millis shutdown_within{30'000};  ///< Then the process ends anyway.
 
   // Policy.
+  std::string target_guard = "epoch";  ///< What targets check: epoch, none.
+  std::string policy = "fair";  ///< Or a baseline: first_fit, strict_priority.
   std::int64_t max_queued_per_team = 100'000;
 };
 
--- a/include/buckthornmux/detail/core/error.h
+++ b/include/buckthornmux/detail/core/error.h
@@ -65,9 +65,9 @@
   ErrorKind kind;
   std::string_view name;  ///< Stable name in answers and logs.
   int http_status;
-  Ran ran;             ///< What the kind says by default of the work.
-  Millis retry_after;  ///< When to come back; 0: no use in coming back.
-  int exit_code;       ///< Of the command line.
+  Ran ran;                  ///< What the kind says by default of the work.
+  Millis retry_after;       ///< When to come back; 0: no use in coming back.
+  int exit_code;            ///< Of the command line.
   std::string_view advice;  ///< What it means and what to do, one line.
 };
 
--- a/include/buckthornmux/detail/limits/ledger.h
+++ b/include/buckthornmux/detail/limits/ledger.h
@@ -21,6 +21,8 @@
   std::int64_t limit = 0;  ///< In slots, as of `config`.
   Revision config = 0;     ///< Highest revision that a writer knew.
   std::map<ShardId, std::int64_t> slots;  ///< Allowance of each shard.
+
+  bool operator==(const TeamGrants&) const = default;
 };
 
 /// What a shard asks for.
--- a/include/buckthornmux/detail/runtime/config_trust.h
+++ b/include/buckthornmux/detail/runtime/config_trust.h
@@ -13,7 +13,7 @@
 struct PeerConfig {
   Time received_at;
   Revision revision = 0;
-  Millis age{0};                ///< As in peer::Heartbeat::config_age.
+  Millis age{0};  ///< As in peer::Heartbeat::config_age.
   bool store_reachable = false;
 };
 
@@ -22,7 +22,7 @@
   Revision revision = 0;  ///< In force here.
   Time read_at;           ///< Own last read of the store left then.
   bool ever_read = false;
-  Millis trust{0};        ///< Settings::config_trust.
+  Millis trust{0};                     ///< Settings::config_trust.
   std::map<HostId, PeerConfig> peers;  ///< Every registered member but self;
                                        ///< received_at 0 where never heard.
 };
--- a/include/buckthornmux/detail/runtime/duty_thread.h
+++ b/include/buckthornmux/detail/runtime/duty_thread.h
@@ -70,7 +70,7 @@
   template <class Step>
   void Run(ActorRuntime& runtime, Step step) {
     m_thread = std::make_unique<DutyThread>(
-        runtime, [this, step = std::move(step)](Time now) {
+        runtime, [this, step = std::move(step)](Time now) mutable {
           return step(m_ring.PopAll(), now);
         });
     m_thread->Wake();
--- a/include/buckthornmux/detail/sched/shard_state.h
+++ b/include/buckthornmux/detail/sched/shard_state.h
@@ -128,7 +128,7 @@
   std::int64_t queued_slots = 0;
   std::int64_t asked = -1;  ///< Last WantGrant that is not answered yet.
   Time asked_at;
-  Time idle_since;       ///< Since when the grant is larger than needed.
+  Time idle_since;  ///< Since when the grant is larger than needed.
   bool idle = false;
   Time below_since;  ///< Since when it waits below its share.
   bool below = false;
@@ -212,9 +212,9 @@
   Remembered<Time> refused_jobs;
   GangDrain drain;
 
-  Resources capacity;     ///< Sum over usable targets.
-  Resources free;         ///< Sum over usable targets.
-  Resources max_free;     ///< Per dimension, of one target; may be too high.
+  Resources capacity;  ///< Sum over usable targets.
+  Resources free;      ///< Sum over usable targets.
+  Resources max_free;  ///< Per dimension, of one target; may be too high.
   std::int64_t unreported_slots = 0;  ///< Of targets that have not reported.
   std::vector<TargetIndex> dirty;     ///< Got room since the last pass.
   std::uint64_t step = 0;
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -13,6 +13,8 @@
 constexpr std::string_view kHashForm = "64 hex digits";
 constexpr std::string_view kLevelForm = "info, warning or error";
 constexpr std::string_view kTextForm = "text";
+constexpr std::string_view kGuardForm = "epoch or none";
+constexpr std::string_view kPolicyForm = "fair, first_fit or strict_priority";
 constexpr std::size_t kHashDigits = 64;
 constexpr std::int64_t kHour = 3'600'000;  // Milliseconds.
 
@@ -49,6 +51,8 @@
     {"max_open_requests", &S::max_open_requests, "count", 16, 1'000'000},
     {"drain_wait_ms", &S::drain_wait, "ms", 0, 60'000},
     {"shutdown_within_ms", &S::shutdown_within, "ms", 1000, kHour},
+    {"target_guard", &S::target_guard, kGuardForm},
+    {"policy", &S::policy, kPolicyForm},
     {"max_queued_per_team", &S::max_queued_per_team, "count", 1, 10'000'000},
 });
 
@@ -72,6 +76,12 @@
   if (form == kLevelForm) {
     return text == "info" || text == "warning" || text == "error";
   }
+  if (form == kGuardForm) {
+    return text == "epoch" || text == "none";
+  }
+  if (form == kPolicyForm) {
+    return text == "fair" || text == "first_fit" || text == "strict_priority";
+  }
   return true;
 }
 
--- a/src/front/fleet.cc
+++ b/src/front/fleet.cc
@@ -65,9 +65,8 @@
   }
   json::array owners;
   for (const auto& [range, record] : routes.owners) {
-    owners.push_back({{"range", range},
-                      {"owner", record.owner},
-                      {"epoch", record.epoch}});
+    owners.push_back(
+        {{"range", range}, {"owner", record.owner}, {"epoch", record.epoch}});
   }
   json::array teams;
   for (const config::Team& team : config.teams) {
@@ -82,13 +81,11 @@
                       {"queued", Get(queued, kind.name)},
                       {"running", Get(running, kind.name)}});
   }
-  const json::value fleet = {{"revision", config.revision},
-                             {"members", std::move(members)},
-                             {"owners", std::move(owners)},
-                             {"teams", std::move(teams)},
-                             {"queues", std::move(queues)},
-                             {"jobs", json::value_from(jobs)},
-                             {"targets", json::value_from(targets)}};
+  const json::value fleet = {
+      {"revision", config.revision},         {"members", std::move(members)},
+      {"owners", std::move(owners)},         {"teams", std::move(teams)},
+      {"queues", std::move(queues)},         {"jobs", json::value_from(jobs)},
+      {"targets", json::value_from(targets)}};
   return json::serialize(fleet);
 }
 
--- a/src/front/front.cc
+++ b/src/front/front.cc
@@ -97,7 +97,8 @@
     net::HttpServerOptions options;
     const config::Settings& settings = wiring.settings;
     options.address = settings.http_address;
-    options.max_body_bytes = static_cast<std::uint64_t>(settings.max_body_bytes);
+    options.max_body_bytes =
+        static_cast<std::uint64_t>(settings.max_body_bytes);
     options.read_timeout = settings.read_timeout;
     options.idle_timeout = settings.idle_timeout;
     options.write_timeout = settings.write_timeout;
@@ -116,15 +117,15 @@
 
   void ScheduleAdvance() {
     timer.expires_after(kAdvanceEvery);
-    timer.async_wait([weak = weak_from_this()](
-                         const boost::system::error_code& error) {
-      const auto self = weak.lock();
-      if (error || !self) {
-        return;
-      }
-      self->AdvanceNow();
-      self->ScheduleAdvance();
-    });
+    timer.async_wait(
+        [weak = weak_from_this()](const boost::system::error_code& error) {
+          const auto self = weak.lock();
+          if (error || !self) {
+            return;
+          }
+          self->AdvanceNow();
+          self->ScheduleAdvance();
+        });
   }
 
   // ---- Requests -------------------------------------------------------------
@@ -166,7 +167,8 @@
       return;
     }
     const config::TeamKey* key =
-        presented.empty() ? nullptr : config::MatchKey(*view->config, presented);
+        presented.empty() ? nullptr
+                          : config::MatchKey(*view->config, presented);
     if (!presented.empty() && key == nullptr) {
       wiring.metrics.Count(Counter::kKeysRefused);
       respond(ErrorResponse(ErrorKind::kKeyRefused));
@@ -183,8 +185,8 @@
               const net::HttpRequest& request, net::Responder respond) {
     const Time now = wiring.Now();
     auto parsed = Capture([&]() -> Result<home::JobRequest> {
-      BOOST_LEAF_AUTO(job,
-                      ParseJob(request.body, config, wiring.anchor.ToWall(now)));
+      BOOST_LEAF_AUTO(
+          job, ParseJob(request.body, config, wiring.anchor.ToWall(now)));
       BOOST_LEAF_ASSIGN(job.team, TeamFor(*FindKind(config, job.kind), key));
       return job;
     });
@@ -277,8 +279,8 @@
     } else if (target.path == "/v1/drain" && request.method == "POST") {
       respond({.status = 202, .body = R"({"draining":true})"});
       drain();
-    } else if (!wiring.config.PostEdge(runtime::OperatorCall{
-                   std::move(request), respond})) {
+    } else if (!wiring.config.PostEdge(
+                   runtime::OperatorCall{std::move(request), respond})) {
       respond(ErrorResponse(ErrorKind::kQueueFull));
     }
   }
@@ -417,8 +419,7 @@
     }
     net::HttpResponse response = ToResponse(caller->second, reply);
     const bool good = response.status < 400;
-    wiring.metrics.Count(good ? Counter::kJobsAnswered
-                              : Counter::kJobsRefused);
+    wiring.metrics.Count(good ? Counter::kJobsAnswered : Counter::kJobsRefused);
     if (good && caller->second.wants == Caller::Wants::kSubmit) {
       const bool urgent = caller->second.work_class == WorkClass::kUrgent;
       wiring.metrics.Record(
--- a/src/front/job_codec.cc
+++ b/src/front/job_codec.cc
@@ -32,8 +32,7 @@
     return {};
   }
 
-  [[nodiscard]] Result<std::string> Text(std::string_view name,
-                                         std::size_t min,
+  [[nodiscard]] Result<std::string> Text(std::string_view name, std::size_t min,
                                          std::size_t max) const {
     const json::value* value = m_object.if_contains(name);
     if (value == nullptr && min == 0) {
@@ -44,11 +43,11 @@
     }
     const auto& text = value->get_string();
     if (text.size() < min || text.size() > max) {
-      return Fail(text.size() > max ? ErrorKind::kTooLarge
-                                    : ErrorKind::kMalformed,
-                  "expected " + std::to_string(min) + " to " +
-                      std::to_string(max) + " bytes",
-                  Path(name));
+      return Fail(
+          text.size() > max ? ErrorKind::kTooLarge : ErrorKind::kMalformed,
+          "expected " + std::to_string(min) + " to " + std::to_string(max) +
+              " bytes",
+          Path(name));
     }
     return std::string(text);
   }
@@ -155,8 +154,8 @@
 
 Result<json::object> ParseObject(std::string_view text) {
   boost::system::error_code error;
-  json::value value = json::parse(json::string_view(text.data(), text.size()),
-                                  error);
+  json::value value =
+      json::parse(json::string_view(text.data(), text.size()), error);
   if (error || !value.is_object()) {
     return Fail(ErrorKind::kMalformed, "expected a JSON object", "/");
   }
@@ -225,8 +224,7 @@
                   fields.Number("expected_run_ms", kind->expected_run.count(),
                                 0, kMaxDeadline.count()));
   job.expected_run = Millis(expected_run);
-  BOOST_LEAF_ASSIGN(job.deadline,
-                    ParseDeadline(fields, job.work_class, now));
+  BOOST_LEAF_ASSIGN(job.deadline, ParseDeadline(fields, job.work_class, now));
   BOOST_LEAF_ASSIGN(job.payload, fields.Text("payload", 0, kMaxPayloadBytes));
   return job;
 }
--- a/src/runtime/config_duty.cc
+++ b/src/runtime/config_duty.cc
@@ -33,8 +33,7 @@
     Consider(found->revision, found->value, now);
   }
   // A read that is older than what is in force says nothing of it.
-  const Revision read =
-      found == message.entries->end() ? 0 : found->revision;
+  const Revision read = found == message.entries->end() ? 0 : found->revision;
   if (read >= m_config->revision) {
     m_trust.read_at = std::max(m_trust.read_at, message.read_at);
     m_trust.ever_read = true;
--- a/src/runtime/journal_duty.cc
+++ b/src/runtime/journal_duty.cc
@@ -105,8 +105,8 @@
       .With("partition", std::uint64_t{id})
       .With("epoch", partition.epoch)
       .With("records", std::uint64_t{taken.records.size()});
-  m_wiring.owner.Post(HomeEvent{
-      home::PartitionGained{{id, partition.epoch}, taken.records}});
+  m_wiring.owner.Post(
+      HomeEvent{home::PartitionGained{{id, partition.epoch}, taken.records}});
 }
 
 void JournalDuty::SetDown(PartitionId id, Partition& partition, bool down) {
@@ -168,9 +168,8 @@
   if (partition.chain.next - partition.chain.first < kLongChain) {
     return;
   }
-  const auto outcome = Capture([&] {
-    return home::Compact(m_wiring.store, partition.chain, Wall());
-  });
+  const auto outcome = Capture(
+      [&] { return home::Compact(m_wiring.store, partition.chain, Wall()); });
   if (const auto* error = std::get_if<Error>(&outcome)) {
     m_wiring.metrics.Count(Counter::kStoreErrors);
     LogLine("journal_compact_failed", LogLine::Level::kWarning)
@@ -183,8 +182,8 @@
   if (!partition.dropping) {
     return false;
   }
-  const bool written = partition.waiting.empty() || partition.fenced ||
-                       !partition.taken;
+  const bool written =
+      partition.waiting.empty() || partition.fenced || !partition.taken;
   if (partition.released && !written) {
     return false;
   }
--- a/src/runtime/ledger_duty.cc
+++ b/src/runtime/ledger_duty.cc
@@ -90,10 +90,9 @@
 Result<LedgerDuty::Stored> LedgerDuty::Write(const limits::TeamGrants& next,
                                              Revision expected) {
   m_wiring.metrics.Count(Counter::kLedgerWrites);
-  BOOST_LEAF_AUTO(revision,
-                  m_wiring.store.put(KeyOf(next.team),
-                                     limits::EncodeGrants(next), expected,
-                                     store::kNoLease));
+  BOOST_LEAF_AUTO(
+      revision, m_wiring.store.put(KeyOf(next.team), limits::EncodeGrants(next),
+                                   expected, store::kNoLease));
   return Stored{next, revision};
 }
 
@@ -106,8 +105,8 @@
         m_wiring.metrics.Count(Counter::kStoreErrors);
         return false;
       }
-      known = m_records.emplace(team, std::get<Stored>(std::move(outcome)))
-                  .first;
+      known =
+          m_records.emplace(team, std::get<Stored>(std::move(outcome))).first;
     }
     limits::TeamGrants next = known->second.grants;
     for (const ShardId& shard : m_shards) {
@@ -131,8 +130,7 @@
       Tell(next);
       return true;
     }
-    auto written =
-        Capture([&] { return Write(next, known->second.revision); });
+    auto written = Capture([&] { return Write(next, known->second.revision); });
     if (auto* stored = std::get_if<Stored>(&written)) {
       known->second = std::move(*stored);
       Tell(known->second.grants);
--- a/src/runtime/member_duty.cc
+++ b/src/runtime/member_duty.cc
@@ -192,8 +192,7 @@
 // ---- Decisions --------------------------------------------------------------
 
 void MemberDuty::Decide(const member::Event& event, Time now) {
-  for (const member::Action& action :
-       member::Apply(m_ownership, event, now)) {
+  for (const member::Action& action : member::Apply(m_ownership, event, now)) {
     if (const auto* claim = std::get_if<member::Claim>(&action)) {
       Write(claim->record, now);
     } else if (const auto* gained = std::get_if<member::Gained>(&action)) {
--- a/src/runtime/owner_duty.cc
+++ b/src/runtime/owner_duty.cc
@@ -219,19 +219,18 @@
 }
 
 void OwnerDuty::TakePeer(const HostId& from, peer::CallSubmit message) {
-  m_local.emplace_back(HomeEvent{home::Submit{
-      TokenFor(from, message.call), std::move(message.request)}});
+  m_local.emplace_back(HomeEvent{
+      home::Submit{TokenFor(from, message.call), std::move(message.request)}});
 }
 
 void OwnerDuty::TakePeer(const HostId& from, const peer::CallCancel& message) {
-  m_local.emplace_back(HomeEvent{home::CancelJob{
-      TokenFor(from, message.call), message.team, message.job}});
+  m_local.emplace_back(HomeEvent{home::CancelJob{TokenFor(from, message.call),
+                                                 message.team, message.job}});
 }
 
 void OwnerDuty::TakePeer(const HostId& from, const peer::CallQuery& message) {
-  m_local.emplace_back(
-      HomeEvent{home::QueryJob{TokenFor(from, message.call), message.team,
-                               message.job, message.wait}});
+  m_local.emplace_back(HomeEvent{home::QueryJob{
+      TokenFor(from, message.call), message.team, message.job, message.wait}});
 }
 
 void OwnerDuty::TakePeer(const HostId& from, const peer::CallGone& message) {
@@ -244,9 +243,9 @@
 }
 
 void OwnerDuty::TakePeer(const HostId& /*from*/, peer::CallReply message) {
-  m_wiring.answer_front(message.call,
-                        home::Reply{message.call, message.accepted,
-                                    std::move(message.status)});
+  m_wiring.answer_front(
+      message.call,
+      home::Reply{message.call, message.accepted, std::move(message.status)});
 }
 
 void OwnerDuty::TakePeer(const HostId& /*from*/, home::ToShard message) {
@@ -296,9 +295,8 @@
   const PeerCall call = found->second;
   m_peer_calls.erase(found);
   m_tokens.erase({call.host, call.call});
-  m_wiring.peers->Send(call.host,
-                       peer::CallReply{call.call, action.accepted,
-                                       std::move(action.status)});
+  m_wiring.peers->Send(call.host, peer::CallReply{call.call, action.accepted,
+                                                  std::move(action.status)});
 }
 
 void OwnerDuty::Perform(const home::Append& action) {
--- a/src/runtime/owner_shards.cc
+++ b/src/runtime/owner_shards.cc
@@ -7,6 +7,20 @@
 
 namespace buckthornmux::runtime {
 
+namespace {
+
+sched::Policy PolicyOf(const config::Settings& settings) {
+  sched::Policy policy;
+  if (settings.policy == "first_fit") {
+    policy.choice = sched::PolicyChoice::kFirstFit;
+  } else if (settings.policy == "strict_priority") {
+    policy.choice = sched::PolicyChoice::kStrictPriority;
+  }
+  return policy;
+}
+
+}  // namespace
+
 bool OwnerDuty::MayStart(const OwnedShard& shard) const {
   // Targets fence by epoch, so an owner whose lease lapsed can do no harm; a
   // fleet whose targets don't must stop with the lease.
@@ -34,7 +48,8 @@
 
 void OwnerDuty::GainShard(const ShardId& id, Epoch epoch, Time now) {
   auto [entry, fresh] = m_shards.insert_or_assign(
-      id, OwnedShard{sched::MakeShard(id, sched::Policy{}, m_wiring.anchor),
+      id, OwnedShard{sched::MakeShard(id, PolicyOf(m_wiring.settings),
+                                      m_wiring.anchor),
                      epoch});
   m_wiring.ledger.Post(LedgerShardGained{id});
   ApplyShard(id, sched::ConfigInForce{m_config.get()}, now);
@@ -104,7 +119,8 @@
 void OwnerDuty::FinishReleases(Time now) {
   std::vector<ShardId> done;
   for (const auto& [id, shard] : m_shards) {
-    if (shard.releasing && (shard.starts_open <= 0 || now >= shard.release_by)) {
+    if (shard.releasing &&
+        (shard.starts_open <= 0 || now >= shard.release_by)) {
       done.push_back(id);
     }
   }
--- a/src/runtime/serve.cc
+++ b/src/runtime/serve.cc
@@ -1,12 +1,11 @@
 #include "buckthornmux/detail/runtime/serve.h"
 
-#include <csignal>
-#include <ctime>
-
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/system/system_error.hpp>
 #include <chrono>
+#include <csignal>
+#include <ctime>
 #include <memory>
 #include <thread>
 #include <utility>
@@ -97,9 +96,9 @@
     m_wiring.store = store::MakeHttpStore(
         m_store_client, settings.store_addresses, settings.store_call_timeout);
     MakeLinks();
-    m_front = std::make_unique<front::Front>(
-        m_wiring, m_front_io.Context(), m_fleet_client,
-        [this] { m_drain_asked = true; });
+    m_front = std::make_unique<front::Front>(m_wiring, m_front_io.Context(),
+                                             m_fleet_client,
+                                             [this] { m_drain_asked = true; });
     RunDuties();
   }
 
@@ -126,9 +125,8 @@
   void UpdateReadiness() {
     const auto view = m_wiring.config_view.Load();
     const auto routes = m_wiring.routes.Load();
-    const bool ready =
-        view->config->revision > 0 &&
-        routes->members.contains(m_wiring.settings.host_id);
+    const bool ready = view->config->revision > 0 &&
+                       routes->members.contains(m_wiring.settings.host_id);
     if (ready != m_ready) {
       m_ready = ready;
       m_front->SetReady(ready);
@@ -142,13 +140,15 @@
     LogLine("leaving").With("host", m_wiring.settings.host_id);
     m_front->SetReady(false);
     m_wiring.leaving = true;
-    if (!Wait(m_wiring.settings.drain_wait, [] { return false; }, until)) {
+    if (!Wait(
+            m_wiring.settings.drain_wait, [] { return false; }, until)) {
       return false;
     }
     m_wiring.member.Post(LeaveRequested{});
     m_wiring.owns_nothing = false;
-    if (!Wait(kHandoverWait, [this] { return m_wiring.owns_nothing.load(); },
-              until)) {
+    if (!Wait(
+            kHandoverWait, [this] { return m_wiring.owns_nothing.load(); },
+            until)) {
       return false;
     }
     m_front->Drain();
@@ -223,10 +223,9 @@
 
   template <class Logic, class Message>
   void RunDuty(Duty<Message>& duty, std::shared_ptr<Logic> logic) {
-    duty.Run(m_wiring.actors,
-             [logic](std::vector<Message> messages, Time now) {
-               return logic->Step(std::move(messages), now);
-             });
+    duty.Run(m_wiring.actors, [logic](std::vector<Message> messages, Time now) {
+      return logic->Step(std::move(messages), now);
+    });
   }
 
   void RunDuties() {
@@ -246,13 +245,12 @@
                          [hosts](const std::vector<int>&, Time now) {
                            return hosts->Step(now);
                          });
-    m_heartbeat_duty.Run(
-        m_wiring.actors,
-        [this, sequence = std::uint64_t{0}](const std::vector<int>&,
-                                            Time now) mutable {
-          SendHeartbeat(m_wiring, ++sequence, now);
-          return now + m_wiring.settings.heartbeat_every;
-        });
+    m_heartbeat_duty.Run(m_wiring.actors,
+                         [this, sequence = std::uint64_t{0}](
+                             const std::vector<int>&, Time now) mutable {
+                           SendHeartbeat(m_wiring, ++sequence, now);
+                           return now + m_wiring.settings.heartbeat_every;
+                         });
   }
 
   Wiring m_wiring;
--- a/src/runtime/watch_duty.cc
+++ b/src/runtime/watch_duty.cc
@@ -7,7 +7,6 @@
 namespace buckthornmux::runtime {
 namespace {
 
-constexpr Millis kWatchWait{1000};
 constexpr Millis kRetryPause{200};
 
 }  // namespace
@@ -45,7 +44,8 @@
 bool WatchDuty::Watch() {
   const Time read_at = m_wiring.Now();
   auto outcome = Capture([&] {
-    return m_wiring.store.watch(store::kStatePrefix, m_revision, kWatchWait);
+    return m_wiring.store.watch(store::kStatePrefix, m_revision,
+                                m_wiring.settings.view_every);
   });
   const auto* batch = std::get_if<store::WatchBatch>(&outcome);
   if (batch == nullptr) {
--- a/src/sched/shard.cc
+++ b/src/sched/shard.cc
@@ -7,4 +7,4 @@
   state.clock = clock;
   return state;
 }
-}
+}  // namespace buckthornmux::sched
