Store client over HTTP, host list, and their stand-ins

Cause: nothing could be run or tested without the platform's service. What is new: store/http_store.h and store/host_list.h; the program standin with the subcommands kv and hosts; tests/standins/ is a library that unit tests and benches link, so that they run the stand-ins in their own process. Added to interfaces: WatchBatch::compacted (a list plus a watch from batch.revision misses nothing), kNotFound for a lease that is gone, HttpRequest::connection and status 0 (close unanswered), which the stand-ins need to lose answers and to let open connections go silent; net/url.h by Boost.URL, built in from its src.hpp because Debian has no compiled one.

--- a/include/buckthornmux/detail/net/http_types.h
+++ b/include/buckthornmux/detail/net/http_types.h
@@ -1,6 +1,7 @@
 /// HTTP messages as plain structs, so that only net/ includes Beast.
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <string>
 
@@ -15,11 +16,13 @@
   std::string target = "/";   ///< Path and query.
   std::string body;           ///< JSON, or empty.
   std::string authorization;  ///< "Bearer <key>", or empty.
+  std::uint64_t connection =
+      0;  ///< Received: number of its connection, from 1.
 };
 
 /// An answer, received or to be sent.
 struct HttpResponse {
-  int status = 200;
+  int status = 200;  ///< To be sent, 0: close the connection in its place.
   std::string body;
   std::string content_type = "application/json";
   Millis retry_after{0};  ///< 0: no Retry-After header.
--- a/include/buckthornmux/detail/store/store.h
+++ b/include/buckthornmux/detail/store/store.h
@@ -27,8 +27,11 @@
 /// What a watch brought.
 struct WatchBatch {
   Revision revision = 0;       ///< Pass on to the next watch.
-  std::vector<Entry> puts;     ///< In store order.
+  std::vector<Entry> puts;     ///< In store order; of a key's changes only
+                               ///< the last one shows, here or in `deletes`.
   std::vector<Entry> deletes;  ///< Key and revision only.
+  bool compacted = false;      ///< Changes were missed: list again, then watch
+                               ///< from `revision`.
 };
 
 /// @brief The service's calls. Each blocks its duty's thread, for the call
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -161,7 +161,8 @@
   }
 
   asio::awaitable<bool> ServeOne(beast::tcp_stream& stream,
-                                 beast::flat_buffer& buffer) {
+                                 beast::flat_buffer& buffer,
+                                 std::uint64_t connection) {
     error_code error;
     if (buffer.size() == 0) {
       stream.expires_after(options.idle_timeout);
@@ -205,11 +206,16 @@
     request.target = std::string(message.target());
     request.authorization = std::string(message[http::field::authorization]);
     request.body = message.body();
+    request.connection = connection;
     const bool keep_alive = message.keep_alive();
     const unsigned version = message.version();
     stream.expires_never();
     ++open_requests;
     HttpResponse response = co_await Answer(std::move(request));
+    if (response.status == 0) {
+      --open_requests;
+      co_return false;
+    }
     const bool more = co_await Write(stream, std::move(response), version,
                                      keep_alive && !draining);
     --open_requests;
@@ -219,9 +225,10 @@
   static asio::awaitable<void> Serve(std::shared_ptr<Impl> self,
                                      tcp::socket socket) {
     ++self->connections;
+    const std::uint64_t connection = ++self->connections_accepted;
     beast::tcp_stream stream(std::move(socket));
     beast::flat_buffer buffer;
-    while (co_await self->ServeOne(stream, buffer)) {
+    while (co_await self->ServeOne(stream, buffer, connection)) {
     }
     error_code ignored;
     stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
@@ -236,6 +243,7 @@
   std::atomic<bool> draining = false;
   std::atomic<std::size_t> connections = 0;
   std::atomic<std::size_t> open_requests = 0;
+  std::uint64_t connections_accepted = 0;
 };
 
 HttpServer::HttpServer(asio::io_context& io, HttpServerOptions options,
--- /dev/null
+++ b/tests/standins/standins.h
@@ -0,0 +1,13 @@
+/// Subcommands of the stand-in program, one function each.
+#pragma once
+
+namespace buckthornmux::standins {
+
+/// @brief Runs the key-value service.
+/// @return exit code
+int RunKv(int argc, const char* const* argv);
+
+/// @brief Runs the list of live and leaving hosts.
+int RunHosts(int argc, const char* const* argv);
+
+}  // namespace buckthornmux::standins
