--- a/src/runtime/watch_duty.cc
+++ b/src/runtime/watch_duty.cc
@@ -31,7 +31,6 @@
     return false;
   }
   m_entries.clear();
-  m_revision = 0;
   for (store::Entry& entry : std::get<std::vector<store::Entry>>(outcome)) {
     m_revision = std::max(m_revision, entry.revision);
     m_entries.emplace(entry.key, entry);
@@ -49,10 +48,14 @@
   });
   const auto* batch = std::get_if<store::WatchBatch>(&outcome);
   if (batch == nullptr) {
-    m_listed = false;  // Away, or its history is gone: list again.
+    m_listed = false;
     return std::get<Error>(outcome).kind != ErrorKind::kStoreUnavailable;
   }
   m_revision = std::max(m_revision, batch->revision);
+  if (batch->compacted) {
+    m_listed = false;
+    return true;
+  }
   for (const store::Entry& entry : batch->deletes) {
     const auto found = m_entries.find(entry.key);
     if (found != m_entries.end() && found->second.revision < entry.revision) {
