--- a/include/buckthornmux/detail/home/home.h
+++ b/include/buckthornmux/detail/home/home.h
@@ -105,12 +105,21 @@
   std::uint32_t task = 0;
   std::uint32_t attempt = 0;
   ShardId shard;
+  Epoch shard_epoch = 0;  ///< With kIntent: the only owner it is sent to.
   TaskEnd end = TaskEnd::kDone;
   ErrorKind error = ErrorKind::kInternal;
   std::string result;
   WallMillis at = 0;
 };
 
+/// Send to a shard's owner.
+struct ToShard {
+  ShardId shard;
+  Epoch epoch = 0;  ///< Only to the owner of this epoch, SendFailed otherwise;
+                    ///< 0: to whoever owns the shard.
+  std::variant<sched::Enqueue, sched::Cancel, sched::Inquire> message;
+};
+
 // ---- Events ---------------------------------------------------------------
 
 /// A revision came into force.
@@ -160,15 +169,17 @@
   Partition partition = 0;
   bool down = true;
 };
-/// The shards as now known; shards not listed do not exist.
+/// The shards as now known; shards not listed do not exist. Before a
+/// PartitionGained, their epochs are at least those in a store read that began
+/// after the partition's claim: an answer from an owner below them proves
+/// nothing.
 struct ShardsChanged {
   std::vector<ShardView> shards;
 };
-/// A message to a shard was surely not delivered.
+/// A message to a shard was surely not delivered. It comes back whole: tries
+/// are told apart by it, and a lost Cancel says nothing of its tasks.
 struct SendFailed {
-  ShardId shard;
-  Partition partition = 0;
-  std::vector<std::string> task_ids;
+  ToShard sent;
 };
 /// From a shard's owner; `shard` and `epoch` as of the sender.
 struct FromShard {
@@ -198,12 +209,6 @@
   std::uint64_t sequence = 0;
   JournalRecord record;
 };
-/// Send to a shard's owner.
-struct ToShard {
-  ShardId shard;
-  std::variant<sched::Enqueue, sched::Cancel, sched::Inquire> message;
-};
-
 using Action = std::variant<Reply, Append, ToShard, sched::Wake>;
 
 }  // namespace buckthornmux::home
--- /dev/null
+++ b/src/home/adopt.cc
@@ -0,0 +1,91 @@
+#include "steps.h"
+
+namespace buckthornmux::home {
+namespace {
+
+std::string TaskIdOf(const Job& job, std::uint32_t index) {
+  return KeyOf(job) + "/" + std::to_string(index);
+}
+
+void Take(Step& step, PartitionState& partition, Job& job, std::uint32_t index,
+          const AdoptedTask& adopted) {
+  Task& task = job.tasks[index];
+  std::erase(job.waiting, index);
+  task.attempt = adopted.attempt;
+  task.shard = adopted.shard;
+  task.shard_epoch = adopted.shard_epoch;
+  task.home_epoch = adopted.home_epoch;
+  task.state = TaskState::kSent;
+  job.left.insert({index, task.attempt});
+  partition.at_shard[task.shard].insert(KeyOf(job));
+  if (adopted.state != TaskState::kSent) {
+    MarkStarted(step, job, index, "adopted");
+  }
+  if (adopted.state == TaskState::kEnded) {
+    EndTry(step, partition, job, index,
+           {adopted.end, ErrorKind::kInternal, Millis(0), adopted.result});
+  }
+}
+
+}  // namespace
+
+bool AdoptInto(Step& step, PartitionState& partition, Job& job) {
+  std::vector<std::uint32_t> found;
+  for (const std::uint32_t index : job.waiting) {
+    const auto adopted = partition.adopted.find(TaskIdOf(job, index));
+    if (adopted == partition.adopted.end()) {
+      continue;
+    }
+    if (adopted->second.has_spec &&
+        adopted->second.payload != job.request.payload) {
+      return false;
+    }
+    found.push_back(index);
+  }
+  for (const std::uint32_t index : found) {
+    const auto adopted = partition.adopted.find(TaskIdOf(job, index));
+    const AdoptedTask task = adopted->second;
+    partition.adopted.erase(adopted);
+    Take(step, partition, job, index, task);
+  }
+  return true;
+}
+
+void NoteAdoptedStart(Step& step, PartitionState& partition,
+                      const FromShard& event, const sched::Started& started) {
+  const auto found = partition.adopted.find(started.task_id);
+  if (found == partition.adopted.end()) {
+    return;
+  }
+  AdoptedTask& task = found->second;
+  const bool same = task.attempt == 0 || task.attempt == started.attempt;
+  if (same && task.shard == event.shard && task.state == TaskState::kSent) {
+    task.attempt = started.attempt;
+    task.state = TaskState::kStarted;
+    task.seen = step.now;
+  }
+}
+
+void NoteAdoptedEnd(Step& step, PartitionState& partition,
+                    const FromShard& event, const sched::Ended& ended) {
+  const auto found = partition.adopted.find(ended.task_id);
+  const bool known = found != partition.adopted.end();
+  if (ended.end == TaskEnd::kNotRun || (!known && partition.settled)) {
+    return;  // Not run: the next answer to an Inquire leaves it out.
+  }
+  if (known && found->second.attempt != 0 &&
+      found->second.attempt != ended.attempt) {
+    return;
+  }
+  AdoptedTask& task = partition.adopted[ended.task_id];
+  task.shard = event.shard;
+  task.shard_epoch = event.epoch;
+  task.home_epoch = ended.home.epoch;
+  task.attempt = ended.attempt;
+  task.state = TaskState::kEnded;
+  task.end = ended.end;
+  task.result = ended.result;
+  task.seen = step.now;
+}
+
+}  // namespace buckthornmux::home
--- /dev/null
+++ b/src/home/cancel.cc
@@ -0,0 +1,101 @@
+#include "steps.h"
+
+namespace buckthornmux::home {
+namespace {
+
+using IdsByShard = std::map<ShardId, std::vector<std::string>>;
+
+void SendCancels(Step& step, const PartitionState& partition,
+                 IdsByShard by_shard) {
+  for (auto& [shard, ids] : by_shard) {
+    step.actions.emplace_back(
+        ToShard{shard, 0, sched::Cancel{partition.home, std::move(ids)}});
+  }
+}
+
+std::string TaskIdOf(const Job& job, std::uint32_t index) {
+  return KeyOf(job) + "/" + std::to_string(index);
+}
+
+/// Answers a canceller as far as the cancellation is sure to stay.
+void AnswerCanceller(Step& step, PartitionState& partition, Job& job,
+                     std::uint64_t token) {
+  if (token == 0) {
+    return;
+  }
+  if (job.cancelled_at <= partition.durable) {
+    AnswerStatus(step, token, job, false);
+  } else if (partition.journal_down) {
+    AnswerError(step, token, job, ErrorKind::kStoreUnknown);
+  } else {
+    job.waiters.push_back({token, Waiter::For::kCancel});
+  }
+}
+
+}  // namespace
+
+void TakeBack(Step& step, PartitionState& partition, Job& job, bool started_too,
+              ErrorKind error) {
+  IdsByShard by_shard;
+  for (std::uint32_t index = 0; index < job.tasks.size(); ++index) {
+    Task& task = job.tasks[index];
+    switch (task.state) {
+      case TaskState::kWaiting:
+      case TaskState::kIntending:
+        task.uncertain = task.uncertain || job.held;
+        EndTask(step, partition, job, index, {TaskEnd::kNotRun, error});
+        break;
+      case TaskState::kStarted:
+        if (!started_too) {
+          break;
+        }
+        [[fallthrough]];
+      case TaskState::kSent:
+        by_shard[task.shard].push_back(TaskIdOf(job, index));
+        break;
+      case TaskState::kEnded:
+        break;
+    }
+  }
+  job.waiting.clear();
+  job.intending.clear();
+  if (!by_shard.empty()) {
+    job.recancel = step.now + step.state.options.recancel_every;
+  }
+  SendCancels(step, partition, std::move(by_shard));
+}
+
+void OnCancel(Step& step, const CancelJob& event) {
+  const Partition number = PartitionOf(event.team, event.job);
+  const std::string key = KeyOf(event.team, event.job);
+  OpenCallFor(step, event.token, number, key);
+  JobRequest asked;
+  asked.team = event.team;
+  asked.id = event.job;
+  PartitionState* partition = FindPartition(step.state, number);
+  if (partition == nullptr) {
+    Refuse(step, event.token, asked, ErrorKind::kOwnerStale, Ran::kUnknown);
+    return;
+  }
+  Job* job = FindJobByKey(*partition, key);
+  if (job == nullptr) {
+    Refuse(step, event.token, asked, ErrorKind::kNotFound, Ran::kUnknown);
+    return;
+  }
+  if (job->Ended() || job->cancelled) {
+    AnswerCanceller(step, *partition, *job, event.token);
+    return;
+  }
+  job->cancelled = true;
+  Note(step, *job, "cancelled by caller");
+  if (job->journaled) {
+    JournalRecord record;
+    record.type = JournalRecord::Type::kCancelled;
+    job->cancelled_at = AppendFor(step, *partition, *job, std::move(record));
+  }
+  TakeBack(step, *partition, *job, true, ErrorKind::kCancelled);
+  AnswerCanceller(step, *partition, *job, event.token);
+  DriveJob(step, *partition, *job);
+}
+
+}  // namespace buckthornmux::home
--- /dev/null
+++ b/src/home/dispatch.cc
@@ -0,0 +1,265 @@
+#include <algorithm>
+
+#include "buckthornmux/detail/core/invariant.h"
+#include "steps.h"
+
+namespace buckthornmux::home {
+namespace {
+
+using Indexes = std::vector<std::uint32_t>;
+
+bool NeedsIntent(const Job& job) {
+  return job.Durable() || !job.request.idempotent;
+}
+
+bool HasLeft(const Job& job, std::uint32_t index) {
+  const auto first = job.left.lower_bound({index, 0});
+  return first != job.left.end() && first->first == index;
+}
+
+TaskSpec SpecOf(const Job& job, std::uint32_t index) {
+  const JobRequest& request = job.request;
+  TaskSpec spec;
+  spec.job = request.id;
+  spec.index = index;
+  spec.attempt = job.tasks[index].attempt;
+  spec.team = request.team;
+  spec.kind = request.kind;
+  spec.work_class = request.work_class;
+  spec.idempotent = request.idempotent;
+  spec.open_to_all = request.open_to_all;
+  spec.demand = request.demand;
+  spec.expected_run = request.expected_run;
+  spec.deadline = request.deadline;
+  spec.gang_size = IsGang(job) ? request.tasks : 1;
+  spec.labels = request.labels;
+  spec.payload = request.payload;
+  return spec;
+}
+
+/// The end of the caller's wait moves on when the request is repeated.
+WallMillis DeadlineToSend(const Step& step, const Job& job) {
+  return job.deadline == Time::max() ? 0
+                                     : step.state.anchor.ToWall(job.deadline);
+}
+
+void AssertMayLeave(const PartitionState& partition, const Job& job,
+                    std::uint32_t index) {
+  const std::string key = KeyOf(job);
+  Invariant(!job.cancelled && !job.withdrawn && !job.Ended(),
+            "cancelled_never_starts", key);
+  Invariant(job.request.idempotent || !HasLeft(job, index),
+            "non_idempotent_at_most_once", key);
+  const Task& task = job.tasks[index];
+  Invariant(!NeedsIntent(job) ||
+                (task.intent != 0 && task.intent <= partition.durable),
+            "intent_before_start", key);
+}
+
+/// Sends tasks that were given to one shard, as one message.
+void Send(Step& step, PartitionState& partition, Job& job,
+          const Indexes& indexes) {
+  const ShardId shard = job.tasks[indexes.front()].shard;
+  Inquiry& inquiry = partition.inquiries[shard];
+  sched::Enqueue message;
+  message.home = partition.home;
+  message.home.inquiry = inquiry.number;
+  for (const std::uint32_t index : indexes) {
+    AssertMayLeave(partition, job, index);
+    Task& task = job.tasks[index];
+    task.state = TaskState::kSent;
+    task.unresolved = false;
+    job.left.insert({index, task.attempt});
+    message.tasks.push_back(SpecOf(job, index));
+    message.tasks.back().deadline = DeadlineToSend(step, job);
+  }
+  partition.at_shard[shard].insert(KeyOf(job));
+  inquiry.again =
+      std::min(inquiry.again, step.now + step.state.options.audit_every);
+  SetPartitionTimer(step, partition);
+  step.actions.emplace_back(ToShard{
+      shard, job.tasks[indexes.front()].shard_epoch, std::move(message)});
+}
+
+void Intend(Step& step, PartitionState& partition, Job& job,
+            const Indexes& indexes) {
+  // One record stands for a whole gang: it starts together or not at all.
+  const Task& first = job.tasks[indexes.front()];
+  JournalRecord record;
+  record.type = JournalRecord::Type::kIntent;
+  record.task = indexes.front();
+  record.attempt = first.attempt;
+  record.shard = first.shard;
+  record.shard_epoch = first.shard_epoch;
+  const std::uint64_t sequence =
+      AppendFor(step, partition, job, std::move(record));
+  for (const std::uint32_t index : indexes) {
+    job.tasks[index].state = TaskState::kIntending;
+    job.tasks[index].intent = sequence;
+    job.intending.push_back(index);
+  }
+}
+
+enum class Given : std::uint8_t { kYes, kNoShard, kNoBudget };
+
+/// No shard can be asked: wait where one may come, else refuse.
+void NotGiven(Step& step, PartitionState& partition, Job& job,
+              std::uint32_t index, Given why) {
+  Task& task = job.tasks[index];
+  const bool refused = why == Given::kNoBudget || !task.refused_by.empty() ||
+                       !task.never_fits.empty();
+  const bool any_reachable = std::ranges::any_of(
+      step.state.shards,
+      [](const auto& item) { return item.second.reachable; });
+  const bool soon = !refused && any_reachable;  // Only asked a question now.
+  if (job.Durable() || soon) {
+    task.refused_by.clear();
+    task.not_before =
+        soon ? step.now : step.now + step.state.options.retry_first;
+    job.waiting.push_back(index);
+    partition.on_shard.insert(KeyOf(job));
+    return;
+  }
+  const ErrorKind error = refused ? task.error : ErrorKind::kPeerUnreachable;
+  EndTask(step, partition, job, index,
+          {TaskEnd::kNotRun, error, AnswerFor(error).retry_after});
+}
+
+/// Whether the hop's budget lets this try go. First tries add to it.
+bool BudgetAllows(Step& step, const Task& task, const ShardId& shard) {
+  if (task.retries == 0) {
+    EarnRetry(step, shard);
+    return true;
+  }
+  return TakeRetry(step, shard);
+}
+
+/// Gives tasks to one shard.
+Given Assign(Step& step, PartitionState& partition, Job& job,
+             const Indexes& indexes) {
+  const Task& first = job.tasks[indexes.front()];
+  std::vector<ShardId> without = first.refused_by;
+  without.insert(without.end(), first.never_fits.begin(),
+                 first.never_fits.end());
+  const Resources demand =
+      Times(job.request.demand, static_cast<std::uint32_t>(indexes.size()));
+  const auto shard = ChooseShard(step, partition, demand, without);
+  if (!shard) {
+    return Given::kNoShard;
+  }
+  if (!BudgetAllows(step, first, *shard)) {
+    return Given::kNoBudget;
+  }
+  ShardView& view = step.state.shards.at(*shard);
+  view.free -= demand;  // Until the next heartbeat tells better.
+  std::uint32_t attempt = 0;
+  for (const std::uint32_t index : indexes) {
+    attempt = std::max(attempt, job.tasks[index].attempt);
+  }
+  for (const std::uint32_t index : indexes) {
+    Task& task = job.tasks[index];
+    task.attempt = attempt + 1;
+    task.shard = *shard;
+    task.shard_epoch = view.epoch;
+    task.home_epoch = partition.home.epoch;
+  }
+  if (NeedsIntent(job)) {
+    Intend(step, partition, job, indexes);
+  } else {
+    Send(step, partition, job, indexes);
+  }
+  return Given::kYes;
+}
+
+bool StillGood(const Step& step, const PartitionState& partition,
+               const Task& task) {
+  const auto view = step.state.shards.find(task.shard);
+  const auto asked = partition.inquiries.find(task.shard);
+  return view != step.state.shards.end() && view->second.reachable &&
+         view->second.epoch == task.shard_epoch &&
+         (asked == partition.inquiries.end() || !asked->second.open);
+}
+
+void StartGang(Step& step, PartitionState& partition, Job& job) {
+  if (job.waiting.size() < job.tasks.size() ||
+      job.tasks.front().not_before > step.now) {
+    return;
+  }
+  const Indexes all = std::exchange(job.waiting, {});
+  const Given given = Assign(step, partition, job, all);
+  if (given == Given::kYes) {
+    return;
+  }
+  for (const std::uint32_t index : all) {
+    NotGiven(step, partition, job, index, given);
+  }
+}
+
+/// Intents can't be written: urgent work is refused, the rest waits.
+void WaitForJournal(Step& step, PartitionState& partition, Job& job) {
+  if (job.Durable()) {
+    partition.on_journal_up.insert(KeyOf(job));
+    return;
+  }
+  for (const std::uint32_t index : std::exchange(job.waiting, {})) {
+    EndTask(step, partition, job, index,
+            {TaskEnd::kNotRun, ErrorKind::kStoreUnavailable});
+  }
+}
+
+}  // namespace
+
+void StartWaiting(Step& step, PartitionState& partition, Job& job) {
+  if (job.Ended() || job.cancelled || job.withdrawn || job.held ||
+      job.waiting.empty()) {
+    return;
+  }
+  if (NeedsIntent(job) && partition.journal_down) {
+    WaitForJournal(step, partition, job);
+    return;
+  }
+  if (IsGang(job)) {
+    StartGang(step, partition, job);
+    return;
+  }
+  for (const std::uint32_t index : std::exchange(job.waiting, {})) {
+    if (job.tasks[index].not_before > step.now) {
+      job.waiting.push_back(index);
+      continue;
+    }
+    const Given given = Assign(step, partition, job, {index});
+    if (given != Given::kYes) {
+      NotGiven(step, partition, job, index, given);
+    }
+  }
+}
+
+void SendIntended(Step& step, PartitionState& partition, Job& job) {
+  if (job.intending.empty()) {
+    return;
+  }
+  Indexes pending;
+  Indexes ready;
+  for (const std::uint32_t index : std::exchange(job.intending, {})) {
+    Task& task = job.tasks[index];
+    if (task.intent > partition.durable) {
+      pending.push_back(index);
+    } else if (StillGood(step, partition, task)) {
+      ready.push_back(index);
+    } else {
+      task.state = TaskState::kWaiting;
+      task.not_before = step.now;
+      job.waiting.push_back(index);
+    }
+  }
+  job.intending = std::move(pending);
+  if (IsGang(job) && !ready.empty()) {
+    Send(step, partition, job, ready);
+    return;
+  }
+  for (const std::uint32_t index : ready) {
+    Send(step, partition, job, {index});
+  }
+}
+
+}  // namespace buckthornmux::home
--- /dev/null
+++ b/src/home/ending.cc
@@ -0,0 +1,214 @@
+#include <algorithm>
+
+#include "buckthornmux/detail/core/invariant.h"
+#include "steps.h"
+
+namespace buckthornmux::home {
+namespace {
+
+constexpr std::uint32_t kMostDoublings = 16;
+
+/// Reasons that another shard, or a later time, can't change.
+bool IsFinal(ErrorKind error) {
+  switch (error) {
+    case ErrorKind::kJobRefused:
+    case ErrorKind::kDeadlineUnmeetable:
+    case ErrorKind::kDeadlinePassed:
+    case ErrorKind::kKindRefused:
+    case ErrorKind::kMalformed:
+    case ErrorKind::kTooLarge:
+      return true;
+    default:
+      return false;
+  }
+}
+
+/// Reasons that one other shard is worth asking about, no more.
+bool IsCapacity(ErrorKind error) {
+  return error == ErrorKind::kCellFull || error == ErrorKind::kQueueFull ||
+         error == ErrorKind::kTeamLimit;
+}
+
+bool MayAskAnother(Step& step, const Job& job, const Task& task,
+                   ErrorKind error) {
+  if (IsFinal(error)) {
+    return false;
+  }
+  if (error == ErrorKind::kNeverFits) {
+    return task.never_fits.size() + 1 < step.state.shards.size();
+  }
+  if (job.Durable()) {
+    return true;
+  }
+  const std::uint32_t most =
+      IsCapacity(error) ? 1 : step.state.options.urgent_attempts - 1;
+  return task.retries < most;
+}
+
+bool MayRunAgain(Step& step, const Job& job, const Task& task,
+                 ErrorKind error) {
+  if (!job.request.idempotent || IsFinal(error)) {
+    return false;
+  }
+  switch (job.request.work_class) {
+    case WorkClass::kService:
+      return true;
+    case WorkClass::kPatient:
+      return task.failures < step.state.options.patient_failures;
+    case WorkClass::kUrgent:
+      return task.retries + 1 < step.state.options.urgent_attempts;
+  }
+  return false;
+}
+
+Millis Backoff(const Step& step, const Task& task) {
+  const std::uint32_t doublings = std::min(task.retries, kMostDoublings);
+  const Millis wait = step.state.options.retry_first * (1U << doublings);
+  return std::min(wait, step.state.options.retry_longest);
+}
+
+const Task* FirstNotDone(const Job& job) {
+  const auto found = std::ranges::find_if(
+      job.tasks, [](const Task& task) { return task.end != TaskEnd::kDone; });
+  return found == job.tasks.end() ? nullptr : &*found;
+}
+
+/// A gang is tried again as a whole, once all of its tries have ended.
+bool RetryGang(Step& step, Job& job) {
+  const Task* const worst = FirstNotDone(job);
+  if (!IsGang(job) || worst == nullptr) {
+    return false;
+  }
+  const TryEnd why{worst->end, worst->error, worst->retry_after};
+  const bool none_ran = std::ranges::all_of(
+      job.tasks, [](const Task& task) { return task.end == TaskEnd::kNotRun; });
+  if (!none_ran && !job.request.idempotent) {
+    return false;
+  }
+  if (!MayRetry(step, job, *worst, why)) {
+    return false;
+  }
+  for (std::uint32_t index = 0; index < job.tasks.size(); ++index) {
+    ++job.open_tasks;
+    WaitForRetry(step, job, index, why);
+  }
+  return true;
+}
+
+/// The error of a job: the most telling of its tasks'.
+void SetOutcome(Job& job) {
+  const Task* const worst = FirstNotDone(job);
+  if (worst == nullptr) {
+    job.phase = JobPhase::kDone;
+    return;
+  }
+  job.phase = job.cancelled ? JobPhase::kCancelled : JobPhase::kFailed;
+  job.error = job.cancelled ? ErrorKind::kCancelled : worst->error;
+  job.retry_after = worst->retry_after;
+  for (const Task& task : job.tasks) {
+    if (!job.cancelled && task.end == TaskEnd::kUnknown) {
+      job.error = ErrorKind::kOutcomeUnknown;
+    }
+  }
+}
+
+TaskEnd EndOf(JobPhase phase) {
+  switch (phase) {
+    case JobPhase::kDone:
+      return TaskEnd::kDone;
+    case JobPhase::kCancelled:
+      return TaskEnd::kCancelled;
+    default:
+      return TaskEnd::kFailed;
+  }
+}
+
+void ForgetShards(PartitionState& partition, const Job& job) {
+  const std::string key = KeyOf(job);
+  for (const Task& task : job.tasks) {
+    const auto at = partition.at_shard.find(task.shard);
+    if (at != partition.at_shard.end()) {
+      at->second.erase(key);
+    }
+  }
+}
+
+}  // namespace
+
+bool MayRetry(Step& step, const Job& job, const Task& task, const TryEnd& end) {
+  if (job.cancelled || job.withdrawn || job.deadline <= step.now ||
+      end.end == TaskEnd::kDone) {
+    return false;
+  }
+  return end.end == TaskEnd::kNotRun ? MayAskAnother(step, job, task, end.error)
+                                     : MayRunAgain(step, job, task, end.error);
+}
+
+void WaitForRetry(Step& step, Job& job, std::uint32_t index,
+                  const TryEnd& end) {
+  Task& task = job.tasks[index];
+  if (end.end == TaskEnd::kNotRun && end.error == ErrorKind::kNeverFits) {
+    task.never_fits.push_back(task.shard);
+  } else {
+    task.not_before = job.Durable() ? step.now + std::max(Backoff(step, task),
+                                                          end.retry_after)
+                                    : step.now;
+    ++task.retries;
+  }
+  if (end.end == TaskEnd::kNotRun && IsCapacity(end.error)) {
+    task.refused_by.push_back(task.shard);
+  }
+  task.state = TaskState::kWaiting;
+  task.end = TaskEnd::kNotRun;
+  task.error = end.error;
+  job.waiting.push_back(index);
+}
+
+void EndTask(Step& step, PartitionState& partition, Job& job,
+             std::uint32_t index, TryEnd end) {
+  static_cast<void>(step);
+  static_cast<void>(partition);
+  Task& task = job.tasks[index];
+  Invariant(task.state != TaskState::kEnded, "task_ends_once", KeyOf(job));
+  task.state = TaskState::kEnded;
+  task.unresolved = false;
+  task.end = end.end;
+  task.error = end.error;
+  task.retry_after = end.retry_after;
+  task.result = std::move(end.result);
+  --job.open_tasks;
+}
+
+void FinishIfEnded(Step& step, PartitionState& partition, Job& job) {
+  if (job.Ended() || job.open_tasks > 0 || RetryGang(step, job)) {
+    return;
+  }
+  SetOutcome(job);
+  job.ended = step.now;
+  job.waiting.clear();
+  job.intending.clear();
+  job.recancel = Time::max();
+  --partition.open_jobs;
+  partition.ended.emplace_back(step.now, KeyOf(job));
+  ForgetShards(partition, job);
+  SetPartitionTimer(step, partition);
+  Note(step, job, "ended");
+  job.sealed = !job.journaled;
+  if (job.journaled) {
+    JournalRecord record;
+    record.type = JournalRecord::Type::kJobEnded;
+    record.end = EndOf(job.phase);
+    record.error = job.error;
+    AppendFor(step, partition, job, std::move(record));
+  }
+  // "Not run" of a durable job is only sure once its end is durable: until
+  // then a successor would start it.
+  const bool wait_for_seal = job.Durable() && RanOf(job) == Ran::kUnknown &&
+                             !job.sealed && job.left.empty() &&
+                             !partition.journal_down;
+  if (!wait_for_seal) {
+    AnswerAllWaiters(step, job);
+  }
+}
+
+}  // namespace buckthornmux::home
--- /dev/null
+++ b/src/home/fits.cc
@@ -0,0 +1,66 @@
+#include <algorithm>
+#include <limits>
+
+#include "steps.h"
+
+namespace buckthornmux::home {
+namespace {
+
+bool HasLabels(const TargetForm& form, const std::vector<std::string>& labels) {
+  return std::ranges::all_of(labels, [&](const std::string& label) {
+    return std::ranges::find(form.labels, label) != form.labels.end();
+  });
+}
+
+/// How often a demand fits into one capacity.
+std::int64_t TimesIn(const Resources& demand, const Resources& capacity) {
+  std::int64_t times = std::numeric_limits<std::int32_t>::max();
+  const auto bound = [&](std::int64_t need, std::int64_t room) {
+    if (need > 0) {
+      times = std::min(times, room / need);
+    }
+  };
+  bound(demand.slots, capacity.slots);
+  bound(demand.cpu_milli, capacity.cpu_milli);
+  bound(demand.memory_mb, capacity.memory_mb);
+  bound(demand.accelerators, capacity.accelerators);
+  return times;
+}
+
+}  // namespace
+
+bool EverFits(const HomeState& state, const JobRequest& request) {
+  if (state.forms.empty()) {
+    return true;  // No configuration yet: the shards will tell.
+  }
+  const std::int64_t together = request.all_at_once ? request.tasks : 1;
+  return std::ranges::any_of(state.forms, [&](const auto& item) {
+    std::int64_t room = 0;
+    for (const TargetForm& form : item.second) {
+      if (HasLabels(form, request.labels)) {
+        room += form.count * TimesIn(request.demand, form.capacity);
+      }
+    }
+    return room >= together;
+  });
+}
+
+void OnConfig(Step& step, const ConfigInForce& event) {
+  step.state.forms.clear();
+  if (event.config == nullptr) {
+    return;
+  }
+  for (const TargetSpec& target : event.config->targets) {
+    std::vector<TargetForm>& forms = step.state.forms[target.shard];
+    const auto same = std::ranges::find_if(forms, [&](const TargetForm& form) {
+      return form.capacity == target.capacity && form.labels == target.labels;
+    });
+    if (same == forms.end()) {
+      forms.push_back({target.capacity, target.labels, 1});
+    } else {
+      ++same->count;
+    }
+  }
+}
+
+}  // namespace buckthornmux::home
--- /dev/null
+++ b/src/home/inquire.cc
@@ -0,0 +1,258 @@
+#include <algorithm>
+#include <unordered_map>
+
+#include "steps.h"
+
+namespace buckthornmux::home {
+namespace {
+
+constexpr std::uint32_t kMostDoublings = 4;
+
+using Reported = std::unordered_map<std::string, const sched::ReportedTask*>;
+
+Time NextAsk(const Step& step, const Inquiry& inquiry) {
+  const std::uint32_t doublings = std::min(inquiry.unanswered, kMostDoublings);
+  return step.now + step.state.options.inquire_every * (1U << doublings);
+}
+
+bool Holds(const Task& task, const ShardId& shard) {
+  return task.shard == shard &&
+         (task.state == TaskState::kSent || task.state == TaskState::kStarted);
+}
+
+/// A shard's answer, prepared for looking tasks up.
+struct Answer {
+  const ShardId& shard;
+  const sched::Known& known;
+  Reported reported;
+  std::set<std::string> queued;
+};
+
+/// What became of a try that the shard does not list.
+void ResolveMissing(Step& step, PartitionState& partition, Job& job,
+                    std::uint32_t index, const Answer& answer) {
+  Task& task = job.tasks[index];
+  const bool sure =
+      answer.known.complete || answer.known.epoch == task.shard_epoch;
+  if (task.unresolved_since == Time()) {
+    task.unresolved_since = step.now;
+  }
+  const bool lapsed =
+      step.now - task.unresolved_since >= step.state.options.resolve_after;
+  if (sure && task.state == TaskState::kSent) {
+    EndTry(step, partition, job, index,
+           {TaskEnd::kNotRun, ErrorKind::kTargetUnreachable});
+  } else if (sure || lapsed) {
+    EndTry(step, partition, job, index,
+           {TaskEnd::kUnknown, ErrorKind::kOutcomeUnknown});
+  } else {
+    task.unresolved = true;
+  }
+}
+
+void ResolveListed(Step& step, PartitionState& partition, Job& job,
+                   std::uint32_t index, const Answer& answer,
+                   const sched::ReportedTask& listed) {
+  Task& task = job.tasks[index];
+  task.shard_epoch = answer.known.epoch;
+  task.unresolved = false;
+  task.unresolved_since = Time();
+  if (!listed.running) {
+    const ErrorKind error = listed.end == TaskEnd::kFailed
+                                ? ErrorKind::kTaskFailed
+                                : ErrorKind::kTargetUnreachable;
+    EndTry(step, partition, job, index,
+           {listed.end, error, Millis(0), listed.result});
+  } else if (task.state == TaskState::kSent) {
+    MarkStarted(step, job, index, "reported");
+  }
+}
+
+void ResolveTask(Step& step, PartitionState& partition, Job& job,
+                 std::uint32_t index, const Answer& answer) {
+  const std::string id = KeyOf(job) + "/" + std::to_string(index);
+  Task& task = job.tasks[index];
+  const auto listed = answer.reported.find(id);
+  if (listed != answer.reported.end()) {
+    LearnAttempt(job, index, listed->second->attempt);
+    if (listed->second->attempt == task.attempt) {
+      ResolveListed(step, partition, job, index, answer, *listed->second);
+      return;
+    }
+  }
+  if (answer.queued.contains(id) && task.state == TaskState::kSent) {
+    task.shard_epoch = answer.known.epoch;
+    task.unresolved = false;
+    task.unresolved_since = Time();
+    return;
+  }
+  ResolveMissing(step, partition, job, index, answer);
+}
+
+/// True while some try at the shard has an open question.
+bool ResolveJobs(Step& step, PartitionState& partition, const Answer& answer) {
+  bool open = false;
+  const std::set<std::string> keys = partition.at_shard[answer.shard];
+  for (const std::string& key : keys) {
+    Job* job = FindJobByKey(partition, key);
+    bool holds = false;
+    for (std::uint32_t index = 0; job != nullptr && index < job->tasks.size();
+         ++index) {
+      if (!Holds(job->tasks[index], answer.shard)) {
+        continue;
+      }
+      ResolveTask(step, partition, *job, index, answer);
+      holds = holds || Holds(job->tasks[index], answer.shard);
+      open = open || job->tasks[index].unresolved;
+    }
+    if (!holds) {
+      partition.at_shard[answer.shard].erase(key);
+    }
+    if (job != nullptr) {
+      DriveJob(step, partition, *job);
+    }
+  }
+  return open;
+}
+
+AdoptedTask Adopted(const Step& step, const Answer& answer,
+                    const sched::ReportedTask& task) {
+  AdoptedTask adopted;
+  adopted.shard = answer.shard;
+  adopted.shard_epoch = answer.known.epoch;
+  adopted.home_epoch = task.home.epoch;
+  adopted.attempt = task.attempt;
+  adopted.state = task.running ? TaskState::kStarted : TaskState::kEnded;
+  adopted.end = task.end;
+  adopted.result = task.result;
+  adopted.payload = task.spec.payload;
+  adopted.has_spec = !task.spec.job.empty();
+  adopted.seen = step.now;
+  return adopted;
+}
+
+bool HasTask(PartitionState& partition, const std::string& id) {
+  const auto name = ParseTaskId(id);
+  const Job* job = name ? FindJobByKey(partition, name->key) : nullptr;
+  // A held job has not met its tries yet.
+  return job != nullptr && !job->held && name->index < job->tasks.size();
+}
+
+/// Remembers what the shard knows and no job here does.
+void AdoptUnknown(Step& step, PartitionState& partition, const Answer& answer) {
+  std::erase_if(partition.adopted, [&](const auto& item) {
+    const AdoptedTask& task = item.second;
+    const bool sure =
+        answer.known.complete || task.shard_epoch == answer.known.epoch;
+    return task.shard == answer.shard && task.state != TaskState::kEnded &&
+           sure && !answer.reported.contains(item.first) &&
+           !answer.queued.contains(item.first);
+  });
+  for (const sched::ReportedTask& task : answer.known.tasks) {
+    const bool not_run = !task.running && task.end == TaskEnd::kNotRun;
+    if (!not_run && !HasTask(partition, task.id)) {
+      partition.adopted[task.id] = Adopted(step, answer, task);
+    }
+  }
+  for (const std::string& id : answer.known.queued) {
+    if (!HasTask(partition, id) && !partition.adopted.contains(id)) {
+      AdoptedTask task;
+      task.shard = answer.shard;
+      task.shard_epoch = answer.known.epoch;
+      task.seen = step.now;
+      partition.adopted[id] = task;
+    }
+  }
+}
+
+/// Whether the answer counts: to an Inquire since which no work was sent, and
+/// from no former owner of the shard.
+bool IsValid(const Step& step, const Inquiry& inquiry, const FromShard& event,
+             const sched::Known& known) {
+  const auto view = step.state.shards.find(event.shard);
+  return inquiry.open && known.home.inquiry >= inquiry.first_open &&
+         known.home.inquiry <= inquiry.number && event.epoch == known.epoch &&
+         view != step.state.shards.end() && known.epoch >= view->second.epoch;
+}
+
+void NoteAnswer(const Step& step, Inquiry& inquiry, const sched::Known& known) {
+  inquiry.open = false;
+  inquiry.unanswered = 0;
+  inquiry.again = Time::max();
+  if (inquiry.epoch != known.epoch) {
+    inquiry.epoch = known.epoch;
+    inquiry.first_answer = step.now;
+  }
+  const bool lapsed =
+      step.now - inquiry.first_answer >= step.state.options.resolve_after;
+  inquiry.settled = inquiry.settled || known.complete || lapsed;
+}
+
+void DriveWaiting(Step& step, PartitionState& partition) {
+  for (const std::string& key : std::exchange(partition.on_shard, {})) {
+    if (Job* job = FindJobByKey(partition, key)) {
+      DriveJob(step, partition, *job);
+    }
+  }
+}
+
+}  // namespace
+
+void Ask(Step& step, PartitionState& partition, const ShardId& shard) {
+  Inquiry& inquiry = partition.inquiries[shard];
+  ++inquiry.number;
+  if (!inquiry.open) {
+    inquiry.open = true;
+    inquiry.first_open = inquiry.number;
+  }
+  inquiry.again = NextAsk(step, inquiry);
+  ++inquiry.unanswered;
+  sched::Home home = partition.home;
+  home.inquiry = inquiry.number;
+  step.actions.emplace_back(ToShard{shard, 0, sched::Inquire{home}});
+  SetPartitionTimer(step, partition);
+}
+
+void AskDue(Step& step, PartitionState& partition) {
+  for (auto& [shard, inquiry] : partition.inquiries) {
+    if (inquiry.again > step.now) {
+      continue;
+    }
+    inquiry.again = Time::max();
+    const auto view = step.state.shards.find(shard);
+    const bool audit_only =
+        !inquiry.open && inquiry.settled && partition.at_shard[shard].empty();
+    if (view != step.state.shards.end() && view->second.reachable &&
+        !audit_only) {
+      Ask(step, partition, shard);
+    }
+  }
+}
+
+void OnKnown(Step& step, PartitionState& partition, const FromShard& event,
+             const sched::Known& known) {
+  Inquiry& inquiry = partition.inquiries[event.shard];
+  if (known.home.epoch != partition.home.epoch ||
+      !IsValid(step, inquiry, event, known)) {
+    return;
+  }
+  Answer answer{event.shard, known, {}, {}};
+  for (const sched::ReportedTask& task : known.tasks) {
+    answer.reported[task.id] = &task;
+  }
+  answer.queued.insert(known.queued.begin(), known.queued.end());
+  AdoptUnknown(step, partition, answer);
+  // Tries are resolved before the shard may be sent new ones.
+  const bool open = ResolveJobs(step, partition, answer);
+  NoteAnswer(step, inquiry, known);
+  if (open || !inquiry.settled) {
+    inquiry.again = step.now + step.state.options.inquire_every;
+  } else if (!partition.at_shard[event.shard].empty()) {
+    inquiry.again = step.now + step.state.options.audit_every;
+  }
+  SetPartitionTimer(step, partition);
+  SettleIfKnown(step, partition);
+  DriveWaiting(step, partition);
+}
+
+}  // namespace buckthornmux::home
--- /dev/null
+++ b/src/home/journaling.cc
@@ -0,0 +1,114 @@
+#include <algorithm>
+
+#include "steps.h"
+
+namespace buckthornmux::home {
+namespace {
+
+/// Jobs whose records up to the durable sequence have not been acted on.
+std::vector<std::string> TakeDurable(PartitionState& partition) {
+  std::vector<std::string> keys;
+  while (!partition.on_durable.empty() &&
+         partition.on_durable.front().first <= partition.durable) {
+    if (keys.empty() || keys.back() != partition.on_durable.front().second) {
+      keys.push_back(std::move(partition.on_durable.front().second));
+    }
+    partition.on_durable.pop_front();
+  }
+  return keys;
+}
+
+/// Answers what waits for a journal that can't be written now.
+void GiveUpWaiting(Step& step, PartitionState& partition, Job& job) {
+  if (!job.Durable() && !job.Ended()) {
+    // Their intents may yet become durable, but no start has left and none
+    // will: neither this home nor one that reads the intents sends an urgent
+    // task without a new request.
+    const std::vector<std::uint32_t> intending =
+        std::exchange(job.intending, {});
+    for (const std::uint32_t index : intending) {
+      EndTask(step, partition, job, index,
+              {TaskEnd::kNotRun, ErrorKind::kStoreUnavailable});
+    }
+    DriveJob(step, partition, job);
+    return;
+  }
+  const std::vector<Waiter> waiters = std::exchange(job.waiters, {});
+  for (const Waiter& waiter : waiters) {
+    const bool waits_for_journal =
+        job.Ended() || waiter.until != Waiter::For::kEnd;
+    if (waits_for_journal) {
+      AnswerError(step, waiter.token, job, ErrorKind::kStoreUnknown);
+    } else {
+      job.waiters.push_back(waiter);
+    }
+  }
+}
+
+}  // namespace
+
+std::uint64_t AppendFor(Step& step, PartitionState& partition, Job& job,
+                        JournalRecord record) {
+  record.team = job.request.team;
+  record.job = job.request.id;
+  record.at = step.state.anchor.ToWall(step.now);
+  if (record.type == JournalRecord::Type::kAccepted) {
+    job.request_journaled = true;
+  } else if (record.type == JournalRecord::Type::kIntent &&
+             !job.request_journaled) {
+    record.request = job.request;
+    job.request_journaled = true;
+  }
+  const std::uint64_t sequence = ++partition.appended;
+  job.journaled = true;
+  job.last_append = sequence;
+  if (record.type != JournalRecord::Type::kEnded) {
+    partition.on_durable.emplace_back(sequence, KeyOf(job));
+  }
+  step.actions.emplace_back(
+      Append{partition.home.partition, sequence, std::move(record)});
+  return sequence;
+}
+
+void OnJournaled(Step& step, const Journaled& event) {
+  PartitionState* partition = FindPartition(step.state, event.partition);
+  if (partition == nullptr) {
+    return;
+  }
+  partition->durable = std::max(partition->durable,
+                                std::min(event.sequence, partition->appended));
+  for (const std::string& key : TakeDurable(*partition)) {
+    if (Job* job = FindJobByKey(*partition, key)) {
+      DriveJob(step, *partition, *job);
+    }
+  }
+}
+
+void OnJournalDown(Step& step, const JournalDown& event) {
+  PartitionState* partition = FindPartition(step.state, event.partition);
+  if (partition == nullptr) {
+    return;
+  }
+  partition->journal_down = event.down;
+  std::set<std::string> keys;
+  if (event.down) {
+    for (const auto& [sequence, key] : partition->on_durable) {
+      keys.insert(key);
+    }
+  } else {
+    keys = std::exchange(partition->on_journal_up, {});
+  }
+  for (const std::string& key : keys) {
+    Job* job = FindJobByKey(*partition, key);
+    if (job == nullptr) {
+      continue;
+    }
+    if (event.down) {
+      GiveUpWaiting(step, *partition, *job);
+    } else {
+      DriveJob(step, *partition, *job);
+    }
+  }
+}
+
+}  // namespace buckthornmux::home
--- /dev/null
+++ b/src/home/timers.cc
@@ -0,0 +1,126 @@
+#include <algorithm>
+
+#include "steps.h"
+
+namespace buckthornmux::home {
+namespace {
+
+void SetTimer(Step& step, Time& current, Time wanted, Partition partition,
+              const std::string& key) {
+  if (wanted == current) {
+    return;
+  }
+  if (current != Time::max()) {
+    step.state.timers.erase({current, {partition, key}});
+  }
+  current = wanted;
+  if (wanted == Time::max()) {
+    return;
+  }
+  step.state.timers.insert({wanted, {partition, key}});
+}
+
+/// When a job must be looked at again though nothing else happens to it.
+Time NextLook(const Step& step, const Job& job) {
+  if (job.Ended()) {
+    return Time::max();
+  }
+  Time next = job.withdrawn ? Time::max() : job.deadline;
+  for (const Waiter& waiter : job.waiters) {
+    next = std::min(next, waiter.deadline);
+  }
+  for (const std::uint32_t index : job.waiting) {
+    const Time not_before = job.tasks[index].not_before;
+    const bool waits_for_event = not_before <= step.now;
+    next = waits_for_event ? next : std::min(next, not_before);
+  }
+  return std::min(next, job.recancel);
+}
+
+void KeepAcceptance(Step& step, PartitionState& partition, Job& job) {
+  if (job.accepted_at != 0 && job.accepted_at <= partition.durable) {
+    job.accepted_at = 0;
+    job.kept = true;
+    AnswerWaiters(step, job, Waiter::For::kAcceptance, true);
+  }
+}
+
+void Seal(Step& step, PartitionState& partition, Job& job) {
+  if (job.Ended() && !job.sealed && job.last_append <= partition.durable) {
+    job.sealed = true;
+    AnswerAllWaiters(step, job);
+  }
+}
+
+}  // namespace
+
+void SetJobTimer(Step& step, PartitionState& partition, Job& job) {
+  SetTimer(step, job.wake, NextLook(step, job), partition.home.partition,
+           KeyOf(job));
+}
+
+void DropJobTimer(Step& step, PartitionState& partition, Job& job) {
+  SetTimer(step, job.wake, Time::max(), partition.home.partition, KeyOf(job));
+}
+
+void SetPartitionTimer(Step& step, PartitionState& partition) {
+  Time next = Time::max();
+  for (const auto& [shard, inquiry] : partition.inquiries) {
+    next = std::min(next, inquiry.again);
+  }
+  if (!partition.ended.empty()) {
+    next = std::min(next, partition.ended.front().first +
+                              step.state.options.result_retention);
+  }
+  SetTimer(step, partition.wake, next, partition.home.partition, {});
+}
+
+void DriveJob(Step& step, PartitionState& partition, Job& job) {
+  KeepAcceptance(step, partition, job);
+  if (job.cancelled_at <= partition.durable) {
+    AnswerWaiters(step, job, Waiter::For::kCancel, false);
+  }
+  if (!job.Ended()) {
+    if (!job.withdrawn && job.deadline <= step.now) {
+      job.withdrawn = true;
+      TakeBack(step, partition, job, !job.Durable(),
+               job.held ? ErrorKind::kNotReady : ErrorKind::kDeadlinePassed);
+    } else if (job.recancel <= step.now) {
+      job.recancel = Time::max();
+      TakeBack(step, partition, job, job.cancelled || !job.Durable(),
+               ErrorKind::kCancelled);
+    }
+    SendIntended(step, partition, job);
+    StartWaiting(step, partition, job);
+    FinishIfEnded(step, partition, job);
+  }
+  Seal(step, partition, job);
+  AnswerLateWaiters(step, job);
+  SetJobTimer(step, partition, job);
+}
+
+void OnTick(Step& step) {
+  HomeState& state = step.state;
+  if (state.woken <= step.now) {
+    state.woken = Time::max();
+  }
+  while (!state.timers.empty() && state.timers.begin()->first <= step.now) {
+    const auto [partition_number, key] = state.timers.begin()->second;
+    state.timers.erase(state.timers.begin());
+    PartitionState* partition = FindPartition(state, partition_number);
+    if (partition == nullptr) {
+      continue;
+    }
+    if (key.empty()) {
+      partition->wake = Time::max();
+      AskDue(step, *partition);
+      DropExpired(step, *partition);
+      SetPartitionTimer(step, *partition);
+    } else if (Job* job = FindJobByKey(*partition, key)) {
+      job->wake = Time::max();
+      DriveJob(step, *partition, *job);
+    }
+  }
+}
+
+}  // namespace buckthornmux::home
