Ledger of team allowances: one record per team, parts by demand

A record keeps for each shard its allowance, last demand and owner epoch, so that every asker computes the same parts: one slot each, then in proportion, by largest remainder. A raise stays within what is left; a lowered limit raises nothing until the sum fits.

--- /dev/null
+++ b/src/limits/ledger.cc
@@ -0,0 +1,225 @@
+#include "buckthornmux/detail/limits/ledger.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <functional>
+#include <numeric>
+#include <utility>
+
+#include "buckthornmux/detail/core/invariant.h"
+
+namespace buckthornmux::limits {
+namespace {
+
+namespace json = boost::json;
+using Slots = std::map<ShardId, std::int64_t>;
+
+std::int64_t Sum(const Slots& slots) {
+  return std::accumulate(
+      slots.begin(), slots.end(), std::int64_t{0},
+      [](std::int64_t sum, const auto& entry) { return sum + entry.second; });
+}
+
+std::int64_t SlotsOf(const Slots& slots, const ShardId& shard) {
+  const auto found = slots.find(shard);
+  return found == slots.end() ? 0 : found->second;
+}
+
+/// A shard's claim to a part, while the limit is split.
+struct Claimant {
+  ShardId shard;
+  std::int64_t open = 0;       ///< Wanted and not given yet.
+  std::int64_t remainder = 0;  ///< Of the proportional split.
+};
+
+/// One slot to each, those with the highest demand first.
+std::int64_t GiveFirstSlots(std::vector<Claimant>& claimants, std::int64_t left,
+                            Slots& parts) {
+  std::ranges::stable_sort(claimants, std::greater(), &Claimant::open);
+  for (Claimant& claimant : claimants) {
+    const std::int64_t one = std::min<std::int64_t>(left, 1);
+    parts[claimant.shard] = one;
+    claimant.open -= one;
+    left -= one;
+  }
+  return left;
+}
+
+/// Splits what is left in proportion, by largest remainder.
+void GiveProportionally(std::vector<Claimant>& claimants, std::int64_t left,
+                        Slots& parts) {
+  std::int64_t demand = 0;
+  for (const Claimant& claimant : claimants) {
+    demand += claimant.open;
+  }
+  const std::int64_t total = std::min(left, demand);
+  if (total <= 0) {
+    return;
+  }
+  std::int64_t given = 0;
+  for (Claimant& claimant : claimants) {
+    const std::int64_t part = claimant.open * total / demand;
+    claimant.remainder = claimant.open * total % demand;
+    parts[claimant.shard] += part;
+    given += part;
+  }
+  std::ranges::stable_sort(claimants, std::greater(), &Claimant::remainder);
+  for (std::size_t i = 0; given < total; ++i, ++given) {
+    ++parts[claimants[i].shard];
+  }
+}
+
+/// Takes the limit of a newer revision, which any asker may bring.
+void TakeLimit(TeamGrants& record, const GrantRequest& request) {
+  if (request.config > record.config || record.config == 0) {
+    record.limit = std::max<std::int64_t>(request.limit, 0);
+    record.config = request.config;
+  }
+}
+
+void Reclaim(TeamGrants& record, const GrantRequest& request) {
+  for (const ShardId& shard : request.gone) {
+    if (shard != request.shard) {
+      record.slots.erase(shard);
+      record.asked.erase(shard);
+    }
+  }
+}
+
+/// What the shard may have next, given all other allowances.
+std::int64_t NextSlots(const TeamGrants& record, const GrantRequest& request) {
+  const std::int64_t current = SlotsOf(record.slots, request.shard);
+  const std::int64_t part = SlotsOf(PartsOf(record), request.shard);
+  if (part <= current) {
+    return std::min(current, std::max(part, request.in_use));
+  }
+  const std::int64_t room = record.limit - Sum(record.slots);
+  return current + std::clamp<std::int64_t>(room, 0, part - current);
+}
+
+void SetSlots(TeamGrants& record, const ShardId& shard, std::int64_t slots) {
+  if (slots > 0) {
+    record.slots[shard] = slots;
+  } else {
+    record.slots.erase(shard);
+  }
+}
+
+void CheckGrants(const TeamGrants& before, const TeamGrants& after) {
+  const bool raised = std::ranges::any_of(after.slots, [&](const auto& entry) {
+    return entry.second > SlotsOf(before.slots, entry.first);
+  });
+  Invariant(!raised || Sum(after.slots) <= after.limit, "grants_within_limit",
+            after.team);
+}
+
+Result<std::int64_t> Count(const json::object& object, std::string_view name) {
+  const json::value* value = object.if_contains(name);
+  boost::system::error_code error;
+  const std::int64_t count =
+      value == nullptr ? -1 : value->to_number<std::int64_t>(error);
+  if (error || count < 0) {
+    return Fail(ErrorKind::kMalformed, "expected a count", std::string(name));
+  }
+  return count;
+}
+
+Result<void> DecodeShard(const ShardId& shard, const json::value& value,
+                         TeamGrants& record) {
+  if (!value.is_object()) {
+    return Fail(ErrorKind::kMalformed, "expected an object", shard);
+  }
+  const json::object& object = value.as_object();
+  BOOST_LEAF_AUTO(slots, Count(object, "slots"));
+  BOOST_LEAF_AUTO(wanted, Count(object, "wanted"));
+  BOOST_LEAF_AUTO(epoch, Count(object, "epoch"));
+  SetSlots(record, shard, slots);
+  record.asked[shard] = {.wanted = wanted, .epoch = static_cast<Epoch>(epoch)};
+  return {};
+}
+
+}  // namespace
+
+std::int64_t SlotsOf(const TeamGrants& record, const ShardId& shard) {
+  return SlotsOf(record.slots, shard);
+}
+
+Slots PartsOf(const TeamGrants& record) {
+  Slots parts;
+  std::vector<Claimant> claimants;
+  for (const auto& [shard, asked] : record.asked) {
+    if (asked.wanted > 0) {
+      // More than the limit is no demand, and would outweigh the others.
+      const std::int64_t open = std::min(asked.wanted, record.limit);
+      claimants.push_back({.shard = shard, .open = open});
+    }
+  }
+  const std::int64_t left = GiveFirstSlots(claimants, record.limit, parts);
+  GiveProportionally(claimants, left, parts);
+  return parts;
+}
+
+Result<TeamGrants> NextGrants(const TeamGrants& record,
+                              const GrantRequest& request) {
+  if (request.config < record.config) {
+    return Fail(ErrorKind::kConfigStale,
+                "the record knows a newer revision; take that first",
+                request.shard);
+  }
+  const auto asked = record.asked.find(request.shard);
+  if (asked != record.asked.end() && request.epoch < asked->second.epoch) {
+    return Fail(ErrorKind::kOwnerStale, "the shard has a newer owner",
+                request.shard);
+  }
+  TeamGrants next = record;
+  TakeLimit(next, request);
+  Reclaim(next, request);
+  next.asked[request.shard] = {
+      .wanted = std::max<std::int64_t>(request.wanted, 0),
+      .epoch = request.epoch};
+  SetSlots(next, request.shard, NextSlots(next, request));
+  CheckGrants(record, next);
+  return next;
+}
+
+std::string EncodeGrants(const TeamGrants& record) {
+  json::object shards;
+  for (const auto& [shard, asked] : record.asked) {
+    shards[shard] = json::object{{"slots", SlotsOf(record.slots, shard)},
+                                 {"wanted", asked.wanted},
+                                 {"epoch", asked.epoch}};
+  }
+  return json::serialize(json::object{{"team", record.team},
+                                      {"limit", record.limit},
+                                      {"config", record.config},
+                                      {"shards", std::move(shards)}});
+}
+
+Result<TeamGrants> DecodeGrants(std::string_view text) {
+  boost::system::error_code error;
+  const json::value value = json::parse(text, error);
+  if (error || !value.is_object()) {
+    return Fail(ErrorKind::kMalformed, "expected a JSON object");
+  }
+  const json::object& object = value.as_object();
+  const json::value* team = object.if_contains("team");
+  const json::value* shards = object.if_contains("shards");
+  if (team == nullptr || !team->is_string() || shards == nullptr ||
+      !shards->is_object()) {
+    return Fail(ErrorKind::kMalformed, "expected a team and its shards");
+  }
+  TeamGrants record;
+  record.team = std::string(team->as_string());
+  BOOST_LEAF_ASSIGN(record.limit, Count(object, "limit"));
+  BOOST_LEAF_AUTO(config, Count(object, "config"));
+  record.config = static_cast<Revision>(config);
+  for (const auto& [shard, entry] : shards->as_object()) {
+    auto decoded = DecodeShard(std::string(shard), entry, record);
+    if (!decoded) {
+      return decoded.error();
+    }
+  }
+  return record;
+}
+
+}  // namespace buckthornmux::limits
