--- a/include/buckthornmux/detail/peer/messages.h
+++ b/include/buckthornmux/detail/peer/messages.h
@@ -50,6 +50,10 @@
   bool accepted = false;
   home::JobStatus status;
 };
+/// The receiver does not own the shard under that epoch; it took nothing.
+struct NotTaken {
+  home::ToShard sent;
+};
 /// The sender has a higher configuration revision; its text as stored.
 struct ConfigText {
   Revision revision = 0;
@@ -60,9 +64,10 @@
   Revision known = 0;
 };
 
-using Message = std::variant<Hello, Ping, Pong, CallSubmit, CallCancel,
-                             CallQuery, CallGone, CallReply, home::ToShard,
-                             home::FromShard, ConfigText, ConfigWanted>;
+using Message =
+    std::variant<Hello, Ping, Pong, CallSubmit, CallCancel, CallQuery, CallGone,
+                 CallReply, home::ToShard, home::FromShard, NotTaken,
+                 ConfigText, ConfigWanted>;
 
 /// State of one shard in a heartbeat.
 struct ShardBeat {
--- a/include/buckthornmux/detail/runtime/ledger_duty.h
+++ b/include/buckthornmux/detail/runtime/ledger_duty.h
@@ -1,7 +1,9 @@
-/// The ledger duty: allowances of teams for the owned shards.
+/// The ledger duty: reads and writes the teams' records of allowances for the
+/// owned shards. What a shard may use is decided by the owner duty.
 #pragma once
 
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -15,40 +17,37 @@
  public:
   explicit LedgerDuty(Wiring& wiring);
 
-  /// @brief Takes messages, changes the teams' records.
+  /// @brief Takes messages, reads and writes records.
   /// @return when to be called again at the latest
   Time Step(std::vector<LedgerMessage> messages, Time now);
 
  private:
-  struct Wish {
-    std::int64_t slots = 0;
-    std::int64_t in_use = 0;
-  };
   struct Stored {
     limits::TeamGrants grants;
     Revision revision = 0;  ///< Of the key; 0: absent.
   };
-  using WishKey = std::pair<TeamName, ShardId>;
+  struct Team {
+    std::optional<Stored> record;  ///< As last read or written.
+    std::set<ShardId> open;        ///< Shards whose allowance needs a look.
+    bool asked = false;            ///< The owner duty has it.
+    Time next_try;
+  };
 
-  void Take(const GrantWanted& message);
-  void Take(const LedgerShardGained& message);
-  void Take(const LedgerShardLost& message);
-  void Take(const ConfigChanged& message);
+  void Take(const GrantWanted& message, Time now);
+  void Take(const GrantWrite& message, Time now);
+  void Take(const GrantSettled& message, Time now);
+  void Take(const LedgerShardGained& message, Time now);
+  void Take(const LedgerShardLost& message, Time now);
+  void Take(const ConfigChanged& message, Time now);
+  void Take(const StateRead& message, Time now);
 
-  /// True when the team's wishes are settled.
-  bool Settle(const TeamName& team);
-  Result<Stored> Read(const TeamName& team);
-  Result<Stored> Write(const limits::TeamGrants& next, Revision expected);
-  void Tell(const limits::TeamGrants& grants);
-  [[nodiscard]] std::int64_t LimitOf(const TeamName& team) const;
+  void OpenAll(const ShardId& shard);
+  void Advance(const TeamName& name, Team& team, Time now);
+  [[nodiscard]] Result<Stored> Read(const TeamName& team) const;
 
   Wiring& m_wiring;
-  ConfigPtr m_config = std::make_shared<const config::Config>();
   std::set<ShardId> m_shards;
-  std::map<WishKey, Wish> m_wishes;      ///< Latest wish of each shard.
-  std::set<TeamName> m_open;             ///< Teams whose record needs a look.
-  std::map<TeamName, Stored> m_records;  ///< As last read or written.
-  Time m_next_try;
+  std::map<TeamName, Team> m_teams;
 };
 
 }  // namespace buckthornmux::runtime
--- a/include/buckthornmux/detail/runtime/member_duty.h
+++ b/include/buckthornmux/detail/runtime/member_duty.h
@@ -33,13 +33,14 @@
   void Decide(const member::Event& event, Time now);
   void Write(const member::OwnerRecord& record, Time now);
   void PublishRoutes(const member::StoreView& view);
+  void ReadAfterGains();
 
   Wiring& m_wiring;
   member::Member m_self;
   member::OwnershipState m_ownership;
   store::LeaseId m_lease = store::kNoLease;
   Time m_renew_at;
-  Revision m_config_revision = 0;
+  bool m_gained = false;  ///< Some range since the last read of the store.
 };
 
 }  // namespace buckthornmux::runtime
--- a/include/buckthornmux/detail/runtime/owner_duty.h
+++ b/include/buckthornmux/detail/runtime/owner_duty.h
@@ -36,6 +36,8 @@
     bool releasing = false;
     Time release_by;
     Time wake = Time::max();
+    std::map<TeamName, limits::GrantHolder> grants;
+    std::map<TeamName, std::int64_t> wanted;  ///< Slots last asked for.
   };
   struct SeenBeat {
     peer::ShardBeat beat;
@@ -49,6 +51,8 @@
   using LocalEvent = std::variant<ShardEvent, HomeEvent>;
 
   // One for each kind of message.
+  void Take(const GrantRead& message, Time now);
+  void Take(const GrantWritten& message, Time now);
   void Take(ShardEvent message, Time now);
   void Take(HomeEvent message, Time now);
   void Take(PeerMessage message, Time now);
@@ -71,6 +75,7 @@
   void TakePeer(const HostId& from, peer::CallReply message);
   void TakePeer(const HostId& from, home::ToShard message);
   void TakePeer(const HostId& from, home::FromShard message);
+  void TakePeer(const HostId& from, peer::NotTaken message);
   template <class Other>
   void TakePeer(const HostId& /*from*/, const Other& /*message*/) {}
 
@@ -91,6 +96,9 @@
   void Perform(const ShardId& shard, const sched::Wake& action);
   void ApplyShard(const ShardId& id, const sched::Event& event, Time now);
 
+  [[nodiscard]] limits::GrantRequest GrantRequestOf(
+      const OwnedShard& shard, const GrantRead& read) const;
+  void GainFreshPartitions(Time now);
   void GainShard(const ShardId& id, Epoch epoch, Time now);
   void DropShard(const ShardId& id);
   void FenceOldHomes(const ShardId& id, Time now);
@@ -118,6 +126,10 @@
   ConfigPtr m_config = std::make_shared<const config::Config>();
   std::set<ShardId> m_known_shards;  ///< Of the configuration.
   std::shared_ptr<const Routes> m_routes = std::make_shared<const Routes>();
+  Time m_routes_read_at;
+  /// Partitions whose journal is taken, until the routes were read since.
+  std::map<Partition, home::PartitionGained> m_fresh_partitions;
+  std::map<Partition, Time> m_claimed_at;
   std::map<ShardId, SeenBeat> m_beats;
   std::set<HostId> m_links_up;
   std::map<std::string, bool, std::less<>> m_hosts_leaving;
--- a/include/buckthornmux/detail/runtime/watch_duty.h
+++ b/include/buckthornmux/detail/runtime/watch_duty.h
@@ -1,9 +1,11 @@
-/// The watch duty: follows the keys that every entry host acts upon, by one
-/// watch; and the platform's list of hosts.
+/// The watch duties: follow the keys that every entry host acts upon, and the
+/// teams' records, by one watch each; and the platform's list of hosts.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <string>
+#include <string_view>
 
 #include "buckthornmux/detail/net/http_client.h"
 #include "buckthornmux/detail/runtime/wiring.h"
@@ -14,7 +16,13 @@
 ///   blocks in one watch call.
 class WatchDuty {
  public:
-  explicit WatchDuty(Wiring& wiring);
+  /// Takes what was read, on the duty's thread.
+  using Publish = std::function<void(const StateRead&)>;
+
+  /// @param wiring joints of the process
+  /// @param prefix keys to follow
+  /// @param publish called after each answer of the store
+  WatchDuty(Wiring& wiring, std::string_view prefix, Publish publish);
 
   /// @brief Waits for changes and publishes the state read.
   /// @return now: it goes on at once
@@ -23,9 +31,11 @@
  private:
   bool List();
   bool Watch();
-  void Publish(Time read_at);
+  void PublishEntries(Time read_at);
 
   Wiring& m_wiring;
+  std::string m_prefix;
+  Publish m_publish;
   std::map<std::string, store::Entry, std::less<>> m_entries;
   Revision m_revision = 0;
   bool m_listed = false;
--- a/include/buckthornmux/detail/runtime/wiring.h
+++ b/include/buckthornmux/detail/runtime/wiring.h
@@ -18,6 +18,7 @@
 #include "buckthornmux/detail/config/config.h"
 #include "buckthornmux/detail/config/settings.h"
 #include "buckthornmux/detail/home/home.h"
+#include "buckthornmux/detail/limits/grant_holder.h"
 #include "buckthornmux/detail/member/ownership.h"
 #include "buckthornmux/detail/net/http_types.h"
 #include "buckthornmux/detail/peer/messages.h"
@@ -35,6 +36,12 @@
 
 using ConfigPtr = std::shared_ptr<const config::Config>;
 
+/// All keys below a watched prefix, as read since `read_at`.
+struct StateRead {
+  Time read_at;
+  std::shared_ptr<const std::vector<store::Entry>> entries;
+};
+
 // ---- To the owner duty ----------------------------------------------------
 
 /// For one owned shard.
@@ -78,6 +85,7 @@
 /// Members or owners changed.
 struct RoutesChanged {
   std::shared_ptr<const Routes> routes;
+  Time read_at;  ///< The store was read at this time or later.
 };
 /// Free room of another host's shards.
 struct BeatReceived {
@@ -92,10 +100,28 @@
   std::function<void(std::string)> answer;
 };
 
+/// A team's record is known: may this shard's allowance change? Answered by
+/// GrantWrite or GrantSettled.
+struct GrantRead {
+  ShardId shard;
+  TeamName team;
+  limits::TeamGrants record;
+  Revision revision = 0;
+};
+/// A write of the ledger duty ended.
+struct GrantWritten {
+  ShardId shard;
+  TeamName team;
+  limits::TeamGrants written;
+  Revision expected = 0;
+  limits::GrantWrite end = limits::GrantWrite::kWritten;
+};
+
 using OwnerMessage =
-    std::variant<ShardEvent, HomeEvent, PeerMessage, PeerLink, ConfigChanged,
-                 RangeGained, RangeLost, RangeReleased, LeaseChanged,
-                 RoutesChanged, BeatReceived, HostsListed, StatusWanted>;
+    std::variant<GrantRead, GrantWritten, ShardEvent, HomeEvent, PeerMessage,
+                 PeerLink, ConfigChanged, RangeGained, RangeLost, RangeReleased,
+                 LeaseChanged, RoutesChanged, BeatReceived, HostsListed,
+                 StatusWanted>;
 
 // ---- To the journal duty --------------------------------------------------
 
@@ -115,14 +141,23 @@
 
 // ---- To the ledger duty ---------------------------------------------------
 
-/// A shard wants this many slots in all for a team.
+/// A shard's need of a team's allowance has changed.
 struct GrantWanted {
   ShardId shard;
   TeamName team;
-  std::int64_t slots = 0;
-  std::int64_t in_use = 0;
 };
-/// This process owns a shard from now on: tell it every allowance.
+/// Write a team's record for a shard; answered by GrantWritten.
+struct GrantWrite {
+  ShardId shard;
+  TeamName team;
+  limits::TeamGrants next;
+  Revision expected = 0;
+};
+/// Nothing has to be written for the shard now.
+struct GrantSettled {
+  TeamName team;
+};
+/// This process owns a shard from now on, or no longer.
 struct LedgerShardGained {
   ShardId shard;
 };
@@ -130,16 +165,12 @@
   ShardId shard;
 };
 
-using LedgerMessage = std::variant<GrantWanted, LedgerShardGained,
-                                   LedgerShardLost, ConfigChanged>;
+using LedgerMessage =
+    std::variant<GrantWanted, GrantWrite, GrantSettled, LedgerShardGained,
+                 LedgerShardLost, ConfigChanged, StateRead>;
 
 // ---- To the member duty ---------------------------------------------------
 
-/// All keys below store::kStatePrefix, as read since `read_at`.
-struct StateRead {
-  Time read_at;
-  std::shared_ptr<const std::vector<store::Entry>> entries;
-};
 /// The owner duty has let go of a range.
 struct RangeLetGo {
   std::string range;
--- a/src/runtime/ledger_duty.cc
+++ b/src/runtime/ledger_duty.cc
@@ -10,72 +10,124 @@
 
 constexpr Millis kRetryPause{200};
 
-/// Compare-and-swap rounds for one team before others get their turn.
-constexpr int kRounds = 4;
-
 std::string KeyOf(const TeamName& team) {
   return std::string(store::kGrantsPrefix) + team;
 }
 
+limits::GrantWrite EndOf(ErrorKind kind) {
+  switch (kind) {
+    case ErrorKind::kStoreConflict:
+      return limits::GrantWrite::kLost;
+    case ErrorKind::kStoreUnavailable:
+      return limits::GrantWrite::kUnavailable;
+    default:
+      return limits::GrantWrite::kUnknown;
+  }
+}
+
 }  // namespace
 
 LedgerDuty::LedgerDuty(Wiring& wiring) : m_wiring(wiring) {}
 
 Time LedgerDuty::Step(std::vector<LedgerMessage> messages, Time now) {
   for (const LedgerMessage& message : messages) {
-    std::visit([&](const auto& one) { Take(one); }, message);
-  }
-  if (now < m_next_try) {
-    return m_open.empty() ? Time::max() : m_next_try;
+    std::visit([&](const auto& one) { Take(one, now); }, message);
   }
-  std::set<TeamName> open;
-  open.swap(m_open);
-  for (const TeamName& team : open) {
-    if (!Settle(team)) {
-      m_open.insert(team);
+  Time next = Time::max();
+  for (auto& [name, team] : m_teams) {
+    Advance(name, team, now);
+    if (!team.asked && !team.open.empty()) {
+      next = std::min(next, team.next_try);
     }
   }
-  if (m_open.empty()) {
-    return Time::max();
+  return next;
+}
+
+// ---- Messages ---------------------------------------------------------------
+
+void LedgerDuty::Take(const GrantWanted& message, Time /*now*/) {
+  const auto team = m_teams.find(message.team);
+  if (team != m_teams.end() && m_shards.contains(message.shard)) {
+    team->second.open.insert(message.shard);
+  }
+}
+
+void LedgerDuty::Take(const GrantWrite& message, Time now) {
+  m_wiring.metrics.Count(Counter::kLedgerWrites);
+  Team& team = m_teams[message.team];
+  team.asked = false;
+  const auto outcome = Capture([&] {
+    return m_wiring.store.put(KeyOf(message.team),
+                              limits::EncodeGrants(message.next),
+                              message.expected, store::kNoLease);
+  });
+  GrantWritten written{message.shard, message.team, message.next,
+                       message.expected, limits::GrantWrite::kWritten};
+  if (const auto* revision = std::get_if<Revision>(&outcome)) {
+    team.record = Stored{message.next, *revision};
+  } else {
+    const ErrorKind kind = std::get<Error>(outcome).kind;
+    written.end = EndOf(kind);
+    team.record.reset();
+    team.open.insert(message.shard);
+    if (written.end != limits::GrantWrite::kLost) {
+      m_wiring.metrics.Count(Counter::kStoreErrors);
+      team.next_try = now + kRetryPause;
+    }
   }
-  m_next_try = now + kRetryPause;
-  return m_next_try;
+  m_wiring.owner.Post(std::move(written));
 }
 
-void LedgerDuty::Take(const GrantWanted& message) {
-  m_wishes[{message.team, message.shard}] = {message.slots, message.in_use};
-  m_open.insert(message.team);
+void LedgerDuty::Take(const GrantSettled& message, Time /*now*/) {
+  m_teams[message.team].asked = false;
 }
 
-void LedgerDuty::Take(const LedgerShardGained& message) {
-  m_shards.insert(message.shard);
-  for (const config::Team& team : m_config->teams) {
-    m_records.erase(team.name);  // The former owner may have changed it.
-    m_open.insert(team.name);
+void LedgerDuty::OpenAll(const ShardId& shard) {
+  for (auto& [name, team] : m_teams) {
+    team.open.insert(shard);
   }
 }
 
-void LedgerDuty::Take(const LedgerShardLost& message) {
+void LedgerDuty::Take(const LedgerShardGained& message, Time /*now*/) {
+  m_shards.insert(message.shard);
+  OpenAll(message.shard);
+}
+
+void LedgerDuty::Take(const LedgerShardLost& message, Time /*now*/) {
   m_shards.erase(message.shard);
-  std::erase_if(m_wishes, [&](const auto& wish) {
-    return wish.first.second == message.shard;
-  });
+  for (auto& [name, team] : m_teams) {
+    team.open.erase(message.shard);
+  }
 }
 
-void LedgerDuty::Take(const ConfigChanged& message) {
-  m_config = message.config;
-  for (const config::Team& team : m_config->teams) {
-    m_open.insert(team.name);
+void LedgerDuty::Take(const ConfigChanged& message, Time /*now*/) {
+  for (const config::Team& team : message.config->teams) {
+    m_teams[team.name].open = m_shards;
   }
 }
 
-std::int64_t LedgerDuty::LimitOf(const TeamName& team) const {
-  const auto found =
-      std::ranges::find(m_config->teams, team, &config::Team::name);
-  return found == m_config->teams.end() ? 0 : found->limit;
+/// Another shard's owner has changed a record: its demand may lower the part of
+/// the shards here.
+void LedgerDuty::Take(const StateRead& message, Time /*now*/) {
+  for (const store::Entry& entry : *message.entries) {
+    const auto team =
+        m_teams.find(entry.key.substr(store::kGrantsPrefix.size()));
+    if (team == m_teams.end() ||
+        (team->second.record &&
+         team->second.record->revision >= entry.revision)) {
+      continue;
+    }
+    auto decoded = Capture([&] { return limits::DecodeGrants(entry.value); });
+    if (auto* grants = std::get_if<limits::TeamGrants>(&decoded)) {
+      team->second.record = Stored{std::move(*grants), entry.revision};
+      team->second.open = m_shards;
+    }
+  }
 }
 
-Result<LedgerDuty::Stored> LedgerDuty::Read(const TeamName& team) {
+// ---- Steps ------------------------------------------------------------------
+
+Result<LedgerDuty::Stored> LedgerDuty::Read(const TeamName& team) const {
   BOOST_LEAF_AUTO(entry, m_wiring.store.get(KeyOf(team)));
   Stored stored;
   stored.grants.team = team;
@@ -87,72 +139,27 @@
   return stored;
 }
 
-Result<LedgerDuty::Stored> LedgerDuty::Write(const limits::TeamGrants& next,
-                                             Revision expected) {
-  m_wiring.metrics.Count(Counter::kLedgerWrites);
-  BOOST_LEAF_AUTO(
-      revision, m_wiring.store.put(KeyOf(next.team), limits::EncodeGrants(next),
-                                   expected, store::kNoLease));
-  return Stored{next, revision};
-}
-
-bool LedgerDuty::Settle(const TeamName& team) {
-  for (int round = 0; round < kRounds; ++round) {
-    auto known = m_records.find(team);
-    if (known == m_records.end()) {
-      auto outcome = Capture([&] { return Read(team); });
-      if (std::holds_alternative<Error>(outcome)) {
-        m_wiring.metrics.Count(Counter::kStoreErrors);
-        return false;
-      }
-      known =
-          m_records.emplace(team, std::get<Stored>(std::move(outcome))).first;
-    }
-    limits::TeamGrants next = known->second.grants;
-    for (const ShardId& shard : m_shards) {
-      const auto wish = m_wishes.find({team, shard});
-      const auto held = next.slots.find(shard);
-      limits::GrantRequest request;
-      request.shard = shard;
-      request.wanted = wish != m_wishes.end()     ? wish->second.slots
-                       : held != next.slots.end() ? held->second
-                                                  : 0;
-      request.in_use = wish != m_wishes.end() ? wish->second.in_use : 0;
-      request.limit = LimitOf(team);
-      request.config = m_config->revision;
-      auto outcome = Capture([&] { return limits::NextGrants(next, request); });
-      if (std::holds_alternative<Error>(outcome)) {
-        return true;  // A newer revision is on its way here; it asks again.
-      }
-      next = std::get<limits::TeamGrants>(std::move(outcome));
-    }
-    if (next == known->second.grants) {
-      Tell(next);
-      return true;
-    }
-    auto written = Capture([&] { return Write(next, known->second.revision); });
-    if (auto* stored = std::get_if<Stored>(&written)) {
-      known->second = std::move(*stored);
-      Tell(known->second.grants);
-      return true;
-    }
-    // Another shard's owner was first, or the answer was lost: read it back.
-    m_records.erase(known);
-    if (std::get<Error>(written).kind != ErrorKind::kStoreConflict) {
+void LedgerDuty::Advance(const TeamName& name, Team& team, Time now) {
+  if (team.asked || team.open.empty() || now < team.next_try) {
+    return;
+  }
+  if (!team.record) {
+    auto outcome = Capture([&] { return Read(name); });
+    if (const auto* error = std::get_if<Error>(&outcome)) {
       m_wiring.metrics.Count(Counter::kStoreErrors);
-      return false;
+      LogLine("ledger_read_failed", LogLine::Level::kWarning)
+          .With("team", name)
+          .With("error", AnswerFor(error->kind).name);
+      team.next_try = now + kRetryPause;
+      return;
     }
+    team.record = std::get<Stored>(std::move(outcome));
   }
-  return false;
-}
-
-void LedgerDuty::Tell(const limits::TeamGrants& grants) {
-  for (const ShardId& shard : m_shards) {
-    const auto held = grants.slots.find(shard);
-    const std::int64_t slots = held == grants.slots.end() ? 0 : held->second;
-    m_wiring.owner.Post(
-        ShardEvent{shard, sched::GrantChanged{grants.team, slots}});
-  }
+  const ShardId shard = *team.open.begin();
+  team.open.erase(team.open.begin());
+  team.asked = true;
+  m_wiring.owner.Post(
+      GrantRead{shard, name, team.record->grants, team.record->revision});
 }
 
 }  // namespace buckthornmux::runtime
--- a/src/runtime/member_duty.cc
+++ b/src/runtime/member_duty.cc
@@ -43,6 +43,7 @@
     std::visit([&](const auto& one) { Take(one, m_wiring.Now()); }, message);
   }
   Decide(member::Tick{}, m_wiring.Now());
+  ReadAfterGains();
   m_wiring.owns_nothing = member::OwnsNothing(m_ownership);
   return std::min(m_renew_at, now + kTickEvery);
 }
@@ -158,8 +159,25 @@
   }
   m_wiring.routes.Store(routes);
   m_wiring.peers->SetPeers(peers);
-  m_wiring.owner.Post(RoutesChanged{routes});
-  m_wiring.config.Post(RoutesChanged{routes});
+  m_wiring.owner.Post(RoutesChanged{routes, view.read_at});
+  m_wiring.config.Post(RoutesChanged{routes, view.read_at});
+}
+
+/// A gained partition waits for a view that was read after its claim; the watch
+/// may bring none for a while.
+void MemberDuty::ReadAfterGains() {
+  if (!m_gained) {
+    return;
+  }
+  const Time read_at = m_wiring.Now();
+  auto outcome =
+      Capture([&] { return m_wiring.store.list(store::kStatePrefix); });
+  if (auto* entries = std::get_if<std::vector<store::Entry>>(&outcome)) {
+    m_gained = false;
+    Take(StateRead{read_at, std::make_shared<std::vector<store::Entry>>(
+                                std::move(*entries))},
+         m_wiring.Now());
+  }
 }
 
 void MemberDuty::Take(const RangeLetGo& message, Time now) {
@@ -196,6 +214,7 @@
     if (const auto* claim = std::get_if<member::Claim>(&action)) {
       Write(claim->record, now);
     } else if (const auto* gained = std::get_if<member::Gained>(&action)) {
+      m_gained = true;
       m_wiring.owner.Post(RangeGained{gained->range, gained->epoch});
     } else if (const auto* lost = std::get_if<member::Lost>(&action)) {
       m_wiring.owner.Post(RangeLost{lost->range});
--- a/src/runtime/owner_duty.cc
+++ b/src/runtime/owner_duty.cc
@@ -80,9 +80,30 @@
 }
 
 void OwnerDuty::Take(HomeEvent message, Time now) {
+  if (auto* gained = std::get_if<home::PartitionGained>(&message.event)) {
+    const Partition partition = gained->home.partition;
+    m_fresh_partitions.insert_or_assign(partition, std::move(*gained));
+    GainFreshPartitions(now);
+    return;
+  }
   ApplyHome(message.event, now);
 }
 
+/// A home must know every shard's owner as of its own claim or later: an answer
+/// from a former owner would prove nothing about what runs.
+void OwnerDuty::GainFreshPartitions(Time now) {
+  for (auto entry = m_fresh_partitions.begin();
+       entry != m_fresh_partitions.end();) {
+    if (m_routes_read_at < m_claimed_at[entry->first]) {
+      ++entry;
+      continue;
+    }
+    RefreshShardViews(now);
+    ApplyHome(std::move(entry->second), now);
+    entry = m_fresh_partitions.erase(entry);
+  }
+}
+
 void OwnerDuty::Take(PeerMessage message, Time /*now*/) {
   m_wiring.metrics.Count(Counter::kPeerMessages);
   std::visit([&](auto& one) { TakePeer(message.from, std::move(one)); },
@@ -121,6 +142,7 @@
       .With("epoch", message.epoch);
   const RangeName name = ParseRange(message.range);
   if (name.is_partition) {
+    m_claimed_at[name.partition] = now;
     m_wiring.journal.Post(TakePartition{name.partition, message.epoch});
   } else {
     GainShard(name.shard, message.epoch, now);
@@ -132,6 +154,7 @@
   LogLine("range_lost").With("range", message.range);
   const RangeName name = ParseRange(message.range);
   if (name.is_partition) {
+    m_fresh_partitions.erase(name.partition);
     ApplyHome(home::PartitionLost{name.partition}, now);
     m_wiring.journal.Post(DropPartition{name.partition, false});
   } else {
@@ -144,6 +167,7 @@
   LogLine("range_released").With("range", message.range);
   const RangeName name = ParseRange(message.range);
   if (name.is_partition) {
+    m_fresh_partitions.erase(name.partition);
     ApplyHome(home::PartitionLost{name.partition}, now);
     m_wiring.journal.Post(DropPartition{name.partition, true});
     return;
@@ -169,7 +193,9 @@
 
 void OwnerDuty::Take(const RoutesChanged& message, Time now) {
   m_routes = message.routes;
+  m_routes_read_at = std::max(m_routes_read_at, message.read_at);
   RefreshShardViews(now);
+  GainFreshPartitions(now);
 }
 
 void OwnerDuty::Take(const BeatReceived& message, Time now) {
@@ -248,9 +274,14 @@
       home::Reply{message.call, message.accepted, std::move(message.status)});
 }
 
-void OwnerDuty::TakePeer(const HostId& /*from*/, home::ToShard message) {
-  if (!m_shards.contains(message.shard)) {
-    return;  // Handed over meanwhile; the home asks the next owner.
+void OwnerDuty::TakePeer(const HostId& from, home::ToShard message) {
+  const auto found = m_shards.find(message.shard);
+  const bool taken =
+      found != m_shards.end() &&
+      (message.epoch == 0 || message.epoch == found->second.epoch);
+  if (!taken) {
+    m_wiring.peers->Send(from, peer::NotTaken{std::move(message)});
+    return;
   }
   std::visit(
       [&](auto& one) {
@@ -263,6 +294,10 @@
   m_local.emplace_back(HomeEvent{std::move(message)});
 }
 
+void OwnerDuty::TakePeer(const HostId& /*from*/, peer::NotTaken message) {
+  m_local.emplace_back(HomeEvent{home::SendFailed{std::move(message.sent)}});
+}
+
 // ---- Homes ------------------------------------------------------------------
 
 void OwnerDuty::ApplyHome(const home::Event& event, Time now) {
@@ -306,7 +341,9 @@
 }
 
 void OwnerDuty::Perform(home::ToShard action) {
-  if (m_shards.contains(action.shard)) {
+  const auto own = m_shards.find(action.shard);
+  if (own != m_shards.end() &&
+      (action.epoch == 0 || action.epoch == own->second.epoch)) {
     std::visit(
         [&](auto& one) {
           m_local.emplace_back(ShardEvent{action.shard, std::move(one)});
@@ -315,20 +352,12 @@
     return;
   }
   const auto* owner = m_routes->OwnerOf(ShardRange(action.shard));
-  if (owner != nullptr && m_wiring.peers->Send(owner->owner, action)) {
+  const bool known =
+      owner != nullptr && (action.epoch == 0 || action.epoch == owner->epoch);
+  if (known && m_wiring.peers->Send(owner->owner, action)) {
     return;
   }
-  home::SendFailed failed{action.shard, 0, {}};
-  std::visit([&](const auto& one) { failed.partition = one.home.partition; },
-             action.message);
-  if (const auto* enqueue = std::get_if<sched::Enqueue>(&action.message)) {
-    for (const TaskSpec& task : enqueue->tasks) {
-      failed.task_ids.push_back(task.Id());
-    }
-  } else if (const auto* cancel = std::get_if<sched::Cancel>(&action.message)) {
-    failed.task_ids = cancel->task_ids;
-  }
-  m_local.emplace_back(HomeEvent{std::move(failed)});
+  m_local.emplace_back(HomeEvent{home::SendFailed{std::move(action)}});
 }
 
 // ---- Views ------------------------------------------------------------------
--- a/src/runtime/owner_shards.cc
+++ b/src/runtime/owner_shards.cc
@@ -179,10 +179,8 @@
 }
 
 void OwnerDuty::Perform(const ShardId& shard, const sched::WantGrant& action) {
-  const auto& teams = m_shards.at(shard).state.teams;
-  const auto team = teams.find(action.team);
-  const std::int64_t in_use = team == teams.end() ? 0 : team->second.used.slots;
-  m_wiring.ledger.Post(GrantWanted{shard, action.team, action.slots, in_use});
+  m_shards.at(shard).wanted[action.team] = action.slots;
+  m_wiring.ledger.Post(GrantWanted{shard, action.team});
 }
 
 void OwnerDuty::Perform(const ShardId& shard, const sched::Wake& action) {
--- a/src/runtime/serve.cc
+++ b/src/runtime/serve.cc
@@ -108,6 +108,7 @@
   /// Readers first, then what they feed.
   ~Process() {
     m_watch_duty.Stop();
+    m_grants_watch_duty.Stop();
     m_host_list_duty.Stop();
     m_heartbeat_duty.Stop();
     m_wiring.config.Stop();
@@ -228,6 +229,15 @@
     });
   }
 
+  void RunWatch(Duty<int>& duty, std::string_view prefix,
+                WatchDuty::Publish publish) {
+    auto watch =
+        std::make_shared<WatchDuty>(m_wiring, prefix, std::move(publish));
+    duty.Run(m_wiring.actors, [watch](const std::vector<int>&, Time now) {
+      return watch->Step(now);
+    });
+  }
+
   void RunDuties() {
     RunDuty(m_wiring.owner, std::make_shared<OwnerDuty>(m_wiring));
     RunDuty(m_wiring.journal, std::make_shared<JournalDuty>(m_wiring));
@@ -235,11 +245,12 @@
     RunDuty(m_wiring.config, std::make_shared<ConfigDuty>(m_wiring));
     m_member = std::make_shared<MemberDuty>(m_wiring);
     RunDuty(m_wiring.member, m_member);
-    auto watch = std::make_shared<WatchDuty>(m_wiring);
-    m_watch_duty.Run(m_wiring.actors,
-                     [watch](const std::vector<int>&, Time now) {
-                       return watch->Step(now);
-                     });
+    RunWatch(m_watch_duty, store::kStatePrefix, [this](const StateRead& read) {
+      m_wiring.config.Post(read);
+      m_wiring.member.Post(read);
+    });
+    RunWatch(m_grants_watch_duty, store::kGrantsPrefix,
+             [this](const StateRead& read) { m_wiring.ledger.Post(read); });
     auto hosts = std::make_shared<HostListDuty>(m_wiring, m_fleet_client);
     m_host_list_duty.Run(m_wiring.actors,
                          [hosts](const std::vector<int>&, Time now) {
@@ -263,6 +274,7 @@
   std::unique_ptr<front::Front> m_front;
   std::shared_ptr<MemberDuty> m_member;
   Duty<int> m_watch_duty;
+  Duty<int> m_grants_watch_duty;
   Duty<int> m_host_list_duty;
   Duty<int> m_heartbeat_duty;
   std::atomic<bool> m_drain_asked = false;
--- a/src/runtime/watch_duty.cc
+++ b/src/runtime/watch_duty.cc
@@ -11,11 +11,14 @@
 
 }  // namespace
 
-WatchDuty::WatchDuty(Wiring& wiring) : m_wiring(wiring) {}
+WatchDuty::WatchDuty(Wiring& wiring, std::string_view prefix, Publish publish)
+    : m_wiring(wiring), m_prefix(prefix), m_publish(std::move(publish)) {}
 
 Time WatchDuty::Step(Time now) {
   const bool answered = m_listed ? Watch() : List();
-  m_wiring.store_reachable = answered;
+  if (m_prefix == store::kStatePrefix) {
+    m_wiring.store_reachable = answered;
+  }
   if (answered) {
     return now;
   }
@@ -25,8 +28,7 @@
 
 bool WatchDuty::List() {
   const Time read_at = m_wiring.Now();
-  auto outcome =
-      Capture([&] { return m_wiring.store.list(store::kStatePrefix); });
+  auto outcome = Capture([&] { return m_wiring.store.list(m_prefix); });
   if (std::holds_alternative<Error>(outcome)) {
     return false;
   }
@@ -36,14 +38,14 @@
     m_entries.emplace(entry.key, entry);
   }
   m_listed = true;
-  Publish(read_at);
+  PublishEntries(read_at);
   return true;
 }
 
 bool WatchDuty::Watch() {
   const Time read_at = m_wiring.Now();
   auto outcome = Capture([&] {
-    return m_wiring.store.watch(store::kStatePrefix, m_revision,
+    return m_wiring.store.watch(m_prefix, m_revision,
                                 m_wiring.settings.view_every);
   });
   const auto* batch = std::get_if<store::WatchBatch>(&outcome);
@@ -68,19 +70,17 @@
       known = entry;
     }
   }
-  Publish(read_at);
+  PublishEntries(read_at);
   return true;
 }
 
-void WatchDuty::Publish(Time read_at) {
+void WatchDuty::PublishEntries(Time read_at) {
   auto entries = std::make_shared<std::vector<store::Entry>>();
   entries->reserve(m_entries.size());
   for (const auto& [key, entry] : m_entries) {
     entries->push_back(entry);
   }
-  const StateRead read{read_at, std::move(entries)};
-  m_wiring.config.Post(read);
-  m_wiring.member.Post(read);
+  m_publish({read_at, std::move(entries)});
 }
 
 HostListDuty::HostListDuty(Wiring& wiring, net::HttpClient& client)
