Shard owner decides: admission, placement, fairness, preemption, gangs, health

Cause: homes, links and the ledger need the decisions of a shard's owner. Pure Apply over ShardState, cut by concern into queue, placement, fairness, preemption, gangs, health, estimates, grants, arrivals, runs, reports, setup. Ruled out: room derived from task records (a stray run would count nowhere); room is a list of holds per target, and teams' use is their sum. A task that moves (preempted, lost, refused) avoids the targets it was on, so that a late message of the earlier place can't be taken for one of the later. Before: signatures only. Conclusion: policy parts have code but only the safety cases have tests yet.

--- a/include/buckthornmux/detail/sched/shard_state.h
+++ b/include/buckthornmux/detail/sched/shard_state.h
@@ -9,6 +9,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -33,7 +34,11 @@
 struct UnitKey {
   Time order;
   std::uint64_t sequence = 0;
-  auto operator<=>(const UnitKey&) const = default;
+
+  bool operator==(const UnitKey&) const = default;
+  bool operator<(const UnitKey& other) const {
+    return std::tie(order, sequence) < std::tie(other.order, other.sequence);
+  }
 };
 
 /// Tasks that start together: one, or a whole gang.
@@ -42,6 +47,7 @@
   Time latest_start;  ///< Refused when it has passed.
   Time queued_at;
   std::int64_t slots = 0;
+  Time preempting_until;  ///< Room was made for it; no more until then.
 };
 
 /// What tasks of a lane have in common, so that one that does not fit
@@ -53,14 +59,37 @@
   Resources demand;
   std::uint32_t gang_size = 1;
   std::vector<std::string> labels;
-  auto operator<=>(const LaneKey&) const = default;
+
+  /// @brief Every field, in the order of comparison.
+  [[nodiscard]] auto Fields() const {
+    return std::tie(work_class, team, kind, demand.slots, demand.cpu_milli,
+                    demand.memory_mb, demand.accelerators, gang_size, labels);
+  }
+
+  bool operator==(const LaneKey&) const = default;
+  bool operator<(const LaneKey& other) const {
+    return Fields() < other.Fields();
+  }
 };
 
 /// Queue of alike units.
 struct Lane {
+  LaneKey key;
   std::map<UnitKey, Unit> units;
   bool blocked = false;        ///< No target had room at the last full scan.
   std::uint64_t tried_in = 0;  ///< Step that last failed to start its head.
+  Time preempt_after;          ///< No look for room to make until then.
+};
+
+/// Number of a lane; not used again.
+using LaneId = std::uint64_t;
+
+/// Where a unit waits.
+struct UnitPlace {
+  LaneId lane = 0;
+  UnitKey unit;
+
+  bool operator==(const UnitPlace&) const = default;
 };
 
 /// A task that is queued, or that may run.
@@ -68,8 +97,9 @@
   TaskSpec spec;
   Partition partition = 0;
   TaskPhase phase = TaskPhase::kQueued;
-  UnitKey unit;
+  UnitPlace place;  ///< Where queued.
   Time queued_at;
+  Time moved_at;           ///< Last return to the queue.
   TargetIndex target = 0;  ///< Where not queued.
   Epoch epoch = 0;         ///< Of the owner that started it.
   Time start_by;
@@ -88,8 +118,13 @@
   std::uint32_t attempt = 0;
   TeamName team;
   Resources demand;
-  Time stray_since;  ///< Of a task that should not be there; else the epoch.
-  bool stray = false;
+  Time since;
+  Time expected_end;
+  bool endless = false;  ///< A service.
+  bool urgent = false;
+  bool stray = false;        ///< Should not be there; being stopped.
+  bool preemptible = false;  ///< Idempotent patient work, not stopped yet.
+  bool stopping = false;     ///< Preempted; its room is promised.
 };
 
 /// Failures of a target since its last success.
@@ -97,7 +132,6 @@
   std::set<std::string> jobs;  ///< Team and job, distinct.
   double score = 0;            ///< Weighted by what else fails.
   bool aside = false;
-  bool probing = false;  ///< One task at a time until a success.
   Time probe_at;
   Millis probe_wait{0};
 };
@@ -114,7 +148,10 @@
   Resources reserved;  ///< Sum of the holds.
   Resources over;      ///< Measured use above the reservations.
   Resources free;      ///< Room for starts; kept by RefreshTarget.
+  Resources counted;   ///< Its part of ShardState::capacity.
+  Resources counted_free;
   std::vector<Hold> holds;
+  std::uint32_t stopping = 0;  ///< Holds that are being preempted.
   TargetFailures failures;
 };
 
@@ -128,10 +165,8 @@
   std::int64_t queued_slots = 0;
   std::int64_t asked = -1;  ///< Last WantGrant that is not answered yet.
   Time asked_at;
-  Time idle_since;       ///< Since when the grant is larger than needed.
+  Time idle_since;  ///< Since when the grant is larger than needed.
   bool idle = false;
-  Time below_since;  ///< Since when it waits below its share.
-  bool below = false;
 };
 
 /// Run times of one (team, kind), and how often it fails.
@@ -160,6 +195,7 @@
   std::uint32_t attempt = 0;
   Partition partition = 0;
   Ended answer;
+  Time at;
   Epoch epoch = 0;
   TaskSpec spec;  ///< Without payload.
 };
@@ -169,19 +205,25 @@
 struct Remembered {
   std::unordered_map<std::string, Value> values;
   std::deque<std::string> order;
+  std::size_t bytes = 0;  ///< Of values that count their bytes.
 };
 
 /// Targets kept free for a gang that waits; one gang at a time.
 struct GangDrain {
   bool active = false;
-  LaneKey lane;
-  UnitKey unit;
+  UnitPlace place;
   Time since;
-  Time planned_at;
   Time expected_start;
+  bool waits_for_grant = false;
   std::set<TargetIndex> targets;
 };
 
+/// Members of a gang that started.
+struct GangMembers {
+  std::vector<std::string> task_ids;
+  std::size_t alive = 0;
+};
+
 /// Everything a shard's owner decides from. Filled by MakeShard, changed by
 /// Apply alone.
 struct ShardState {
@@ -191,14 +233,19 @@
   Epoch epoch = 0;
   bool may_start = false;
   Revision revision = 0;
+  bool configured = false;
 
   std::vector<TargetRecord> targets;
   std::map<TargetId, TargetIndex, std::less<>> target_index;
   std::map<TeamName, TeamRecord, std::less<>> teams;
   std::unordered_map<std::string, TaskRecord> tasks;  ///< By TaskSpec::Id().
   std::unordered_map<std::string, std::uint32_t> holds_of;  ///< By task id.
-  std::map<LaneKey, Lane> lanes;
+  std::map<LaneId, Lane> lanes;
+  std::map<LaneKey, LaneId> lane_index;
+  std::map<UnitKey, UnitPlace> expiry;  ///< By latest start.
+  LaneId next_lane = 1;
   std::size_t queued = 0;
+  std::size_t queued_urgent = 0;
   std::uint64_t next_sequence = 1;
 
   std::unordered_map<Partition, Epoch> home_epochs;  ///< Highest heard.
@@ -207,14 +254,16 @@
   Remembered<Time> cancelled;
 
   std::map<std::string, RunEstimate, std::less<>> estimates;
+  RunEstimate any_run;      ///< Over all work.
+  std::size_t holding = 0;  ///< Tasks that hold room.
   UrgentArrivals urgent;
   Remembered<std::set<TargetIndex>> job_failures;  ///< By team and job.
   Remembered<Time> refused_jobs;
   GangDrain drain;
+  std::unordered_map<std::string, GangMembers> gangs;  ///< By team and job.
 
-  Resources capacity;     ///< Sum over usable targets.
-  Resources free;         ///< Sum over usable targets.
-  Resources max_free;     ///< Per dimension, of one target; may be too high.
+  Resources capacity;                 ///< Sum over usable targets.
+  Resources free;                     ///< Sum over usable targets.
   std::int64_t unreported_slots = 0;  ///< Of targets that have not reported.
   std::vector<TargetIndex> dirty;     ///< Got room since the last pass.
   std::uint64_t step = 0;
--- /dev/null
+++ b/src/sched/arrivals.cc
@@ -0,0 +1,323 @@
+#include "buckthornmux/detail/sched/arrivals.h"
+
+#include <algorithm>
+#include <optional>
+#include <vector>
+
+#include "buckthornmux/detail/core/invariant.h"
+#include "buckthornmux/detail/sched/answers.h"
+#include "buckthornmux/detail/sched/estimates.h"
+#include "buckthornmux/detail/sched/health.h"
+#include "buckthornmux/detail/sched/holds.h"
+#include "buckthornmux/detail/sched/placement.h"
+#include "buckthornmux/detail/sched/queue.h"
+#include "buckthornmux/detail/sched/remembered.h"
+
+namespace buckthornmux::sched {
+namespace {
+
+constexpr Millis kLedgerAnswersWithin{500};
+
+/// Why a task is not taken up.
+struct Refusal {
+  ErrorKind error = ErrorKind::kInternal;
+  Millis retry_after{0};
+};
+
+Refusal By(ErrorKind error) { return {error, AnswerFor(error).retry_after}; }
+
+void AnswerFromRecord(Step& step, const TaskRecord& task) {
+  if (task.phase == TaskPhase::kRunning) {
+    step.actions.emplace_back(Started{LatestHome(step.state, task.partition),
+                                      task.spec.Id(), task.spec.attempt,
+                                      step.state.targets[task.target].spec.id});
+  }
+}
+
+// A later attempt replaces one that waits; one that may run stands in its way.
+// Returns whether the later attempt is refused.
+bool RefuseLaterAttempt(Step& step, const Home& home, const TaskSpec& spec,
+                        const TaskRecord& known) {
+  const Millis retry = AnswerFor(ErrorKind::kNotReady).retry_after;
+  if (known.phase == TaskPhase::kQueued) {
+    RefuseUnit(step, known.place, ErrorKind::kDuplicateRequest, retry);
+    return false;
+  }
+  RefuseTask(step, home.partition, spec, ErrorKind::kDuplicateRequest, retry);
+  return true;
+}
+
+// Returns whether an ended attempt answers this one.
+bool AnswerFromEnded(Step& step, const TaskSpec& spec) {
+  EndedRecord* const ended = Recall(step.state.ended, spec.Id());
+  if (ended == nullptr || ended->attempt < spec.attempt) {
+    return false;
+  }
+  if (ended->attempt == spec.attempt) {
+    ended->answer.home = LatestHome(step.state, ended->partition);
+    step.actions.emplace_back(ended->answer);
+  }
+  return true;
+}
+
+// Returns whether the task needs nothing more, since it is known here.
+bool AnswerFromKnown(Step& step, const Home& home, const TaskSpec& spec) {
+  const TaskRecord* const known = FindTask(step.state, spec.Id());
+  if (known == nullptr) {
+    return AnswerFromEnded(step, spec);
+  }
+  if (known->spec.attempt < spec.attempt) {
+    return RefuseLaterAttempt(step, home, spec, *known);
+  }
+  if (known->spec.attempt == spec.attempt) {
+    AnswerFromRecord(step, *known);
+  }
+  return true;
+}
+
+std::optional<Refusal> RefusedByDeadline(const Step& step,
+                                         const TaskSpec& spec) {
+  if (spec.deadline == 0) {
+    return std::nullopt;
+  }
+  if (step.state.clock.ToSteady(spec.deadline) <= step.now) {
+    return By(ErrorKind::kDeadlinePassed);
+  }
+  if (LatestStart(step.state, spec, step.now) < step.now) {
+    return By(ErrorKind::kDeadlineUnmeetable);
+  }
+  return std::nullopt;
+}
+
+std::optional<Refusal> RefusedByLimit(const ShardState& state,
+                                      const TaskSpec& spec) {
+  const auto team = state.teams.find(spec.team);
+  if (team == state.teams.end()) {
+    return By(ErrorKind::kNotReady);  // Its configuration comes within seconds.
+  }
+  const std::int64_t slots =
+      spec.demand.slots * static_cast<std::int64_t>(spec.gang_size);
+  if (slots > team->second.limit) {
+    return Refusal{ErrorKind::kTeamLimit, RetryAfter(state)};
+  }
+  return std::nullopt;
+}
+
+bool WellFormed(const TaskSpec& spec) {
+  const Resources& demand = spec.demand;
+  return demand.slots >= 0 && demand.cpu_milli >= 0 && demand.memory_mb >= 0 &&
+         demand.accelerators >= 0 && spec.gang_size >= 1;
+}
+
+std::optional<Refusal> WhyRefused(Step& step, const TaskSpec& spec) {
+  ShardState& state = step.state;
+  if (!state.configured || state.epoch == 0) {
+    return By(ErrorKind::kNotReady);
+  }
+  if (!WellFormed(spec)) {
+    return By(ErrorKind::kMalformed);
+  }
+  if (Recall(state.cancelled, spec.Id()) != nullptr) {
+    return By(ErrorKind::kCancelled);
+  }
+  if (JobRefused(state, spec)) {
+    return By(ErrorKind::kJobRefused);
+  }
+  if (const auto refusal = RefusedByLimit(state, spec)) {
+    return refusal;
+  }
+  if (!CouldEverFit(state, spec, spec.gang_size)) {
+    return By(ErrorKind::kNeverFits);
+  }
+  if (const auto refusal = RefusedByDeadline(step, spec)) {
+    return refusal;
+  }
+  if (state.queued + spec.gang_size > state.policy.max_queued) {
+    return Refusal{ErrorKind::kQueueFull, RetryAfter(state)};
+  }
+  return std::nullopt;
+}
+
+TaskRecord* AddRecord(Step& step, const Home& home, const TaskSpec& spec) {
+  TaskRecord record;
+  record.spec = spec;
+  record.partition = home.partition;
+  record.queued_at = step.now;
+  Invariant(home.epoch >= LatestHome(step.state, home.partition).epoch,
+            "no_start_from_old_home", spec.Id());
+  return &step.state.tasks.emplace(spec.Id(), std::move(record)).first->second;
+}
+
+void TakeTask(Step& step, const Home& home, const TaskSpec& spec) {
+  if (AnswerFromKnown(step, home, spec)) {
+    return;
+  }
+  if (spec.work_class == WorkClass::kUrgent) {
+    NoteUrgentArrival(step, spec);
+  }
+  if (const auto refusal = WhyRefused(step, spec)) {
+    RefuseTask(step, home.partition, spec, refusal->error,
+               refusal->retry_after);
+    return;
+  }
+  TaskRecord* const task = AddRecord(step, home, spec);
+  PushUnit(step, std::span(&task, 1), false);
+}
+
+// Members of one job that ask for the same, each once.
+bool IsWholeGang(std::span<const TaskSpec> tasks) {
+  const TaskSpec& first = tasks.front();
+  std::set<std::uint32_t> indexes;
+  for (const TaskSpec& task : tasks) {
+    const bool alike =
+        task.job == first.job && task.team == first.team &&
+        task.kind == first.kind && task.work_class == first.work_class &&
+        task.demand == first.demand && task.labels == first.labels &&
+        task.gang_size == first.gang_size;
+    if (!alike || !indexes.insert(task.index).second) {
+      return false;
+    }
+  }
+  return tasks.size() == first.gang_size;
+}
+
+void TakeGang(Step& step, const Enqueue& enqueue) {
+  const Home& home = enqueue.home;
+  std::vector<const TaskSpec*> fresh;
+  for (const TaskSpec& spec : enqueue.tasks) {
+    if (!AnswerFromKnown(step, home, spec)) {
+      fresh.push_back(&spec);
+    }
+  }
+  if (fresh.empty()) {
+    return;
+  }
+  std::optional<Refusal> refusal;
+  if (!IsWholeGang(enqueue.tasks)) {
+    refusal = By(ErrorKind::kMalformed);
+  } else if (fresh.size() != enqueue.tasks.size()) {
+    refusal = By(ErrorKind::kNotReady);  // Some of it is still here.
+  }
+  for (const TaskSpec* spec : fresh) {
+    refusal = refusal ? refusal : WhyRefused(step, *spec);
+  }
+  std::vector<TaskRecord*> members;
+  for (const TaskSpec* spec : fresh) {
+    if (refusal) {
+      RefuseTask(step, home.partition, *spec, refusal->error,
+                 refusal->retry_after);
+    } else {
+      members.push_back(AddRecord(step, home, *spec));
+    }
+  }
+  if (!refusal) {
+    PushUnit(step, members, false);
+  }
+}
+
+Millis ExpectedWait(const ShardState& state, const TaskSpec& spec, double ahead,
+                    double running) {
+  const double run_ms =
+      state.any_run.count > 0
+          ? state.any_run.mean_ms
+          : static_cast<double>(EstimatedRun(state, spec).count());
+  return Millis(
+      static_cast<std::int64_t>(ahead * run_ms / std::max(running, 1.0)));
+}
+
+std::optional<Refusal> WhyHopeless(const Step& step, const TaskRecord& task,
+                                   const Unit& unit) {
+  const ShardState& state = step.state;
+  const TeamRecord& team = state.teams.find(task.spec.team)->second;
+  Refusal refusal{ErrorKind::kCellFull, Millis{0}};
+  double running = static_cast<double>(state.holding);
+  if (team.used.slots + unit.slots > UsableGrant(state, team)) {
+    const bool asking =
+        team.asked < 0 || step.now - team.asked_at < kLedgerAnswersWithin;
+    const bool may_grow = team.grant < team.limit && asking;
+    if (may_grow) {
+      return std::nullopt;  // The ledger may give more in time.
+    }
+    refusal.error = ErrorKind::kTeamLimit;
+    running = static_cast<double>(team.used.slots) /
+              static_cast<double>(std::max<std::int64_t>(unit.slots, 1));
+  }
+  const auto ahead = static_cast<double>(state.queued_urgent);
+  const Millis wait = ExpectedWait(state, task.spec, ahead, running);
+  if (step.now + wait <= unit.latest_start) {
+    return std::nullopt;
+  }
+  refusal.retry_after = std::max(RetryAfter(state), wait / 2);
+  return refusal;
+}
+
+}  // namespace
+
+void TakeEnqueue(Step& step, const Enqueue& enqueue) {
+  if (enqueue.tasks.empty()) {
+    return;
+  }
+  if (!HearHome(step.state, enqueue.home)) {
+    const Millis retry = AnswerFor(ErrorKind::kOwnerStale).retry_after;
+    for (const TaskSpec& spec : enqueue.tasks) {
+      step.actions.emplace_back(Ended{enqueue.home,
+                                      spec.Id(),
+                                      spec.attempt,
+                                      TaskEnd::kNotRun,
+                                      ErrorKind::kOwnerStale,
+                                      retry,
+                                      {}});
+    }
+    return;
+  }
+  if (enqueue.tasks.front().gang_size > 1) {
+    TakeGang(step, enqueue);
+    return;
+  }
+  for (const TaskSpec& spec : enqueue.tasks) {
+    TakeTask(step, enqueue.home, spec);
+  }
+}
+
+void RefuseNeverFitting(Step& step) {
+  std::vector<UnitPlace> places;
+  for (const auto& [id, lane] : step.state.lanes) {
+    const Unit& head = lane.units.begin()->second;
+    const TaskSpec& spec =
+        step.state.tasks.find(head.task_ids.front())->second.spec;
+    if (CouldEverFit(step.state, spec, spec.gang_size)) {
+      continue;
+    }
+    for (const auto& [key, unit] : lane.units) {
+      places.push_back({id, key});
+    }
+  }
+  for (const UnitPlace& place : places) {
+    RefuseUnit(step, place, ErrorKind::kNeverFits, Millis{0});
+  }
+}
+
+void RefuseHopeless(Step& step, const Enqueue& enqueue) {
+  ShardState& state = step.state;
+  if (state.policy.choice != PolicyChoice::kFair || !state.may_start ||
+      state.unreported_slots > 0) {
+    return;
+  }
+  for (const TaskSpec& spec : enqueue.tasks) {
+    const TaskRecord* const task = FindTask(state, spec.Id());
+    if (task == nullptr || task->phase != TaskPhase::kQueued ||
+        task->spec.work_class != WorkClass::kUrgent) {
+      continue;
+    }
+    const UnitPlace place = task->place;
+    const Unit& unit = *FindUnit(state, place);
+    if (unit.preempting_until > step.now) {
+      continue;  // Room is being made for it.
+    }
+    if (const auto refusal = WhyHopeless(step, *task, unit)) {
+      RefuseUnit(step, place, refusal->error, refusal->retry_after);
+    }
+  }
+}
+
+}  // namespace buckthornmux::sched
--- /dev/null
+++ b/src/sched/estimates.cc
@@ -0,0 +1,114 @@
+#include "buckthornmux/detail/sched/estimates.h"
+
+#include <algorithm>
+#include <cmath>
+#include <string>
+
+namespace buckthornmux::sched {
+namespace {
+
+constexpr std::uint64_t kHistoryNeeded = 3;  ///< Runs before history counts.
+constexpr double kSlowest = 0.05;            ///< Weight of the newest run.
+constexpr Millis kUndeclaredRun{1000};
+constexpr Millis kArrivalWindow{1000};
+constexpr double kForgetMs = 30'000;    ///< Decay time of the arrival rate.
+constexpr double kRareArrivals = 0.01;  ///< Per second; below: no room kept.
+constexpr double kDeviations = 3;
+
+std::string EstimateKey(const TaskSpec& spec) {
+  return spec.team + "/" + spec.kind;
+}
+
+void Learn(RunEstimate& estimate, double run_ms) {
+  ++estimate.count;
+  const double weight =
+      std::max(kSlowest, 1.0 / static_cast<double>(estimate.count));
+  const double error = run_ms - estimate.mean_ms;
+  estimate.mean_ms += weight * error;
+  estimate.deviation_ms += weight * (std::abs(error) - estimate.deviation_ms);
+}
+
+void Blend(double& mean, std::int64_t value, double weight) {
+  mean += weight * (static_cast<double>(value) - mean);
+}
+
+std::int64_t Room(double count, double each, std::int64_t used,
+                  std::int64_t capacity, double cap) {
+  const double wanted = std::ceil(count * each) - static_cast<double>(used);
+  const double most = static_cast<double>(capacity) * cap;
+  return static_cast<std::int64_t>(std::clamp(wanted, 0.0, most));
+}
+
+}  // namespace
+
+Millis EstimatedRun(const ShardState& state, const TaskSpec& spec) {
+  const auto found = state.estimates.find(EstimateKey(spec));
+  if (found == state.estimates.end() || found->second.count < kHistoryNeeded) {
+    return spec.expected_run > Millis{0} ? spec.expected_run : kUndeclaredRun;
+  }
+  const RunEstimate& estimate = found->second;
+  return Millis(
+      static_cast<std::int64_t>(estimate.mean_ms + estimate.deviation_ms));
+}
+
+void LearnRun(ShardState& state, const TaskSpec& spec, Millis run) {
+  const auto run_ms = static_cast<double>(run.count());
+  Learn(state.estimates[EstimateKey(spec)], run_ms);
+  Learn(state.any_run, run_ms);
+  if (spec.work_class == WorkClass::kUrgent) {
+    state.urgent.run_ms += kSlowest * (run_ms - state.urgent.run_ms);
+  }
+}
+
+void RollArrivals(Step& step) {
+  UrgentArrivals& urgent = step.state.urgent;
+  const Millis passed = step.now - urgent.counted_from;
+  if (passed < kArrivalWindow) {
+    return;
+  }
+  const auto passed_ms = static_cast<double>(passed.count());
+  const double rate = urgent.in_window * 1000.0 / passed_ms;
+  // Rises at once and falls slowly, because room is cheaper than a late answer.
+  const double weight =
+      rate > urgent.per_second ? 0.5 : 1.0 - std::exp(-passed_ms / kForgetMs);
+  urgent.per_second += weight * (rate - urgent.per_second);
+  urgent.in_window = 0;
+  urgent.counted_from = step.now;
+}
+
+void NoteUrgentArrival(Step& step, const TaskSpec& spec) {
+  UrgentArrivals& urgent = step.state.urgent;
+  RollArrivals(step);
+  const bool first = urgent.slots == 0;
+  const double weight = first ? 1.0 : kSlowest;
+  if (first) {
+    urgent.run_ms = static_cast<double>(EstimatedRun(step.state, spec).count());
+  }
+  urgent.in_window += 1;
+  Blend(urgent.slots, spec.demand.slots, weight);
+  Blend(urgent.cpu_milli, spec.demand.cpu_milli, weight);
+  Blend(urgent.memory_mb, spec.demand.memory_mb, weight);
+  Blend(urgent.accelerators, spec.demand.accelerators, weight);
+}
+
+Resources UrgentReserve(const ShardState& state) {
+  const UrgentArrivals& urgent = state.urgent;
+  if (urgent.per_second < kRareArrivals) {
+    return {};
+  }
+  const double mean = urgent.per_second * urgent.run_ms / 1000.0;
+  const double count = mean + kDeviations * std::sqrt(mean);
+  const Resources& all = state.capacity;
+  const double cap = state.policy.reserve_cap;
+  Resources room;
+  room.slots = Room(count, urgent.slots, urgent.used.slots, all.slots, cap);
+  room.cpu_milli =
+      Room(count, urgent.cpu_milli, urgent.used.cpu_milli, all.cpu_milli, cap);
+  room.memory_mb =
+      Room(count, urgent.memory_mb, urgent.used.memory_mb, all.memory_mb, cap);
+  room.accelerators = Room(count, urgent.accelerators, urgent.used.accelerators,
+                           all.accelerators, cap);
+  return room;
+}
+
+}  // namespace buckthornmux::sched
--- /dev/null
+++ b/src/sched/grants.cc
@@ -0,0 +1,105 @@
+#include "buckthornmux/detail/sched/grants.h"
+
+#include <algorithm>
+
+#include "buckthornmux/detail/sched/holds.h"
+#include "buckthornmux/detail/sched/queue.h"
+
+namespace buckthornmux::sched {
+namespace {
+
+std::int64_t RoundUp(std::int64_t slots, std::int64_t chunk) {
+  return (slots + chunk - 1) / chunk * chunk;
+}
+
+std::int64_t AllSlots(const ShardState& state) {
+  std::int64_t slots = 0;
+  for (const TargetRecord& target : state.targets) {
+    slots += target.in_config ? target.spec.capacity.slots : 0;
+  }
+  return slots;
+}
+
+void Ask(Step& step, const TeamName& name, TeamRecord& team,
+         std::int64_t slots) {
+  team.asked = slots;
+  team.asked_at = step.now;
+  step.actions.emplace_back(WantGrant{name, slots});
+}
+
+bool MayAsk(const Step& step, const TeamRecord& team) {
+  return team.asked < 0 ||
+         step.now - team.asked_at >= step.state.policy.grant_ask_again;
+}
+
+void AskForMore(Step& step, const TeamName& name, TeamRecord& team,
+                std::int64_t need) {
+  const std::int64_t chunk = step.state.policy.grant_chunk;
+  const std::int64_t want = std::min(RoundUp(need, chunk), team.limit);
+  if (want > team.grant && MayAsk(step, team)) {
+    Ask(step, name, team, want);
+  }
+}
+
+// Returns a large unused part. It is not used from here on, because the
+// ledger may give it to another shard as soon as its write stands.
+void HandBack(Step& step, const TeamName& name, TeamRecord& team,
+              std::int64_t need) {
+  const std::int64_t chunk = step.state.policy.grant_chunk;
+  const std::int64_t keep = RoundUp(need, chunk) + (need > 0 ? chunk : 0);
+  if (team.grant <= keep) {
+    team.idle = false;
+    return;
+  }
+  if (!team.idle) {
+    team.idle = true;
+    team.idle_since = step.now;
+  }
+  if (step.now - team.idle_since >= step.state.policy.grant_idle) {
+    team.ceiling = keep;
+    Ask(step, name, team, keep);
+  }
+}
+
+}  // namespace
+
+void AskGrants(Step& step) {
+  ShardState& state = step.state;
+  if (!state.may_start) {
+    return;
+  }
+  const std::int64_t most = AllSlots(state);
+  for (auto& [name, team] : state.teams) {
+    if (team.ceiling >= 0) {
+      if (MayAsk(step, team)) {
+        Ask(step, name, team, team.ceiling);
+      }
+      continue;
+    }
+    const std::int64_t need =
+        std::min(team.used.slots + team.queued_slots, most);
+    const std::int64_t usable = UsableGrant(state, team);
+    if (team.queued_slots > 0 && need > usable) {
+      team.idle = false;
+      AskForMore(step, name, team, need + state.unreported_slots);
+    } else if (AllReported(state)) {
+      HandBack(step, name, team, need);
+    }
+  }
+}
+
+void TakeGrant(Step& step, const GrantChanged& grant) {
+  TeamRecord& team = step.state.teams[grant.team];
+  team.grant = grant.slots;
+  const bool lowering = team.ceiling >= 0;
+  if (!lowering || grant.slots <= team.ceiling) {
+    team.ceiling = -1;
+    team.idle = false;
+    // A refused raise is asked for again later, not at once.
+    if (lowering || grant.slots >= team.asked) {
+      team.asked = -1;
+    }
+  }
+}
+
+}  // namespace buckthornmux::sched
--- /dev/null
+++ b/src/sched/health.cc
@@ -0,0 +1,159 @@
+#include "buckthornmux/detail/sched/health.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "buckthornmux/detail/sched/remembered.h"
+
+namespace buckthornmux::sched {
+namespace {
+
+constexpr double kNewestFailure = 0.1;  ///< Weight in a kind's failure rate.
+constexpr std::size_t kJobsTracked = 4096;
+
+RunEstimate& EstimateOf(ShardState& state, const TaskSpec& spec) {
+  return state.estimates[spec.team + "/" + spec.kind];
+}
+
+std::size_t AsideCount(const ShardState& state) {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      state.targets,
+      [](const TargetRecord& target) { return target.failures.aside; }));
+}
+
+void ForgetTargetInJobs(ShardState& state, TargetIndex target) {
+  for (const std::string& job : state.targets[target].failures.jobs) {
+    auto* const failed_on = Recall(state.job_failures, job);
+    if (failed_on != nullptr) {
+      failed_on->erase(target);
+    }
+  }
+}
+
+void PutAside(Step& step, TargetIndex index) {
+  const Policy& policy = step.state.policy;
+  TargetFailures& failures = step.state.targets[index].failures;
+  const bool again = failures.probe_wait > Millis{0};
+  failures.probe_wait =
+      again ? std::min(failures.probe_wait * 2, policy.probe_cap)
+            : policy.probe_after;
+  failures.probe_at = step.now + failures.probe_wait;
+  failures.aside = true;
+  ForgetTargetInJobs(step.state, index);
+}
+
+void PutAsideIfBad(Step& step, TargetIndex index) {
+  const Policy& policy = step.state.policy;
+  TargetFailures& failures = step.state.targets[index].failures;
+  if (failures.aside) {
+    PutAside(step, index);  // A failed probe: wait longer.
+    return;
+  }
+  if (failures.jobs.size() < policy.aside_jobs ||
+      failures.score < policy.aside_score) {
+    return;
+  }
+  const double most =
+      policy.aside_cap * static_cast<double>(step.state.targets.size());
+  const auto aside = static_cast<double>(AsideCount(step.state));
+  if (aside < std::max(most, 1.0)) {
+    PutAside(step, index);
+  }
+}
+
+bool RefuseIfBad(Step& step, const TaskSpec& spec) {
+  const std::string job = JobKey(spec);
+  const auto* const failed_on = Recall(step.state.job_failures, job);
+  if (failed_on == nullptr ||
+      failed_on->size() < step.state.policy.job_targets) {
+    return false;
+  }
+  for (const TargetIndex target : *failed_on) {
+    // The job was at fault, so its failures don't count against the targets.
+    TargetFailures& failures = step.state.targets[target].failures;
+    if (!failures.aside && failures.jobs.erase(job) > 0) {
+      failures.score = std::max(failures.score - 1, 0.0);
+    }
+    if (failures.jobs.empty()) {
+      failures.score = 0;
+    }
+  }
+  Remember(step.state.refused_jobs, job, step.now, kJobsTracked);
+  return true;
+}
+
+}  // namespace
+
+void NoteSuccess(Step& step, TargetIndex target, const TaskSpec& spec) {
+  RunEstimate& estimate = EstimateOf(step.state, spec);
+  estimate.failed -= kNewestFailure * estimate.failed;
+  TargetFailures& failures = step.state.targets[target].failures;
+  if (!failures.jobs.empty() || failures.aside) {
+    failures = TargetFailures{};
+    step.state.dirty.push_back(target);
+  }
+}
+
+bool NoteFailure(Step& step, TargetIndex target, const TaskSpec& spec) {
+  RunEstimate& estimate = EstimateOf(step.state, spec);
+  TargetFailures& failures = step.state.targets[target].failures;
+  const std::string job = JobKey(spec);
+  const bool suspect = !failures.jobs.empty();
+  // Only a target without failures says something of the kind of work.
+  if (!suspect) {
+    estimate.failed += kNewestFailure * (1 - estimate.failed);
+  }
+  if (failures.jobs.insert(job).second) {
+    failures.score += 1 - estimate.failed;
+  }
+  PutAsideIfBad(step, target);
+  if (!failures.aside) {
+    std::set<TargetIndex> failed_on;
+    if (const auto* known = Recall(step.state.job_failures, job)) {
+      failed_on = *known;
+    }
+    failed_on.insert(target);
+    Remember(step.state.job_failures, job, std::move(failed_on), kJobsTracked);
+  }
+  return RefuseIfBad(step, spec);
+}
+
+void NoteRefusedStart(Step& step, TargetIndex target, const TaskSpec& spec) {
+  TargetFailures& failures = step.state.targets[target].failures;
+  if (failures.jobs.insert(JobKey(spec)).second) {
+    failures.score += 1;
+  }
+  PutAsideIfBad(step, target);
+}
+
+bool MayTake(const TargetRecord& target, const TaskSpec& spec, Time now) {
+  const TargetFailures& failures = target.failures;
+  if (failures.jobs.empty() && !failures.aside) {
+    return true;
+  }
+  if (!target.holds.empty()) {
+    return false;
+  }
+  if (!failures.aside) {
+    return true;
+  }
+  const Time due = spec.idempotent ? failures.probe_at
+                                   : failures.probe_at + failures.probe_wait;
+  return now >= due;
+}
+
+void OfferProbes(Step& step) {
+  for (TargetIndex index = 0; index < step.state.targets.size(); ++index) {
+    const TargetRecord& target = step.state.targets[index];
+    const TargetFailures& failures = target.failures;
+    if (target.usable && failures.aside && step.now >= failures.probe_at) {
+      step.state.dirty.push_back(index);
+    }
+  }
+}
+
+bool JobRefused(ShardState& state, const TaskSpec& spec) {
+  return Recall(state.refused_jobs, JobKey(spec)) != nullptr;
+}
+
+}  // namespace buckthornmux::sched
--- /dev/null
+++ b/src/sched/placement.cc
@@ -0,0 +1,305 @@
+#include "buckthornmux/detail/sched/placement.h"
+
+#include <algorithm>
+#include <limits>
+#include <numeric>
+#include <utility>
+
+#include "buckthornmux/detail/core/invariant.h"
+#include "buckthornmux/detail/sched/answers.h"
+#include "buckthornmux/detail/sched/estimates.h"
+#include "buckthornmux/detail/sched/fairness.h"
+#include "buckthornmux/detail/sched/gangs.h"
+#include "buckthornmux/detail/sched/health.h"
+#include "buckthornmux/detail/sched/holds.h"
+#include "buckthornmux/detail/sched/preemption.h"
+#include "buckthornmux/detail/sched/queue.h"
+
+namespace buckthornmux::sched {
+namespace {
+
+constexpr std::size_t kUnitsLookedAt = 8;  ///< Of one lane, per pass.
+
+/// Weights of a leftover, so that unlike dimensions compare.
+struct Scale {
+  double slots = 0;
+  double cpu_milli = 0;
+  double memory_mb = 0;
+  double accelerators = 0;
+};
+
+double Inverse(std::int64_t total) {
+  return total > 0 ? 1.0 / static_cast<double>(total) : 0.0;
+}
+
+Scale ScaleOf(const Resources& capacity) {
+  return {Inverse(capacity.slots), Inverse(capacity.cpu_milli),
+          Inverse(capacity.memory_mb), Inverse(capacity.accelerators)};
+}
+
+// Leftover after a start, relative to the shard: the smallest packs best. A
+// dimension that the task does not use counts in full, so that tasks without
+// accelerators keep off the targets that have them.
+double Leftover(const Resources& free, const Scale& scale) {
+  return static_cast<double>(free.slots) * scale.slots +
+         static_cast<double>(free.cpu_milli) * scale.cpu_milli +
+         static_cast<double>(free.memory_mb) * scale.memory_mb +
+         static_cast<double>(free.accelerators) * scale.accelerators;
+}
+
+std::vector<TargetIndex> AllTargets(const ShardState& state) {
+  std::vector<TargetIndex> all(state.targets.size());
+  std::iota(all.begin(), all.end(), TargetIndex{0});
+  return all;
+}
+
+std::optional<TargetIndex> PickTarget(const Step& step, const TaskRecord& task,
+                                      std::span<const TargetIndex> candidates) {
+  const ShardState& state = step.state;
+  const bool first_fit = state.policy.choice != PolicyChoice::kFair;
+  const Scale scale = ScaleOf(state.capacity);
+  const bool urgent = task.spec.work_class == WorkClass::kUrgent;
+  std::optional<TargetIndex> best;
+  double best_cost = std::numeric_limits<double>::max();
+  for (const TargetIndex index : candidates) {
+    const TargetRecord& target = state.targets[index];
+    const bool promised = target.stopping > 0 && !urgent;
+    if (!target.usable || promised || !task.spec.demand.FitsIn(target.free) ||
+        !Suits(step, index, task)) {
+      continue;
+    }
+    if (first_fit) {
+      return index;
+    }
+    double cost = Leftover(target.free, scale);
+    if (urgent && state.drain.active && state.drain.targets.contains(index)) {
+      cost += 1;  // Only where nothing else fits.
+    }
+    if (cost < best_cost) {
+      best_cost = cost;
+      best = index;
+    }
+  }
+  return best;
+}
+
+void CheckStart(const ShardState& state, const TaskRecord& task,
+                const TargetRecord& target) {
+  const std::string id = task.spec.Id();
+  Invariant(state.may_start, "no_start_without_ownership", id);
+  Invariant(target.reported, "no_start_before_report", target.spec.id);
+  Invariant(!target.leaving, "no_start_on_leaving", target.spec.id);
+  Invariant(!state.cancelled.values.contains(id), "cancelled_not_started", id);
+  Invariant(!task.cancelled, "cancelled_not_started", id);
+  const auto holds = state.holds_of.find(id);
+  Invariant(holds != state.holds_of.end() && holds->second == 1,
+            "one_place_per_task", id);
+}
+
+Time StartBy(const ShardState& state, const TaskSpec& spec, Time now) {
+  const Time latest = now + state.policy.start_window;
+  if (spec.deadline == 0) {
+    return latest;
+  }
+  return std::max(now, std::min(latest, state.clock.ToSteady(spec.deadline)));
+}
+
+void SendStart(Step& step, TaskRecord& task, TargetIndex index) {
+  ShardState& state = step.state;
+  TargetRecord& target = state.targets[index];
+  CheckRoom(state, index, task.spec.team);
+  CheckStart(state, task, target);
+  task.phase = TaskPhase::kStarting;
+  task.target = index;
+  task.epoch = state.epoch;
+  task.start_by = StartBy(state, task.spec, step.now);
+  task.sure_at = task.start_by + state.policy.report_delay;
+  task.preempted = false;
+  task.tried.push_back(index);
+  step.actions.emplace_back(Start{target.spec.id, task.spec,
+                                  LatestHome(state, task.partition),
+                                  state.epoch, task.start_by});
+}
+
+// Whether a start would leave the room kept for urgent work.
+bool LeavesReserve(const ShardState& state, const Lane& lane,
+                   const Resources& reserve) {
+  const bool drained_for = state.drain.active && lane.key.gang_size > 1 &&
+                           FindLane(state, state.drain.place.lane) == &lane;
+  if (lane.key.work_class == WorkClass::kUrgent || drained_for ||
+      state.policy.choice != PolicyChoice::kFair) {
+    return true;
+  }
+  Resources wanted = reserve;
+  for (std::uint32_t i = 0; i < lane.key.gang_size; ++i) {
+    wanted += lane.key.demand;
+  }
+  return wanted.FitsIn(state.free);
+}
+
+bool StartUnit(Step& step, const UnitPlace& place, TaskRecord& task,
+               std::span<const TargetIndex> candidates) {
+  const auto target = PickTarget(step, task, candidates);
+  if (!target) {
+    return false;
+  }
+  RemoveUnit(step.state, place);
+  // The room is held before the start is sent.
+  AddHold(step.state, *target, task.spec, false, step.now);
+  SendStart(step, task, *target);
+  return true;
+}
+
+// Starts the first unit that may start. Units that avoid some targets, or
+// whose earlier run is still being stopped, do not hold up those behind.
+bool StartSingle(Step& step, LaneId id, Lane& lane,
+                 std::span<const TargetIndex> candidates) {
+  ShardState& state = step.state;
+  std::size_t looked_at = 0;
+  for (auto& [key, unit] : lane.units) {
+    if (++looked_at > kUnitsLookedAt) {
+      return false;
+    }
+    TaskRecord& task = state.tasks.find(unit.task_ids.front())->second;
+    if (state.holds_of.contains(unit.task_ids.front())) {
+      continue;
+    }
+    if (StartUnit(step, UnitPlace{id, key}, task, candidates)) {
+      return true;
+    }
+    if (task.tried.empty()) {
+      lane.blocked = true;
+      return false;
+    }
+  }
+  return false;
+}
+
+bool StartGang(Step& step, const UnitPlace& place) {
+  ShardState& state = step.state;
+  const std::vector<TargetIndex> targets = PlanGang(step, place);
+  if (targets.empty()) {
+    return false;
+  }
+  const Unit unit = RemoveUnit(state, place);
+  NoteGang(state, unit);
+  Invariant(targets.size() == unit.task_ids.size(), "gang_all_or_none",
+            unit.task_ids.front());
+  for (std::size_t i = 0; i < targets.size(); ++i) {
+    AddHold(state, targets[i], state.tasks.find(unit.task_ids[i])->second.spec,
+            false, step.now);
+  }
+  for (std::size_t i = 0; i < targets.size(); ++i) {
+    SendStart(step, state.tasks.find(unit.task_ids[i])->second, targets[i]);
+  }
+  return true;
+}
+
+bool LetsStart(const ShardState& state, const Lane& lane,
+               const Resources& reserve) {
+  const TeamRecord& team = state.teams.find(lane.key.team)->second;
+  const Unit& unit = lane.units.begin()->second;
+  return team.used.slots + unit.slots <= UsableGrant(state, team) &&
+         !DrainTakesGrant(state, lane) && LeavesReserve(state, lane, reserve);
+}
+
+bool StartHead(Step& step, LaneId id, Lane& lane,
+               std::span<const TargetIndex> all,
+               std::span<const TargetIndex> dirty, const Resources& reserve) {
+  if (!LetsStart(step.state, lane, reserve)) {
+    lane.blocked = false;  // Room that comes meanwhile is not looked at.
+    return false;
+  }
+  const std::span<const TargetIndex> candidates = lane.blocked ? dirty : all;
+  if (candidates.empty()) {
+    return false;
+  }
+  if (lane.key.gang_size == 1) {
+    return StartSingle(step, id, lane, candidates);
+  }
+  const bool started =
+      StartGang(step, UnitPlace{id, lane.units.begin()->first});
+  if (!started) {
+    lane.blocked = true;
+  }
+  return started;
+}
+
+}  // namespace
+
+bool Suits(const Step& step, TargetIndex index, const TaskRecord& task) {
+  const TargetRecord& target = step.state.targets[index];
+  const auto carries = [&](const std::string& label) {
+    return std::ranges::find(target.spec.labels, label) !=
+           target.spec.labels.end();
+  };
+  return MayTake(target, task.spec, step.now) &&
+         std::ranges::find(task.tried, index) == task.tried.end() &&
+         std::ranges::all_of(task.spec.labels, carries) &&
+         DrainAllows(step, index, task);
+}
+
+std::int64_t TimesIn(const Resources& demand, const Resources& room,
+                     std::int64_t most) {
+  std::int64_t times = most;
+  const auto bound = [&](std::int64_t each, std::int64_t all) {
+    if (each > 0) {
+      times = std::min(times, std::max<std::int64_t>(all, 0) / each);
+    } else if (all < 0) {
+      times = 0;
+    }
+  };
+  bound(demand.slots, room.slots);
+  bound(demand.cpu_milli, room.cpu_milli);
+  bound(demand.memory_mb, room.memory_mb);
+  bound(demand.accelerators, room.accelerators);
+  return times;
+}
+
+bool CouldEverFit(const ShardState& state, const TaskSpec& spec,
+                  std::uint32_t count) {
+  std::int64_t left = count;
+  for (const TargetRecord& target : state.targets) {
+    const auto carries = [&](const std::string& label) {
+      return std::ranges::find(target.spec.labels, label) !=
+             target.spec.labels.end();
+    };
+    if (target.in_config && std::ranges::all_of(spec.labels, carries)) {
+      left -= TimesIn(spec.demand, target.spec.capacity, left);
+    }
+    if (left <= 0) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void StartWaiting(Step& step) {
+  ShardState& state = step.state;
+  if (state.lanes.empty()) {
+    state.dirty.clear();
+  }
+  if (!state.may_start || state.lanes.empty()) {
+    return;
+  }
+  ++state.step;
+  const std::vector<TargetIndex> all = AllTargets(state);
+  std::vector<TargetIndex> dirty = std::exchange(state.dirty, {});
+  if (dirty.size() >= all.size()) {
+    UnblockLanes(state);
+  }
+  while (const auto next = NextLane(step)) {
+    Lane& lane = state.lanes[*next];
+    const Resources reserve = UrgentReserve(state);
+    if (StartHead(step, *next, lane, all, dirty, reserve)) {
+      continue;
+    }
+    lane.tried_in = state.step;
+    if (lane.key.work_class == WorkClass::kUrgent) {
+      PreemptForLane(step, lane);
+    }
+  }
+  state.dirty.clear();
+}
+
+}  // namespace buckthornmux::sched
--- /dev/null
+++ b/src/sched/setup.cc
@@ -0,0 +1,128 @@
+#include "buckthornmux/detail/sched/setup.h"
+
+#include <algorithm>
+
+#include "buckthornmux/detail/sched/arrivals.h"
+#include "buckthornmux/detail/sched/holds.h"
+#include "buckthornmux/detail/sched/queue.h"
+
+namespace buckthornmux::sched {
+namespace {
+
+TargetIndex IndexOf(ShardState& state, const TargetSpec& spec) {
+  const auto found = state.target_index.find(spec.id);
+  if (found != state.target_index.end()) {
+    return found->second;
+  }
+  const auto index = static_cast<TargetIndex>(state.targets.size());
+  state.targets.emplace_back();
+  state.target_index.emplace(spec.id, index);
+  return index;
+}
+
+void TakeTargets(ShardState& state, const config::Config& config) {
+  for (TargetRecord& target : state.targets) {
+    target.in_config = false;
+  }
+  for (const TargetSpec& spec : config.targets) {
+    if (spec.shard == state.id) {
+      TargetRecord& target = state.targets[IndexOf(state, spec)];
+      target.spec = spec;
+      target.in_config = true;
+    }
+  }
+  for (TargetIndex index = 0; index < state.targets.size(); ++index) {
+    RefreshTarget(state, index);
+  }
+}
+
+void TakeTeams(ShardState& state, const config::Config& config) {
+  for (auto& [name, team] : state.teams) {
+    team.share = 0;
+    team.limit = 0;
+  }
+  for (const config::Team& team : config.teams) {
+    state.teams[team.name].share = team.share;
+    state.teams[team.name].limit = team.limit;
+  }
+}
+
+void ForgetTeams(ShardState& state) {
+  for (auto& [name, team] : state.teams) {
+    team.grant = 0;
+    team.ceiling = -1;
+    team.used = {};
+    team.queued_slots = 0;
+    team.asked = -1;
+    team.idle = false;
+  }
+}
+
+void ForgetTargets(ShardState& state) {
+  for (TargetIndex index = 0; index < state.targets.size(); ++index) {
+    TargetRecord& target = state.targets[index];
+    target.holds.clear();
+    target.stopping = 0;
+    target.reserved = {};
+    target.over = {};
+    target.reported = false;
+    RefreshTarget(state, index);
+  }
+}
+
+void ForgetTasks(ShardState& state) {
+  state.tasks.clear();
+  state.holds_of.clear();
+  state.holding = 0;
+  state.lanes.clear();
+  state.lane_index.clear();
+  state.expiry.clear();
+  state.queued = 0;
+  state.queued_urgent = 0;
+  state.urgent.used = {};
+  state.drain = {};
+  state.gangs.clear();
+  state.inquiries.clear();
+}
+
+}  // namespace
+
+void CountUnreported(ShardState& state) {
+  state.unreported_slots = 0;
+  for (const TargetRecord& target : state.targets) {
+    if (target.in_config && !target.reported) {
+      state.unreported_slots += target.spec.capacity.slots;
+    }
+  }
+}
+
+void TakeConfig(Step& step, const config::Config& config) {
+  ShardState& state = step.state;
+  if (state.configured && config.revision < state.revision) {
+    return;
+  }
+  state.configured = true;
+  state.revision = config.revision;
+  TakeTargets(state, config);
+  TakeTeams(state, config);
+  CountUnreported(state);
+  RefuseNeverFitting(step);
+  UnblockLanes(state);
+}
+
+void TakeOwnership(Step& step, const OwnershipChanged& change) {
+  ShardState& state = step.state;
+  if (change.epoch < state.epoch) {
+    return;
+  }
+  if (change.epoch > state.epoch) {
+    state.epoch = change.epoch;
+    ForgetTasks(state);
+    ForgetTeams(state);
+    ForgetTargets(state);
+    CountUnreported(state);
+  }
+  state.may_start = change.may_start;
+}
+
+}  // namespace buckthornmux::sched
