--- a/include/buckthornmux/detail/config/store_config.h
+++ b/include/buckthornmux/detail/config/store_config.h
@@ -30,6 +30,12 @@
                                            const Config& config,
                                            Revision expected);
 
+/// @brief Error of kind kConfigConflict that shows the changes made since.
+/// @param current in force
+/// @param expected revision that the other change was made from
+[[nodiscard]] boost::leaf::error_id ConfigConflict(const Config& current,
+                                                   Revision expected);
+
 /// @brief Revision that an audit entry led to.
 /// @param config holds the entry
 /// @param index of the entry in `config.audit`
--- a/src/config/store_config.cc
+++ b/src/config/store_config.cc
@@ -36,25 +36,6 @@
   return result;
 }
 
-boost::leaf::error_id Conflict(const Config& current, Revision expected) {
-  std::string changes;
-  std::size_t shown = 0;
-  for (std::size_t i = current.audit.size(); i-- > 0;) {
-    const AuditEntry& entry = current.audit[i];
-    if (entry.from < expected || shown == kShownChanges) {
-      break;
-    }
-    changes += "; " + FormatAudit(entry, RevisionOf(current, i));
-    ++shown;
-  }
-  return Fail(ErrorKind::kConfigConflict,
-              "revision " + std::to_string(current.revision) +
-                  " is in force, not " + std::to_string(expected) +
-                  ": look at the other change with `diff`, then apply again" +
-                  changes,
-              std::string(store::kConfigKey));
-}
-
 boost::leaf::error_id Unknown() {
   return Fail(ErrorKind::kStoreUnknown,
               "the store took the change or not: look with `audit` before you "
@@ -76,7 +57,7 @@
   if (found.ours) {
     return found.written;
   }
-  return Conflict(found.current, expected);
+  return ConfigConflict(found.current, expected);
 }
 
 std::size_t SizeOf(const AuditEntry& entry) {
@@ -128,6 +109,25 @@
   return Unknown();
 }
 
+boost::leaf::error_id ConfigConflict(const Config& current, Revision expected) {
+  std::string changes;
+  std::size_t shown = 0;
+  for (std::size_t i = current.audit.size(); i-- > 0;) {
+    const AuditEntry& entry = current.audit[i];
+    if (entry.from < expected || shown == kShownChanges) {
+      break;
+    }
+    changes += "; " + FormatAudit(entry, RevisionOf(current, i));
+    ++shown;
+  }
+  return Fail(ErrorKind::kConfigConflict,
+              "revision " + std::to_string(current.revision) +
+                  " is in force, not " + std::to_string(expected) +
+                  ": look at the other change with `diff`, then apply again" +
+                  changes,
+              std::string(store::kConfigKey));
+}
+
 Revision RevisionOf(const Config& config, std::size_t index) {
   return index + 1 < config.audit.size() ? config.audit[index + 1].from
                                          : config.revision;
