--- a/include/buckthornmux/detail/store/store.h
+++ b/include/buckthornmux/detail/store/store.h
@@ -27,8 +27,11 @@
 /// What a watch brought.
 struct WatchBatch {
   Revision revision = 0;       ///< Pass on to the next watch.
-  std::vector<Entry> puts;     ///< In store order.
+  std::vector<Entry> puts;     ///< In store order; of a key's changes only
+                               ///< the last one shows, here or in `deletes`.
   std::vector<Entry> deletes;  ///< Key and revision only.
+  bool compacted = false;      ///< Changes were missed: list again, then watch
+                               ///< from `revision`.
 };
 
 /// @brief The service's calls. Each blocks its duty's thread, for the call
@@ -53,11 +56,13 @@
       watch;
 };
 
-/// Keys in use, one place for all.
-inline constexpr std::string_view kConfigKey = "config/current";
+/// Keys in use, one place for all. Whatever every entry host must follow lies
+/// below one prefix, so that one watch brings it all.
+inline constexpr std::string_view kStatePrefix = "state/";
+inline constexpr std::string_view kConfigKey = "state/config";
+inline constexpr std::string_view kMembersPrefix = "state/members/";
+inline constexpr std::string_view kOwnersPrefix = "state/owners/";
 inline constexpr std::string_view kAuditPrefix = "audit/";
-inline constexpr std::string_view kMembersPrefix = "members/";
-inline constexpr std::string_view kOwnersPrefix = "owners/";
 inline constexpr std::string_view kGrantsPrefix = "grants/";
 inline constexpr std::string_view kJournalPrefix = "journal/";
 
