--- a/include/buckthornmux/detail/sched/policy.h
+++ b/include/buckthornmux/detail/sched/policy.h
@@ -35,7 +35,7 @@
   std::uint32_t max_start_tries = 3;     ///< Targets tried for one attempt.
 =======
   std::size_t max_remembered_bytes = 64 << 20;  ///< Of their results.
-  std::uint32_t max_start_tries = 3;  ///< Targets tried for one attempt.
+  std::uint32_t max_start_tries = 3;            ///< Targets tried for one attempt.
 >>>>>>> sched
 
   double reserve_cap = 0.25;   ///< Largest part of the shard that is kept free
--- a/include/buckthornmux/detail/sched/shard_state.h
+++ b/include/buckthornmux/detail/sched/shard_state.h
@@ -267,8 +267,8 @@
   Resources free;      ///< Sum over usable targets.
   Resources max_free;  ///< Per dimension, of one target; may be too high.
 =======
-  Resources capacity;                 ///< Sum over usable targets.
-  Resources free;                     ///< Sum over usable targets.
+  Resources capacity;  ///< Sum over usable targets.
+  Resources free;      ///< Sum over usable targets.
 >>>>>>> sched
   std::int64_t unreported_slots = 0;  ///< Of targets that have not reported.
   std::vector<TargetIndex> dirty;     ///< Got room since the last pass.
--- a/src/front/front.cc
+++ b/src/front/front.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "buckthornmux/detail/config/keys.h"
+#include "buckthornmux/detail/front/error_response.h"
 #include "buckthornmux/detail/front/job_codec.h"
 #include "buckthornmux/detail/net/url.h"
 #include "fleet.h"
@@ -32,25 +33,6 @@
 
 constexpr std::string_view kJobsPath = "/v1/jobs";
 
-net::HttpResponse ErrorResponse(ErrorKind kind, std::string_view message,
-                                Ran ran, Millis retry_after) {
-  return {AnswerFor(kind).http_status,
-          ErrorJson(kind, message, ran, retry_after), "application/json",
-          retry_after};
-}
-
-net::HttpResponse ErrorResponse(ErrorKind kind) {
-  const ErrorAnswer& answer = AnswerFor(kind);
-  return ErrorResponse(kind, answer.advice, answer.ran, answer.retry_after);
-}
-
-net::HttpResponse ErrorResponse(const Error& error) {
-  const ErrorAnswer& answer = AnswerFor(error.kind);
-  const std::string message =
-      error.where.empty() ? error.message : error.where + ": " + error.message;
-  return ErrorResponse(error.kind, message, answer.ran, answer.retry_after);
-}
-
 /// How a caller's open call is answered over HTTP.
 struct Caller {
   enum class Wants : std::uint8_t { kSubmit, kStatus, kCancel };
--- a/src/runtime/config_duty.cc
+++ b/src/runtime/config_duty.cc
@@ -4,8 +4,8 @@
 #include <utility>
 
 #include "buckthornmux/detail/config/codec.h"
+#include "buckthornmux/detail/front/operator_calls.h"
 #include "buckthornmux/detail/runtime/log_line.h"
-#include "buckthornmux/detail/runtime/operator_calls.h"
 
 namespace buckthornmux::runtime {
 namespace {
@@ -64,7 +64,8 @@
 }
 
 void ConfigDuty::Take(const OperatorCall& message, Time now) {
-  message.respond(AnswerOperator(m_wiring.store, message.request));
+  message.respond(front::AnswerOperator(m_wiring.store, message.request,
+                                        m_wiring.anchor.ToWall(now)));
   Publish(now);
 }
 
