--- a/include/buckthornmux/detail/sched/policy.h
+++ b/include/buckthornmux/detail/sched/policy.h
@@ -31,12 +31,8 @@
                                          ///< deadline; never refuses it.
   std::size_t max_queued = 50'000;       ///< Tasks waiting; then kQueueFull.
   std::size_t max_remembered = 65'536;   ///< Ended tasks, and cancelled ones.
-<<<<<<< HEAD
-  std::uint32_t max_start_tries = 3;     ///< Targets tried for one attempt.
-=======
   std::size_t max_remembered_bytes = 64 << 20;  ///< Of their results.
-  std::uint32_t max_start_tries = 3;            ///< Targets tried for one attempt.
->>>>>>> sched
+  std::uint32_t max_start_tries = 3;  ///< Targets tried for one attempt.
 
   double reserve_cap = 0.25;   ///< Largest part of the shard that is kept free
                                ///< for urgent work.
--- a/include/buckthornmux/detail/sched/shard_state.h
+++ b/include/buckthornmux/detail/sched/shard_state.h
@@ -262,14 +262,8 @@
   GangDrain drain;
   std::unordered_map<std::string, GangMembers> gangs;  ///< By team and job.
 
-<<<<<<< HEAD
-  Resources capacity;  ///< Sum over usable targets.
-  Resources free;      ///< Sum over usable targets.
-  Resources max_free;  ///< Per dimension, of one target; may be too high.
-=======
-  Resources capacity;  ///< Sum over usable targets.
-  Resources free;      ///< Sum over usable targets.
->>>>>>> sched
+  Resources capacity;                 ///< Sum over usable targets.
+  Resources free;                     ///< Sum over usable targets.
   std::int64_t unreported_slots = 0;  ///< Of targets that have not reported.
   std::vector<TargetIndex> dirty;     ///< Got room since the last pass.
   std::uint64_t step = 0;
