--- a/include/buckthornmux/detail/sched/shard.h
+++ b/include/buckthornmux/detail/sched/shard.h
@@ -14,10 +14,15 @@
 namespace buckthornmux::sched {
 
 /// Sender of work: a request partition and the epoch of its owner. A shard
-/// takes no work from an epoch below the highest it has heard of.
+/// takes no work from an epoch below the highest it has heard of, nor, within
+/// an epoch, with an inquiry below the highest it has heard of: work that was
+/// still on its way when an Inquire was answered can't arrive behind the
+/// answer.
 struct Home {
   Partition partition = 0;
   Epoch epoch = 0;
+  std::uint64_t inquiry = 0;  ///< Counts the Inquires to this shard; Known
+                              ///< carries that of its Inquire.
 };
 
 /// A task as a target reports it.
--- a/include/buckthornmux/detail/sched/shard_state.h
+++ b/include/buckthornmux/detail/sched/shard_state.h
@@ -248,7 +248,7 @@
   std::size_t queued_urgent = 0;
   std::uint64_t next_sequence = 1;
 
-  std::unordered_map<Partition, Epoch> home_epochs;  ///< Highest heard.
+  std::unordered_map<Partition, Home> homes;  ///< Highest heard.
   std::map<Partition, Epoch> inquiries;  ///< To answer again when complete.
   Remembered<EndedRecord> ended;
   Remembered<Time> cancelled;
--- a/src/sched/answers.cc
+++ b/src/sched/answers.cc
@@ -1,6 +1,7 @@
 #include "buckthornmux/detail/sched/answers.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "buckthornmux/detail/sched/estimates.h"
@@ -55,17 +56,18 @@
 }  // namespace
 
 bool HearHome(ShardState& state, const Home& home) {
-  Epoch& highest = state.home_epochs[home.partition];
-  if (home.epoch < highest) {
+  Home& highest = state.homes[home.partition];
+  if (std::tie(home.epoch, home.inquiry) <
+      std::tie(highest.epoch, highest.inquiry)) {
     return false;
   }
-  highest = home.epoch;
+  highest = home;
   return true;
 }
 
 Home LatestHome(const ShardState& state, Partition partition) {
-  const auto found = state.home_epochs.find(partition);
-  return {partition, found == state.home_epochs.end() ? 0 : found->second};
+  const auto found = state.homes.find(partition);
+  return found == state.homes.end() ? Home{partition} : found->second;
 }
 
 void RememberEnded(ShardState& state, EndedRecord record) {
