--- a/include/buckthornmux/detail/home/home.h
+++ b/include/buckthornmux/detail/home/home.h
@@ -136,6 +136,12 @@
 struct PartitionLost {
   Partition partition = 0;
 };
+/// This process surely owns its partitions until then: its member lease, on its
+/// own clock. Later than that a successor may have run what this home has never
+/// heard of, so no answer says `ran: no` until the lease is renewed.
+struct LeaseUntil {
+  Time until;
+};
 /// A caller submits. `token` names the caller's open call, 0 for none.
 struct Submit {
   std::uint64_t token = 0;
@@ -191,9 +197,9 @@
 struct Tick {};
 
 using Event =
-    std::variant<ConfigInForce, PartitionGained, PartitionLost, Submit,
-                 CancelJob, QueryJob, CallerGone, Journaled, JournalDown,
-                 ShardsChanged, SendFailed, FromShard, Tick>;
+    std::variant<ConfigInForce, PartitionGained, PartitionLost, LeaseUntil,
+                 Submit, CancelJob, QueryJob, CallerGone, Journaled,
+                 JournalDown, ShardsChanged, SendFailed, FromShard, Tick>;
 
 // ---- Actions --------------------------------------------------------------
 
--- a/include/buckthornmux/detail/home/state.h
+++ b/include/buckthornmux/detail/home/state.h
@@ -19,9 +19,17 @@
 
 /// How long an ended job answers a repeated request with its result.
 inline constexpr Millis kResultRetention{15 * 60 * 1000};
-/// Most ended jobs kept for that, per partition; the oldest go first.
+/// The same for patient and service work that is not idempotent.
+inline constexpr Millis kOnceRetention{24 * 60 * 60 * 1000};
+/// Most ended idempotent jobs kept, per partition; the oldest go first.
 inline constexpr std::size_t kResultsKept = 20'000;
 
+/// @brief How long an ended job is remembered.
+/// @param request what was asked
+/// @param result_retention for all but non-idempotent durable work
+[[nodiscard]] Millis RetentionOf(const JobRequest& request,
+                                 Millis result_retention = kResultRetention);
+
 /// Limits and waits of a home.
 struct HomeOptions {
   std::uint64_t seed = 1;              ///< Of the choice between shards.
@@ -167,7 +175,9 @@
   std::map<ShardId, std::set<std::string>> at_shard;  ///< Open jobs by shard
                                                       ///< that holds a try.
   std::set<std::string> held;  ///< Jobs that wait for takeover answers.
-  std::deque<std::pair<Time, std::string>> ended;  ///< In order of end.
+  std::set<std::pair<Time, std::string>> expiries;      ///< Of ended jobs.
+  std::deque<std::pair<Time, std::string>> repeatable;  ///< Ended idempotent
+                                                        ///< jobs, oldest first.
   bool settled = false;  ///< Every shard has told what the former homes left.
 };
 
@@ -195,6 +205,7 @@
   HomeOptions options;
   ClockAnchor anchor;
   std::mt19937_64 random;
+  Time lease_until = Time::max();  ///< As told last; before that, unbounded.
   std::map<Partition, PartitionState> partitions;
   std::map<ShardId, ShardView> shards;
   std::map<ShardId, std::vector<TargetForm>> forms;  ///< From the config.
--- a/src/home/answers.cc
+++ b/src/home/answers.cc
@@ -16,6 +16,9 @@
   Invariant(call != step.state.calls.end(), "one_answer_per_call", key);
   Invariant(call->second.key == key, "answer_matches_request", key);
   step.state.calls.erase(call);
+  if (step.now >= step.state.lease_until) {
+    reply.status.ran = std::max(reply.status.ran, Ran::kUnknown);
+  }
   reply.token = token;
   step.actions.emplace_back(std::move(reply));
 }
--- a/src/home/cancel.cc
+++ b/src/home/cancel.cc
@@ -5,11 +5,12 @@
 
 using IdsByShard = std::map<ShardId, std::vector<std::string>>;
 
-void SendCancels(Step& step, const PartitionState& partition,
-                 IdsByShard by_shard) {
+void SendCancels(Step& step, PartitionState& partition, IdsByShard by_shard) {
   for (auto& [shard, ids] : by_shard) {
+    sched::Home home = partition.home;
+    home.inquiry = partition.inquiries[shard].number;
     step.actions.emplace_back(
-        ToShard{shard, 0, sched::Cancel{partition.home, std::move(ids)}});
+        ToShard{shard, 0, sched::Cancel{home, std::move(ids)}});
   }
 }
 
--- /dev/null
+++ b/src/home/chain.cc
@@ -0,0 +1,284 @@
+#include <algorithm>
+
+#include "segments.h"
+
+namespace buckthornmux::home {
+namespace {
+
+/// Tries of one step against other writers and lost answers.
+constexpr int kTries = 6;
+/// Room for a segment's members besides its records, in bytes.
+constexpr std::size_t kHeadBytes = 256;
+
+/// How creating a segment ended.
+struct Created {
+  bool ours = false;
+  store::Entry found;  ///< Where another segment has the key.
+};
+
+/// Kind of the error with which a call failed, kInternal for success.
+template <class Value>
+std::variant<Value, ErrorKind> Call(const std::function<Result<Value>()>& f) {
+  const auto outcome = Capture(f);
+  if (const auto* error = std::get_if<Error>(&outcome)) {
+    return error->kind;
+  }
+  return std::get<Value>(outcome);
+}
+
+/// Creates a key with CAS on "absent". Repeating the same write is harmless:
+/// it takes effect once at most, and it is read back whenever that is unsure.
+Result<Created> Create(const store::Store& store, const std::string& key,
+                       const std::string& value) {
+  for (int attempt = 0; attempt < kTries; ++attempt) {
+    const auto put = Call<Revision>([&]() -> Result<Revision> {
+      return store.put(key, value, store::kAbsent, store::kNoLease);
+    });
+    if (std::holds_alternative<Revision>(put)) {
+      return Created{true, {}};
+    }
+    const ErrorKind kind = std::get<ErrorKind>(put);
+    if (kind != ErrorKind::kStoreConflict && kind != ErrorKind::kStoreUnknown) {
+      // An earlier round of this loop may have had effect.
+      return Fail(attempt == 0 ? kind : ErrorKind::kStoreUnknown,
+                  "journal segment not written", key);
+    }
+    const auto got =
+        Call<std::optional<store::Entry>>([&] { return store.get(key); });
+    if (std::holds_alternative<ErrorKind>(got)) {
+      return Fail(ErrorKind::kStoreUnknown, "journal segment not read back",
+                  key);
+    }
+    const auto& entry = std::get<std::optional<store::Entry>>(got);
+    if (entry) {
+      return Created{entry->value == value, *entry};
+    }
+  }
+  return Fail(ErrorKind::kStoreUnknown, "journal segment keeps changing", key);
+}
+
+Result<void> CheckEpochs(std::span<const Segment> segments, Epoch epoch) {
+  for (const Segment& segment : segments) {
+    if (segment.epoch > epoch) {
+      return Fail(ErrorKind::kOwnerStale, "a later owner has the journal");
+    }
+  }
+  return {};
+}
+
+/// Records encoded in groups that each fit a segment.
+Result<std::vector<std::vector<std::string>>> Group(
+    std::span<const JournalRecord> records) {
+  std::vector<std::vector<std::string>> groups;
+  std::size_t bytes = kMaxSegmentBytes;
+  for (const JournalRecord& record : records) {
+    std::string text = EncodeRecord(record);
+    if (text.size() + kHeadBytes >= kMaxSegmentBytes) {
+      if (groups.empty()) {
+        return Fail(ErrorKind::kTooLarge, "a job is too large for the journal",
+                    record.job);
+      }
+      break;  // What comes before it is written first.
+    }
+    if (bytes + text.size() + 1 + kHeadBytes >= kMaxSegmentBytes) {
+      groups.emplace_back();
+      bytes = 0;
+    }
+    bytes += text.size() + 1;
+    groups.back().push_back(std::move(text));
+  }
+  return groups;
+}
+
+/// Count of records of an own earlier write that are the first of these.
+std::size_t CommonStart(const Segment& written,
+                        std::span<const std::string> records) {
+  std::size_t count = 0;
+  while (count < written.records.size() && count < records.size() &&
+         EncodeRecord(written.records[count]) == records[count]) {
+    ++count;
+  }
+  return count;
+}
+
+/// Writes one group at the chain's end; returns how many of it are durable.
+Result<std::size_t> AppendGroup(const store::Store& store, Chain& chain,
+                                std::span<const std::string> group) {
+  std::size_t done = 0;
+  while (done < group.size()) {
+    Segment head;
+    head.epoch = chain.epoch;
+    const auto rest = group.subspan(done);
+    const std::string key = SegmentKey(chain.partition, chain.next);
+    BOOST_LEAF_AUTO(created, Create(store, key, EncodeSegment(head, rest)));
+    if (created.ours) {
+      ++chain.next;
+      return group.size();
+    }
+    BOOST_LEAF_AUTO(found, DecodeSegment(key, created.found.value));
+    if (found.epoch != chain.epoch) {
+      return Fail(ErrorKind::kOwnerStale, "another owner has the journal", key);
+    }
+    // An own write whose answer was lost, of fewer records than now.
+    ++chain.next;
+    done += CommonStart(found, rest);
+  }
+  return done;
+}
+
+/// Writes a snapshot; returns the sequence of its first part. A part whose key
+/// is taken by an own earlier write makes it start anew behind that.
+Result<std::uint64_t> WriteSnapshot(const store::Store& store, Chain& chain,
+                                    std::span<const JournalRecord> records) {
+  BOOST_LEAF_AUTO(groups, Group(records));
+  if (groups.empty()) {
+    groups.emplace_back();
+  }
+  for (int attempt = 0; attempt < kTries; ++attempt) {
+    const std::uint64_t first = chain.next;
+    bool whole = true;
+    for (std::uint32_t part = 0; whole && part < groups.size(); ++part) {
+      Segment head;
+      head.epoch = chain.epoch;
+      head.kind = SegmentKind::kSnapshot;
+      head.part = part;
+      head.parts = static_cast<std::uint32_t>(groups.size());
+      const std::string key = SegmentKey(chain.partition, chain.next);
+      BOOST_LEAF_AUTO(created,
+                      Create(store, key, EncodeSegment(head, groups[part])));
+      if (!created.ours) {
+        BOOST_LEAF_AUTO(found, DecodeSegment(key, created.found.value));
+        if (found.epoch != chain.epoch) {
+          return Fail(ErrorKind::kOwnerStale, "another owner has the journal",
+                      key);
+        }
+      }
+      whole = created.ours;
+      ++chain.next;
+    }
+    if (whole) {
+      return first;
+    }
+  }
+  return Fail(ErrorKind::kStoreUnknown, "snapshot keeps being interrupted");
+}
+
+Segment TakenMark(Epoch epoch, WallMillis now) {
+  Segment mark;
+  mark.epoch = epoch;
+  mark.kind = SegmentKind::kTaken;
+  mark.at = now;
+  return mark;
+}
+
+/// What compaction does with a segment that a snapshot replaces.
+enum class Fate : std::uint8_t { kStays, kMarked, kErased };
+
+/// Keys at which a paused former owner may still append must stay taken: the
+/// mark of the takeover, and the segment before it, whose answer that owner may
+/// have lost and which it would write again, with more in it.
+Fate FateOf(std::span<const Segment> segments, std::size_t at, WallMillis now) {
+  const auto fences = [&](const Segment& segment) {
+    return segment.kind == SegmentKind::kTaken &&
+           now - segment.at < kTakenRetention.count();
+  };
+  if (fences(segments[at])) {
+    return Fate::kStays;
+  }
+  const bool before_mark =
+      at + 1 < segments.size() && fences(segments[at + 1]) &&
+      segments[at + 1].sequence == segments[at].sequence + 1;
+  return before_mark && segments[at].kind != SegmentKind::kTaken
+             ? Fate::kMarked
+             : Fate::kErased;
+}
+
+/// Erases or marks one segment; false where the store does not answer.
+bool Retire(const store::Store& store, const Chain& chain,
+            const Segment& segment, Fate fate, WallMillis now) {
+  const std::string key = SegmentKey(chain.partition, segment.sequence);
+  const auto done = Call<Revision>([&]() -> Result<Revision> {
+    if (fate == Fate::kErased) {
+      return store.erase(key, segment.revision);
+    }
+    return store.put(key, EncodeSegment(TakenMark(chain.epoch, now), {}),
+                     segment.revision, store::kNoLease);
+  });
+  const auto* kind = std::get_if<ErrorKind>(&done);
+  return kind == nullptr || *kind == ErrorKind::kStoreConflict;
+}
+
+}  // namespace
+
+Result<TakenChain> TakeChain(const store::Store& store, Partition partition,
+                             Epoch epoch, WallMillis now) {
+  for (int attempt = 0; attempt < kTries; ++attempt) {
+    BOOST_LEAF_AUTO(segments, ReadChain(store, partition));
+    if (auto checked = CheckEpochs(segments, epoch); !checked) {
+      return checked.error();
+    }
+    Chain chain{partition, epoch};
+    chain.first = segments.empty() ? 1 : segments.front().sequence;
+    chain.next = segments.empty() ? 1 : segments.back().sequence + 1;
+    const bool taken =
+        std::ranges::any_of(segments, [&](const Segment& segment) {
+          return segment.epoch == epoch && segment.kind == SegmentKind::kTaken;
+        });
+    if (!taken) {
+      const std::string key = SegmentKey(partition, chain.next);
+      BOOST_LEAF_AUTO(
+          created,
+          Create(store, key, EncodeSegment(TakenMark(epoch, now), {})));
+      if (!created.ours) {
+        continue;  // The former owner wrote once more, or a later one took it.
+      }
+      ++chain.next;
+    }
+    return TakenChain{chain, Fold(RecordsOf(segments), now)};
+  }
+  return Fail(ErrorKind::kStoreUnknown, "journal chain keeps growing");
+}
+
+Result<std::size_t> AppendRecords(const store::Store& store, Chain& chain,
+                                  std::span<const JournalRecord> records) {
+  BOOST_LEAF_AUTO(groups, Group(records));
+  std::size_t durable = 0;
+  for (const std::vector<std::string>& group : groups) {
+    const auto appended = Call<std::size_t>([&]() -> Result<std::size_t> {
+      return AppendGroup(store, chain, group);
+    });
+    if (const auto* kind = std::get_if<ErrorKind>(&appended)) {
+      if (durable > 0 && *kind != ErrorKind::kOwnerStale) {
+        return durable;
+      }
+      return Fail(*kind, "journal records not written");
+    }
+    durable += std::get<std::size_t>(appended);
+  }
+  return durable;
+}
+
+Result<std::size_t> Compact(const store::Store& store, Chain& chain,
+                            WallMillis now) {
+  BOOST_LEAF_AUTO(segments, ReadChain(store, chain.partition));
+  if (auto checked = CheckEpochs(segments, chain.epoch); !checked) {
+    return checked.error();
+  }
+  const std::vector<JournalRecord> folded = Fold(RecordsOf(segments), now);
+  BOOST_LEAF_AUTO(snapshot, WriteSnapshot(store, chain, folded));
+  std::size_t retired = 0;
+  for (std::size_t at = 0; at < segments.size(); ++at) {
+    const Fate fate = FateOf(segments, at, now);
+    if (fate == Fate::kStays) {
+      continue;
+    }
+    if (!Retire(store, chain, segments[at], fate, now)) {
+      break;  // The next compaction takes the rest.
+    }
+    ++retired;
+  }
+  chain.first = snapshot;
+  return retired;
+}
+
+}  // namespace buckthornmux::home
--- a/src/home/ending.cc
+++ b/src/home/ending.cc
@@ -189,7 +189,7 @@
   job.intending.clear();
   job.recancel = Time::max();
   --partition.open_jobs;
-  partition.ended.emplace_back(step.now, KeyOf(job));
+  KeepForRetention(step, partition, job);
   ForgetShards(partition, job);
   SetPartitionTimer(step, partition);
   Note(step, job, "ended");
--- a/src/home/rebuild.cc
+++ b/src/home/rebuild.cc
@@ -129,16 +129,18 @@
   }
 }
 
-void RestoreEnded(PartitionState& partition, const std::string& key, Job& job) {
+void RestoreEnded(Job& job) {
+  bool all_done = true;
   for (std::uint32_t index = 0; index < job.tasks.size(); ++index) {
     Task& task = job.tasks[index];
     task.state = TaskState::kEnded;
+    all_done = all_done && task.end == TaskEnd::kDone;
     if (task.started || task.uncertain) {
       job.left.insert({index, task.attempt});
     }
   }
+  job.phase = all_done ? JobPhase::kDone : job.phase;  // By a late end.
   job.sealed = true;
-  partition.ended.emplace_back(job.ended, key);
 }
 
 }  // namespace
@@ -148,14 +150,19 @@
   for (const JournalRecord& record : records) {
     Take(step, partition, record);
   }
+  std::vector<std::pair<Time, std::string>> ended;
   for (auto& [key, job] : partition.jobs) {
     if (job.Ended()) {
-      RestoreEnded(partition, key, job);
+      RestoreEnded(job);
+      ended.emplace_back(job.ended, key);
     } else {
       Resume(step, partition, key, job);
     }
   }
-  std::ranges::sort(partition.ended);
+  std::ranges::sort(ended);
+  for (const auto& [at, key] : ended) {
+    KeepForRetention(step, partition, partition.jobs.at(key));
+  }
 }
 
 }  // namespace buckthornmux::home
--- a/src/home/retention.cc
+++ b/src/home/retention.cc
@@ -1,23 +1,59 @@
+#include <algorithm>
+
 #include "steps.h"
 
 namespace buckthornmux::home {
+namespace {
+
+/// Forgets an ended job, unless it was asked for again since.
+void Drop(Step& step, PartitionState& partition, const std::string& key,
+          Time ended) {
+  Job* job = FindJobByKey(partition, key);
+  if (job == nullptr || !job->Ended() || job->ended != ended ||
+      !job->waiters.empty()) {
+    return;
+  }
+  DropJobTimer(step, partition, *job);
+  partition.jobs.erase(key);
+}
+
+Time ExpiryOf(const Step& step, const Job& job) {
+  return job.ended +
+         RetentionOf(job.request, step.state.options.result_retention);
+}
+
+}  // namespace
+
+Millis RetentionOf(const JobRequest& request, Millis result_retention) {
+  const bool durable = request.work_class != WorkClass::kUrgent;
+  return durable && !request.idempotent
+             ? std::max(result_retention, kOnceRetention)
+             : result_retention;
+}
+
+void KeepForRetention(Step& step, PartitionState& partition, const Job& job) {
+  const std::string key = KeyOf(job);
+  partition.expiries.insert({ExpiryOf(step, job), key});
+  if (job.request.idempotent) {
+    partition.repeatable.emplace_back(job.ended, key);
+  }
+}
 
 void DropExpired(Step& step, PartitionState& partition) {
   const HomeOptions& options = step.state.options;
-  while (!partition.ended.empty()) {
-    const auto& [ended, key] = partition.ended.front();
-    const bool old = step.now - ended >= options.result_retention;
-    if (!old && partition.ended.size() <= options.results_kept) {
-      break;
-    }
-    Job* job = FindJobByKey(partition, key);
-    // A job that was asked for again has a later entry of its own.
-    if (job != nullptr && job->Ended() && job->ended == ended &&
-        job->waiters.empty()) {
-      DropJobTimer(step, partition, *job);
-      partition.jobs.erase(key);
+  while (!partition.expiries.empty() &&
+         partition.expiries.begin()->first <= step.now) {
+    const auto [expiry, key] = *partition.expiries.begin();
+    partition.expiries.erase(partition.expiries.begin());
+    const Job* job = FindJobByKey(partition, key);
+    if (job != nullptr && job->Ended() && ExpiryOf(step, *job) == expiry) {
+      Drop(step, partition, key, job->ended);
     }
-    partition.ended.pop_front();
+  }
+  while (partition.repeatable.size() > options.results_kept) {
+    const auto [ended, key] = partition.repeatable.front();
+    partition.repeatable.pop_front();
+    Drop(step, partition, key, ended);
   }
   std::erase_if(partition.adopted, [&](const auto& item) {
     return item.second.state == TaskState::kEnded &&
--- a/src/home/state.cc
+++ b/src/home/state.cc
@@ -11,6 +11,9 @@
     void operator()(const ConfigInForce& e) const { OnConfig(step, e); }
     void operator()(const PartitionGained& e) const { OnGained(step, e); }
     void operator()(const PartitionLost& e) const { OnLost(step, e); }
+    void operator()(const LeaseUntil& e) const {
+      step.state.lease_until = e.until;
+    }
     void operator()(const Submit& e) const { OnSubmit(step, e); }
     void operator()(const CancelJob& e) const { OnCancel(step, e); }
     void operator()(const QueryJob& e) const { OnQuery(step, e); }
--- a/src/home/steps.h
+++ b/src/home/steps.h
@@ -194,6 +194,8 @@
 
 // ---- retention.cc ----
 
+/// @brief Has an ended job forgotten when its retention is over.
+void KeepForRetention(Step& step, PartitionState& partition, const Job& job);
 void DropExpired(Step& step, PartitionState& partition);
 
 }  // namespace buckthornmux::home
--- a/src/home/timers.cc
+++ b/src/home/timers.cc
@@ -68,9 +68,8 @@
   for (const auto& [shard, inquiry] : partition.inquiries) {
     next = std::min(next, inquiry.again);
   }
-  if (!partition.ended.empty()) {
-    next = std::min(next, partition.ended.front().first +
-                              step.state.options.result_retention);
+  if (!partition.expiries.empty()) {
+    next = std::min(next, partition.expiries.begin()->first);
   }
   SetTimer(step, partition.wake, next, partition.home.partition, {});
 }
