--- a/include/buckthornmux/detail/config/settings.h
+++ b/include/buckthornmux/detail/config/settings.h
@@ -59,7 +59,6 @@
   // Policy.
   std::string target_guard = "epoch";  ///< What targets check: epoch, none.
   std::string policy = "fair";  ///< Or a baseline: first_fit, strict_priority.
-  std::int64_t max_queued_per_team = 100'000;
 };
 
 /// One setting: where it is, in which unit and within which bounds.
--- a/src/cli/serve.cc
+++ b/src/cli/serve.cc
@@ -1,5 +1,6 @@
 #include "buckthornmux/detail/runtime/serve.h"
 
+#include "buckthornmux/detail/cli/logging.h"
 #include "buckthornmux/detail/cli/options.h"
 #include "buckthornmux/detail/config/settings.h"
 
@@ -28,6 +29,7 @@
   }
   BOOST_LEAF_AUTO(text, ReadFile(path));
   BOOST_LEAF_AUTO(settings, config::ParseSettings(text, path));
+  StartLogging(settings);
   return runtime::RunServe(settings);
 }
 
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -53,7 +53,6 @@
     {"shutdown_within_ms", &S::shutdown_within, "ms", 1000, kHour},
     {"target_guard", &S::target_guard, kGuardForm},
     {"policy", &S::policy, kPolicyForm},
-    {"max_queued_per_team", &S::max_queued_per_team, "count", 1, 10'000'000},
 });
 
 bool IsAddress(std::string_view text) {
