--- a/include/buckthornmux/detail/net/http_types.h
+++ b/include/buckthornmux/detail/net/http_types.h
@@ -13,9 +13,10 @@
 /// A request, received or to be sent.
 struct HttpRequest {
   std::string method = "GET";
-  std::string target = "/";   ///< Path and query.
-  std::string body;           ///< JSON, or empty.
-  std::string authorization;  ///< "Bearer <key>", or empty.
+  std::string target = "/";    ///< Path and query.
+  std::string body;            ///< JSON, or empty.
+  std::string authorization;   ///< "Bearer <key>", or empty.
+  Time send_by = Time::max();  ///< To be sent: not after this time.
   std::uint64_t connection =
       0;  ///< Received: number of its connection, from 1.
 };
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -1,15 +1,18 @@
 #include "buckthornmux/detail/net/http_client.h"
 
+#include <algorithm>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <charconv>
 #include <deque>
 #include <future>
 #include <map>
@@ -44,13 +47,22 @@
 };
 
 struct Peer {
+  explicit Peer(const asio::any_io_executor& executor) : line_timer(executor) {}
   std::string address;
+  asio::steady_timer line_timer;  ///< For calls that wait in line.
   std::vector<ConnectionPtr> idle;
   std::deque<PendingCall> waiting;
   std::size_t active = 0;
   SteadyClock::time_point last_answer;
 };
 
+/// Whole seconds, as the header gives them; 0 where there is none.
+Millis ParseRetryAfter(std::string_view text) {
+  std::int64_t seconds = 0;
+  std::from_chars(text.data(), text.data() + text.size(), seconds);
+  return std::chrono::seconds(seconds);
+}
+
 Error Unreachable(const std::string& why) {
   return {ErrorKind::kPeerUnreachable, why, {}};
 }
@@ -68,7 +80,7 @@
   void Submit(const std::string& address, PendingCall call) {
     auto& slot = peers[address];
     if (!slot) {
-      slot = std::make_shared<Peer>();
+      slot = std::make_shared<Peer>(strand);
       slot->address = address;
     }
     if (slot->waiting.size() >= options.max_waiting_per_peer) {
@@ -77,6 +89,39 @@
     }
     slot->waiting.push_back(std::move(call));
     Pump(slot);
+    WatchLine(slot);
+  }
+
+  /// Ends calls whose time is over while they wait in line.
+  void WatchLine(const std::shared_ptr<Peer>& peer) {
+    if (peer->waiting.empty()) {
+      return;
+    }
+    const auto first =
+        std::ranges::min_element(peer->waiting, {}, &PendingCall::deadline);
+    peer->line_timer.expires_at(first->deadline);
+    peer->line_timer.async_wait(
+        [self = shared_from_this(), peer](error_code cancelled) {
+          if (!cancelled) {
+            self->EndOverdue(peer);
+          }
+        });
+  }
+
+  void EndOverdue(const std::shared_ptr<Peer>& peer) {
+    const auto now = SteadyClock::now();
+    std::vector<PendingCall> overdue;
+    std::erase_if(peer->waiting, [&](PendingCall& call) {
+      const bool over = call.deadline <= now;
+      if (over) {
+        overdue.push_back(std::move(call));
+      }
+      return over;
+    });
+    WatchLine(peer);
+    for (const PendingCall& call : overdue) {
+      call.done(Unreachable("timed out waiting in line"));
+    }
   }
 
   void Pump(const std::shared_ptr<Peer>& peer) {
@@ -145,6 +190,8 @@
     response.body = std::move(parser.get().body());
     response.content_type =
         std::string(parser.get()[http::field::content_type]);
+    response.retry_after =
+        ParseRetryAfter(parser.get()[http::field::retry_after]);
     reusable = parser.get().keep_alive();
     co_return response;
   }
@@ -181,6 +228,10 @@
       }
       if (!connection) {
         outcome = Unreachable("can't connect to " + peer->address);
+      } else if (std::chrono::time_point_cast<Millis>(SteadyClock::now()) >
+                 call.request.send_by) {
+        outcome = Unreachable("too late to send");
+        peer->idle.push_back(std::move(connection));
       } else {
         outcome = co_await self->Exchange(*connection, call, sent, reusable);
       }
--- a/tests/standins/main.cc
+++ b/tests/standins/main.cc
@@ -19,6 +19,7 @@
 constexpr auto kCommands = std::to_array<Command>({
     {"kv", RunKv},
     {"hosts", RunHosts},
+    {"target", RunTarget},
 });
 
 int Usage() {
--- a/tests/standins/standins.h
+++ b/tests/standins/standins.h
@@ -10,4 +10,7 @@
 /// @brief Runs the list of live and leaving hosts.
 int RunHosts(int argc, const char* const* argv);
 
+/// @brief Runs one target.
+int RunTarget(int argc, const char* const* argv);
+
 }  // namespace buckthornmux::standins
--- a/tests/unit-http.cc
+++ b/tests/unit-http.cc
@@ -52,6 +52,9 @@
   CPPUNIT_TEST(RefusesOversizedMalformedAndSlow);
   CPPUNIT_TEST(TellsUnsentFromUnknown);
   CPPUNIT_TEST(SilentConnectionsAreRetired);
+  CPPUNIT_TEST(TimeInLineCountsAgainstTheCall);
+  CPPUNIT_TEST(NothingIsSentAfterSendBy);
+  CPPUNIT_TEST(AnswerKeepsRetryAfterAndClosingIsUnknown);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -123,6 +126,58 @@
     CPPUNIT_ASSERT(std::holds_alternative<Error>(silent));
     CPPUNIT_ASSERT(std::holds_alternative<HttpResponse>(renewed));
   }
+
+  /// A call behind others that hang ends at its own time-out, surely unsent.
+  void TimeInLineCountsAgainstTheCall() {
+    IoThread io;
+    HttpServer server(io.io, {}, [](HttpRequest, const Responder&) {});
+    HttpClientOptions options;
+    options.max_connections_per_peer = 1;
+    HttpClient client(io.io, options);
+    const std::string address = AddressOf(server);
+    client.Call(address, {}, kCallTimeout, [](const auto&) {});
+    const auto began = std::chrono::steady_clock::now();
+    const auto behind = client.CallAndWait(address, {}, Millis(100));
+    CPPUNIT_ASSERT(std::get<Error>(behind).kind == ErrorKind::kPeerUnreachable);
+    CPPUNIT_ASSERT(std::chrono::steady_clock::now() - began < kCallTimeout / 2);
+  }
+
+  void NothingIsSentAfterSendBy() {
+    IoThread io;
+    int received = 0;
+    HttpServer server(io.io, {}, [&](const HttpRequest&, const Responder& r) {
+      ++received;
+      r({});
+    });
+    HttpClient client(io.io, {});
+    HttpRequest late;
+    late.send_by =
+        std::chrono::time_point_cast<Millis>(std::chrono::steady_clock::now()) -
+        Millis(1);
+    const auto unsent =
+        client.CallAndWait(AddressOf(server), late, kCallTimeout);
+    CPPUNIT_ASSERT(std::get<Error>(unsent).kind == ErrorKind::kPeerUnreachable);
+    const auto sent = client.CallAndWait(AddressOf(server), {}, kCallTimeout);
+    CPPUNIT_ASSERT(std::holds_alternative<HttpResponse>(sent));
+    CPPUNIT_ASSERT_EQUAL(1, received);
+  }
+
+  void AnswerKeepsRetryAfterAndClosingIsUnknown() {
+    IoThread io;
+    HttpServer server(io.io, {},
+                      [](const HttpRequest& request, const Responder& respond) {
+                        HttpResponse response;
+                        response.status = request.target == "/close" ? 0 : 503;
+                        response.retry_after = Millis(1500);
+                        respond(response);
+                      });
+    HttpClient client(io.io, {});
+    const auto later = client.CallAndWait(AddressOf(server), {}, kCallTimeout);
+    CPPUNIT_ASSERT(std::get<HttpResponse>(later).retry_after == Millis(2000));
+    const auto closed = client.CallAndWait(AddressOf(server),
+                                           {.target = "/close"}, kCallTimeout);
+    CPPUNIT_ASSERT(std::get<Error>(closed).kind == ErrorKind::kOutcomeUnknown);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpTest);
