--- a/src/front/front.cc
+++ b/src/front/front.cc
@@ -44,7 +44,7 @@
 
 net::HttpResponse ToResponse(const Caller& caller, const home::Reply& reply) {
   const home::JobStatus& status = reply.status;
-  if (reply.accepted) {
+  if (reply.accepted && caller.wants == Caller::Wants::kSubmit) {
     return {.status = 202, .body = StatusJson(status)};
   }
   const bool ended_badly = status.phase == home::JobPhase::kFailed ||
