--- a/include/buckthornmux/detail/runtime/journal_duty.h
+++ b/include/buckthornmux/detail/runtime/journal_duty.h
@@ -12,8 +12,9 @@
 
 /// @brief State and step of the journal duty; used by its thread alone.
 ///
-/// Records of a partition that arrive within one flush interval become one
-/// write, so the write rate depends on the partitions and not on the load.
+/// This process writes at most once in a flush interval, the partition that has
+/// waited longest first, with all of its records: so the write rate depends on
+/// the number of entry hosts and not on the load.
 class JournalDuty {
  public:
   explicit JournalDuty(Wiring& wiring);
@@ -37,7 +38,7 @@
     bool released = false;
     Epoch epoch = 0;
     Time next_try;
-    Time flush_at = Time::max();
+    Time waiting_since;
   };
   using PartitionId = buckthornmux::Partition;
 
@@ -46,15 +47,18 @@
   void Take(home::Append message, Time now);
 
   void TryTake(PartitionId id, Partition& partition, Time now);
+  void FlushNext(Time now);
   void Flush(PartitionId id, Partition& partition, Time now);
+  [[nodiscard]] Time NextStep(Time now) const;
   void SetDown(PartitionId id, Partition& partition, bool down);
   void Acknowledge(PartitionId id, Partition& partition, std::size_t count);
   void CompactIfLong(PartitionId id, Partition& partition);
-  bool EndIfDropped(PartitionId id, Partition& partition);
+  bool EndIfDropped(PartitionId id, const Partition& partition);
   [[nodiscard]] WallMillis Wall() const;
 
   Wiring& m_wiring;
   std::map<PartitionId, Partition> m_partitions;
+  Time m_next_write;
 };
 
 }  // namespace buckthornmux::runtime
--- a/scripts/lib/fleet.sh
+++ b/scripts/lib/fleet.sh
@@ -148,3 +148,34 @@
     http_ok "$(entry_http "$index")" /readyz || return 1
   done
 }
+
+# stop_hosts COUNT: SIGTERM to each, one after another; fails where one did not
+# end gracefully.
+stop_hosts() {
+  local index failed=0
+  for ((index = 0; index < $1; ++index)); do
+    end "host-$index" TERM
+  done
+  for ((index = 0; index < $1; ++index)); do
+    wait "${PIDS[host-$index]}" || failed=1
+    unset "PIDS[host-$index]"
+  done
+  return $failed
+}
+
+# start_fleet HOSTS TARGETS DATA_CENTRES: everything, with rules in force.
+start_fleet() {
+  start_platform
+  start_targets "$2" "$3"
+  start_hosts "$1" "$3"
+  wait_for 20 hosts_alive "$1" || { echo "entry hosts do not answer"; return 1; }
+  ops apply --wait --who "$(basename "$0")" "$RUN_DIR/inventory.json" \
+    "${RULES:-samples/loopback/rules.json}" || return 1
+  wait_for 20 hosts_ready "$1" || { echo "entry hosts are not ready"; return 1; }
+}
+
+# grant_key TEAM: prints a new key of the team.
+grant_key() {
+  ops keys grant --team "$1" --who "$(basename "$0")" --json |
+    python3 -c 'import json,sys; print(json.load(sys.stdin)["key"])'
+}
--- a/src/runtime/journal_duty.cc
+++ b/src/runtime/journal_duty.cc
@@ -27,28 +27,48 @@
   for (JournalMessage& message : messages) {
     std::visit([&](auto& one) { Take(std::move(one), now); }, message);
   }
-  Time next = Time::max();
-  for (auto entry = m_partitions.begin(); entry != m_partitions.end();) {
-    auto& [id, partition] = *entry;
+  for (auto& [id, partition] : m_partitions) {
     if (!partition.taken && !partition.dropping && now >= partition.next_try) {
       TryTake(id, partition, now);
     }
-    if (partition.taken && now >= partition.flush_at &&
-        now >= partition.next_try) {
-      Flush(id, partition, now);
-    }
-    if (EndIfDropped(id, partition)) {
-      entry = m_partitions.erase(entry);
-      continue;
+  }
+  if (now >= m_next_write) {
+    FlushNext(now);
+  }
+  std::erase_if(m_partitions, [&](const auto& entry) {
+    return EndIfDropped(entry.first, entry.second);
+  });
+  return NextStep(now);
+}
+
+Time JournalDuty::NextStep(Time now) const {
+  Time next = Time::max();
+  for (const auto& [id, partition] : m_partitions) {
+    if (!partition.taken) {
+      next = std::min(next, partition.next_try);
+    } else if (!partition.waiting.empty() && !partition.fenced) {
+      next = std::min(next, std::max(partition.next_try, m_next_write));
     }
-    if (!partition.taken || !partition.waiting.empty()) {
-      next = std::min(next, std::max(partition.next_try,
-                                     partition.taken ? partition.flush_at
-                                                     : partition.next_try));
+  }
+  return std::max(next, now);
+}
+
+void JournalDuty::FlushNext(Time now) {
+  PartitionId longest = 0;
+  Partition* chosen = nullptr;
+  for (auto& [id, partition] : m_partitions) {
+    const bool due = partition.taken && !partition.fenced &&
+                     !partition.waiting.empty() && now >= partition.next_try;
+    if (due && (chosen == nullptr ||
+                partition.waiting_since < chosen->waiting_since)) {
+      longest = id;
+      chosen = &partition;
     }
-    ++entry;
   }
-  return next;
+  if (chosen != nullptr) {
+    m_next_write = now + m_wiring.settings.journal_flush_every;
+    Flush(longest, *chosen, now);
+  }
 }
 
 void JournalDuty::Take(const TakePartition& message, Time now) {
@@ -68,7 +88,6 @@
   }
   found->second.dropping = true;
   found->second.released = message.released;
-  found->second.flush_at = Time{};
   found->second.next_try = Time{};
 }
 
@@ -79,7 +98,7 @@
   }
   Partition& partition = found->second;
   if (partition.waiting.empty()) {
-    partition.flush_at = now + m_wiring.settings.journal_flush_every;
+    partition.waiting_since = now;
   }
   partition.waiting.push_back({message.sequence, std::move(message.record)});
 }
@@ -130,9 +149,6 @@
 }
 
 void JournalDuty::Flush(PartitionId id, Partition& partition, Time now) {
-  if (partition.waiting.empty() || partition.fenced) {
-    return;
-  }
   std::vector<home::JournalRecord> records;
   for (const Waiting& waiting : partition.waiting) {
     records.push_back(waiting.record);
@@ -160,7 +176,7 @@
   }
   Acknowledge(id, partition, std::get<std::size_t>(outcome));
   SetDown(id, partition, false);
-  partition.flush_at = now + m_wiring.settings.journal_flush_every;
+  partition.waiting_since = now;
   CompactIfLong(id, partition);
 }
 
@@ -178,7 +194,7 @@
   }
 }
 
-bool JournalDuty::EndIfDropped(PartitionId id, Partition& partition) {
+bool JournalDuty::EndIfDropped(PartitionId id, const Partition& partition) {
   if (!partition.dropping) {
     return false;
   }
