--- a/spec/allowance.pml
+++ b/spec/allowance.pml
@@ -55,8 +55,14 @@
 byte usable[SHARDS];
 byte running[SHARDS]; /* At the targets; outlives the owner. */
 
-/* Scratch, zero between steps. */
-hidden byte i, j, sum, used, others, next, before, room;
+/* Set and used within one step; no part of the state, but where Spin's search
+ * in breadth can't leave it out. */
+#ifdef BREADTH_FIRST
+#define SCRATCH
+#else
+#define SCRATCH hidden
+#endif
+SCRATCH byte i, j, sum, used, others, next, before, room;
 
 inline Sum() {
   sum = 0;
