--- a/src/config/documents.cc
+++ b/src/config/documents.cc
@@ -3,6 +3,7 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
+#include "buckthornmux/detail/config/duplicate_fields.h"
 #include "buckthornmux/detail/config/fields.h"
 #include "buckthornmux/detail/config/json_reader.h"
 
@@ -89,6 +90,10 @@
       problems.push_back({document.file, "", error->message});
       continue;
     }
+    for (std::string& path : DuplicateFields(document.text)) {
+      problems.push_back({document.file, std::move(path),
+                          "field stands twice: expected each once"});
+    }
     ReadDocument(std::get<json::value>(outcome), document.file, declared,
                  problems);
   }
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -55,9 +55,11 @@
     {"policy", &S::policy, kPolicyForm},
 });
 
+/// Addresses are told to other hosts, so "any address" is none.
 bool IsAddress(std::string_view text) {
   const auto outcome = Capture([&] { return net::ParseAddress(text); });
-  return std::holds_alternative<net::Address>(outcome);
+  const auto* address = std::get_if<net::Address>(&outcome);
+  return address != nullptr && !address->ip.is_unspecified();
 }
 
 bool IsHash(std::string_view text) {
--- a/tests/unit-config-check.cc
+++ b/tests/unit-config-check.cc
@@ -117,6 +117,7 @@
   CPPUNIT_TEST(BadTeams);
   CPPUNIT_TEST(BadKinds);
   CPPUNIT_TEST(TwiceIsSaidWithTheFirstPlace);
+  CPPUNIT_TEST(FieldTwiceIsNotPassedOver);
   CPPUNIT_TEST(EmptyOrMissingDocuments);
   CPPUNIT_TEST(AllProblemsInOnePass);
   CPPUNIT_TEST(MovedTargetNeedsANewId);
@@ -191,6 +192,13 @@
     AssertOnly(documents, "more.json", "/targets/0/id", "fleet.json");
   }
 
+  void FieldTwiceIsNotPassedOver() {
+    AssertOnly(Documents(R"({"targets":[],"targets":[)" + kTarget + "]}"),
+               "fleet.json", "/targets", "twice");
+    AssertTarget(R"("slots":8)", R"("labels":["x","y"],"slots":8,"slots":8)",
+                 "/slots", "twice");
+  }
+
   void EmptyOrMissingDocuments() {
     AssertOnly(Documents(Inventory("")), "fleet.json", "/targets", "empty");
     AssertOnly({{"rules.json", kRules}}, "inventory", "", "missing");
--- a/tests/unit-settings.cc
+++ b/tests/unit-settings.cc
@@ -35,6 +35,7 @@
   CPPUNIT_TEST(EveryProblemIsReportedAtOnce);
   CPPUNIT_TEST(WrongUnitIsOutOfRange);
   CPPUNIT_TEST(RelationsAreChecked);
+  CPPUNIT_TEST(AnyAddressIsNoAddress);
   CPPUNIT_TEST(NotJsonSaysWhere);
   CPPUNIT_TEST_SUITE_END();
 
@@ -85,6 +86,13 @@
                "#/peer_silent_after_ms: expected at least three times");
   }
 
+  /// It would be told to other hosts, which can't call it.
+  void AnyAddressIsNoAddress() {
+    std::string text = Whole();
+    text.replace(text.find("127.0.0.1:7101"), 9, "0.0.0.0");
+    AssertSays(ErrorOf(text), "#/peer_address: expected IP:port");
+  }
+
   void NotJsonSaysWhere() {
     const Error error = ErrorOf("{\n  \"host_id\": oops}");
     CPPUNIT_ASSERT(error.kind == ErrorKind::kMalformed);
