--- a/src/cli/job_view.cc
+++ b/src/cli/job_view.cc
@@ -65,7 +65,9 @@
   }
   out << '\n';
   for (std::size_t i = 0; i < job.results.size(); ++i) {
-    out << "result " << i << ": " << job.results[i] << '\n';
+    if (!job.results[i].empty()) {
+      out << "result " << i << ": " << job.results[i] << '\n';
+    }
   }
   for (const JobViewStep& step : job.history) {
     out << config::FormatTime(step.at) << ' ' << step.what << '\n';
--- a/src/cli/options.cc
+++ b/src/cli/options.cc
@@ -2,8 +2,8 @@
 
 #include <cstdlib>
 #include <fstream>
+#include <iterator>
 #include <ostream>
-#include <sstream>
 
 #include "buckthornmux/detail/net/address.h"
 
@@ -32,8 +32,15 @@
   if (parsed.count("key-file") == 0) {
     return Environment(kKeyVariable);
   }
-  BOOST_LEAF_AUTO(text, ReadFile(parsed["key-file"].as<std::string>()));
-  return Trimmed(text);
+  const auto path = parsed["key-file"].as<std::string>();
+  BOOST_LEAF_AUTO(text, ReadFile(path));
+  std::string key = Trimmed(text);
+  if (key.empty()) {
+    return Fail(ErrorKind::kFileUnreadable,
+                "the file holds no key: put one in, as `keys grant` prints it",
+                path);
+  }
+  return key;
 }
 
 }  // namespace
@@ -116,12 +123,12 @@
 
 Result<std::string> ReadFile(const std::string& path) {
   std::ifstream file(path, std::ios::binary);
-  std::ostringstream text;
-  if (!file || !(text << file.rdbuf())) {
+  std::string text{std::istreambuf_iterator<char>(file), {}};
+  if (!file.is_open() || file.bad()) {
     return Fail(ErrorKind::kFileUnreadable,
                 "can't read the file: check its name and rights", path);
   }
-  return std::move(text).str();
+  return text;
 }
 
 Result<std::vector<config::Document>> ReadDocuments(
--- a/src/config/store_config.cc
+++ b/src/config/store_config.cc
@@ -114,7 +114,7 @@
   std::size_t shown = 0;
   for (std::size_t i = current.audit.size(); i-- > 0;) {
     const AuditEntry& entry = current.audit[i];
-    if (entry.from < expected || shown == kShownChanges) {
+    if (RevisionOf(current, i) <= expected || shown == kShownChanges) {
       break;
     }
     changes += "; " + FormatAudit(entry, RevisionOf(current, i));
--- a/tests/unit-cli.cc
+++ b/tests/unit-cli.cc
@@ -171,6 +171,9 @@
       AssertHas(ran.err, "buckthornmux: usage: ");
       CPPUNIT_ASSERT_EQUAL(ran.err.size() - 1, ran.err.find('\n'));
     }
+    const Ran no_key =
+        Run({"audit", "--entry", "127.0.0.1:1", "--key-file", "/dev/null"});
+    AssertHas(no_key.err, "holds no key");
     const Ran missing = Run({"check", "no-such-file.json"});
     AssertHas(missing.err, "file_unreadable");
     AssertHas(missing.err, "[no-such-file.json]");
--- a/tests/unit-config-api.cc
+++ b/tests/unit-config-api.cc
@@ -102,6 +102,10 @@
     CPPUNIT_ASSERT(message.find("bert apply") != std::string::npos);
     CPPUNIT_ASSERT(message.find("limit_slots 10 -> 20") != std::string::npos);
     CPPUNIT_ASSERT_EQUAL(std::int64_t{20}, calls.Current().teams[0].limit);
+    // Not a revision of the configuration, but one of the store.
+    const auto between = calls.Post(Body(base + 1, "carl", 30));
+    CPPUNIT_ASSERT(std::get<Error>(between).message.find("bert apply") !=
+                   std::string::npos);
   }
 
   void SameDocumentsWriteNothing() {
