--- a/include/buckthornmux/detail/sched/gangs.h
+++ b/include/buckthornmux/detail/sched/gangs.h
@@ -27,6 +27,9 @@
 ///   work cannot starve it and no two gangs hold parts of what both need.
 void ManageDrain(Step& step);
 
+/// @brief Gives the drained targets back to all work.
+void EndDrain(ShardState& state);
+
 /// @brief Whether a target that is drained may still take this task: urgent
 ///   work, and work that ends before the gang is expected to start.
 [[nodiscard]] bool DrainAllows(const Step& step, TargetIndex index,
--- a/src/sched/arrivals.cc
+++ b/src/sched/arrivals.cc
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr Millis kLedgerAnswersWithin{500};
+constexpr Millis kRetryAtMost{30'000};
 
 /// Why a task is not taken up.
 struct Refusal {
@@ -215,14 +216,25 @@
   }
 }
 
-Millis ExpectedWait(const ShardState& state, const TaskSpec& spec, double ahead,
-                    double running) {
-  const double run_ms =
-      state.any_run.count > 0
-          ? state.any_run.mean_ms
-          : static_cast<double>(EstimatedRun(state, spec).count());
-  return Millis(
-      static_cast<std::int64_t>(ahead * run_ms / std::max(running, 1.0)));
+// When the n-th of the holds is expected to end. One that is overdue is given
+// as long again as it is overdue.
+Millis WaitForEnds(const Step& step, const TeamName* team, std::size_t ends) {
+  std::vector<Millis> waits;
+  for (const TargetRecord& target : step.state.targets) {
+    for (const Hold& hold : target.holds) {
+      const bool counts = team == nullptr || hold.team == *team;
+      if (counts && !hold.endless) {
+        const Millis left = hold.expected_end - step.now;
+        waits.push_back(left >= Millis{0} ? left : -left);
+      }
+    }
+  }
+  if (waits.size() < ends || ends == 0) {
+    return Millis::max();
+  }
+  const auto nth = waits.begin() + static_cast<std::ptrdiff_t>(ends - 1);
+  std::ranges::nth_element(waits, nth);
+  return *nth;
 }
 
 std::optional<Refusal> WhyHopeless(const Step& step, const TaskRecord& task,
@@ -230,24 +242,22 @@
   const ShardState& state = step.state;
   const TeamRecord& team = state.teams.find(task.spec.team)->second;
   Refusal refusal{ErrorKind::kCellFull, Millis{0}};
-  double running = static_cast<double>(state.holding);
+  const TeamName* of_team = nullptr;
   if (team.used.slots + unit.slots > UsableGrant(state, team)) {
     const bool asking =
         team.asked < 0 || step.now - team.asked_at < kLedgerAnswersWithin;
-    const bool may_grow = team.grant < team.limit && asking;
-    if (may_grow) {
+    if (team.grant < team.limit && asking) {
       return std::nullopt;  // The ledger may give more in time.
     }
     refusal.error = ErrorKind::kTeamLimit;
-    running = static_cast<double>(team.used.slots) /
-              static_cast<double>(std::max<std::int64_t>(unit.slots, 1));
+    of_team = &task.spec.team;
   }
-  const auto ahead = static_cast<double>(state.queued_urgent);
-  const Millis wait = ExpectedWait(state, task.spec, ahead, running);
-  if (step.now + wait <= unit.latest_start) {
+  const Millis wait = WaitForEnds(step, of_team, state.queued_urgent);
+  if (wait <= unit.latest_start - step.now) {
     return std::nullopt;
   }
-  refusal.retry_after = std::max(RetryAfter(state), wait / 2);
+  refusal.retry_after =
+      std::max(RetryAfter(state), std::min(wait / 2, kRetryAtMost));
   return refusal;
 }
 
--- a/src/sched/gangs.cc
+++ b/src/sched/gangs.cc
@@ -84,7 +84,9 @@
       continue;
     }
     const auto& [key, unit] = *lane.units.begin();
-    if (unit.queued_at <= since) {
+    const bool longer =
+        oldest ? unit.queued_at < since : unit.queued_at <= since;
+    if (longer) {
       since = unit.queued_at;
       oldest = UnitPlace{id, key};
     }
@@ -151,7 +153,8 @@
   }
   for (const std::string& id : found->second.task_ids) {
     TaskRecord* const member = FindTask(step.state, id);
-    if (member != nullptr && member->phase != TaskPhase::kQueued &&
+    if (member != nullptr && member->spec.index != spec.index &&
+        member->phase != TaskPhase::kQueued &&
         member->spec.attempt == spec.attempt && !member->gang_broken) {
       member->gang_broken = true;
       StopTask(step, *member, false);
@@ -169,14 +172,18 @@
   }
 }
 
+void EndDrain(ShardState& state) {
+  state.drain = GangDrain{};
+  UnblockLanes(state);
+}
+
 void ManageDrain(Step& step) {
   ShardState& state = step.state;
   if (state.policy.choice != PolicyChoice::kFair) {
     return;
   }
   if (state.drain.active && FindUnit(state, state.drain.place) == nullptr) {
-    state.drain = GangDrain{};
-    UnblockLanes(state);
+    EndDrain(state);
   }
   if (!state.drain.active) {
     const auto place = LongestWaiting(step);
--- a/src/sched/placement.cc
+++ b/src/sched/placement.cc
@@ -20,6 +20,10 @@
 
 constexpr std::size_t kUnitsLookedAt = 8;  ///< Of one lane, per pass.
 
+/// Above any leftover, so that such targets are used where nothing else fits.
+constexpr double kSuspectCost = 100;
+constexpr double kDrainedCost = 10;
+
 /// Weights of a leftover, so that unlike dimensions compare.
 struct Scale {
   double slots = 0;
@@ -72,8 +76,11 @@
       return index;
     }
     double cost = Leftover(target.free, scale);
+    if (!target.failures.jobs.empty()) {
+      cost += kSuspectCost;
+    }
     if (urgent && state.drain.active && state.drain.targets.contains(index)) {
-      cost += 1;  // Only where nothing else fits.
+      cost += kDrainedCost;
     }
     if (cost < best_cost) {
       best_cost = cost;
@@ -183,6 +190,9 @@
   }
   const Unit unit = RemoveUnit(state, place);
   NoteGang(state, unit);
+  if (state.drain.active && state.drain.place == place) {
+    EndDrain(state);
+  }
   Invariant(targets.size() == unit.task_ids.size(), "gang_all_or_none",
             unit.task_ids.front());
   for (std::size_t i = 0; i < targets.size(); ++i) {
--- a/tests/shard_driver.h
+++ b/tests/shard_driver.h
@@ -46,7 +46,22 @@
     return "t" + std::to_string(index);
   }
 
-  void Feed(const Event& event) { actions = Apply(state, event, now); }
+  void Feed(const Event& event) {
+    actions = Apply(state, event, now);
+    if (ledger_answers) {
+      AnswerWants();
+    }
+  }
+
+  /// Gives every team what it asks for.
+  void AnswerWants() {
+    for (const WantGrant& want : All<WantGrant>()) {
+      for (Action& action :
+           Apply(state, GrantChanged{want.team, want.slots}, now)) {
+        actions.push_back(std::move(action));
+      }
+    }
+  }
 
   void Advance(Millis by) {
     now += by;
@@ -124,6 +139,7 @@
   config::Config config;
   ShardState state;
   std::int64_t grant = 10'000;
+  bool ledger_answers = false;
   Time now{Millis(1'000'000)};
   std::vector<Action> actions;
 };
