Shard owner: suspicion of a target fades, a drained gang may use all its room

Ruled out: dropping the rule of one at a time (a target that fails fast would take a whole queue). Suspicion now ends 10 s after the last failure, probes are spaced by time instead of by an empty target, and the gang that targets are drained for may fill them.

--- a/include/buckthornmux/detail/sched/health.h
+++ b/include/buckthornmux/detail/sched/health.h
@@ -21,7 +21,11 @@
 [[nodiscard]] bool MayTake(const TargetRecord& target, const TaskSpec& spec,
                            Time now);
 
-/// @brief Lets waiting work look at targets whose probe is due.
+/// @brief A task is started; one that probes a target puts off the next probe.
+void NoteProbe(TargetRecord& target, Time now);
+
+/// @brief Lets waiting work look at targets whose probe is due, or that are
+///   free of suspicion.
 void OfferProbes(Step& step);
 
 /// @brief Whether a job was refused after failures on distinct targets.
--- a/include/buckthornmux/detail/sched/shard_state.h
+++ b/include/buckthornmux/detail/sched/shard_state.h
@@ -131,6 +131,7 @@
 struct TargetFailures {
   std::set<std::string> jobs;  ///< Team and job, distinct.
   double score = 0;            ///< Weighted by what else fails.
+  Time last_at;                ///< Of a failure.
   bool aside = false;
   Time probe_at;
   Millis probe_wait{0};
--- a/src/sched/gangs.cc
+++ b/src/sched/gangs.cc
@@ -21,9 +21,12 @@
   Time ready;                   ///< When its tasks are expected to have ended.
 };
 
-// A target with failures takes one task at a time.
-std::int64_t MostMembers(const TargetRecord& target, std::int64_t left) {
-  return target.failures.jobs.empty() ? left : std::min<std::int64_t>(left, 1);
+// A target with failures takes one task at a time, but for a gang that waited
+// long: it may need all of the room there is.
+std::int64_t MostMembers(const ShardState& state, const UnitPlace& place,
+                         const TargetRecord& target, std::int64_t needed) {
+  const bool drained = state.drain.active && state.drain.place == place;
+  return drained || target.failures.jobs.empty() ? needed : 1;
 }
 
 // Room of a target once all but its services have ended.
@@ -121,7 +124,7 @@
         !lane.key.demand.FitsIn(target.free) || !Suits(step, index, task)) {
       continue;
     }
-    const std::int64_t most = MostMembers(target, needed);
+    const std::int64_t most = MostMembers(state, place, target, needed);
     rooms.push_back({index, TimesIn(lane.key.demand, target.free, most),
                      target.free.slots, step.now});
   }
--- a/src/sched/health.cc
+++ b/src/sched/health.cc
@@ -10,6 +10,7 @@
 
 constexpr double kNewestFailure = 0.1;  ///< Weight in a kind's failure rate.
 constexpr std::size_t kJobsTracked = 4096;
+constexpr Millis kSuspectFor{10'000};  ///< Since the last failure.
 
 RunEstimate& EstimateOf(ShardState& state, const TaskSpec& spec) {
   return state.estimates[spec.team + "/" + spec.kind];
@@ -99,6 +100,7 @@
   TargetFailures& failures = step.state.targets[target].failures;
   const std::string job = JobKey(spec);
   const bool suspect = !failures.jobs.empty();
+  failures.last_at = step.now;
   // Only a target without failures says something of the kind of work.
   if (!suspect) {
     estimate.failed += kNewestFailure * (1 - estimate.failed);
@@ -118,8 +120,15 @@
   return RefuseIfBad(step, spec);
 }
 
+void NoteProbe(TargetRecord& target, Time now) {
+  if (target.failures.aside) {
+    target.failures.probe_at = now + target.failures.probe_wait;
+  }
+}
+
 void NoteRefusedStart(Step& step, TargetIndex target, const TaskSpec& spec) {
   TargetFailures& failures = step.state.targets[target].failures;
+  failures.last_at = step.now;
   if (failures.jobs.insert(JobKey(spec)).second) {
     failures.score += 1;
   }
@@ -131,11 +140,9 @@
   if (failures.jobs.empty() && !failures.aside) {
     return true;
   }
-  if (!target.holds.empty()) {
-    return false;
-  }
   if (!failures.aside) {
-    return true;
+    // Work that runs long, a service say, must not keep the suspicion alive.
+    return target.holds.empty() || now >= failures.last_at + kSuspectFor;
   }
   const Time due = spec.idempotent ? failures.probe_at
                                    : failures.probe_at + failures.probe_wait;
@@ -146,7 +153,10 @@
   for (TargetIndex index = 0; index < step.state.targets.size(); ++index) {
     const TargetRecord& target = step.state.targets[index];
     const TargetFailures& failures = target.failures;
-    if (target.usable && failures.aside && step.now >= failures.probe_at) {
+    const bool probe = failures.aside && step.now >= failures.probe_at;
+    const bool fades = !failures.aside && !failures.jobs.empty() &&
+                       step.now >= failures.last_at + kSuspectFor;
+    if (target.usable && (probe || fades)) {
       step.state.dirty.push_back(index);
     }
   }
--- a/src/sched/placement.cc
+++ b/src/sched/placement.cc
@@ -116,6 +116,7 @@
   TargetRecord& target = state.targets[index];
   CheckRoom(state, index, task.spec.team);
   CheckStart(state, task, target);
+  NoteProbe(target, step.now);
   task.phase = TaskPhase::kStarting;
   task.target = index;
   task.epoch = state.epoch;
