--- a/include/buckthornmux/detail/sched/estimates.h
+++ b/include/buckthornmux/detail/sched/estimates.h
@@ -21,7 +21,7 @@
 void RollArrivals(Step& step);
 
 /// @brief Room that patient work leaves free: expected concurrent urgent work
-///   (arrival rate times run time) plus three deviations, less what it holds.
+///   (arrival rate times run time) plus two deviations, less what it holds.
 [[nodiscard]] Resources UrgentReserve(const ShardState& state);
 
 }  // namespace buckthornmux::sched
--- a/include/buckthornmux/detail/sched/policy.h
+++ b/include/buckthornmux/detail/sched/policy.h
@@ -41,7 +41,8 @@
   Millis gang_drain_after{5000};  ///< Wait before targets are drained for it.
   Millis gang_backfill_for{60'000};  ///< Then nothing more starts on them.
 
-  std::int64_t grant_chunk = 8;   ///< Slots; asks are multiples of it.
+  std::int64_t grant_chunk = 8;   ///< Slots; asks are multiples of it, or of
+                                  ///< less where the team's limit is small.
   Millis grant_idle{30'000};      ///< Unused for this long: handed back.
   Millis grant_ask_again{5'000};  ///< Ask again where nothing was heard.
 
--- a/include/buckthornmux/detail/sched/shard.h
+++ b/include/buckthornmux/detail/sched/shard.h
@@ -70,6 +70,9 @@
   std::string result;
 };
 /// All that a target has; the first one after a takeover lets it be used.
+/// Reports of a target come in their order, none older than
+/// Policy::report_delay, and none from links of an earlier epoch after
+/// OwnershipChanged.
 struct TargetReport {
   TargetId target;
   std::vector<ReportedTask> tasks;
@@ -123,6 +126,9 @@
   TargetId target;
 };
 /// Tell the home that a task ended, or was refused (kNotRun with an error).
+/// Final for the attempt: this shard never starts it again. A task cancelled
+/// before any start ends as kNotRun with kCancelled; one that ran, as
+/// kCancelled.
 struct Ended {
   Home home;
   std::string task_id;
--- a/include/buckthornmux/detail/sched/shard_state.h
+++ b/include/buckthornmux/detail/sched/shard_state.h
@@ -313,6 +313,11 @@
 /// @brief Use and allowance of every team.
 [[nodiscard]] std::vector<TeamUse> TeamUses(const ShardState& state);
 
+/// @brief A team's part of the shard, in the dimension that it uses most of.
+/// @return 0 to 1
+[[nodiscard]] double DominantPart(const ShardState& state,
+                                  const TeamRecord& team);
+
 /// A target's condition, for status.
 struct TargetCondition {
   TargetId target;
--- a/src/sched/estimates.cc
+++ b/src/sched/estimates.cc
@@ -9,11 +9,13 @@
 
 constexpr std::uint64_t kHistoryNeeded = 3;  ///< Runs before history counts.
 constexpr double kSlowest = 0.05;            ///< Weight of the newest run.
+constexpr double kUrgentRun = 0.005;  ///< The same for the reserve, which must
+                                      ///< not follow single runs.
 constexpr Millis kUndeclaredRun{1000};
 constexpr Millis kArrivalWindow{1000};
 constexpr double kForgetMs = 30'000;    ///< Decay time of the arrival rate.
 constexpr double kRareArrivals = 0.01;  ///< Per second; below: no room kept.
-constexpr double kDeviations = 3;
+constexpr double kDeviations = 2;
 
 std::string EstimateKey(const TaskSpec& spec) {
   return spec.team + "/" + spec.kind;
@@ -56,7 +58,7 @@
   Learn(state.estimates[EstimateKey(spec)], run_ms);
   Learn(state.any_run, run_ms);
   if (spec.work_class == WorkClass::kUrgent) {
-    state.urgent.run_ms += kSlowest * (run_ms - state.urgent.run_ms);
+    state.urgent.run_ms += kUrgentRun * (run_ms - state.urgent.run_ms);
   }
 }
 
--- a/src/sched/fairness.cc
+++ b/src/sched/fairness.cc
@@ -78,14 +78,16 @@
 
 }  // namespace
 
-double FairUse(const ShardState& state, const TeamRecord& team) {
+double DominantPart(const ShardState& state, const TeamRecord& team) {
   const Resources& all = state.capacity;
-  const double dominant =
-      std::max({Part(team.used.slots, all.slots),
-                Part(team.used.cpu_milli, all.cpu_milli),
-                Part(team.used.memory_mb, all.memory_mb),
-                Part(team.used.accelerators, all.accelerators)});
-  return dominant / std::max(team.share, kLeastShare);
+  return std::max({Part(team.used.slots, all.slots),
+                   Part(team.used.cpu_milli, all.cpu_milli),
+                   Part(team.used.memory_mb, all.memory_mb),
+                   Part(team.used.accelerators, all.accelerators)});
+}
+
+double FairUse(const ShardState& state, const TeamRecord& team) {
+  return DominantPart(state, team) / std::max(team.share, kLeastShare);
 }
 
 std::optional<LaneId> NextLane(const Step& step) {
--- a/src/sched/grants.cc
+++ b/src/sched/grants.cc
@@ -8,10 +8,18 @@
 namespace buckthornmux::sched {
 namespace {
 
+constexpr std::int64_t kChunksOfLimit = 64;
+
 std::int64_t RoundUp(std::int64_t slots, std::int64_t chunk) {
   return (slots + chunk - 1) / chunk * chunk;
 }
 
+// Chunks of a small limit are small, or few shards would hold all of it idle.
+std::int64_t ChunkOf(const ShardState& state, const TeamRecord& team) {
+  return std::clamp<std::int64_t>(team.limit / kChunksOfLimit, 1,
+                                  state.policy.grant_chunk);
+}
+
 std::int64_t AllSlots(const ShardState& state) {
   std::int64_t slots = 0;
   for (const TargetRecord& target : state.targets) {
@@ -34,7 +42,7 @@
 
 void AskForMore(Step& step, const TeamName& name, TeamRecord& team,
                 std::int64_t need) {
-  const std::int64_t chunk = step.state.policy.grant_chunk;
+  const std::int64_t chunk = ChunkOf(step.state, team);
   const std::int64_t want = std::min(RoundUp(need, chunk), team.limit);
   if (want > team.grant && MayAsk(step, team)) {
     Ask(step, name, team, want);
@@ -45,7 +53,7 @@
 // ledger may give it to another shard as soon as its write stands.
 void HandBack(Step& step, const TeamName& name, TeamRecord& team,
               std::int64_t need) {
-  const std::int64_t chunk = step.state.policy.grant_chunk;
+  const std::int64_t chunk = ChunkOf(step.state, team);
   const std::int64_t keep = RoundUp(need, chunk) + (need > 0 ? chunk : 0);
   if (team.grant <= keep) {
     team.idle = false;
@@ -79,9 +87,12 @@
     const std::int64_t need =
         std::min(team.used.slots + team.queued_slots, most);
     const std::int64_t usable = UsableGrant(state, team);
-    if (team.queued_slots > 0 && need > usable) {
+    const std::int64_t chunk = ChunkOf(state, team);
+    // Asked for ahead, so that the next start need not wait for the store.
+    const bool nearly_used = need > usable || usable - need < chunk / 2;
+    if (need > 0 && nearly_used) {
       team.idle = false;
-      AskForMore(step, name, team, need + state.unreported_slots);
+      AskForMore(step, name, team, need + chunk + state.unreported_slots);
     } else if (AllReported(state)) {
       HandBack(step, name, team, need);
     }
--- a/src/sched/placement.cc
+++ b/src/sched/placement.cc
@@ -20,35 +20,40 @@
 
 constexpr std::size_t kUnitsLookedAt = 8;  ///< Of one lane, per pass.
 
+constexpr double kSizeWeight = 0.1;  ///< Of a small leftover to an even one.
 /// Above any leftover, so that such targets are used where nothing else fits.
 constexpr double kSuspectCost = 100;
 constexpr double kDrainedCost = 10;
 
-/// Weights of a leftover, so that unlike dimensions compare.
-struct Scale {
-  double slots = 0;
-  double cpu_milli = 0;
-  double memory_mb = 0;
-  double accelerators = 0;
-};
-
-double Inverse(std::int64_t total) {
-  return total > 0 ? 1.0 / static_cast<double>(total) : 0.0;
-}
+/// What is left of a target after a start, in parts of its capacity.
+struct Leftover {
+  double least = 1;
+  double most = 0;
+  double sum = 0;
 
-Scale ScaleOf(const Resources& capacity) {
-  return {Inverse(capacity.slots), Inverse(capacity.cpu_milli),
-          Inverse(capacity.memory_mb), Inverse(capacity.accelerators)};
-}
+  void Add(std::int64_t free, std::int64_t demand, std::int64_t capacity) {
+    if (capacity <= 0) {
+      return;
+    }
+    const double left =
+        static_cast<double>(free - demand) / static_cast<double>(capacity);
+    least = std::min(least, left);
+    most = std::max(most, left);
+    sum += left;
+  }
+};
 
-// Leftover after a start, relative to the shard: the smallest packs best. A
-// dimension that the task does not use counts in full, so that tasks without
-// accelerators keep off the targets that have them.
-double Leftover(const Resources& free, const Scale& scale) {
-  return static_cast<double>(free.slots) * scale.slots +
-         static_cast<double>(free.cpu_milli) * scale.cpu_milli +
-         static_cast<double>(free.memory_mb) * scale.memory_mb +
-         static_cast<double>(free.accelerators) * scale.accelerators;
+// Best fit over all dimensions: what is left should be even, since room in one
+// dimension is of no use without the others, and small. The smallest is best.
+double PackingCost(const TargetRecord& target, const Resources& demand) {
+  const Resources& free = target.free;
+  const Resources& all = target.spec.capacity;
+  Leftover left;
+  left.Add(free.slots, demand.slots, all.slots);
+  left.Add(free.cpu_milli, demand.cpu_milli, all.cpu_milli);
+  left.Add(free.memory_mb, demand.memory_mb, all.memory_mb);
+  left.Add(free.accelerators, demand.accelerators, all.accelerators);
+  return left.most - left.least + kSizeWeight * left.sum;
 }
 
 std::vector<TargetIndex> AllTargets(const ShardState& state) {
@@ -61,7 +66,6 @@
                                       std::span<const TargetIndex> candidates) {
   const ShardState& state = step.state;
   const bool first_fit = state.policy.choice != PolicyChoice::kFair;
-  const Scale scale = ScaleOf(state.capacity);
   const bool urgent = task.spec.work_class == WorkClass::kUrgent;
   std::optional<TargetIndex> best;
   double best_cost = std::numeric_limits<double>::max();
@@ -75,7 +79,7 @@
     if (first_fit) {
       return index;
     }
-    double cost = Leftover(target.free, scale);
+    double cost = PackingCost(target, task.spec.demand);
     if (!target.failures.jobs.empty()) {
       cost += kSuspectCost;
     }
