--- a/src/target/task_json.cc
+++ b/src/target/task_json.cc
@@ -83,7 +83,9 @@
 }
 
 json::object ToJson(const sched::Home& home) {
-  return {{"partition", home.partition}, {"epoch", home.epoch}};
+  return {{"partition", home.partition},
+          {"epoch", home.epoch},
+          {"inquiry", home.inquiry}};
 }
 
 json::object ToJson(const sched::ReportedTask& task) {
@@ -132,6 +134,7 @@
   JsonReader reader(outer.Find(name));
   reader.Read("partition", out.partition);
   reader.Read("epoch", out.epoch);
+  reader.Read("inquiry", out.inquiry);
   Merge(outer, name, reader);
 }
 
--- a/tests/standins/kv_server.cc
+++ b/tests/standins/kv_server.cc
@@ -22,7 +22,7 @@
 using net::Responder;
 
 constexpr Millis kSweepEvery{20};
-constexpr std::size_t kMaxPageBytes = 4 << 20;
+constexpr std::size_t kMaxPageBytes = std::size_t{4} << 20;
 constexpr std::uint64_t kMaxBodyBytes = 4 << 20;
 constexpr std::string_view kLeasesPath = "/v1/leases";
 
--- a/tests/standins/main.cc
+++ b/tests/standins/main.cc
@@ -20,6 +20,9 @@
     {"kv", RunKv},
     {"hosts", RunHosts},
     {"target", RunTarget},
+    {"balancer", RunBalancer},
+    {"callers", RunCallers},
+    {"verify", RunVerify},
 });
 
 int Usage() {
--- a/tests/standins/standins.h
+++ b/tests/standins/standins.h
@@ -13,4 +13,14 @@
 /// @brief Runs one target.
 int RunTarget(int argc, const char* const* argv);
 
+/// @brief Checks logs.
+/// @return 0 where every property holds, 1 otherwise
+int RunVerify(int argc, const char* const* argv);
+
+/// @brief Runs open-loop callers.
+int RunCallers(int argc, const char* const* argv);
+
+/// @brief Runs the balancer.
+int RunBalancer(int argc, const char* const* argv);
+
 }  // namespace buckthornmux::standins
--- a/tests/standins/target_state.cc
+++ b/tests/standins/target_state.cc
@@ -110,6 +110,14 @@
       ResultOf(state, task), "end", now);
 }
 
+/// A lease that ran out while the process was frozen ended its task then: such
+/// a task is never seen as finished, and does nothing after the lease.
+void Expire(TargetState& state, TargetTask& task, Moment now) {
+  const Moment then{task.lease_until,
+                    now.wall - (now.steady - task.lease_until).count()};
+  End(state, task, TaskEnd::kFailed, "", "lease_expired", then);
+}
+
 void Run(TargetState& state, const target::StartRequest& request, Moment now) {
   TargetTask task;
   task.report = {request.task.Id(), request.task.attempt, request.epoch, true};
@@ -252,10 +260,10 @@
     if (!task.report.running) {
       continue;
     }
-    if (task.ends_at && *task.ends_at <= now.steady) {
+    if (task.lease_until <= now.steady) {
+      Expire(state, task, now);
+    } else if (task.ends_at && *task.ends_at <= now.steady) {
       EndDue(state, task, now);
-    } else if (task.lease_until <= now.steady) {
-      End(state, task, TaskEnd::kFailed, "", "lease_expired", now);
     }
   }
   ForgetOld(state, now.steady);
--- a/tests/unit-target-codec.cc
+++ b/tests/unit-target-codec.cc
@@ -75,13 +75,14 @@
  public:
   void RoundTrips() {
     CPPUNIT_ASSERT(rc::check("start and report keep every member", [] {
-      const StartRequest start{"s1",  7, 1234, Millis(10'000), ArbitraryTask(),
-                               {3, 9}};
+      const StartRequest start{
+          "s1", 7, 1234, Millis(10'000), ArbitraryTask(), {3, 9, 4}};
       const auto parsed = ParseStart(FormatStart(start));
       RC_ASSERT(!!parsed);
       RC_ASSERT(FormatStart(parsed.value()) == FormatStart(start));
       RC_ASSERT(parsed.value().task.payload == start.task.payload);
       RC_ASSERT(parsed.value().task.demand == start.task.demand);
+      RC_ASSERT(parsed.value().home.inquiry == start.home.inquiry);
       RenewAnswer answer{
           "i", 5, true, false, {1, 2, 3, 4}, {EndedTask("j", 2)}};
       answer.tasks.front().spec = start.task;
