--- a/tests/unit-shard-policy.cc
+++ b/tests/unit-shard-policy.cc
@@ -372,11 +372,8 @@
     CPPUNIT_ASSERT(TargetConditions(shard.state)[3].aside);
     shard.Advance(Policy{}.probe_after);
     const Start probe = shard.Only<Start>();
-<<<<<<< HEAD
-=======
     shard.Advance(Policy{}.probe_after / 2);
     CPPUNIT_ASSERT(shard.All<Start>().empty());
->>>>>>> sched
     CPPUNIT_ASSERT_EQUAL(std::string("t3"), probe.target);
     shard.Accept(probe);
     shard.Finish(probe);
