Stand-ins speak the names that the fault scripts use

Cause: scripts/faults and scripts/times were written against names that the stand-ins did not have: the mix urgent=..,nonidem=..,patient=.., the faults silent_connections, drop_answers and fail_all, one host changed by POST /standin/hosts, and 'event' in the targets' logs. The callers take a team's name from the answers; a refusal, which has none, is matched by its request id, which is new in each run.

--- a/tests/standins/hosts_server.h
+++ b/tests/standins/hosts_server.h
@@ -20,8 +20,8 @@
   std::vector<std::string> hosts;  ///< Live at the start.
 };
 
-/// @brief Serves GET /v1/hosts; POST /standin/hosts replaces the list with a
-///   body of the same form, POST /standin/host changes one
+/// @brief Serves GET /v1/hosts. POST /standin/hosts replaces the list with a
+///   body of the same form, or changes one host with
 ///   {"host","state":"live|leaving|gone"}.
 class HostsServer {
  public:
--- a/tests/standins/target_server.h
+++ b/tests/standins/target_server.h
@@ -25,8 +25,9 @@
 
 /// @brief Serves the target protocol, and POST /standin/faults.
 ///
-/// Faults are the members of TargetFaults; and `silence`: every connection
-/// opened before this call goes silent for good, new ones work.
+/// Faults are the members of TargetFaults, `drop_answers` for every answer to a
+/// start, and `silent_connections`: every connection opened before this call
+/// goes silent for good, new ones work.
 class TargetServer {
  public:
   /// @param io run by one thread; outlives the server
--- a/tests/standins/verify.cc
+++ b/tests/standins/verify.cc
@@ -100,6 +100,7 @@
   std::set<std::pair<TeamName, std::string>> ran;
   for (const Interval& run : runs) {
     ran.emplace(run.start->team, run.start->job);
+    ran.emplace("", run.start->job);  // A refusal does not name the team.
   }
   for (const CallerLine& line : evidence.caller_lines) {
     if (line.ran != "no" || line.answer == "done") {
