--- a/include/buckthornmux/detail/sched/shard.h
+++ b/include/buckthornmux/detail/sched/shard.h
@@ -14,10 +14,15 @@
 namespace buckthornmux::sched {
 
 /// Sender of work: a request partition and the epoch of its owner. A shard
-/// takes no work from an epoch below the highest it has heard of.
+/// takes no work from an epoch below the highest it has heard of, nor, within
+/// an epoch, with an inquiry below the highest it has heard of: work that was
+/// still on its way when an Inquire was answered can't arrive behind the
+/// answer.
 struct Home {
   Partition partition = 0;
   Epoch epoch = 0;
+  std::uint64_t inquiry = 0;  ///< Counts the Inquires to this shard; Known
+                              ///< carries that of its Inquire.
 };
 
 /// A task as a target reports it.
@@ -70,6 +75,9 @@
   std::string result;
 };
 /// All that a target has; the first one after a takeover lets it be used.
+/// Reports of a target come in their order, none older than
+/// Policy::report_delay, and none from links of an earlier epoch after
+/// OwnershipChanged.
 struct TargetReport {
   TargetId target;
   std::vector<ReportedTask> tasks;
@@ -123,6 +131,9 @@
   TargetId target;
 };
 /// Tell the home that a task ended, or was refused (kNotRun with an error).
+/// Final for the attempt: this shard never starts it again. A task cancelled
+/// before any start ends as kNotRun with kCancelled; one that ran, as
+/// kCancelled.
 struct Ended {
   Home home;
   std::string task_id;
