--- a/include/buckthornmux/detail/runtime/wiring.h
+++ b/include/buckthornmux/detail/runtime/wiring.h
@@ -71,6 +71,7 @@
 struct RangeGained {
   std::string range;
   Epoch epoch = 0;
+  bool deferred = false;  ///< Went once more through the ring.
 };
 struct RangeLost {
   std::string range;
--- a/src/runtime/owner_duty.cc
+++ b/src/runtime/owner_duty.cc
@@ -136,6 +136,12 @@
 }
 
 void OwnerDuty::Take(const RangeGained& message, Time now) {
+  // What links of an earlier ownership told before they ended still lies ahead
+  // in the ring; it must not be taken for the new owner's.
+  if (!message.deferred) {
+    m_wiring.owner.Post(RangeGained{message.range, message.epoch, true});
+    return;
+  }
   m_wiring.metrics.Count(Counter::kRangesGained);
   LogLine("range_gained")
       .With("range", message.range)
