--- a/include/buckthornmux/detail/home/journal.h
+++ b/include/buckthornmux/detail/home/journal.h
@@ -30,7 +30,7 @@
   Partition partition = 0;
   Epoch epoch = 0;
   std::uint64_t next = 1;   ///< Sequence of the next segment.
-  std::uint64_t first = 1;  ///< Oldest segment still kept.
+  std::uint64_t first = 1;  ///< Oldest segment that holds records.
 };
 
 /// A chain with all that it holds.
--- a/src/home/chain.cc
+++ b/src/home/chain.cc
@@ -218,8 +218,13 @@
       return checked.error();
     }
     Chain chain{partition, epoch};
-    chain.first = segments.empty() ? 1 : segments.front().sequence;
     chain.next = segments.empty() ? 1 : segments.back().sequence + 1;
+    // Marks of takeovers stay for a day and make no chain long.
+    const auto oldest =
+        std::ranges::find_if(segments, [](const Segment& segment) {
+          return segment.kind != SegmentKind::kTaken;
+        });
+    chain.first = oldest == segments.end() ? chain.next : oldest->sequence;
     const bool taken =
         std::ranges::any_of(segments, [&](const Segment& segment) {
           return segment.epoch == epoch && segment.kind == SegmentKind::kTaken;
