A write that was not answered is read back before it is tried again

Cause: in a run where the service lost every answer, apply and grant ended as store_unknown although both had taken effect: the tries after the first lost their answers too, and only a failed compare was read back. Now what the store holds tells after each unanswered write: one's own change, another's (conflict), or the old value (try again).

--- a/src/config/store_config.cc
+++ b/src/config/store_config.cc
@@ -104,7 +104,16 @@
     if (!perhaps_written) {
       return Fail(error.kind, error.message, error.where);
     }
-    // Trying again is safe: the compare lets one of the writes through at most.
+    // Without an answer, what the store holds tells. Where it holds neither,
+    // trying again is safe: the compare lets one of the writes through at most.
+    const auto held = Capture([&] { return FindOwnWrite(store, change); });
+    const auto* found = std::get_if<ReadBack>(&held);
+    if (found != nullptr && found->ours) {
+      return found->written;
+    }
+    if (found != nullptr && found->current.revision != expected) {
+      return ConfigConflict(found->current, expected);
+    }
   }
   return Unknown();
 }
--- a/tests/unit-config-store.cc
+++ b/tests/unit-config-store.cc
@@ -86,9 +86,10 @@
 
   void LostAnswerIsRecognisedAsOwnWrite() {
     ConfigStoreFake fake;
-    fake.faults = {PutFault::kLostAnswer};
+    fake.faults.assign(10, PutFault::kLostAnswer);  // Of every write.
     const auto outcome = Write(fake, Changed(Small(), "anna", "c1"), 0);
     CPPUNIT_ASSERT_EQUAL(fake.last, std::get<Revision>(outcome));
+    CPPUNIT_ASSERT_EQUAL(1, fake.puts);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Read(fake).audit.size());
   }
 
@@ -120,6 +121,7 @@
     ConfigStoreFake fake;
     fake.faults = {PutFault::kLostAnswer, PutFault::kUnavailable,
                    PutFault::kUnavailable};
+    fake.after_put = [&] { fake.gets_fail = true; };
     const auto away = Write(fake, Changed(Small(), "anna", "c1"), 0);
     CPPUNIT_ASSERT(std::get<Error>(away).kind == ErrorKind::kStoreUnknown);
     ConfigStoreFake unreadable;
