--- a/include/buckthornmux/detail/front/job_codec.h
+++ b/include/buckthornmux/detail/front/job_codec.h
@@ -12,9 +12,9 @@
 
 /// Bounds of a submitted job.
 inline constexpr std::size_t kMaxIdBytes = 128;
-inline constexpr std::size_t kMaxPayloadBytes = 256 * 1024;
+inline constexpr std::size_t kMaxPayloadBytes = 262'144;
 inline constexpr std::int64_t kMaxTasks = 4096;
-inline constexpr Millis kMaxDeadline{14 * 24 * 3'600'000LL};
+inline constexpr Millis kMaxDeadline{std::chrono::hours(14 * 24)};
 inline constexpr Millis kDefaultUrgentDeadline{10'000};
 
 /// @brief Parses and checks POST /v1/jobs.
--- a/src/front/job_codec.cc
+++ b/src/front/job_codec.cc
@@ -19,17 +19,17 @@
       : m_object(object), m_path(std::move(path)) {}
 
   /// Fails on a field that is not in the list.
-  [[nodiscard]] Result<void> OnlyKnown(
+  [[nodiscard]] Result<bool> OnlyKnown(
       std::span<const std::string_view> known) const {
     for (const auto& field : m_object) {
-      if (std::ranges::find(known, std::string_view(field.key())) ==
-          known.end()) {
+      const std::string_view key = field.key();
+      if (std::ranges::find(known, key) == known.end()) {
         return Fail(ErrorKind::kUnknownField,
                     "no such field: " + std::string(field.key()),
                     Path(field.key()));
       }
     }
-    return {};
+    return true;
   }
 
   [[nodiscard]] Result<std::string> Text(std::string_view name, std::size_t min,
@@ -124,7 +124,8 @@
     return job.Expected("demand", "an object");
   }
   const Fields fields(value->get_object(), "/demand");
-  BOOST_LEAF_CHECK(fields.OnlyKnown(kDemandFields));
+  BOOST_LEAF_AUTO(known, fields.OnlyKnown(kDemandFields));
+  static_cast<void>(known);
   Resources demand;
   BOOST_LEAF_ASSIGN(demand.slots,
                     fields.Number("slots", fallback.slots, 1, kMaxAmount));
@@ -195,7 +196,8 @@
                                   WallMillis now) {
   BOOST_LEAF_AUTO(object, ParseObject(text));
   const Fields fields(object, "");
-  BOOST_LEAF_CHECK(fields.OnlyKnown(kJobFields));
+  BOOST_LEAF_AUTO(known, fields.OnlyKnown(kJobFields));
+  static_cast<void>(known);
   home::JobRequest job;
   BOOST_LEAF_ASSIGN(job.id, fields.Text("id", 1, kMaxIdBytes));
   if (job.id.find('/') != std::string::npos) {
--- a/src/peer/peer_links.cc
+++ b/src/peer/peer_links.cc
@@ -145,7 +145,8 @@
         continue;
       }
       auto outcome = Capture([&] {
-        return DecodeHeartbeat(std::string_view(buffer).substr(0, size));
+        const std::string_view bytes = buffer;
+        return DecodeHeartbeat(bytes.substr(0, size));
       });
       if (auto* heartbeat = std::get_if<Heartbeat>(&outcome)) {
         self->events.heartbeat(std::move(*heartbeat));
--- a/src/runtime/member_duty.cc
+++ b/src/runtime/member_duty.cc
@@ -103,7 +103,7 @@
     m_wiring.metrics.Count(Counter::kStoreErrors);
     m_renew_at = now + kRetryPause;
     if (error->kind == ErrorKind::kNotFound) {
-      LogLine("lease_lapsed", LogLine::Level::kWarning);
+      LogLine("lease_lapsed", LogLine::Level::kWarning).With("host", m_self.id);
       m_lease = store::kNoLease;
     }
     return;
--- a/src/runtime/owner_duty.cc
+++ b/src/runtime/owner_duty.cc
@@ -326,7 +326,8 @@
 
 void OwnerDuty::Perform(home::Reply action) {
   if ((action.token & kPeerToken) == 0) {
-    m_wiring.answer_front(action.token, std::move(action));
+    const std::uint64_t call = action.token;
+    m_wiring.answer_front(call, std::move(action));
     return;
   }
   const auto found = m_peer_calls.find(action.token);
--- a/src/runtime/serve.cc
+++ b/src/runtime/serve.cc
@@ -170,7 +170,8 @@
     const Time end = std::min(m_wiring.Now() + span, until);
     while (!done() && m_wiring.Now() < end) {
       if (SignalCame(kSignalPoll)) {
-        LogLine("second_signal", LogLine::Level::kWarning);
+        LogLine("second_signal", LogLine::Level::kWarning)
+            .With("host", m_wiring.settings.host_id);
         return false;
       }
     }
