--- /dev/null
+++ b/src/home/timers.cc
@@ -0,0 +1,150 @@
+#include <algorithm>
+
+#include "steps.h"
+
+namespace buckthornmux::home {
+namespace {
+
+void SetTimer(Step& step, Time& current, Time wanted, Partition partition,
+              const std::string& key) {
+  if (wanted == current) {
+    return;
+  }
+  if (current != Time::max()) {
+    step.state.timers.erase({current, {partition, key}});
+  }
+  current = wanted;
+  if (wanted == Time::max()) {
+    return;
+  }
+  step.state.timers.insert({wanted, {partition, key}});
+}
+
+/// When a job must be looked at again though nothing else happens to it.
+Time NextLook(const Step& step, const Job& job) {
+  if (job.Ended()) {
+    return Time::max();
+  }
+  Time next = job.withdrawn ? Time::max() : job.deadline;
+  for (const Waiter& waiter : job.waiters) {
+    next = std::min(next, waiter.deadline);
+  }
+  for (const std::uint32_t index : job.waiting) {
+    const Time not_before = job.tasks[index].not_before;
+    const bool waits_for_event = not_before <= step.now;
+    next = waits_for_event ? next : std::min(next, not_before);
+  }
+  return std::min({next, job.recancel, job.overrun_at});
+}
+
+/// Late patient work may finish, but a target that never ends a task must not
+/// keep its job open for good.
+void AllowOverrun(const Step& step, Job& job) {
+  const HomeOptions& options = step.state.options;
+  const double runs_ms = options.overrun_runs *
+                         static_cast<double>(job.request.expected_run.count());
+  const Millis most{static_cast<std::int64_t>(runs_ms)};
+  job.overrun_at = step.now + std::max(options.overrun_least, most);
+}
+
+bool StopsStarted(const Job& job) {
+  return job.cancelled || job.overrun || !job.Durable();
+}
+
+void KeepAcceptance(Step& step, PartitionState& partition, Job& job) {
+  if (job.accepted_at != 0 && job.accepted_at <= partition.durable) {
+    job.accepted_at = 0;
+    job.kept = true;
+    AnswerWaiters(step, job, Waiter::For::kAcceptance, true);
+  }
+}
+
+void Seal(Step& step, PartitionState& partition, Job& job) {
+  if (job.Ended() && !job.sealed && job.last_append <= partition.durable) {
+    job.sealed = true;
+    AnswerAllWaiters(step, job);
+  }
+}
+
+}  // namespace
+
+void SetJobTimer(Step& step, PartitionState& partition, Job& job) {
+  SetTimer(step, job.wake, NextLook(step, job), partition.home.partition,
+           KeyOf(job));
+}
+
+void DropJobTimer(Step& step, PartitionState& partition, Job& job) {
+  SetTimer(step, job.wake, Time::max(), partition.home.partition, KeyOf(job));
+}
+
+void SetPartitionTimer(Step& step, PartitionState& partition) {
+  Time next = Time::max();
+  for (const auto& [shard, inquiry] : partition.inquiries) {
+    next = std::min(next, inquiry.again);
+  }
+  if (!partition.expiries.empty()) {
+    next = std::min(next, partition.expiries.begin()->first);
+  }
+  SetTimer(step, partition.wake, next, partition.home.partition, {});
+}
+
+void DriveJob(Step& step, PartitionState& partition, Job& job) {
+  KeepAcceptance(step, partition, job);
+  if (job.cancelled_at <= partition.durable) {
+    job.cancel_kept = job.cancelled;
+    AnswerWaiters(step, job, Waiter::For::kCancel, false);
+  }
+  if (!job.Ended()) {
+    if (!job.withdrawn && job.deadline <= step.now) {
+      job.withdrawn = true;
+      if (job.Durable()) {
+        AllowOverrun(step, job);
+      }
+      TakeBack(step, partition, job, !job.Durable(),
+               job.held ? ErrorKind::kNotReady : ErrorKind::kDeadlinePassed);
+    } else if (job.overrun_at <= step.now) {
+      job.overrun_at = Time::max();
+      job.overrun = true;
+      Note(step, job, "stopped long after its deadline");
+      TakeBack(step, partition, job, true, ErrorKind::kDeadlinePassed);
+    } else if (job.recancel <= step.now) {
+      job.recancel = Time::max();
+      TakeBack(step, partition, job, StopsStarted(job), ErrorKind::kCancelled);
+    }
+    SendIntended(step, partition, job);
+    bool again = true;
+    while (again) {  // Each try uses up a retry or a shard.
+      StartWaiting(step, partition, job);
+      again = FinishIfEnded(step, partition, job);
+    }
+  }
+  Seal(step, partition, job);
+  AnswerLateWaiters(step, job);
+  SetJobTimer(step, partition, job);
+}
+
+void OnTick(Step& step) {
+  HomeState& state = step.state;
+  if (state.woken <= step.now) {
+    state.woken = Time::max();
+  }
+  while (!state.timers.empty() && state.timers.begin()->first <= step.now) {
+    const auto [partition_number, key] = state.timers.begin()->second;
+    state.timers.erase(state.timers.begin());
+    PartitionState* partition = FindPartition(state, partition_number);
+    if (partition == nullptr) {
+      continue;
+    }
+    if (key.empty()) {
+      partition->wake = Time::max();
+      AskDue(step, *partition);
+      DropExpired(step, *partition);
+      SetPartitionTimer(step, *partition);
+    } else if (Job* job = FindJobByKey(*partition, key)) {
+      job->wake = Time::max();
+      DriveJob(step, *partition, *job);
+    }
+  }
+}
+
+}  // namespace buckthornmux::home
