Home: a submit no longer looks at every adopted try

Cause: forgetting old adopted tries looked at all of them with each submit, which is linear in what the shards remember after a takeover.

Ruled out: an ordered index by age; one look in 30 s (audit_every) is enough.

Before: one pass over all adopted tries for each submit. After: one in 30 s at most.

Conclusion: submits stay logarithmic in what is kept.

--- a/include/buckthornmux/detail/home/state.h
+++ b/include/buckthornmux/detail/home/state.h
@@ -175,7 +175,8 @@
   /// Jobs to look at when a journal sequence is durable.
   std::deque<std::pair<std::uint64_t, std::string>> on_durable;
   std::map<ShardId, Inquiry> inquiries;
-  std::map<std::string, AdoptedTask> adopted;         ///< By TaskSpec::Id().
+  std::map<std::string, AdoptedTask> adopted;  ///< By TaskSpec::Id().
+  Time adopted_until;  ///< Before that, none of them is looked at to forget.
   std::map<ShardId, std::set<std::string>> at_shard;  ///< Open jobs by shard
                                                       ///< that holds a try.
   std::set<std::string> held;  ///< Jobs that wait for takeover answers.
--- a/src/home/retention.cc
+++ b/src/home/retention.cc
@@ -55,6 +55,10 @@
     partition.repeatable.pop_front();
     Drop(step, partition, key, ended);
   }
+  if (step.now < partition.adopted_until) {
+    return;  // All of them are looked at, so not at each submit.
+  }
+  partition.adopted_until = step.now + options.audit_every;
   std::erase_if(partition.adopted, [&](const auto& item) {
     return item.second.state == TaskState::kEnded &&
            step.now - item.second.seen >= options.result_retention;
