Operators' calls on a duty of their own; standing allowance of two slots

Ruled out: a larger standing allowance; 94 teams x 24 shards x 2 slots is what limits of 48 slots and more can hold without starving anyone.

--- a/include/buckthornmux/detail/runtime/config_duty.h
+++ b/include/buckthornmux/detail/runtime/config_duty.h
@@ -1,4 +1,4 @@
-/// The config duty: the revision in force, its spread, operators' calls.
+/// The config duty: the revision in force and its spread.
 #pragma once
 
 #include <map>
@@ -23,7 +23,6 @@
   void Take(const StateRead& message, Time now);
   void Take(const BeatReceived& message, Time now);
   void Take(const PeerMessage& message, Time now);
-  void Take(const OperatorCall& message, Time now);
   void Take(const RoutesChanged& message, Time now);
 
   void Consider(Revision revision, const std::string& text, Time now);
@@ -35,4 +34,11 @@
   TrustInputs m_trust;
 };
 
+/// @brief Step of the operators duty: carries out calls that wait for the
+/// store,
+///   apart from the config duty, whose word keys are trusted on.
+/// @return Time::max(): called when there are calls
+Time AnswerOperators(const Wiring& wiring,
+                     const std::vector<OperatorCall>& calls);
+
 }  // namespace buckthornmux::runtime
--- a/include/buckthornmux/detail/runtime/wiring.h
+++ b/include/buckthornmux/detail/runtime/wiring.h
@@ -182,7 +182,8 @@
 using MemberMessage =
     std::variant<StateRead, RangeLetGo, LeaveRequested, ConfigChanged>;
 
-// ---- To the config duty ---------------------------------------------------
+// ---- To the operators and config duties
+// ---------------------------------------------------
 
 /// A call of an operator that reads or writes the store.
 struct OperatorCall {
@@ -190,8 +191,8 @@
   net::Responder respond;
 };
 
-using ConfigMessage = std::variant<StateRead, BeatReceived, PeerMessage,
-                                   OperatorCall, RoutesChanged>;
+using ConfigMessage =
+    std::variant<StateRead, BeatReceived, PeerMessage, RoutesChanged>;
 
 /// What the config duty publishes for the front.
 struct ConfigView {
@@ -223,6 +224,7 @@
   Duty<LedgerMessage> ledger;
   Duty<MemberMessage> member;
   Duty<ConfigMessage> config;
+  Duty<OperatorCall> operators;
 
   Snapshot<Routes> routes;
   Snapshot<ConfigView> config_view;
--- a/src/front/front.cc
+++ b/src/front/front.cc
@@ -261,7 +261,7 @@
     } else if (target.path == "/v1/drain" && request.method == "POST") {
       respond({.status = 202, .body = R"({"draining":true})"});
       drain();
-    } else if (!wiring.config.PostEdge(
+    } else if (!wiring.operators.PostEdge(
                    runtime::OperatorCall{std::move(request), respond})) {
       respond(ErrorResponse(ErrorKind::kQueueFull));
     }
--- a/src/runtime/config_duty.cc
+++ b/src/runtime/config_duty.cc
@@ -63,12 +63,6 @@
   }
 }
 
-void ConfigDuty::Take(const OperatorCall& message, Time now) {
-  message.respond(front::AnswerOperator(m_wiring.store, message.request,
-                                        m_wiring.anchor.ToWall(now)));
-  Publish(now);
-}
-
 void ConfigDuty::Take(const RoutesChanged& message, Time /*now*/) {
   std::erase_if(m_trust.peers, [&](const auto& peer) {
     return !message.routes->members.contains(peer.first);
@@ -111,4 +105,13 @@
   m_wiring.config_view.Store(std::move(view));
 }
 
+Time AnswerOperators(const Wiring& wiring,
+                     const std::vector<OperatorCall>& calls) {
+  for (const OperatorCall& call : calls) {
+    const WallMillis now = wiring.anchor.ToWall(wiring.Now());
+    call.respond(front::AnswerOperator(wiring.store, call.request, now));
+  }
+  return Time::max();
+}
+
 }  // namespace buckthornmux::runtime
--- a/src/runtime/owner_grants.cc
+++ b/src/runtime/owner_grants.cc
@@ -8,6 +8,15 @@
 
 namespace buckthornmux::runtime {
 
+namespace {
+
+/// Slots that a shard keeps for every team, as far as the team's limit allows:
+/// first work of a team need not wait for the store, nor be refused while the
+/// store is away.
+constexpr std::int64_t kStandingSlots = 2;
+
+}  // namespace
+
 limits::GrantRequest OwnerDuty::GrantRequestOf(const OwnedShard& shard,
                                                const GrantRead& read) const {
   limits::GrantRequest request;
@@ -23,7 +32,7 @@
   if (known != shard.state.teams.end()) {
     request.in_use = known->second.used.slots;
   }
-  request.wanted = std::max(request.wanted, request.in_use);
+  request.wanted = std::max({request.wanted, request.in_use, kStandingSlots});
   return request;
 }
 
--- a/src/runtime/serve.cc
+++ b/src/runtime/serve.cc
@@ -111,6 +111,7 @@
     m_grants_watch_duty.Stop();
     m_host_list_duty.Stop();
     m_heartbeat_duty.Stop();
+    m_wiring.operators.Stop();
     m_wiring.config.Stop();
     m_wiring.member.Stop();
     m_wiring.ledger.Stop();
@@ -244,6 +245,11 @@
     RunDuty(m_wiring.journal, std::make_shared<JournalDuty>(m_wiring));
     RunDuty(m_wiring.ledger, std::make_shared<LedgerDuty>(m_wiring));
     RunDuty(m_wiring.config, std::make_shared<ConfigDuty>(m_wiring));
+    m_wiring.operators.Run(
+        m_wiring.actors,
+        [this](const std::vector<OperatorCall>& calls, Time /*now*/) {
+          return AnswerOperators(m_wiring, calls);
+        });
     m_member = std::make_shared<MemberDuty>(m_wiring);
     RunDuty(m_wiring.member, m_member);
     RunWatch(m_watch_duty, store::kStatePrefix, [this](const StateRead& read) {
