--- a/include/buckthornmux/detail/member/ownership.h
+++ b/include/buckthornmux/detail/member/ownership.h
@@ -192,6 +192,22 @@
 ///   unfenced target is sent must carry a `start_by` no later than this.
 [[nodiscard]] Time LeaseEnds(const OwnershipState& state);
 
+/// @brief Highest epoch of a range in a view that was read since another range
+///   was gained.
+///
+/// A new shard owner takes work of a partition only from this epoch on: what
+/// its predecessor had heard of homes is lost with it, and an older home's work
+/// could come after the newer one was told that nothing is known.
+/// @param state as it stands
+/// @param range for instance "partition/7"
+/// @param gained an owned range, for instance "shard/3"
+/// @return 0 where the range never had an owner; nothing while `gained` is not
+///   owned or no view has been read since it was
+/// @see spec/at_most_once.pml, NO_GUARD_VIEW
+[[nodiscard]] std::optional<Epoch> EpochSince(const OwnershipState& state,
+                                              std::string_view range,
+                                              std::string_view gained);
+
 /// @brief Whether nothing is owned nor waits to be released any more.
 [[nodiscard]] bool OwnsNothing(const OwnershipState& state);
 
--- a/src/member/ownership.cc
+++ b/src/member/ownership.cc
@@ -333,6 +333,19 @@
 
 Time LeaseEnds(const OwnershipState& state) { return state.lease_until; }
 
+std::optional<Epoch> EpochSince(const OwnershipState& state,
+                                std::string_view range,
+                                std::string_view gained) {
+  const auto owned = state.ranges.find(gained);
+  if (owned == state.ranges.end() ||
+      owned->second.standing != Standing::kOwned || !state.read_at ||
+      *state.read_at < owned->second.known_at) {
+    return std::nullopt;
+  }
+  const auto found = state.ranges.find(range);
+  return found == state.ranges.end() ? 0 : found->second.highest;
+}
+
 bool OwnsNothing(const OwnershipState& state) {
   return std::ranges::all_of(state.ranges, [](const auto& entry) {
     return entry.second.standing == Standing::kNone && !entry.second.claim;
--- a/tests/unit-ownership.cc
+++ b/tests/unit-ownership.cc
@@ -75,6 +75,7 @@
   CPPUNIT_TEST(LeaverReleasesAll);
   CPPUNIT_TEST(RangeMovesToNewcomer);
   CPPUNIT_TEST(LostRecordKeepsEpochsRising);
+  CPPUNIT_TEST(HomesAreKnownFromALaterView);
   CPPUNIT_TEST(WantedOwnersAreLocalAndBalanced);
   CPPUNIT_TEST(RecordsRoundTrip);
   CPPUNIT_TEST_SUITE_END();
@@ -222,6 +223,18 @@
     CPPUNIT_ASSERT_EQUAL(Revision{0}, claims[0].record.revision);
   }
 
+  void HomesAreKnownFromALaterView() {
+    auto state = MakeOwner();
+    CPPUNIT_ASSERT(!EpochSince(state, "partition/7", "shard/1"));
+    const Time now = kStart + Millis(600);
+    const OwnerRecord ours{"shard/1", "a", "a-1", 1, 10};
+    const OwnerRecord home{"partition/7", "b", "b-1", 4, 11};
+    (void)Apply(state, View(now, {ours, home}), now);
+    CPPUNIT_ASSERT_EQUAL(Epoch{4},
+                         EpochSince(state, "partition/7", "shard/1").value());
+    CPPUNIT_ASSERT(!EpochSince(state, "partition/7", "shard/2"));
+  }
+
   void WantedOwnersAreLocalAndBalanced() {
     std::vector<Member> members;
     for (const char* id : {"a", "b", "c", "d", "e", "f", "g"}) {
