--- a/src/target/target_links.cc
+++ b/src/target/target_links.cc
@@ -14,6 +14,7 @@
 
 #include "buckthornmux/detail/target/link_state.h"
 #include "buckthornmux/detail/target/target_codec.h"
+#include "start_answer.h"
 
 namespace buckthornmux::target {
 namespace {
@@ -28,12 +29,6 @@
 constexpr Millis kLongestPause{1000};
 constexpr Millis kSendAgainPause{500};  ///< Between tries at a stop.
 constexpr int kOk = 200;
-constexpr int kBadRequest = 400;
-constexpr int kNotFound = 404;
-constexpr int kConflict = 409;
-constexpr int kTooLarge = 413;
-constexpr int kTooManyRequests = 429;
-constexpr int kUnavailable = 503;
 
 /// Whether a shard is still served; set to false from any thread.
 using Alive = std::shared_ptr<std::atomic<bool>>;
@@ -49,36 +44,6 @@
   return ClockAnchor{SteadyNow(), wall.count()}.ToWall(time);
 }
 
-/// Reads what a target's answer, or its absence, says about a start.
-sched::StartAnswered ReadStartAnswer(const Outcome<HttpResponse>& outcome) {
-  sched::StartAnswered answer;
-  if (const auto* error = std::get_if<Error>(&outcome)) {
-    answer.may_run = error->kind != ErrorKind::kPeerUnreachable;
-    answer.error = ErrorKind::kTargetUnreachable;
-    return answer;
-  }
-  const auto& response = std::get<HttpResponse>(outcome);
-  switch (response.status) {
-    case kOk:
-      answer.accepted = true;
-      break;
-    case kConflict:
-      answer.error = ParseRefusal(response.body) == Refusal::kStaleEpoch
-                         ? ErrorKind::kOwnerStale
-                         : ErrorKind::kTargetRefused;
-      break;
-    case kBadRequest:
-    case kNotFound:
-    case kTooLarge:
-    case kTooManyRequests:
-    case kUnavailable:
-      break;
-    default:
-      answer.may_run = true;
-  }
-  return answer;
-}
-
 /// Link to one target; used on the strand only, but for `alive`.
 struct Link {
   Link(asio::any_io_executor executor, const ShardId& shard_id,
