--- a/include/buckthornmux/detail/peer/messages.h
+++ b/include/buckthornmux/detail/peer/messages.h
@@ -77,6 +77,13 @@
   std::int64_t queued = 0;
 };
 
+/// The last heartbeat that the sender has received of a host.
+struct Echo {
+  HostId host;
+  std::string incarnation;
+  std::uint64_t sequence = 0;
+};
+
 /// Sent by UDP to every registered member, several times a second.
 struct Heartbeat {
   HostId host;
@@ -88,6 +95,7 @@
   bool store_reachable = false;  ///< Its last store call was answered.
   bool leaving = false;
   std::vector<ShardBeat> shards;  ///< Owned by the sender.
+  std::vector<Echo> echoes;       ///< One for each host heard of.
 };
 
 /// @brief Binary form, by cereal's portable archive.
--- a/include/buckthornmux/detail/runtime/config_trust.h
+++ b/include/buckthornmux/detail/runtime/config_trust.h
@@ -11,7 +11,7 @@
 
 /// What a peer's last heartbeat said of its configuration.
 struct PeerConfig {
-  Time received_at;
+  Time received_at;  ///< Surely sent after this time; see beat_clock.h.
   Revision revision = 0;
   Millis age{0};  ///< As in peer::Heartbeat::config_age.
   bool store_reachable = false;
--- a/include/buckthornmux/detail/runtime/member_duty.h
+++ b/include/buckthornmux/detail/runtime/member_duty.h
@@ -28,6 +28,7 @@
   void Take(const ConfigChanged& message, Time now);
 
   void KeepLease(Time now);
+  void TellLease();
   void Register(Time now);
   void WriteMember(store::LeaseId lease);
   void Decide(const member::Event& event, Time now);
--- a/include/buckthornmux/detail/runtime/owner_duty.h
+++ b/include/buckthornmux/detail/runtime/owner_duty.h
@@ -32,6 +32,8 @@
   struct OwnedShard {
     sched::ShardState state;
     Epoch epoch = 0;
+    Time gained_at;
+    bool fenced = false;  ///< Epochs of homes are known as of the gain.
     std::int64_t starts_open = 0;  ///< Sent and not answered.
     bool releasing = false;
     Time release_by;
@@ -99,9 +101,9 @@
   [[nodiscard]] limits::GrantRequest GrantRequestOf(
       const OwnedShard& shard, const GrantRead& read) const;
   void GainFreshPartitions(Time now);
-  void GainShard(const ShardId& id, Epoch epoch, Time now);
+  void GainShard(const ShardId& id, const RangeGained& gained, Time now);
   void DropShard(const ShardId& id);
-  void FenceOldHomes(const ShardId& id, Time now);
+  void FenceGainedShards(Time now);
   void LinkTargets(const ShardId& id);
   void TellHosts(const ShardId& id, Time now);
   void FinishReleases(Time now);
--- a/include/buckthornmux/detail/runtime/wiring.h
+++ b/include/buckthornmux/detail/runtime/wiring.h
@@ -23,6 +23,7 @@
 #include "buckthornmux/detail/net/http_types.h"
 #include "buckthornmux/detail/peer/messages.h"
 #include "buckthornmux/detail/peer/peer_links.h"
+#include "buckthornmux/detail/runtime/beat_clock.h"
 #include "buckthornmux/detail/runtime/duty_thread.h"
 #include "buckthornmux/detail/runtime/metrics.h"
 #include "buckthornmux/detail/runtime/routes.h"
@@ -71,6 +72,7 @@
 struct RangeGained {
   std::string range;
   Epoch epoch = 0;
+  Time at;                ///< The claim stood by then.
   bool deferred = false;  ///< Went once more through the ring.
 };
 struct RangeLost {
@@ -233,6 +235,7 @@
   std::atomic<bool> leaving = false;
   std::atomic<bool> owns_nothing = true;
   Metrics metrics;
+  BeatClock beats;
 
   [[nodiscard]] Time Now() const { return actors.Now(); }
 };
--- a/src/runtime/config_duty.cc
+++ b/src/runtime/config_duty.cc
@@ -40,17 +40,28 @@
   }
 }
 
-void ConfigDuty::Take(const BeatReceived& message, Time now) {
+void ConfigDuty::Take(const BeatReceived& message, Time /*now*/) {
   const peer::Heartbeat& heartbeat = message.heartbeat;
-  PeerConfig& peer = m_trust.peers[heartbeat.host];
-  peer.received_at = now;
-  peer.revision = heartbeat.config;
-  peer.age = heartbeat.config_age;
-  peer.store_reachable = heartbeat.store_reachable;
+  m_wiring.beats.Heard(heartbeat);
   if (heartbeat.config > m_config->revision) {
     m_wiring.peers->Send(heartbeat.host,
                          peer::ConfigWanted{m_config->revision});
   }
+  const auto echo = std::ranges::find(
+      heartbeat.echoes, m_wiring.settings.host_id, &peer::Echo::host);
+  if (echo == heartbeat.echoes.end() ||
+      echo->incarnation != m_wiring.incarnation) {
+    return;  // It can't be dated.
+  }
+  const auto sent_at = m_wiring.beats.SentAt(echo->sequence);
+  if (!sent_at) {
+    return;
+  }
+  PeerConfig& peer = m_trust.peers[heartbeat.host];
+  peer.received_at = *sent_at;
+  peer.revision = heartbeat.config;
+  peer.age = heartbeat.config_age;
+  peer.store_reachable = heartbeat.store_reachable;
 }
 
 void ConfigDuty::Take(const PeerMessage& message, Time now) {
--- a/src/runtime/heartbeat_duty.cc
+++ b/src/runtime/heartbeat_duty.cc
@@ -15,6 +15,8 @@
   heartbeat.store_reachable = wiring.store_reachable;
   heartbeat.leaving = wiring.leaving;
   heartbeat.shards = wiring.owned_view.Load()->shards;
+  heartbeat.echoes = wiring.beats.Echoes();
+  wiring.beats.Sent(sequence, now);
   wiring.peers->SendHeartbeat(heartbeat);
 }
 
--- a/src/runtime/journal_duty.cc
+++ b/src/runtime/journal_duty.cc
@@ -169,9 +169,14 @@
         .With("partition", std::uint64_t{id})
         .With("error", AnswerFor(error->kind).name)
         .With("message", error->message);
-    partition.fenced = error->kind == ErrorKind::kOwnerStale;
     partition.next_try = now + kRetryPause;
-    SetDown(id, partition, true);
+    if (error->kind == ErrorKind::kOwnerStale) {
+      // A successor has the journal: this home must not answer any more.
+      partition.fenced = true;
+      m_wiring.owner.Post(HomeEvent{home::PartitionLost{id}});
+    } else {
+      SetDown(id, partition, true);
+    }
     return;
   }
   Acknowledge(id, partition, std::get<std::size_t>(outcome));
--- a/src/runtime/member_duty.cc
+++ b/src/runtime/member_duty.cc
@@ -89,6 +89,7 @@
       .With("host", m_self.id)
       .With("incarnation", m_self.incarnation);
   Decide(member::Registered{m_self.incarnation, now}, m_wiring.Now());
+  TellLease();
   m_renew_at = now + m_wiring.settings.member_lease / kRenewalsPerLease;
 }
 
@@ -109,9 +110,15 @@
     return;
   }
   Decide(member::LeaseRenewed{now}, m_wiring.Now());
+  TellLease();
   m_renew_at = now + m_wiring.settings.member_lease / kRenewalsPerLease;
 }
 
+void MemberDuty::TellLease() {
+  m_wiring.owner.Post(
+      HomeEvent{home::LeaseUntil{member::LeaseEnds(m_ownership)}});
+}
+
 void MemberDuty::Deregister() {
   if (m_lease != store::kNoLease) {
     const auto ignored =
@@ -215,7 +222,8 @@
       Write(claim->record, now);
     } else if (const auto* gained = std::get_if<member::Gained>(&action)) {
       m_gained = true;
-      m_wiring.owner.Post(RangeGained{gained->range, gained->epoch});
+      m_wiring.owner.Post(
+          RangeGained{gained->range, gained->epoch, m_wiring.Now()});
     } else if (const auto* lost = std::get_if<member::Lost>(&action)) {
       m_wiring.owner.Post(RangeLost{lost->range});
     } else if (const auto* release = std::get_if<member::Release>(&action)) {
--- a/src/runtime/owner_duty.cc
+++ b/src/runtime/owner_duty.cc
@@ -139,7 +139,8 @@
   // What links of an earlier ownership told before they ended still lies ahead
   // in the ring; it must not be taken for the new owner's.
   if (!message.deferred) {
-    m_wiring.owner.Post(RangeGained{message.range, message.epoch, true});
+    m_wiring.owner.Post(
+        RangeGained{message.range, message.epoch, message.at, true});
     return;
   }
   m_wiring.metrics.Count(Counter::kRangesGained);
@@ -148,10 +149,10 @@
       .With("epoch", message.epoch);
   const RangeName name = ParseRange(message.range);
   if (name.is_partition) {
-    m_claimed_at[name.partition] = now;
+    m_claimed_at[name.partition] = message.at;
     m_wiring.journal.Post(TakePartition{name.partition, message.epoch});
   } else {
-    GainShard(name.shard, message.epoch, now);
+    GainShard(name.shard, message, now);
   }
 }
 
@@ -200,6 +201,7 @@
 void OwnerDuty::Take(const RoutesChanged& message, Time now) {
   m_routes = message.routes;
   m_routes_read_at = std::max(m_routes_read_at, message.read_at);
+  FenceGainedShards(now);
   RefreshShardViews(now);
   GainFreshPartitions(now);
 }
@@ -283,7 +285,7 @@
 void OwnerDuty::TakePeer(const HostId& from, home::ToShard message) {
   const auto found = m_shards.find(message.shard);
   const bool taken =
-      found != m_shards.end() &&
+      found != m_shards.end() && found->second.fenced &&
       (message.epoch == 0 || message.epoch == found->second.epoch);
   if (!taken) {
     m_wiring.peers->Send(from, peer::NotTaken{std::move(message)});
@@ -349,7 +351,7 @@
 
 void OwnerDuty::Perform(home::ToShard action) {
   const auto own = m_shards.find(action.shard);
-  if (own != m_shards.end() &&
+  if (own != m_shards.end() && own->second.fenced &&
       (action.epoch == 0 || action.epoch == own->second.epoch)) {
     std::visit(
         [&](auto& one) {
@@ -359,8 +361,8 @@
     return;
   }
   const auto* owner = m_routes->OwnerOf(ShardRange(action.shard));
-  const bool known =
-      owner != nullptr && (action.epoch == 0 || action.epoch == owner->epoch);
+  const bool known = own == m_shards.end() && owner != nullptr &&
+                     (action.epoch == 0 || action.epoch == owner->epoch);
   if (known && m_wiring.peers->Send(owner->owner, action)) {
     return;
   }
--- a/src/runtime/owner_shards.cc
+++ b/src/runtime/owner_shards.cc
@@ -46,27 +46,42 @@
   }
 }
 
-void OwnerDuty::GainShard(const ShardId& id, Epoch epoch, Time now) {
+void OwnerDuty::GainShard(const ShardId& id, const RangeGained& gained,
+                          Time now) {
+  const Epoch epoch = gained.epoch;
   auto [entry, fresh] = m_shards.insert_or_assign(
       id, OwnedShard{sched::MakeShard(id, PolicyOf(m_wiring.settings),
                                       m_wiring.anchor),
                      epoch});
+  entry->second.gained_at = gained.at;
   m_wiring.ledger.Post(LedgerShardGained{id});
   ApplyShard(id, sched::ConfigInForce{m_config.get()}, now);
   ApplyShard(id, sched::OwnershipChanged{epoch, MayStart(entry->second)}, now);
-  FenceOldHomes(id, now);
+  FenceGainedShards(now);
   TellHosts(id, now);
   LinkTargets(id);
   RefreshShardViews(now);
 }
 
-/// A new owner must not take work from a home that was replaced before it came.
-/// Every home is also told what runs here, when the targets have reported.
-void OwnerDuty::FenceOldHomes(const ShardId& id, Time now) {
-  for (const auto& [range, record] : m_routes->owners) {
-    const RangeName name = ParseRange(range);
-    if (name.is_partition && record.epoch > 0) {
-      ApplyShard(id, sched::Inquire{{name.partition, record.epoch}}, now);
+/// What the former owner had heard of homes is lost with it. Until the homes'
+/// epochs are known from a read of the store that began after this shard was
+/// claimed, nothing is taken from any home: an older home's work could come
+/// after the newer one was told that nothing is known (spec/at_most_once.pml,
+/// NO_GUARD_VIEW). Every home is also told what runs here.
+void OwnerDuty::FenceGainedShards(Time now) {
+  std::vector<ShardId> ready;
+  for (const auto& [id, shard] : m_shards) {
+    if (!shard.fenced && m_routes_read_at >= shard.gained_at) {
+      ready.push_back(id);
+    }
+  }
+  for (const ShardId& id : ready) {
+    m_shards.at(id).fenced = true;
+    for (const auto& [range, record] : m_routes->owners) {
+      const RangeName name = ParseRange(range);
+      if (name.is_partition && record.epoch > 0) {
+        ApplyShard(id, sched::Inquire{{name.partition, record.epoch}}, now);
+      }
     }
   }
 }
