--- a/tests/bench/bench-home.cc
+++ b/bench/bench-home.cc
@@ -3,8 +3,8 @@
 #include <chrono>
 #include <iostream>
 
-#include "../home_driver.h"
-#include "../mock_store.h"
+#include "home_driver.h"
+#include "mock_store.h"
 #include "buckthornmux/detail/home/journal.h"
 
 namespace buckthornmux::home {
--- a/src/front/fleet.cc
+++ b/src/front/fleet.cc
@@ -1,6 +1,9 @@
 #include "fleet.h"
 
 #include <boost/json.hpp>
+#include <memory>
+#include <mutex>
+#include <utility>
 
 namespace buckthornmux::front {
 namespace {
@@ -32,6 +35,13 @@
   return std::move(value.get_object());
 }
 
+/// Answers of members, gathered on the client's I/O thread.
+struct Gathering {
+  std::mutex mutex;
+  std::size_t open = 0;
+  LocalStatuses locals;
+};
+
 }  // namespace
 
 std::string FleetJson(const config::Config& config,
@@ -89,4 +99,35 @@
   return json::serialize(fleet);
 }
 
+void AnswerFleet(const runtime::Wiring& wiring, net::HttpClient& client,
+                 const std::string& authorization, net::Responder respond) {
+  const auto routes = wiring.routes.Load();
+  const auto view = wiring.config_view.Load();
+  if (routes->members.empty()) {
+    respond({.body = FleetJson(*view->config, *routes, {})});
+    return;
+  }
+  auto gathering = std::make_shared<Gathering>();
+  gathering->open = routes->members.size();
+  for (const auto& [id, member] : routes->members) {
+    net::HttpRequest request;
+    request.target = "/v1/local";
+    request.authorization = authorization;
+    client.Call(member.http_address, std::move(request),
+                wiring.settings.peer_call_timeout,
+                [gathering, respond, routes, view,
+                 host = id](const Outcome<net::HttpResponse>& outcome) {
+                  const std::scoped_lock lock(gathering->mutex);
+                  const auto* answer = std::get_if<net::HttpResponse>(&outcome);
+                  if (answer != nullptr && answer->status == 200) {
+                    gathering->locals.emplace(host, answer->body);
+                  }
+                  if (--gathering->open == 0) {
+                    respond({.body = FleetJson(*view->config, *routes,
+                                               gathering->locals)});
+                  }
+                });
+  }
+}
+
 }  // namespace buckthornmux::front
--- a/src/front/fleet.h
+++ b/src/front/fleet.h
@@ -1,12 +1,13 @@
 /// /v1/fleet: the parts of all members, put together.
 #pragma once
 
-#include <functional>
 #include <map>
 #include <string>
 
 #include "buckthornmux/detail/config/config.h"
+#include "buckthornmux/detail/net/http_client.h"
 #include "buckthornmux/detail/runtime/routes.h"
+#include "buckthornmux/detail/runtime/wiring.h"
 
 namespace buckthornmux::front {
 
@@ -22,4 +23,12 @@
                                     const runtime::Routes& routes,
                                     const LocalStatuses& locals);
 
+/// @brief Asks every member for its part, then answers.
+/// @param wiring routes, configuration and time-out
+/// @param client calls the members
+/// @param authorization operators' key, passed on
+/// @param respond called once, when all have answered or timed out
+void AnswerFleet(const runtime::Wiring& wiring, net::HttpClient& client,
+                 const std::string& authorization, net::Responder respond);
+
 }  // namespace buckthornmux::front
--- a/src/front/front.cc
+++ b/src/front/front.cc
@@ -257,7 +257,7 @@
     if (target.path == "/v1/local") {
       Local(std::move(respond));
     } else if (target.path == "/v1/fleet") {
-      Fleet(request.authorization, std::move(respond));
+      AnswerFleet(wiring, client, request.authorization, std::move(respond));
     } else if (target.path == "/v1/drain" && request.method == "POST") {
       respond({.status = 202, .body = R"({"draining":true})"});
       drain();
@@ -277,44 +277,6 @@
     }
   }
 
-  /// Answers of members, gathered on the client's I/O thread.
-  struct Gathering {
-    std::mutex mutex;
-    std::size_t open = 0;
-    LocalStatuses locals;
-  };
-
-  void Fleet(const std::string& authorization, net::Responder respond) {
-    const auto routes = wiring.routes.Load();
-    const auto view = wiring.config_view.Load();
-    if (routes->members.empty()) {
-      respond({.body = FleetJson(*view->config, *routes, {})});
-      return;
-    }
-    auto gathering = std::make_shared<Gathering>();
-    gathering->open = routes->members.size();
-    for (const auto& [id, member] : routes->members) {
-      net::HttpRequest request;
-      request.target = "/v1/local";
-      request.authorization = authorization;
-      client.Call(member.http_address, std::move(request),
-                  wiring.settings.peer_call_timeout,
-                  [gathering, respond, routes, view,
-                   host = id](const Outcome<net::HttpResponse>& outcome) {
-                    const std::scoped_lock lock(gathering->mutex);
-                    const auto* answer =
-                        std::get_if<net::HttpResponse>(&outcome);
-                    if (answer != nullptr && answer->status == 200) {
-                      gathering->locals.emplace(host, answer->body);
-                    }
-                    if (--gathering->open == 0) {
-                      respond({.body = FleetJson(*view->config, *routes,
-                                                 gathering->locals)});
-                    }
-                  });
-    }
-  }
-
   // ---- Calls ----------------------------------------------------------------
 
   void AdvanceNow() {
--- a/src/front/job_codec.cc
+++ b/src/front/job_codec.cc
@@ -5,6 +5,8 @@
 #include <boost/json.hpp>
 #include <utility>
 
+#include "buckthornmux/detail/config/codec.h"
+
 namespace buckthornmux::front {
 namespace {
 
@@ -103,18 +105,6 @@
 constexpr auto kDemandFields = std::to_array<std::string_view>(
     {"slots", "cpu_milli", "memory_mb", "accelerators"});
 
-std::string_view ClassText(WorkClass work_class) {
-  switch (work_class) {
-    case WorkClass::kUrgent:
-      return "urgent";
-    case WorkClass::kPatient:
-      return "patient";
-    case WorkClass::kService:
-      return "service";
-  }
-  return "urgent";
-}
-
 Result<Resources> ParseDemand(const Fields& job, const Resources& fallback) {
   const json::value* value = job.Find("demand");
   if (value == nullptr) {
@@ -213,9 +203,11 @@
   job.open_to_all = kind->open_to_all;
   job.labels = kind->labels;
   BOOST_LEAF_AUTO(class_text, fields.Text("class", 0, kMaxIdBytes));
-  if (!class_text.empty() && class_text != ClassText(kind->work_class)) {
+  if (!class_text.empty() &&
+      class_text != config::ClassName(kind->work_class)) {
     return fields.Expected(
-        "class", std::string(ClassText(kind->work_class)) + " for this kind");
+        "class",
+        std::string(config::ClassName(kind->work_class)) + " for this kind");
   }
   BOOST_LEAF_ASSIGN(job.idempotent, fields.Flag("idempotent", false));
   BOOST_LEAF_ASSIGN(job.all_at_once, fields.Flag("all_at_once", false));
--- a/tests/unit-http.cc
+++ b/tests/unit-http.cc
@@ -1,7 +1,6 @@
 // HTTP server and client over loopback: bounds, timeouts, silent connections.
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
@@ -10,6 +9,7 @@
 
 #include "buckthornmux/detail/net/http_client.h"
 #include "buckthornmux/detail/net/http_server.h"
+#include "standins/io_thread.h"
 
 namespace buckthornmux::net {
 namespace {
@@ -18,17 +18,7 @@
 
 constexpr Millis kCallTimeout{2000};
 
-/// An io_context with one thread, stopped at the end of the test.
-struct IoThread {
-  asio::io_context io;
-  asio::executor_work_guard<asio::io_context::executor_type> work{
-      io.get_executor()};
-  std::thread thread{[this] { io.run(); }};
-  ~IoThread() {
-    io.stop();
-    thread.join();
-  }
-};
+using standins::IoThread;
 
 std::string AddressOf(const HttpServer& server) {
   return "127.0.0.1:" + std::to_string(server.Port());
--- a/tests/unit-peer.cc
+++ b/tests/unit-peer.cc
@@ -1,7 +1,6 @@
 // Peer messages and links over loopback.
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <condition_variable>
@@ -9,6 +8,7 @@
 #include <thread>
 
 #include "buckthornmux/detail/peer/peer_links.h"
+#include "standins/io_thread.h"
 
 namespace buckthornmux::peer {
 namespace {
@@ -16,16 +16,7 @@
 namespace asio = boost::asio;
 constexpr std::chrono::seconds kPatience{5};
 
-struct IoThread {
-  asio::io_context io;
-  asio::executor_work_guard<asio::io_context::executor_type> work{
-      io.get_executor()};
-  std::thread thread{[this] { io.run(); }};
-  ~IoThread() {
-    io.stop();
-    thread.join();
-  }
-};
+using standins::IoThread;
 
 /// Collects what one host's links report.
 struct Inbox {
