unit-settings: the bound of config_trust follows the default view_every

Cause: trust of 3 s came with views every 500 ms, so the least trust that the settings accept by default is 3000; the test still named 4000 of the old default. It checks the same refusal of 2500 with the exact bound.

--- a/tests/unit-settings.cc
+++ b/tests/unit-settings.cc
@@ -83,7 +83,7 @@
                    R"(,"member_lease_ms":3000,"store_call_timeout_ms":2000)")),
                "#/member_lease_ms: expected at least twice");
     AssertSays(ErrorOf(Whole(R"(,"config_trust_ms":2500)")),
-               "#/config_trust_ms: expected at least 4000");
+               "#/config_trust_ms: expected at least 3000");
     AssertSays(ErrorOf(Whole(R"(,"peer_silent_after_ms":600)")),
                "#/peer_silent_after_ms: expected at least three times");
   }
