--- a/src/home/chain.cc
+++ b/src/home/chain.cc
@@ -273,6 +273,10 @@
   BOOST_LEAF_AUTO(snapshot, WriteSnapshot(store, chain, folded));
   std::size_t retired = 0;
   for (std::size_t at = 0; at < segments.size(); ++at) {
+    // An earlier try may have written this very snapshot without an answer.
+    if (segments[at].sequence >= snapshot) {
+      break;
+    }
     const Fate fate = FateOf(segments, at, now);
     if (fate == Fate::kStays) {
       continue;
--- a/tests/unit-journal.cc
+++ b/tests/unit-journal.cc
@@ -94,6 +94,7 @@
   CPPUNIT_TEST(FormerOwnerIsFencedBehindCompaction);
   CPPUNIT_TEST(TakeMeetsAnAppendInBetween);
   CPPUNIT_TEST(CrashAtEachCallOfCompactionIsHarmless);
+  CPPUNIT_TEST(RepeatedSnapshotIsKept);
   CPPUNIT_TEST(SegmentsStaySmall);
   CPPUNIT_TEST(FoldDropsWhatIsOver);
   CPPUNIT_TEST(RandomFaultsLoseNothing);
@@ -242,6 +243,25 @@
     }
   }
 
+  /// A compaction whose snapshot was written unseen is repeated: it finds its
+  /// own snapshot, of equal content, and must not erase that.
+  void RepeatedSnapshotIsKept() {
+    MockStore mock;
+    Chain chain = Take(mock, 1).chain;
+    const std::vector<JournalRecord> records = Jobs(3);
+    CPPUNIT_ASSERT(
+        std::holds_alternative<std::size_t>(Append(mock, chain, records)));
+    mock.fault = [](std::string_view call, std::string_view) {
+      return call == "put"   ? MockFault::kLostAnswer
+             : call == "get" ? MockFault::kUnavailable
+                             : MockFault::kNone;
+    };
+    CPPUNIT_ASSERT(std::holds_alternative<Error>(DoCompact(mock, chain)));
+    mock.fault = nullptr;
+    CPPUNIT_ASSERT(std::holds_alternative<std::size_t>(DoCompact(mock, chain)));
+    CPPUNIT_ASSERT(Texts(Take(mock, 2).records) == Texts(records));
+  }
+
   void SegmentsStaySmall() {
     MockStore mock;
     Chain chain = Take(mock, 1).chain;
