Home: a vanished queued try no longer hides one that ran

After takeovers one shard listed a queued try of the task, another an ended one; the queued one was kept, and when its shard no longer listed it, all that was known of the task went with it.

--- a/bench/bench-home.cc
+++ b/bench/bench-home.cc
@@ -3,9 +3,9 @@
 #include <chrono>
 #include <iostream>
 
+#include "buckthornmux/detail/home/journal.h"
 #include "home_driver.h"
 #include "mock_store.h"
-#include "buckthornmux/detail/home/journal.h"
 
 namespace buckthornmux::home {
 namespace {
--- a/src/home/inquire.cc
+++ b/src/home/inquire.cc
@@ -169,7 +169,8 @@
   const bool over = same_shard && (complete || task.attempt == known.attempt ||
                                    task.shard_epoch == known.shard_epoch);
   const bool tells_more = known_live == live
-                              ? same_shard || known.attempt < task.attempt
+                              ? same_shard || known.attempt < task.attempt ||
+                                    (!live && known.end == TaskEnd::kUnknown)
                               : live || over;
   if (!fresh && tells_more) {
     known = std::move(task);
@@ -177,16 +178,34 @@
   known.attempt_heard = heard;
 }
 
-/// Remembers what the shard knows and no job here does.
-void AdoptUnknown(Step& step, PartitionState& partition, const Answer& answer) {
-  std::erase_if(partition.adopted, [&](const auto& item) {
-    const AdoptedTask& task = item.second;
+/// A live try that its shard no longer lists is over. Where some shard has told
+/// of a try of the task, its outcome is unknown now; else nothing has run.
+void ForgetVanished(PartitionState& partition, const Answer& answer) {
+  auto item = partition.adopted.begin();
+  while (item != partition.adopted.end()) {
+    AdoptedTask& task = item->second;
     const bool sure =
         answer.known.complete || task.shard_epoch == answer.known.epoch;
-    return task.shard == answer.shard && task.state != TaskState::kEnded &&
-           sure && !answer.reported.contains(item.first) &&
-           !answer.queued.contains(item.first);
-  });
+    const bool vanished =
+        task.shard == answer.shard && task.state != TaskState::kEnded && sure &&
+        !answer.reported.contains(item->first) &&
+        !answer.queued.contains(item->first);
+    if (vanished && task.attempt_heard == 0) {
+      item = partition.adopted.erase(item);
+      continue;
+    }
+    if (vanished) {
+      task.attempt = task.attempt_heard;
+      task.state = TaskState::kEnded;
+      task.end = TaskEnd::kUnknown;
+    }
+    ++item;
+  }
+}
+
+/// Remembers what the shard knows and no job here does.
+void AdoptUnknown(Step& step, PartitionState& partition, const Answer& answer) {
+  ForgetVanished(partition, answer);
   for (const sched::ReportedTask& task : answer.known.tasks) {
     Adopt(partition, task.id, Adopted(step, answer, task),
           answer.known.complete);
--- a/tests/unit-home-takeover.cc
+++ b/tests/unit-home-takeover.cc
@@ -40,6 +40,7 @@
   CPPUNIT_TEST(UnresolvedTooLongIsUnknownAndNeverRunAgain);
   CPPUNIT_TEST(AnswerToAnOlderInquiryIsNoProof);
   CPPUNIT_TEST(AnswerOfAFormerShardOwnerIsNoProof);
+  CPPUNIT_TEST(VanishedTryDoesNotHideAnEndedOne);
   CPPUNIT_TEST(RetryMeetsTheFirstTryOfAFormerHome);
   CPPUNIT_TEST(UrgentIntentIsNotSentBySuccessor);
   CPPUNIT_TEST(JournalDownRefusesOnlyWhatNeedsIt);
@@ -137,6 +138,30 @@
     CPPUNIT_ASSERT(home.enqueues.empty());
   }
 
+  /// One shard tells of a queued try, another of an ended one; when the queued
+  /// one vanishes, the ended one must not be forgotten with it.
+  void VanishedTryDoesNotHideAnEndedOne() {
+    HomeDriver home;
+    home.Start({}, 2);
+    home.Answer("s1", 1, true, {}, {"red/r1/0"});
+    sched::ReportedTask ended;
+    ended.id = "red/r1/0";
+    ended.attempt = 1;
+    ended.epoch = 1;
+    home.Answer("s2", 1, false, {ended});
+    home.Shards(2);
+    home.Answer("s1", 2);
+    home.Do(Submit{1, MakeRequest("r1", kUrgent, true)});
+    home.Do(CancelJob{2, "red", "r1"});
+    home.Advance(home.state.options.inquire_every);
+    home.Answer("s2", 1, true);
+    home.Answer("s1", 2);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, home.replies.size());
+    for (const Reply& reply : home.replies) {
+      CPPUNIT_ASSERT(reply.status.ran != Ran::kNo);
+    }
+  }
+
   void RetryMeetsTheFirstTryOfAFormerHome() {
     HomeDriver home;
     home.Start({}, 2);
