Links: the report that settles a start in doubt comes when its owner is sure

Cause: scripts/faults targets_silent left 2 of 250 accepted patient jobs without an end: a start was swallowed by a silent connection; the one report that the link owes for it came right after start_by, but the shard's owner trusts a report about it only report_delay (5 s) later, and an idle target sent no other one. The home's stops went on for good. Ruled out: a report with each renewal; it costs every idle target for a rare case. The test DoubtIsSettledOnlyByALaterRenewal expected the report 1.9 s after start_by; it now also demands that none comes before the owner is sure.

--- a/include/buckthornmux/detail/target/link_state.h
+++ b/include/buckthornmux/detail/target/link_state.h
@@ -23,8 +23,8 @@
   std::uint64_t after = 0;  ///< For the next renewal; 0: ask for all.
   Resources used;           ///< As last told.
   std::map<std::string, sched::ReportedTask> running;
-  /// A start whose answer was lost takes no effect after this time: a report
-  /// asked for later tells whether it did.
+  /// A start whose answer was lost took effect by then or never: a report asked
+  /// for later tells for sure.
   std::optional<Time> doubt_until;
 };
 
--- a/src/target/link_state.cc
+++ b/src/target/link_state.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "buckthornmux/detail/sched/policy.h"
+
 namespace buckthornmux::target {
 namespace {
 
@@ -95,7 +97,9 @@
 }
 
 void OnStartInDoubt(LinkState& state, Time start_by) {
-  state.doubt_until = std::max(state.doubt_until.value_or(start_by), start_by);
+  // The shard's owner is sure of a report only when it arrives that much later.
+  const Time sure_at = start_by + sched::Policy{}.report_delay;
+  state.doubt_until = std::max(state.doubt_until.value_or(sure_at), sure_at);
 }
 
 }  // namespace buckthornmux::target
--- a/tests/unit-target-codec.cc
+++ b/tests/unit-target-codec.cc
@@ -2,6 +2,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 
+#include "buckthornmux/detail/sched/policy.h"
 #include "buckthornmux/detail/target/link_state.h"
 #include "buckthornmux/detail/target/target_codec.h"
 
@@ -160,8 +161,11 @@
     CPPUNIT_ASSERT(
         OnRenewed(state, same, kStart + Millis(400), kStart + Millis(2400))
             .empty());
-    const auto settled =
-        OnRenewed(state, same, kStart + Millis(2401), kStart + Millis(2402));
+    // Nor is the shard's owner sure until the report's greatest age has passed.
+    const Time sure_at = kStart + Millis(500) + sched::Policy{}.report_delay;
+    CPPUNIT_ASSERT(OnRenewed(state, same, sure_at, sure_at).empty());
+    const Time later = sure_at + Millis(1);
+    const auto settled = OnRenewed(state, same, later, later);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1},
                          Only<sched::TargetReport>(settled).size());
   }
