--- a/scripts/lib/times.py
+++ b/scripts/lib/times.py
@@ -181,7 +181,7 @@
 
 
 def list_host(state):
-    status, _ = call(int(os.environ["LIST_PORT"]), "/standin/host", "", "POST", state)
+    status, _ = call(int(os.environ["LIST_PORT"]), "/standin/hosts", "", "POST", state)
     if status != 200:
         raise RuntimeError(f"the host list answered {status}")
 
@@ -197,7 +197,7 @@
         file.seek(offset)
         for line in file:
             row = json.loads(line)
-            if row["what"] == "start" and row["at"] / 1000 > since:
+            if row["event"] == "start" and row["at"] / 1000 > since:
                 times.append(row["at"] / 1000)
     return times
 
