--- a/include/buckthornmux/detail/cli/options.h
+++ b/include/buckthornmux/detail/cli/options.h
@@ -28,6 +28,10 @@
 /// @brief Adds --who.
 void AddWhoOption(cxxopts::Options& options);
 
+/// @brief Adds the documents, which are named without an option.
+/// @see ReadDocuments
+void AddDocumentsOption(cxxopts::Options& options);
+
 /// @brief Reads what AddEntryOptions added.
 /// @return kUsage where no entry host is given; kFileUnreadable
 [[nodiscard]] Result<EntryOptions> ReadEntryOptions(
--- a/src/cli/apply.cc
+++ b/src/cli/apply.cc
@@ -99,11 +99,8 @@
                         cxxopts::value<std::uint64_t>(), "REVISION")(
       "wait", "Return when every entry host has it")(
       "wait-ms", "Longest wait",
-      cxxopts::value<std::int64_t>()->default_value("60000"),
-      "MS")("files", "Inventory and rules",
-            cxxopts::value<std::vector<std::string>>());
-  options.parse_positional("files");
-  options.positional_help("FILE...");
+      cxxopts::value<std::int64_t>()->default_value("60000"), "MS");
+  AddDocumentsOption(options);
   BOOST_LEAF_AUTO(parsed,
                   ParseArguments(options, kExamples, arguments, terminal));
   if (!parsed) {
--- a/src/cli/check.cc
+++ b/src/cli/check.cc
@@ -37,11 +37,8 @@
   cxxopts::Options options(
       "buckthornmux check",
       "Checks documents and reports every problem; changes nothing.");
-  options.add_options()("json", "Print the findings as JSON")(
-      "files", "Inventory and rules",
-      cxxopts::value<std::vector<std::string>>());
-  options.parse_positional("files");
-  options.positional_help("FILE...");
+  options.add_options()("json", "Print the findings as JSON");
+  AddDocumentsOption(options);
   BOOST_LEAF_AUTO(parsed,
                   ParseArguments(options, kExamples, arguments, terminal));
   if (!parsed) {
--- a/src/cli/diff.cc
+++ b/src/cli/diff.cc
@@ -21,10 +21,7 @@
       "Shows what an apply of the documents would change, and how it takes "
       "force; changes nothing.");
   AddEntryOptions(options);
-  options.add_options()("files", "Inventory and rules",
-                        cxxopts::value<std::vector<std::string>>());
-  options.parse_positional("files");
-  options.positional_help("FILE...");
+  AddDocumentsOption(options);
   BOOST_LEAF_AUTO(parsed,
                   ParseArguments(options, kExamples, arguments, terminal));
   if (!parsed) {
--- a/src/cli/options.cc
+++ b/src/cli/options.cc
@@ -86,6 +86,13 @@
       cxxopts::value<std::string>(), "NAME");
 }
 
+void AddDocumentsOption(cxxopts::Options& options) {
+  options.add_options()("files", "Inventory and rules",
+                        cxxopts::value<std::vector<std::string>>());
+  options.parse_positional("files");
+  options.positional_help("FILE...");
+}
+
 Result<EntryOptions> ReadEntryOptions(const cxxopts::ParseResult& parsed) {
   EntryOptions options;
   if (parsed.count("entry") == 0) {
--- a/tests/unit-home-random.cc
+++ b/tests/unit-home-random.cc
@@ -12,12 +12,12 @@
 #include "buckthornmux/detail/home/state.h"
 #include "fake_cell.h"
 #include "home_checker.h"
+#include "home_requests.h"
 #include "mock_store.h"
 
 namespace buckthornmux::home {
 namespace {
 
-constexpr Partition kPart = 7;
 constexpr WallMillis kWallStart = 1'000'000;
 constexpr Millis kLease{3000};
 constexpr Millis kCallerWait{2000};
@@ -26,30 +26,6 @@
 constexpr int kHealRounds = 1500;
 constexpr Millis kHealRound{200};
 
-/// Work of every sort, all of one partition.
-std::vector<JobRequest> MakeRequests() {
-  std::vector<JobRequest> requests;
-  for (int number = 0; requests.size() < 14; ++number) {
-    JobRequest request;
-    request.id = "r" + std::to_string(number);
-    request.team = "red";
-    if (PartitionOf(request.team, request.id) != kPart) {
-      continue;
-    }
-    const std::size_t sort = requests.size();
-    request.kind = "any";
-    request.idempotent = sort % 2 == 0;
-    request.work_class =
-        sort % 4 < 2 ? WorkClass::kUrgent : WorkClass::kPatient;
-    request.tasks = sort < 8 ? 1 : 2;
-    request.all_at_once = sort >= 12;
-    request.demand = {1, 0, 0, 0};
-    request.payload = "payload of " + request.id;
-    requests.push_back(std::move(request));
-  }
-  return requests;
-}
-
 /// One process: a home, its journal duty and its lease.
 struct Node {
   HomeState state;
