--- a/include/buckthornmux/detail/cli/command.h
+++ b/include/buckthornmux/detail/cli/command.h
@@ -41,6 +41,7 @@
 [[nodiscard]] std::string FormatError(const Error& error);
 
 // The commands; --help of each says what it does.
+Result<int> RunHostCommand(const Arguments& arguments, Terminal& terminal);
 Result<int> RunServeCommand(const Arguments& arguments, Terminal& terminal);
 Result<int> RunCheckCommand(const Arguments& arguments, Terminal& terminal);
 Result<int> RunDiffCommand(const Arguments& arguments, Terminal& terminal);
--- /dev/null
+++ b/include/buckthornmux/detail/core/archive.h
@@ -0,0 +1,66 @@
+/// Binary form of aggregates, by cereal's portable archive, field by field.
+///
+/// A namespace whose aggregates are archived says
+/// `using buckthornmux::serialize;`, so that it is found by
+/// argument-dependent lookup.
+#pragma once
+
+#include <boost/pfr.hpp>
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/chrono.hpp>
+#include <cereal/types/map.hpp>
+#include <cereal/types/optional.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
+#include <sstream>
+#include <string>
+#include <string_view>
+#include <type_traits>
+
+#include "buckthornmux/detail/core/error.h"
+
+namespace buckthornmux {
+
+/// Aggregates of this project are archived field by field, in order.
+template <class T>
+concept WireStruct = std::is_aggregate_v<T> && std::is_class_v<T>;
+
+template <class Archive, WireStruct T>
+void serialize(Archive& archive, T& value) {
+  boost::pfr::for_each_field(value, [&](auto& field) { archive(field); });
+}
+
+/// @brief Binary form of a value.
+template <class T>
+[[nodiscard]] std::string EncodeBinary(const T& value) {
+  std::ostringstream stream;
+  {
+    cereal::PortableBinaryOutputArchive archive(stream);
+    archive(value);
+  }
+  return std::move(stream).str();
+}
+
+/// @brief Parses EncodeBinary's bytes.
+/// @param what named in the error
+/// @return the value; kMalformed for anything else, bytes behind it included
+template <class T>
+[[nodiscard]] Result<T> DecodeBinary(std::string_view bytes,
+                                     std::string_view what) {
+  try {
+    std::istringstream stream{std::string(bytes)};
+    cereal::PortableBinaryInputArchive archive(stream);
+    T value;
+    archive(value);
+    if (stream.peek() != std::istringstream::traits_type::eof()) {
+      return Fail(ErrorKind::kMalformed, "bytes behind " + std::string(what));
+    }
+    return value;
+  } catch (const std::exception& error) {
+    return Fail(ErrorKind::kMalformed,
+                "not " + std::string(what) + ": " + error.what());
+  }
+}
+
+}  // namespace buckthornmux
--- a/src/target/json_reader.h
+++ b/include/buckthornmux/detail/core/json_reader.h
@@ -2,10 +2,13 @@
 #pragma once
 
 #include <boost/json.hpp>
+#include <cstdint>
 #include <string>
 #include <string_view>
 
-namespace buckthornmux::target {
+#include "buckthornmux/detail/core/time.h"
+
+namespace buckthornmux {
 
 /// @brief Cursor over one JSON object; errors stick, so that a parse function
 ///   reads all members first and checks once.
@@ -49,6 +52,39 @@
     out = value->as_bool();
   }
 
+  /// @brief Reads a member that may be left out; `out` keeps its value then.
+  template <class T>
+  void ReadIf(std::string_view name, T& out) {
+    const auto* value = Find(name);
+    if (value != nullptr && !value->is_null()) {
+      Read(name, out);
+    }
+  }
+
+  /// @brief Reads a span of whole milliseconds that may be left out.
+  void ReadIf(std::string_view name, Millis& out) {
+    std::int64_t millis = out.count();
+    ReadIf(name, millis);
+    out = Millis(millis);
+  }
+
+  /// @brief An array member, or an empty one where it is left out.
+  [[nodiscard]] const boost::json::array& Array(std::string_view name) {
+    static const boost::json::array kEmpty;
+    const auto* value = Find(name);
+    if (value == nullptr) {
+      return kEmpty;
+    }
+    if (!value->is_array()) {
+      Fail(name);
+      return kEmpty;
+    }
+    return value->get_array();
+  }
+
+  /// @brief Whether the object was there and every member could be read.
+  [[nodiscard]] bool Good() const { return m_failed.empty(); }
+
   /// @brief Finds a member, or nullptr.
   [[nodiscard]] const boost::json::value* Find(std::string_view name) const {
     return m_object == nullptr ? nullptr : m_object->if_contains(name);
@@ -69,4 +105,4 @@
   std::string m_failed;
 };
 
-}  // namespace buckthornmux::target
+}  // namespace buckthornmux
--- /dev/null
+++ b/include/buckthornmux/detail/entry/callers.h
@@ -0,0 +1,103 @@
+/// Callers' HTTP: which queue, which team, and the one answer.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "buckthornmux/detail/entry/calls.h"
+#include "buckthornmux/detail/entry/rules_reader.h"
+#include "buckthornmux/detail/net/http_server.h"
+#include "buckthornmux/detail/runtime/metrics.h"
+
+namespace buckthornmux::entry {
+
+/// How callers' bodies are read and written; bound by the platform's adapter.
+struct CallerCodec {
+  std::string key_header;
+  std::string deadline_header;
+  std::function<Result<cell::JobSpec>(std::string_view body)> parse_job;
+  std::function<bool(std::string_view text)> is_job_id;
+  std::function<std::string(cell::JobPhase phase)> format_phase;
+  std::function<std::string(std::uint32_t pending)> format_pending;
+};
+
+/// Where the queue lies that a request names, and what remains of the path.
+struct RouteMatch {
+  const cell::Queue* queue = nullptr;
+  std::string_view rest;  ///< Of the path behind the queue's prefix.
+};
+
+/// @brief Finds the queue of a request: same host name, longest prefix.
+/// @return nothing where there is none
+[[nodiscard]] std::optional<RouteMatch> FindRoute(const cell::Rules& rules,
+                                                  std::string_view host,
+                                                  std::string_view path);
+
+/// @brief Finds the team that holds a key; null where there is none.
+[[nodiscard]] const cell::Team* FindTeam(const cell::Rules& rules,
+                                         std::string_view key);
+
+/// What became of handing a call on.
+enum class Handed : std::uint8_t { kSent, kNoOwner, kUnreachable };
+
+/// @brief Serves callers. Each request gets one answer, at its deadline at the
+///   latest; what surely has not been taken is refused at once.
+class Callers {
+ public:
+  /// Hands a call to the owner of the cell.
+  using Forward = std::function<Handed(const CellCall& call, HostId& to)>;
+
+  Callers(boost::asio::io_context& io, const std::string& address,
+          CallerCodec codec, const RulesReader& rules, Millis key_trust,
+          runtime::Metrics& metrics, Forward forward);
+
+  /// @brief Takes an owner's answer.
+  void Reply(const CellReply& reply);
+
+  /// @brief Calls that were sent to a host can't be answered any more.
+  void HostLost(const HostId& host);
+
+  /// @brief Ends what is past its deadline.
+  void Tick(Time now);
+
+  /// @brief Whether keys may be trusted now.
+  [[nodiscard]] bool RulesTrusted(Time now) const;
+
+  /// @brief From now on each answer closes its connection.
+  void Leave();
+  void Stop();
+  [[nodiscard]] std::size_t Open() const { return m_open.size(); }
+
+ private:
+  struct OpenCall {
+    CallKind kind = CallKind::kQuery;
+    std::string job;
+    HostId sent_to;
+    Time began;
+    Time deadline;
+    net::Responder respond;
+  };
+
+  void Take(const net::HttpRequest& request, const net::Responder& respond);
+  void Hand(CellCall call, Millis patience, const net::Responder& respond);
+  void Answer(const OpenCall& open, net::HttpResponse response,
+              std::string_view why);
+  [[nodiscard]] net::HttpResponse Refusal(ErrorKind kind, int status) const;
+  [[nodiscard]] static int LostStatus(CallKind kind);
+
+  CallerCodec m_codec;
+  const RulesReader& m_rules;
+  Millis m_key_trust;
+  runtime::Metrics& m_metrics;
+  Forward m_forward;
+  std::uint64_t m_next = 1;
+  std::map<std::uint64_t, OpenCall> m_open;
+  std::unique_ptr<net::HttpServer> m_server;
+};
+
+}  // namespace buckthornmux::entry
--- /dev/null
+++ b/include/buckthornmux/detail/entry/calls.h
@@ -0,0 +1,61 @@
+/// Messages about a cell between entry hosts.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "buckthornmux/detail/cell/state.h"
+#include "buckthornmux/detail/core/error.h"
+
+namespace buckthornmux::entry {
+
+enum class CallKind : std::uint8_t { kSubmit, kCancel, kQuery, kPending };
+
+/// A caller's call on its way to the cell's owner.
+struct CellCall {
+  std::uint64_t call = 0;  ///< Names it at the sender.
+  CallKind kind = CallKind::kQuery;
+  cell::QueueName queue;
+  TeamName team;
+  std::string job;
+  cell::JobSpec spec;  ///< Of a submit.
+};
+
+enum class CallEnd : std::uint8_t {
+  kAccepted,    ///< Stored.
+  kRefused,     ///< Not taken, and never will be by this call.
+  kUnknown,     ///< It can't be told.
+  kPhase,       ///< `phase` holds.
+  kCancelled,   ///< Cancelled, or had ended before.
+  kNoSuchJob,
+  kPending,     ///< `pending` holds.
+};
+
+/// The owner's answer.
+struct CellReply {
+  std::uint64_t call = 0;
+  CallEnd end = CallEnd::kUnknown;
+  cell::JobPhase phase = cell::JobPhase::kQueued;
+  std::uint32_t pending = 0;
+  ErrorKind error = ErrorKind::kInternal;
+  std::string message;
+};
+
+/// The owner asks the adviser through another host.
+struct AdviceAsk {
+  std::uint64_t ask = 0;
+  Epoch epoch = 0;  ///< Of the asking owner; echoed.
+  cell::StepRef step;
+  std::vector<TargetId> targets;
+  Millis timeout{0};
+};
+
+struct AdviceReply {
+  std::uint64_t ask = 0;
+  Epoch epoch = 0;
+  bool answered = false;
+  std::vector<cell::Ticket> tickets;
+};
+
+}  // namespace buckthornmux::entry
--- /dev/null
+++ b/include/buckthornmux/detail/entry/journal_writer.h
@@ -0,0 +1,82 @@
+/// Makes changes of a cell durable, one transaction after the other.
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "buckthornmux/detail/cell/state.h"
+#include "buckthornmux/detail/member/ownership.h"
+#include "buckthornmux/detail/store/async_store.h"
+
+namespace buckthornmux::entry {
+
+/// What the writer reports, on the loop's thread.
+struct JournalEvents {
+  std::function<void(std::vector<cell::RecordWrite> records)> loaded;
+  std::function<void(const cell::Batch& batch)> stored;
+  /// Another host owns the range.
+  std::function<void()> lost;
+};
+
+/// @brief Reads a range's records and writes batches under two conditions: the
+///   owner's record is unchanged, which fences former owners; and the head
+///   record is as the last batch left it, so that a write whose answer was lost
+///   can take effect once at most, and never after a later one.
+class JournalWriter {
+ public:
+  /// @param store outlives the writer
+  JournalWriter(const store::AsyncStore& store, JournalEvents events);
+
+  /// @brief Reads all records of a range that this host now owns.
+  void Open(const member::OwnerRecord& owner);
+
+  /// @brief Forgets the range; answers still under way are ignored.
+  void Close();
+
+  /// @brief Whether a batch may be handed over.
+  [[nodiscard]] bool Ready() const { return m_open && !m_batch; }
+  [[nodiscard]] bool Idle() const { return !m_batch; }
+
+  /// @brief Writes a batch; only while Ready.
+  void Write(cell::Batch batch, Time now);
+
+  /// @brief Repeats what had no answer.
+  void Tick(Time now);
+
+  /// @brief Since when the present batch waits; nothing where none does.
+  [[nodiscard]] std::optional<Time> WaitingSince() const;
+
+  /// @brief Most records that one batch may hold.
+  [[nodiscard]] static std::size_t MostWrites();
+
+ private:
+  void ReadHead();
+  void ReadRecords(std::string after);
+  void RetryLoad();
+  void Send();
+  void CheckHead();
+  void Answered(std::uint64_t round, const Outcome<store::TransactionEnd>& end);
+  void Applied(Revision revision);
+  [[nodiscard]] std::string Key(std::string_view name) const;
+
+  const store::AsyncStore& m_store;
+  JournalEvents m_events;
+  std::uint64_t m_round = 0;  ///< Of Open and Close; older answers are ignored.
+  member::OwnerRecord m_owner;
+  bool m_open = false;
+  bool m_loading = false;
+  std::optional<Time> m_load_again;
+  std::vector<cell::RecordWrite> m_records;
+  Revision m_head_revision = store::kAbsent;
+  std::uint64_t m_sequence = 0;  ///< Of the last batch that was begun.
+  std::optional<cell::Batch> m_batch;
+  Time m_began;
+  Time m_sent;
+  int m_in_flight = 0;
+  bool m_checking = false;
+  std::optional<Time> m_send_again;
+};
+
+}  // namespace buckthornmux::entry
--- /dev/null
+++ b/include/buckthornmux/detail/entry/membership.h
@@ -0,0 +1,106 @@
+/// Registers this host, reads who else is there and who owns the cell.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "buckthornmux/detail/member/ownership.h"
+#include "buckthornmux/detail/store/async_store.h"
+
+namespace buckthornmux::entry {
+
+/// What membership reports, on the loop's thread.
+struct MembershipEvents {
+  /// This host owns the range from now on.
+  std::function<void(const member::OwnerRecord& record)> gained;
+  std::function<void(const std::string& range)> lost;
+  /// Let go of the range, then call Membership::Released.
+  std::function<void(const std::string& range)> release;
+  /// Whether this host's registration surely stands.
+  std::function<void(bool held)> lease;
+  /// Members or owners changed.
+  std::function<void()> view;
+};
+
+/// @brief Drives member::Apply with calls of the store.
+///
+/// The store's changes are watched; a full view is read after each change and
+/// at least every few seconds, since a watch alone proves nothing.
+class Membership {
+ public:
+  /// @param self as it registers; its incarnation is drawn anew
+  /// @param ranges that are to be owned
+  Membership(boost::asio::io_context& io, const store::AsyncStore& store,
+             member::Member self,
+             std::vector<member::RangesWanted::Range> ranges,
+             MembershipEvents events);
+
+  /// @brief Starts to register and to read.
+  void Start();
+
+  /// @brief Time passed.
+  void Tick(Time now);
+
+  /// @brief Leaves: claims nothing more and hands over.
+  void Leave();
+
+  /// @brief The owner has let go of a range.
+  void Released(const std::string& range);
+
+  /// @brief Ends the registration; the last call.
+  void Unregister(std::function<void()> done);
+
+  /// @brief Another owner was met: reads the store at once.
+  void Recheck();
+
+  /// @brief Members of the last view.
+  [[nodiscard]] const std::vector<member::Member>& Members() const {
+    return m_ownership.members;
+  }
+  /// @brief Registered owner of a range; empty where none is known.
+  [[nodiscard]] HostId OwnerOf(const std::string& range) const;
+  /// @brief Whether nothing is owned or about to be.
+  [[nodiscard]] bool OwnsNothing() const {
+    return member::OwnsNothing(m_ownership);
+  }
+  [[nodiscard]] bool LeaseHeld() const { return m_ownership.lease_held; }
+
+ private:
+  void Decide(const member::Event& event);
+  void Register();
+  void WriteMember(store::LeaseId lease, Revision expected, Time sent_at);
+  void Renew();
+  void ReadOwners();
+  void ReadMembers(std::vector<member::OwnerRecord> owners, Time began,
+                   std::string after, std::vector<member::Member> members);
+  void TakeView(member::StoreView view);
+  void Watch();
+  void Claim(const member::OwnerRecord& record);
+  void RegisterFailed(const Error& error, std::string_view call);
+
+  boost::asio::io_context& m_io;
+  const store::AsyncStore& m_store;
+  member::Member m_self;
+  std::vector<member::RangesWanted::Range> m_ranges;
+  MembershipEvents m_events;
+  member::OwnershipState m_ownership;
+  store::LeaseId m_lease = store::kNoLease;
+  Revision m_member_revision = store::kAbsent;
+  bool m_registering = false;
+  bool m_renewing = false;
+  bool m_reading = false;
+  bool m_read_again = false;
+  bool m_watching = false;
+  bool m_unregistered = false;
+  bool m_store_well = true;
+  Time m_register_at;
+  Time m_renew_at;
+  Time m_read_at;
+  Time m_watch_at;
+  Revision m_watch_from = 0;
+};
+
+}  // namespace buckthornmux::entry
--- /dev/null
+++ b/include/buckthornmux/detail/entry/target_reader.h
@@ -0,0 +1,46 @@
+/// Reads the list of targets while this host owns a cell.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "buckthornmux/detail/cell/types.h"
+#include "buckthornmux/detail/store/async_store.h"
+
+namespace buckthornmux::entry {
+
+/// How an entry is decoded.
+using TargetParser = std::function<Result<cell::TargetEntry>(
+    std::string_view key, std::string_view text)>;
+
+/// @brief Lists all entries at a steady pace. An entry that can't be read
+///   names no target and is logged once for each of its versions.
+class TargetReader {
+ public:
+  using Listed = std::function<void(std::vector<cell::TargetEntry>)>;
+
+  TargetReader(const store::AsyncStore& store, std::string prefix,
+               TargetParser parse, Listed listed);
+
+  /// @brief Reads from now on, or no longer.
+  void SetActive(bool active);
+  void Tick(Time now);
+
+ private:
+  void Read(std::string after, std::vector<cell::TargetEntry> entries);
+  void Take(const store::Entry& item, std::vector<cell::TargetEntry>& entries);
+
+  const store::AsyncStore& m_store;
+  std::string m_prefix;
+  TargetParser m_parse;
+  Listed m_listed;
+  bool m_active = false;
+  bool m_reading = false;
+  bool m_well = true;
+  Time m_next;
+  std::map<std::string, std::string> m_unreadable;  ///< Key to its reason.
+};
+
+}  // namespace buckthornmux::entry
--- a/include/buckthornmux/detail/member/ownership.h
+++ b/include/buckthornmux/detail/member/ownership.h
@@ -131,6 +131,7 @@
   Millis max_view_age{3000};   ///< Older views are not acted upon.
   Millis move_interval{500};   ///< Between two handovers for balance.
   Millis claim_retry{500};     ///< After a claim without effect.
+  bool rebalance = true;       ///< Hand ranges over to their wanted owners.
 };
 
 /// Where this process stands with a range.
--- a/include/buckthornmux/detail/net/http_server.h
+++ b/include/buckthornmux/detail/net/http_server.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "buckthornmux/detail/net/http_types.h"
 
@@ -21,6 +22,7 @@
   Millis idle_timeout{60'000};         ///< Between requests.
   Millis write_timeout{10'000};        ///< For the whole answer.
   std::size_t max_connections = 4096;  ///< More are closed on accept.
+  std::vector<std::string> kept_headers;  ///< Passed on in HttpRequest.
 };
 
 /// @brief Serves HTTP on an io_context that the caller runs on one thread.
--- a/include/buckthornmux/detail/net/http_types.h
+++ b/include/buckthornmux/detail/net/http_types.h
@@ -4,12 +4,20 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include "buckthornmux/detail/core/error.h"
 #include "buckthornmux/detail/core/time.h"
 
 namespace buckthornmux::net {
 
+/// A header field beyond those that have members of their own.
+struct Header {
+  std::string name;
+  std::string value;
+};
+
 /// A request, received or to be sent.
 struct HttpRequest {
   std::string method = "GET";
@@ -19,6 +27,17 @@
   Time send_by = Time::max();  ///< To be sent: not after this time.
   std::uint64_t connection =
       0;  ///< Received: number of its connection, from 1.
+  std::vector<Header> headers;  ///< Received: those the server keeps.
+
+  /// @brief Value of a header in `headers`, or empty.
+  [[nodiscard]] std::string_view HeaderValue(std::string_view name) const {
+    for (const Header& header : headers) {
+      if (header.name == name) {
+        return header.value;
+      }
+    }
+    return {};
+  }
 };
 
 /// An answer, received or to be sent.
@@ -27,6 +46,7 @@
   std::string body;
   std::string content_type = "application/json";
   Millis retry_after{0};  ///< 0: no Retry-After header.
+  bool close = false;     ///< Close the connection after this answer.
 };
 
 /// Answers one request: called once, from any thread.
--- a/include/buckthornmux/detail/peer/messages.h
+++ b/include/buckthornmux/detail/peer/messages.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "buckthornmux/detail/core/error.h"
+#include "buckthornmux/detail/entry/calls.h"
 #include "buckthornmux/detail/home/home.h"
 #include "buckthornmux/detail/sched/shard.h"
 
@@ -67,7 +68,8 @@
 using Message =
     std::variant<Hello, Ping, Pong, CallSubmit, CallCancel, CallQuery, CallGone,
                  CallReply, home::ToShard, home::FromShard, NotTaken,
-                 ConfigText, ConfigWanted>;
+                 ConfigText, ConfigWanted, entry::CellCall, entry::CellReply,
+                 entry::AdviceAsk, entry::AdviceReply>;
 
 /// State of one shard in a heartbeat.
 struct ShardBeat {
--- a/include/buckthornmux/detail/runtime/log_line.h
+++ b/include/buckthornmux/detail/runtime/log_line.h
@@ -2,11 +2,19 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <string_view>
 
 namespace buckthornmux::runtime {
 
+/// Takes finished lines in place of glog.
+using LogSink = std::function<void(std::string_view line)>;
+
+/// @brief Directs all lines of the process to a sink; an empty one: to glog.
+///   To be called before other threads log.
+void SetLogSink(LogSink sink);
+
 /// @brief Builds a line; written when it goes out of scope.
 /// @par Example
 /// @code
--- /dev/null
+++ b/src/cell/jobs.cc
@@ -0,0 +1,320 @@
+#include <algorithm>
+#include <utility>
+
+#include "buckthornmux/detail/core/invariant.h"
+#include "internal.h"
+
+namespace buckthornmux::cell {
+namespace {
+
+constexpr int kNoPriority = 9;
+
+void Refuse(Actions& actions, CallId call, const JobSpec& spec, ErrorKind kind,
+            std::string message) {
+  Note(actions, "job_refused",
+       {{"job", spec.id},
+        {"queue", spec.queue},
+        {"team", spec.team},
+        {"error", std::string(AnswerFor(kind).name)},
+        {"reason", message}});
+  actions.emplace_back(AnswerSubmit{call, Error{kind, std::move(message), {}}});
+}
+
+/// Whether some target could ever hold the task; true while none is known.
+bool CanEverFit(const Cell& cell, const Queue& queue, const StepSpec& step) {
+  bool any = false;
+  for (const auto& [id, target] : cell.targets) {
+    if (target.entry.service != queue.service) {
+      continue;
+    }
+    any = true;
+    if (ReservedBy(step).FitsIn(target.entry.capacity)) {
+      return true;
+    }
+  }
+  return !any;
+}
+
+/// The reason to refuse a new job, if there is one.
+std::optional<Error> ReasonToRefuse(const Cell& cell, const JobSpec& spec) {
+  if (!cell.loaded) {
+    return Error{ErrorKind::kNotReady, "stored jobs are being read", {}};
+  }
+  if (!cell.store_well) {
+    return Error{ErrorKind::kStoreUnavailable, "writes are not answered", {}};
+  }
+  const Queue* queue = QueueOf(cell, spec.queue);
+  if (queue == nullptr) {
+    return Error{ErrorKind::kNotReady, "the queue is not in force here", {}};
+  }
+  if (cell.jobs.size() >= cell.options.max_open_jobs) {
+    return Error{ErrorKind::kQueueFull, "too many jobs are open", {}};
+  }
+  for (const StepSpec& step : spec.steps) {
+    if (!CanEverFit(cell, *queue, step)) {
+      return Error{ErrorKind::kNeverFits, "no target could hold a task", {}};
+    }
+  }
+  return std::nullopt;
+}
+
+/// Jobs that no write has left for yet can be refused truthfully.
+void RefuseUnsent(Cell& cell, Actions& actions) {
+  std::vector<JobId> unsent;
+  for (const JobId& id : cell.dirty) {
+    const Job* job = FindJob(cell, id);
+    if (job != nullptr && job->durable == 0 && !job->spec_stored &&
+        !job->Ended()) {
+      unsent.push_back(id);
+    }
+  }
+  for (const JobId& id : unsent) {
+    const Job job = std::move(*FindJob(cell, id));
+    cell.jobs.erase(id);
+    cell.dirty.erase(id);
+    cell.dirty_urgent.erase(id);
+    --cell.pending[job.spec.queue];
+    for (const CallId call : job.submit_calls) {
+      Refuse(actions, call, job.spec, ErrorKind::kStoreUnavailable,
+             "writes are not answered");
+    }
+  }
+}
+
+void StopAll(Cell& cell, Actions& actions, const Job& job, std::string_view why,
+             Time now) {
+  for (auto& [id, target] : cell.targets) {
+    std::vector<RunId> runs;
+    for (const auto& [run_id, run] : target.runs) {
+      if (run_id.task.job == job.spec.id) {
+        runs.push_back(run_id);
+      }
+    }
+    for (const RunId& run : runs) {
+      StopRun(cell, actions, target, run, why, now);
+    }
+  }
+}
+
+}  // namespace
+
+void Note(Actions& actions, std::string event,
+          std::initializer_list<std::pair<std::string, std::string>> fields) {
+  actions.emplace_back(
+      Decision{std::move(event), std::vector(fields.begin(), fields.end())});
+}
+
+std::string TaskName(const TaskId& task) {
+  return task.job + '.' + std::to_string(task.occurrence) + '.' +
+         std::to_string(task.step) + '.' + std::to_string(task.index);
+}
+
+std::string_view PhaseName(JobPhase phase) {
+  switch (phase) {
+    case JobPhase::kQueued:
+      return "queued";
+    case JobPhase::kRunning:
+      return "running";
+    case JobPhase::kCompleted:
+      return "completed";
+    case JobPhase::kFailed:
+      return "failed";
+    case JobPhase::kCancelled:
+      return "cancelled";
+  }
+  return "unknown";
+}
+
+Job* FindJob(Cell& cell, std::string_view id) {
+  const auto found = cell.jobs.find(JobId(id));
+  return found == cell.jobs.end() ? nullptr : &found->second;
+}
+
+const Queue* QueueOf(const Cell& cell, std::string_view name) {
+  const auto found = cell.queues.find(name);
+  return found == cell.queues.end() ? nullptr : &found->second;
+}
+
+Step* FindStep(Job& job, std::uint32_t occurrence, std::uint32_t step) {
+  const auto found = job.occurrences.find(occurrence);
+  if (found == job.occurrences.end() || step >= found->second.steps.size()) {
+    return nullptr;
+  }
+  return &found->second.steps[step];
+}
+
+Task* FindTask(Job& job, const TaskId& id) {
+  Step* step = FindStep(job, id.occurrence, id.step);
+  if (step == nullptr || id.index >= step->tasks.size()) {
+    return nullptr;
+  }
+  return &step->tasks[id.index];
+}
+
+void Touch(Cell& cell, Job& job, bool urgent, Time now) {
+  ++job.version;
+  cell.dirty.insert(job.spec.id);
+  if (urgent) {
+    cell.dirty_urgent.insert(job.spec.id);
+  }
+  if (!cell.dirty_since) {
+    cell.dirty_since = now;
+  }
+}
+
+Millis ChainFrom(const JobSpec& spec, std::uint32_t step) {
+  Millis longest{0};
+  for (std::uint32_t i = step + 1; i < spec.steps.size(); ++i) {
+    if (std::ranges::count(spec.steps[i].after, step) > 0) {
+      longest = std::max(longest, ChainFrom(spec, i));
+    }
+  }
+  return spec.steps[step].estimate + longest;
+}
+
+Millis ObjectiveOf(const Queue& queue, const JobSpec& spec) {
+  Millis chain{0};
+  for (std::uint32_t i = 0; i < spec.steps.size(); ++i) {
+    chain = std::max(chain, ChainFrom(spec, i));
+  }
+  const auto stretched = static_cast<std::int64_t>(
+      queue.stretch * static_cast<double>(chain.count()));
+  return Millis(stretched) + queue.target_runtime;
+}
+
+std::optional<JobPhase> PhaseOf(const Cell& cell, std::string_view job) {
+  const auto found = cell.jobs.find(JobId(job));
+  if (found == cell.jobs.end() || found->second.durable == 0) {
+    return std::nullopt;
+  }
+  const Job& known = found->second;
+  if (known.Ended() && known.durable < known.end_version) {
+    return JobPhase::kRunning;  // Its end could still be lost.
+  }
+  return known.phase;
+}
+
+std::uint32_t PendingOf(const Cell& cell, std::string_view queue) {
+  const auto found = cell.pending.find(QueueName(queue));
+  return found == cell.pending.end() ? 0 : found->second;
+}
+
+void Submit(Cell& cell, Actions& actions, CallId call, JobSpec spec, Time now) {
+  if (Job* known = FindJob(cell, spec.id)) {
+    if (known->spec.team != spec.team) {
+      Refuse(actions, call, spec, ErrorKind::kDuplicateRequest,
+             "another team's job has this id");
+    } else if (known->durable > 0) {
+      actions.emplace_back(AnswerSubmit{call, std::nullopt});
+    } else {
+      known->submit_calls.push_back(call);
+    }
+    return;
+  }
+  if (auto reason = ReasonToRefuse(cell, spec)) {
+    Refuse(actions, call, spec, reason->kind, std::move(reason->message));
+    return;
+  }
+  const Queue& queue = *QueueOf(cell, spec.queue);
+  Job job;
+  job.objective = ObjectiveOf(queue, spec);
+  job.priority = queue.priority;
+  job.arrived = now;
+  job.arrived_wall = ToMs(now) + cell.wall_offset;
+  job.submit_calls.push_back(call);
+  job.spec = std::move(spec);
+  ++cell.pending[job.spec.queue];
+  Job& kept = cell.jobs.emplace(job.spec.id, std::move(job)).first->second;
+  Touch(cell, kept, true, now);
+}
+
+void Cancel(Cell& cell, Actions& actions, CallId call, std::string_view id,
+            std::string_view team, Time now) {
+  Job* job = FindJob(cell, id);
+  if (job == nullptr || job->spec.team != team) {
+    actions.emplace_back(AnswerCancel{call, false});
+    return;
+  }
+  if (!job->Ended()) {
+    EndJob(cell, actions, *job, JobPhase::kCancelled, "caller", now);
+  }
+  if (job->durable >= job->end_version) {
+    actions.emplace_back(AnswerCancel{call, true});
+  } else {
+    job->cancel_calls.push_back(call);
+  }
+}
+
+void EndJob(Cell& cell, Actions& actions, Job& job, JobPhase phase,
+            std::string_view why, Time now) {
+  Invariant(!job.Ended(), "job_ends_once", job.spec.id);
+  if (!job.started) {
+    --cell.pending[job.spec.queue];
+    job.started = true;
+  }
+  job.phase = phase;
+  job.ended_at = now;
+  for (const auto& [number, occurrence] : job.occurrences) {
+    for (std::uint32_t i = 0; i < occurrence.steps.size(); ++i) {
+      cell.ready.erase({job.spec.id, number, i});
+    }
+  }
+  StopAll(cell, actions, job, PhaseName(phase), now);
+  job.occurrences.clear();
+  job.spec.payload.clear();
+  job.spec.payload.shrink_to_fit();
+  Touch(cell, job, true, now);
+  job.end_version = job.version;
+  cell.ended_jobs.emplace_back(now, job.spec.id);
+  Note(actions, "job_ended",
+       {{"job", job.spec.id},
+        {"queue", job.spec.queue},
+        {"team", job.spec.team},
+        {"phase", std::string(PhaseName(phase))},
+        {"reason", std::string(why)},
+        {"took_ms", std::to_string((now - job.arrived).count())},
+        {"objective_ms", std::to_string(job.objective.count())}});
+  cell.plan_due = true;
+}
+
+void SetRules(Cell& cell, Actions& actions, Rules rules, Time /*now*/) {
+  if (rules.version < cell.rules.version) {
+    Note(actions, "rules_older_ignored",
+         {{"version", std::to_string(rules.version)},
+          {"in_force", std::to_string(cell.rules.version)}});
+    return;
+  }
+  cell.rules = std::move(rules);
+  cell.queues.clear();
+  cell.teams.clear();
+  cell.services.clear();
+  for (const Queue& queue : cell.rules.queues) {
+    cell.queues.emplace(queue.name, queue);
+  }
+  for (const Team& team : cell.rules.teams) {
+    cell.teams.emplace(team.name, team);
+  }
+  for (const Service& service : cell.rules.services) {
+    cell.services.emplace(service.name, service);
+  }
+  for (auto& [id, job] : cell.jobs) {
+    const Queue* queue = QueueOf(cell, job.spec.queue);
+    job.priority = queue == nullptr ? kNoPriority : queue->priority;
+  }
+  cell.plan_due = true;
+}
+
+void SetStoreWell(Cell& cell, Actions& actions, bool well) {
+  if (cell.store_well == well) {
+    return;
+  }
+  cell.store_well = well;
+  Note(actions, well ? "store_regained" : "store_lost",
+       {{"by", "journal"},
+        {"unstored_jobs", std::to_string(cell.dirty.size())}});
+  if (!well) {
+    RefuseUnsent(cell, actions);
+  }
+}
+
+}  // namespace buckthornmux::cell
--- /dev/null
+++ b/src/cell/plan.cc
@@ -0,0 +1,384 @@
+#include <algorithm>
+#include <set>
+
+#include "internal.h"
+
+namespace buckthornmux::cell {
+namespace {
+
+constexpr int kUrgentPriority = 0;
+/// Share of its objective past which a late job yields to those in time.
+constexpr int kHopelessFactor = 3;
+/// Successes this recent make a target fit for a task's last attempt.
+constexpr Millis kProvenWithin{10'000};
+
+/// A step in the order of its turn.
+struct Candidate {
+  StepRef ref;
+  int priority = 0;
+  bool hopeless = false;  ///< No longer worth anything by its objective.
+  Millis slack{0};        ///< Time left before it must start.
+};
+
+bool Before(const Candidate& a, const Candidate& b) {
+  const bool a_urgent = a.priority == kUrgentPriority;
+  const bool b_urgent = b.priority == kUrgentPriority;
+  if (a_urgent != b_urgent) {
+    return a_urgent;
+  }
+  if (a.hopeless != b.hopeless) {
+    return b.hopeless;
+  }
+  if (a.slack != b.slack) {
+    return a.slack < b.slack;
+  }
+  return a.ref < b.ref;
+}
+
+Candidate MakeCandidate(const StepRef& ref, const Job& job, Time now) {
+  Candidate candidate{ref, job.priority, false, Millis(0)};
+  const Millis chain = ChainFrom(job.spec, ref.step);
+  Time due = job.arrived + job.objective;
+  if (job.spec.recurrence.count > 0) {
+    due = now + job.objective;  // Counted from the occurrence's due time.
+  }
+  candidate.slack = due - now - chain;
+  candidate.hopeless =
+      now + chain > job.arrived + kHopelessFactor * job.objective;
+  return candidate;
+}
+
+/// State of one round of planning.
+struct Round {
+  Cell& cell;
+  Actions& actions;
+  Time now;
+  std::set<TargetId> kept;  ///< Held for a gang that waits for room.
+};
+
+bool MayUse(const Round& round, const Candidate& candidate, const Job& job,
+            const Queue& queue, const Step& step, const Task& task,
+            const Target& target) {
+  const StepSpec& spec = job.spec.steps[candidate.ref.step];
+  if (!Eligible(round.cell, target, queue, spec, round.now)) {
+    return false;
+  }
+  if (candidate.priority != kUrgentPriority &&
+      round.kept.contains(target.entry.id)) {
+    return false;
+  }
+  if (queue.advice) {
+    const auto ticket = step.advice.tickets.find(target.entry.id);
+    if (ticket == step.advice.tickets.end() ||
+        ticket->second.until <= round.now ||
+        ticket->second.life != target.entry.life) {
+      return false;
+    }
+  }
+  const bool last_attempt = task.failures + 1 >= queue.max_attempts;
+  if (task.failures > 0 && last_attempt && !spec.service) {
+    return task.failed_on != target.entry.id &&
+           target.health.failures_in_row == 0 &&
+           round.now - target.health.last_success <= kProvenWithin;
+  }
+  return true;
+}
+
+/// Lower is better.
+double Score(const Target& target, const Resources& room, const StepSpec& spec,
+             int priority) {
+  const auto total = static_cast<double>(
+      std::max<std::int64_t>(1, target.entry.capacity.cpu_milli));
+  const double left =
+      static_cast<double>(room.cpu_milli - spec.demand.cpu_milli) / total;
+  double score = left + target.health.slowness *
+                            (priority == kUrgentPriority ? 1.0 : 0.2);
+  if (!spec.data_rack.empty() &&
+      std::ranges::count(target.entry.labels, spec.data_rack) == 0) {
+    score += 10;
+  }
+  return score;
+}
+
+Target* BestTarget(Round& round, const Candidate& candidate, const Job& job,
+                   const Queue& queue, const Step& step, const Task& task) {
+  const StepSpec& spec = job.spec.steps[candidate.ref.step];
+  Target* best = nullptr;
+  double best_score = 0;
+  for (auto& [id, target] : round.cell.targets) {
+    const Resources room = RoomOf(target);
+    if (!ReservedBy(spec).FitsIn(room) ||
+        !MayUse(round, candidate, job, queue, step, task, target) ||
+        SlotsOn(target, room, spec, candidate.ref) == 0) {
+      continue;
+    }
+    const double score = Score(target, room, spec, candidate.priority);
+    if (best == nullptr || score < best_score) {
+      best = &target;
+      best_score = score;
+    }
+  }
+  return best;
+}
+
+void StartTask(Round& round, const Candidate& candidate, Job& job, Step& step,
+               std::uint32_t index, std::uint32_t number, Target& target) {
+  const StepSpec& spec = job.spec.steps[candidate.ref.step];
+  Task& task = step.tasks[index];
+  const RunId id{{job.spec.id, candidate.ref.occurrence, candidate.ref.step,
+                  index},
+                 number};
+  Run run;
+  run.demand = ReservedBy(spec);
+  run.team = job.spec.team;
+  run.sent = round.now;
+  run.tries = 1;
+  run.in_flight = true;
+  run.priority = job.priority;
+  run.checkpoints = spec.checkpoints;
+  run.gang = spec.gang;
+  run.estimate = spec.estimate;
+  HoldRoom(round.cell, target, id, run);
+  task.phase = TaskPhase::kLive;
+  task.target = target.entry.id;
+  task.run = number;
+  task.next_run = number + 1;
+  ++step.live;
+  const auto ticket = step.advice.tickets.find(target.entry.id);
+  const std::string checkpoint = step.tasks[spec.gang ? 0 : index].checkpoint;
+  round.actions.emplace_back(SendStart{
+      target.entry.id, target.entry.life, id, job.spec.payload, checkpoint,
+      ticket == step.advice.tickets.end() ? std::string() : ticket->second.text,
+      DeadlineAt(round.cell, target, round.now)});
+  LeaseSent(round.cell, target.entry.id, round.now);
+  Note(round.actions, "task_start",
+       {{"job", job.spec.id},
+        {"task", TaskName(id.task)},
+        {"run", std::to_string(number)},
+        {"target", target.entry.id},
+        {"team", job.spec.team},
+        {"waited_ms", std::to_string((round.now - step.ready_at).count())},
+        {"slack_ms", std::to_string(candidate.slack.count())}});
+  if (!job.started) {
+    job.started = true;
+    job.phase = JobPhase::kRunning;
+    --round.cell.pending[job.spec.queue];
+  }
+}
+
+void StartSingles(Round& round, const Candidate& candidate, Job& job,
+                  Step& step, const Queue& queue) {
+  const StepSpec& spec = job.spec.steps[candidate.ref.step];
+  for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
+    const Task& task = step.tasks[i];
+    if (task.phase != TaskPhase::kWaiting) {
+      continue;
+    }
+    if (!TeamAllows(round.cell, job.spec.team, ReservedBy(spec))) {
+      break;
+    }
+    Target* target = BestTarget(round, candidate, job, queue, step, task);
+    if (target == nullptr) {
+      if (task.failures == 0) {
+        break;  // The other untried tasks are alike.
+      }
+      continue;
+    }
+    StartTask(round, candidate, job, step, i, task.next_run, *target);
+  }
+}
+
+/// Targets for all tasks of a gang, or nothing.
+std::vector<Target*> ChooseForGang(Round& round, const Candidate& candidate,
+                                   const Job& job, const Queue& queue,
+                                   const Step& step) {
+  const StepSpec& spec = job.spec.steps[candidate.ref.step];
+  struct Place {
+    Target* target;
+    std::uint32_t slots;
+  };
+  std::map<std::string, std::vector<Place>> racks;
+  for (auto& [id, target] : round.cell.targets) {
+    if (!MayUse(round, candidate, job, queue, step, step.tasks[0], target)) {
+      continue;
+    }
+    const std::uint32_t slots =
+        SlotsOn(target, RoomOf(target), spec, candidate.ref);
+    if (slots > 0) {
+      racks[spec.same_rack ? target.rack : std::string()].push_back(
+          {&target, slots});
+    }
+  }
+  for (auto& [rack, places] : racks) {
+    std::ranges::sort(places, std::ranges::greater{}, &Place::slots);
+    std::vector<Target*> chosen;
+    for (const Place& place : places) {
+      for (std::uint32_t i = 0;
+           i < place.slots && chosen.size() < step.tasks.size(); ++i) {
+        chosen.push_back(place.target);
+      }
+    }
+    if (chosen.size() == step.tasks.size()) {
+      return chosen;
+    }
+  }
+  return {};
+}
+
+Resources Times(const Resources& one, std::size_t count) {
+  const auto n = static_cast<std::int64_t>(count);
+  return {one.slots * n, one.cpu_milli * n, one.memory_mb * n,
+          one.accelerators * n};
+}
+
+void StartGang(Round& round, const Candidate& candidate, Job& job, Step& step,
+               const Queue& queue) {
+  const StepSpec& spec = job.spec.steps[candidate.ref.step];
+  if (step.live > 0 ||
+      !TeamAllows(round.cell, job.spec.team,
+                  Times(ReservedBy(spec), step.tasks.size()))) {
+    return;
+  }
+  const std::vector<Target*> chosen =
+      ChooseForGang(round, candidate, job, queue, step);
+  if (chosen.empty()) {
+    return;
+  }
+  std::uint32_t number = 1;
+  for (const Task& task : step.tasks) {
+    number = std::max(number, task.next_run);
+  }
+  for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
+    StartTask(round, candidate, job, step, i, number, *chosen[i]);
+  }
+}
+
+/// Keeps the targets of the first waiting gang free of lower work.
+void KeepForGang(Round& round, const Step& step) {
+  if (!round.kept.empty()) {
+    return;
+  }
+  for (const auto& [id, ticket] : step.advice.tickets) {
+    if (ticket.until > round.now) {
+      round.kept.insert(id);
+    }
+  }
+}
+
+void PlanStep(Round& round, const Candidate& candidate) {
+  Job& job = *FindJob(round.cell, candidate.ref.job);
+  const Queue* queue = QueueOf(round.cell, job.spec.queue);
+  Step* step = FindStep(job, candidate.ref.occurrence, candidate.ref.step);
+  if (queue == nullptr || step == nullptr) {
+    return;
+  }
+  const bool gang = job.spec.steps[candidate.ref.step].gang;
+  if (gang) {
+    StartGang(round, candidate, job, *step, *queue);
+  } else {
+    StartSingles(round, candidate, job, *step, *queue);
+  }
+  RefreshStep(round.cell, job, candidate.ref.occurrence, candidate.ref.step);
+  if (!round.cell.ready.contains(candidate.ref)) {
+    return;
+  }
+  if (queue->advice) {
+    AskIfUseful(round.cell, round.actions, candidate.ref, job, *step, *queue,
+                round.now);
+  }
+  if (gang && step->live == 0) {
+    KeepForGang(round, *step);
+  }
+}
+
+}  // namespace
+
+Resources RoomOf(const Target& target) {
+  Resources room = target.entry.capacity;
+  room -= target.used;
+  return room;
+}
+
+Resources ReservedBy(const StepSpec& step) {
+  Resources reserved = step.demand;
+  if (step.fills) {
+    reserved.cpu_milli = 0;
+  }
+  return reserved;
+}
+
+bool TeamAllows(const Cell& cell, const TeamName& name, const Resources& more) {
+  const auto team = cell.teams.find(name);
+  if (team == cell.teams.end()) {
+    return true;  // Open to all: nobody's limit counts.
+  }
+  Resources used = more;
+  if (const auto found = cell.usage.find(name); found != cell.usage.end()) {
+    used += found->second.used;
+  }
+  const Resources& most = team->second.maximum;
+  const auto within = [](std::int64_t value, std::int64_t limit) {
+    return limit == 0 || value <= limit;
+  };
+  return within(used.cpu_milli, most.cpu_milli) &&
+         within(used.memory_mb, most.memory_mb) &&
+         within(used.accelerators, most.accelerators);
+}
+
+bool Eligible(const Cell& cell, const Target& target, const Queue& queue,
+              const StepSpec& step, Time now) {
+  (void)cell;
+  const TargetHealth& health = target.health;
+  const bool probing = health.failures_in_row >= 2 && !target.runs.empty();
+  return target.reported && target.listed && !target.entry.draining &&
+         !target.silent && target.unknown_runs == 0 &&
+         target.entry.service == queue.service &&
+         now >= health.suspended_until && !probing &&
+         (step.label.empty() ||
+          std::ranges::count(target.entry.labels, step.label) > 0);
+}
+
+std::uint32_t SlotsOn(const Target& target, const Resources& room,
+                      const StepSpec& spec, const StepRef& ref) {
+  const Resources need = ReservedBy(spec);
+  std::int64_t slots = spec.count;
+  const auto bound = [&](std::int64_t available, std::int64_t each) {
+    if (each > 0) {
+      slots = std::min(slots, std::max<std::int64_t>(0, available) / each);
+    }
+  };
+  bound(room.cpu_milli, need.cpu_milli);
+  bound(room.memory_mb, need.memory_mb);
+  bound(room.accelerators, need.accelerators);
+  if (spec.max_per_target > 0) {
+    const auto there = std::ranges::count_if(target.runs, [&](const auto& run) {
+      const TaskId& task = run.first.task;
+      return task.job == ref.job && task.occurrence == ref.occurrence &&
+             task.step == ref.step;
+    });
+    slots = std::min<std::int64_t>(
+        slots, std::max<std::int64_t>(0, spec.max_per_target - there));
+  }
+  return static_cast<std::uint32_t>(slots);
+}
+
+void Plan(Cell& cell, Actions& actions, Time now) {
+  cell.plan_due = false;
+  if (!cell.loaded) {
+    return;
+  }
+  std::vector<Candidate> candidates;
+  for (const StepRef& ref : cell.ready) {
+    const Job& job = *FindJob(cell, ref.job);
+    if (job.durable > 0 && (cell.recovered || !job.adopted)) {
+      candidates.push_back(MakeCandidate(ref, job, now));
+    }
+  }
+  std::ranges::sort(candidates, Before);
+  Round round{cell, actions, now, {}};
+  for (const Candidate& candidate : candidates) {
+    PlanStep(round, candidate);
+  }
+}
+
+}  // namespace buckthornmux::cell
--- /dev/null
+++ b/src/cell/reports.cc
@@ -0,0 +1,306 @@
+#include <algorithm>
+#include <set>
+
+#include "internal.h"
+
+namespace buckthornmux::cell {
+namespace {
+
+/// A target that did not answer for so long gets no renewals, so that what
+/// runs there is known to lapse. Longer than the longest wait of a report call.
+constexpr Millis kSilentAfter{1500};
+/// Most of a run's estimate without any progress before it counts as stuck.
+constexpr int kStuckFactor = 3;
+constexpr Millis kStuckAtLeast{2500};
+
+std::string RackOf(const TargetEntry& entry) {
+  return entry.labels.size() > 1 ? entry.labels.back() : std::string();
+}
+
+/// A new life holds and knows nothing of the former one.
+void BeginLife(Cell& cell, Actions& actions, Target& target, std::int64_t life,
+               std::string_view why) {
+  if (target.entry.life != 0) {
+    Note(actions, "target_restarted",
+         {{"target", target.entry.id},
+          {"life", std::to_string(life)},
+          {"seen_by", std::string(why)}});
+    DropRuns(cell, actions, target, "target restarted");
+  }
+  target.entry.life = life;
+  target.reported = false;
+  target.clock_known = false;
+  target.seen_end = 0;
+  target.acked_end = 0;
+  target.pending_ends.clear();
+  target.health = {};
+  target.drain_seen.reset();
+}
+
+void UpdateTarget(Cell& cell, Actions& actions, Target& target,
+                  const TargetEntry& entry, Time now) {
+  if (entry.life > target.entry.life) {
+    BeginLife(cell, actions, target, entry.life, "list");
+  }
+  if (entry.draining && !target.entry.draining) {
+    target.drain_seen = now;
+    Note(actions, "target_draining",
+         {{"target", entry.id},
+          {"remaining_ms", std::to_string(entry.remaining.count())}});
+  }
+  const std::int64_t life = target.entry.life;
+  target.entry = entry;
+  target.entry.life = life;
+  target.rack = RackOf(entry);
+  if (!target.listed) {
+    Note(actions, "target_back", {{"target", entry.id}});
+  }
+  target.listed = true;
+  target.removed = false;
+}
+
+/// Takes up a run that a former owner started, or that arrived late.
+void AdoptRun(Cell& cell, Actions& actions, Target& target,
+              const RunningReport& report, Time now) {
+  const RunId& id = report.run;
+  Job* job = FindJob(cell, id.task.job);
+  Run run;
+  run.phase = RunPhase::kRunning;
+  run.sent = now;
+  run.confirmed_at = now;
+  run.progress_at = now;
+  run.listed = true;
+  run.percent = report.percent;
+  if (job == nullptr || id.task.step >= job->spec.steps.size()) {
+    run.demand_unknown = true;
+    HoldRoom(cell, target, id, run);
+    StopRun(cell, actions, target, id, "no such job", now);
+    return;
+  }
+  const StepSpec& spec = job->spec.steps[id.task.step];
+  run.demand = ReservedBy(spec);
+  run.team = job->spec.team;
+  run.priority = job->priority;
+  run.checkpoints = spec.checkpoints;
+  run.gang = spec.gang;
+  run.estimate = spec.estimate;
+  HoldRoom(cell, target, id, run);
+  Task* task = job->Ended() ? nullptr : FindTask(*job, id.task);
+  if (task == nullptr || task->phase != TaskPhase::kWaiting) {
+    StopRun(cell, actions, target, id, "not wanted", now);
+    return;
+  }
+  task->phase = TaskPhase::kLive;
+  task->target = target.entry.id;
+  task->run = id.number;
+  task->next_run = std::max(task->next_run, id.number + 1);
+  ++FindStep(*job, id.task.occurrence, id.task.step)->live;
+  RefreshStep(cell, *job, id.task.occurrence, id.task.step);
+  if (!job->started) {
+    job->started = true;
+    --cell.pending[job->spec.queue];
+  }
+  job->phase = JobPhase::kRunning;
+  Note(actions, "task_adopted",
+       {{"job", id.task.job},
+        {"task", TaskName(id.task)},
+        {"run", std::to_string(id.number)},
+        {"target", target.entry.id}});
+}
+
+void TakeProgress(Cell& cell, Run& run, const RunningReport& report, Time now) {
+  if (run.phase == RunPhase::kSent) {
+    run.phase = RunPhase::kRunning;
+    run.confirmed_at = now;
+    run.progress_at = now;
+  }
+  run.listed = true;
+  if (report.percent > run.percent) {
+    run.percent = report.percent;
+    run.progress_at = now;
+  }
+  Job* job = FindJob(cell, report.run.task.job);
+  Task* task = job == nullptr ? nullptr : FindTask(*job, report.run.task);
+  if (task != nullptr && !report.checkpoint.empty() &&
+      task->run == report.run.number) {
+    const bool gang = job->spec.steps[report.run.task.step].gang;
+    Step& step =
+        *FindStep(*job, report.run.task.occurrence, report.run.task.step);
+    step.tasks[gang ? 0 : report.run.task.index].checkpoint = report.checkpoint;
+  }
+}
+
+/// Runs that the target should have listed and did not: they are not there.
+void DropUnlisted(Cell& cell, Actions& actions, Target& target,
+                  const std::set<RunId>& listed, Time sent_at) {
+  std::vector<RunId> gone;
+  for (const auto& [id, run] : target.runs) {
+    if (listed.contains(id)) {
+      continue;
+    }
+    const bool stopped = run.phase == RunPhase::kStopping && run.stop_done &&
+                         sent_at > run.stop_done_at + cell.options.stop_time;
+    const bool vanished =
+        run.phase == RunPhase::kRunning && sent_at > run.confirmed_at;
+    if (stopped || vanished) {
+      gone.push_back(id);
+    }
+  }
+  for (const RunId& id : gone) {
+    Note(actions, "task_not_there",
+         {{"job", id.task.job},
+          {"task", TaskName(id.task)},
+          {"run", std::to_string(id.number)},
+          {"target", target.entry.id}});
+    ReleaseRun(cell, target, id);
+  }
+}
+
+void StopStuck(Cell& cell, Actions& actions, Target& target, Time now) {
+  std::vector<RunId> stuck;
+  for (const auto& [id, run] : target.runs) {
+    const Millis patience =
+        std::max(kStuckAtLeast, run.estimate / kStuckFactor);
+    if (run.phase == RunPhase::kRunning && run.listed && run.percent < 100 &&
+        now - run.progress_at > patience) {
+      stuck.push_back(id);
+    }
+  }
+  for (const RunId& id : stuck) {
+    target.health.suspended_until = now + cell.options.suspension;
+    StopRun(cell, actions, target, id, "no progress", now);
+  }
+}
+
+}  // namespace
+
+void AdvanceAcks(Cell& cell, Target& target) {
+  while (!target.pending_ends.empty()) {
+    const PendingEnd& end = target.pending_ends.front();
+    const Job* job = FindJob(cell, end.job);
+    if (job != nullptr && job->durable < end.version) {
+      return;
+    }
+    target.acked_end = end.sequence;
+    target.pending_ends.pop_front();
+  }
+}
+
+ReportCall MakeReportCall(const Cell& cell, const Target& target, Time now) {
+  ReportCall call;
+  call.acked_end = target.acked_end;
+  if (target.clock_known && now - target.last_answer <= kSilentAfter) {
+    call.deadline_ms = DeadlineAt(cell, target, now);
+  }
+  return call;
+}
+
+void SetTargets(Cell& cell, Actions& actions,
+                std::span<const TargetEntry> entries, Time now) {
+  std::set<TargetId> listed;
+  for (const TargetEntry& entry : entries) {
+    listed.insert(entry.id);
+    auto [found, added] = cell.targets.try_emplace(entry.id);
+    if (added) {
+      found->second.entry = entry;
+      found->second.rack = RackOf(entry);
+      found->second.last_answer = now;
+      cell.targets_dirty = true;
+      Note(actions, "target_found",
+           {{"target", entry.id},
+            {"address", entry.address},
+            {"service", entry.service}});
+    } else {
+      UpdateTarget(cell, actions, found->second, entry, now);
+    }
+  }
+  for (auto& [id, target] : cell.targets) {
+    if (target.listed && !listed.contains(id)) {
+      target.listed = false;
+      target.unlisted_at = now;
+      Note(actions, "target_unlisted", {{"target", id}});
+    }
+  }
+  cell.plan_due = true;
+}
+
+void Reported(Cell& cell, Actions& actions, const TargetId& id,
+              const TargetReport& report, Time sent_at, Time now) {
+  Target* target = FindTarget(cell, id);
+  if (target == nullptr || report.life < target->entry.life) {
+    return;
+  }
+  if (report.life > target->entry.life) {
+    BeginLife(cell, actions, *target, report.life, "report");
+  }
+  target->last_answer = now;
+  target->silent = false;
+  target->clock_offset = report.clock_ms - ToMs(now);
+  target->clock_known = true;
+  std::set<RunId> listed;
+  for (const EndReport& end : report.ended) {
+    listed.insert(end.run);
+    if (end.sequence <= target->seen_end) {
+      continue;
+    }
+    target->seen_end = end.sequence;
+    TakeEnd(cell, actions, *target, end, now);
+    const Job* job = FindJob(cell, end.run.task.job);
+    target->pending_ends.push_back(
+        {end.sequence, end.run.task.job, job == nullptr ? 0 : job->version});
+  }
+  for (const RunningReport& running : report.running) {
+    listed.insert(running.run);
+    const auto found = target->runs.find(running.run);
+    if (found == target->runs.end()) {
+      AdoptRun(cell, actions, *target, running, now);
+    } else {
+      TakeProgress(cell, found->second, running, now);
+    }
+  }
+  DropUnlisted(cell, actions, *target, listed, sent_at);
+  AdvanceAcks(cell, *target);
+  StopStuck(cell, actions, *target, now);
+  if (!target->reported) {
+    target->reported = true;
+    cell.plan_due = true;
+    CheckRecovery(cell, actions, now);
+  }
+}
+
+void ReportFailed(Cell& cell, Actions& actions, const TargetId& id,
+                  OrderOutcome outcome, Time now) {
+  Target* target = FindTarget(cell, id);
+  if (target == nullptr) {
+    return;
+  }
+  if (outcome == OrderOutcome::kFenced) {
+    actions.emplace_back(FencedOff{id});
+    return;
+  }
+  if (!target->silent && now - target->last_answer > kSilentAfter) {
+    target->silent = true;
+    Note(actions, "target_lost",
+         {{"target", id},
+          {"outcome", std::string(OutcomeName(outcome))},
+          {"silent_ms", std::to_string((now - target->last_answer).count())}});
+  }
+}
+
+/// Forgets what a silent target ran once its lease is over, and the target
+/// itself once it is neither listed nor heard of.
+void ExpireTarget(Cell& cell, Actions& actions, Target& target, Time now) {
+  const bool silent = now - target.last_answer > kSilentAfter;
+  if (silent && !target.runs.empty() && now > target.lease_until) {
+    DropRuns(cell, actions, target, "lease over");
+    target.reported = false;
+  }
+  if (!target.listed && !target.removed && silent && target.runs.empty() &&
+      now - target.unlisted_at > cell.options.kept_unlisted) {
+    target.removed = true;
+    cell.targets_dirty = true;
+    Note(actions, "target_gone", {{"target", target.entry.id}});
+  }
+}
+
+}  // namespace buckthornmux::cell
--- /dev/null
+++ b/src/cell/runs.cc
@@ -0,0 +1,312 @@
+#include <algorithm>
+
+#include "buckthornmux/detail/core/invariant.h"
+#include "internal.h"
+
+namespace buckthornmux::cell {
+namespace {
+
+constexpr int kPerMille = 1000;
+constexpr Millis kFirstStopRetry{100};
+
+/// The start is surely not there: the task may be started elsewhere.
+void GiveBack(Cell& cell, Target& target, const RunId& id) {
+  ReleaseRun(cell, target, id);
+  cell.plan_due = true;
+}
+
+/// A gang lacks a member: the others are stopped, so that all start anew.
+void StopGang(Cell& cell, Actions& actions, const RunId& id, Time now) {
+  Job* job = FindJob(cell, id.task.job);
+  if (job == nullptr || job->Ended()) {
+    return;
+  }
+  Step* step = FindStep(*job, id.task.occurrence, id.task.step);
+  if (step == nullptr || !job->spec.steps[id.task.step].gang) {
+    return;
+  }
+  for (std::uint32_t i = 0; i < step->tasks.size(); ++i) {
+    const Task& task = step->tasks[i];
+    if (task.phase != TaskPhase::kLive) {
+      continue;
+    }
+    const TargetId target_id = task.target;
+    const RunId member{
+        {id.task.job, id.task.occurrence, id.task.step, i}, task.run};
+    if (Target* target = FindTarget(cell, target_id)) {
+      StopRun(cell, actions, *target, member, "gang member missing", now);
+    }
+  }
+}
+
+void Resend(Cell& cell, Actions& actions, Target& target, const RunId& id,
+            Run& run, Time now) {
+  const Job* job = FindJob(cell, id.task.job);
+  if (job == nullptr || job->Ended()) {
+    StopRun(cell, actions, target, id, "job ended", now);
+    return;
+  }
+  Job& known = *FindJob(cell, id.task.job);
+  const Step* step = FindStep(known, id.task.occurrence, id.task.step);
+  if (step == nullptr || run.tries >= cell.options.start_tries) {
+    StopRun(cell, actions, target, id, "start not answered", now);
+    return;
+  }
+  const auto ticket = step->advice.tickets.find(target.entry.id);
+  const StepSpec& spec = known.spec.steps[id.task.step];
+  SendStart start{target.entry.id, target.entry.life, id, known.spec.payload,
+                  step->tasks[spec.gang ? 0 : id.task.index].checkpoint,
+                  ticket == step->advice.tickets.end() ? std::string()
+                                                       : ticket->second.text,
+                  DeadlineAt(cell, target, now)};
+  ++run.tries;
+  run.in_flight = true;
+  actions.emplace_back(std::move(start));
+}
+
+}  // namespace
+
+std::string_view OutcomeName(OrderOutcome outcome) {
+  switch (outcome) {
+    case OrderOutcome::kDone:
+      return "done";
+    case OrderOutcome::kNotSent:
+      return "not_sent";
+    case OrderOutcome::kUnknown:
+      return "unknown";
+    case OrderOutcome::kFenced:
+      return "fenced";
+    case OrderOutcome::kOld:
+      return "old_run";
+    case OrderOutcome::kLate:
+      return "too_late";
+    case OrderOutcome::kNoRoom:
+      return "no_room";
+    case OrderOutcome::kBadTicket:
+      return "bad_ticket";
+    case OrderOutcome::kUnhealthy:
+      return "unhealthy";
+    case OrderOutcome::kOtherLife:
+      return "other_life";
+    case OrderOutcome::kRefused:
+      return "refused";
+  }
+  return "unknown";
+}
+
+Target* FindTarget(Cell& cell, const TargetId& id) {
+  const auto found = cell.targets.find(id);
+  return found == cell.targets.end() ? nullptr : &found->second;
+}
+
+std::int64_t DeadlineAt(const Cell& cell, const Target& target, Time now) {
+  return ToMs(now) + target.clock_offset + cell.options.lease.count();
+}
+
+void HoldRoom(Cell& cell, Target& target, const RunId& id, Run run) {
+  target.used += run.demand;
+  cell.usage[run.team].used += run.demand;
+  target.unknown_runs += run.demand_unknown ? 1 : 0;
+  const bool added = target.runs.emplace(id, std::move(run)).second;
+  Invariant(added, "run_held_once", id.task.job);
+}
+
+void ReleaseRun(Cell& cell, Target& target, const RunId& id) {
+  const auto found = target.runs.find(id);
+  if (found != target.runs.end()) {
+    const Run& run = found->second;
+    target.used -= run.demand;
+    cell.usage[run.team].used -= run.demand;
+    target.unknown_runs -= run.demand_unknown ? 1 : 0;
+    target.runs.erase(found);
+  }
+  Job* job = FindJob(cell, id.task.job);
+  Task* task = job == nullptr ? nullptr : FindTask(*job, id.task);
+  if (task != nullptr && task->phase == TaskPhase::kLive &&
+      task->run == id.number && task->target == target.entry.id) {
+    task->phase = TaskPhase::kWaiting;
+    task->target.clear();
+    --FindStep(*job, id.task.occurrence, id.task.step)->live;
+    RefreshStep(cell, *job, id.task.occurrence, id.task.step);
+  }
+  cell.plan_due = true;
+}
+
+void SendStopNow(Cell& cell, Actions& actions, Target& target, const RunId& id,
+                 Run& run, Time now) {
+  run.in_flight = true;
+  ++run.tries;
+  run.next_try = now + (run.tries == 1 ? kFirstStopRetry
+                                       : cell.options.stop_retry);
+  actions.emplace_back(SendStop{target.entry.id, target.entry.life, id});
+}
+
+void StopRun(Cell& cell, Actions& actions, Target& target, const RunId& id,
+             std::string_view why, Time now) {
+  const auto found = target.runs.find(id);
+  if (found == target.runs.end() ||
+      found->second.phase == RunPhase::kStopping) {
+    return;
+  }
+  Run& run = found->second;
+  run.phase = RunPhase::kStopping;
+  run.tries = 0;
+  run.stop_done = false;
+  Note(actions, "task_stop",
+       {{"job", id.task.job},
+        {"task", TaskName(id.task)},
+        {"run", std::to_string(id.number)},
+        {"target", target.entry.id},
+        {"reason", std::string(why)}});
+  SendStopNow(cell, actions, target, id, run, now);
+}
+
+void StartAnswered(Cell& cell, Actions& actions, const TargetId& target_id,
+                   const RunId& id, OrderOutcome outcome, Time now) {
+  Target* target = FindTarget(cell, target_id);
+  if (target == nullptr) {
+    return;
+  }
+  const auto found = target->runs.find(id);
+  if (outcome != OrderOutcome::kDone) {
+    Note(actions, "start_answered",
+         {{"job", id.task.job},
+          {"task", TaskName(id.task)},
+          {"run", std::to_string(id.number)},
+          {"target", target_id},
+          {"outcome", std::string(OutcomeName(outcome))}});
+  }
+  if (outcome == OrderOutcome::kFenced) {
+    actions.emplace_back(FencedOff{target_id});
+  }
+  if (found == target->runs.end()) {
+    return;
+  }
+  Run& run = found->second;
+  if (run.phase == RunPhase::kStopping) {
+    return;  // The stop decides.
+  }
+  run.in_flight = false;
+  switch (outcome) {
+    case OrderOutcome::kDone:
+      if (run.phase == RunPhase::kSent) {
+        run.phase = RunPhase::kRunning;
+        run.confirmed_at = now;
+        run.progress_at = now;
+      }
+      return;
+    case OrderOutcome::kUnknown:
+      run.unsure = true;
+      run.next_try = now;
+      if (run.phase == RunPhase::kSent) {
+        Resend(cell, actions, *target, id, run, now);
+      }
+      return;
+    case OrderOutcome::kOld:
+      // Ended or stopped there meanwhile: its end is or will be reported.
+      run.phase = RunPhase::kStopping;
+      run.stop_done = true;
+      run.stop_done_at = now;
+      return;
+    case OrderOutcome::kNotSent:
+      target->health.suspended_until =
+          std::max(target->health.suspended_until, now + Millis(500));
+      break;
+    case OrderOutcome::kUnhealthy:
+      target->health.suspended_until =
+          std::max(target->health.suspended_until, now + Millis(1000));
+      break;
+    case OrderOutcome::kBadTicket:
+      if (Job* job = FindJob(cell, id.task.job)) {
+        if (Step* step = FindStep(*job, id.task.occurrence, id.task.step)) {
+          step->advice.tickets.erase(target_id);
+        }
+      }
+      break;
+    case OrderOutcome::kOtherLife:
+      target->reported = false;
+      break;
+    default:
+      break;
+  }
+  if (run.phase == RunPhase::kRunning) {
+    return;  // Confirmed by a report before this answer came.
+  }
+  if (run.unsure && outcome != OrderOutcome::kOtherLife) {
+    // An earlier send of it may still arrive.
+    StopRun(cell, actions, *target, id, "start uncertain", now);
+  } else {
+    GiveBack(cell, *target, id);
+  }
+  StopGang(cell, actions, id, now);
+}
+
+void StopAnswered(Cell& cell, Actions& actions, const TargetId& target_id,
+                  const RunId& id, OrderOutcome outcome, Time now) {
+  Target* target = FindTarget(cell, target_id);
+  if (target == nullptr) {
+    return;
+  }
+  if (outcome == OrderOutcome::kFenced) {
+    actions.emplace_back(FencedOff{target_id});
+  }
+  const auto found = target->runs.find(id);
+  if (found == target->runs.end()) {
+    return;
+  }
+  Run& run = found->second;
+  run.in_flight = false;
+  if (outcome == OrderOutcome::kDone || outcome == OrderOutcome::kOld) {
+    run.stop_done = true;
+    run.stop_done_at = now;
+  } else if (outcome == OrderOutcome::kOtherLife) {
+    target->reported = false;
+  } else {
+    Note(actions, "stop_answered",
+         {{"job", id.task.job},
+          {"task", TaskName(id.task)},
+          {"run", std::to_string(id.number)},
+          {"target", target_id},
+          {"outcome", std::string(OutcomeName(outcome))}});
+  }
+}
+
+void DropRuns(Cell& cell, Actions& actions, Target& target,
+              std::string_view why) {
+  if (!target.runs.empty()) {
+    Note(actions, "target_runs_gone",
+         {{"target", target.entry.id},
+          {"runs", std::to_string(target.runs.size())},
+          {"reason", std::string(why)}});
+  }
+  while (!target.runs.empty()) {
+    const RunId id = target.runs.begin()->first;
+    ReleaseRun(cell, target, id);
+  }
+}
+
+void LeaseSent(Cell& cell, const TargetId& id, Time now) {
+  if (Target* target = FindTarget(cell, id)) {
+    const Millis lease = cell.options.lease;
+    target->lease_until =
+        std::max(target->lease_until,
+                 now + lease + lease * cell.options.drift_per_mille / kPerMille +
+                     cell.options.stop_time);
+  }
+}
+
+/// Repeats orders that were not answered, and stops what is overdue.
+void RepeatOrders(Cell& cell, Actions& actions, Target& target, Time now) {
+  std::vector<RunId> due;
+  for (const auto& [id, run] : target.runs) {
+    if (run.phase == RunPhase::kStopping && !run.stop_done && !run.in_flight &&
+        now >= run.next_try) {
+      due.push_back(id);
+    }
+  }
+  for (const RunId& id : due) {
+    SendStopNow(cell, actions, target, id, target.runs.at(id), now);
+  }
+}
+
+}  // namespace buckthornmux::cell
--- /dev/null
+++ b/src/cell/steps.cc
@@ -0,0 +1,286 @@
+#include <algorithm>
+
+#include "buckthornmux/detail/core/invariant.h"
+#include "internal.h"
+
+namespace buckthornmux::cell {
+namespace {
+
+/// Runs that an unseen former owner may have started are numbered below this
+/// distance from the highest known.
+constexpr std::uint32_t kRunGap = 64;
+
+Occurrence MakeOccurrence(const JobSpec& spec) {
+  Occurrence occurrence;
+  for (const StepSpec& step_spec : spec.steps) {
+    Step step;
+    step.tasks.resize(step_spec.count);
+    occurrence.steps.push_back(std::move(step));
+  }
+  return occurrence;
+}
+
+bool IsDue(const Cell& cell, const Job& job, Time now) {
+  const Recurrence& recurrence = job.spec.recurrence;
+  if (recurrence.count == 0) {
+    return job.occurrences_begun == 0;
+  }
+  const WallMillis due =
+      recurrence.first + recurrence.interval.count() *
+                             static_cast<WallMillis>(job.occurrences_begun);
+  return job.occurrences_begun < recurrence.count &&
+         ToMs(now) + cell.wall_offset >= due;
+}
+
+bool IsDone(const Occurrence& occurrence, const JobSpec& spec,
+            std::uint32_t step) {
+  return occurrence.steps[step].done >= spec.steps[step].count;
+}
+
+void EndOccurrence(Cell& cell, Actions& actions, Job& job, std::uint32_t number,
+                   Time now) {
+  job.occurrences.erase(number);
+  ++job.occurrences_done;
+  const std::uint32_t wanted =
+      std::max<std::uint32_t>(1, job.spec.recurrence.count);
+  if (job.occurrences_done >= wanted) {
+    EndJob(cell, actions, job, JobPhase::kCompleted, "all tasks done", now);
+  } else {
+    Touch(cell, job, false, now);
+  }
+}
+
+/// Marks tasks done; a gang is done as a whole.
+void MarkDone(Step& step, const StepSpec& spec, std::uint32_t index) {
+  for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
+    Task& task = step.tasks[i];
+    if ((spec.gang || i == index) && task.phase != TaskPhase::kDone) {
+      if (task.phase == TaskPhase::kLive) {
+        --step.live;
+      }
+      task.phase = TaskPhase::kDone;
+      task.checkpoint.clear();
+      ++step.done;
+    }
+  }
+}
+
+void TaskDone(Cell& cell, Actions& actions, Job& job, const TaskId& id,
+              Time now) {
+  Step& step = *FindStep(job, id.occurrence, id.step);
+  const StepSpec& spec = job.spec.steps[id.step];
+  MarkDone(step, spec, id.index);
+  Touch(cell, job, false, now);
+  RefreshStep(cell, job, id.occurrence, id.step);
+  if (step.done < spec.count) {
+    return;
+  }
+  Occurrence& occurrence = job.occurrences.at(id.occurrence);
+  if (++occurrence.steps_done >= job.spec.steps.size()) {
+    EndOccurrence(cell, actions, job, id.occurrence, now);
+  } else {
+    RefreshReady(cell, job, id.occurrence, now);
+  }
+}
+
+/// Counts a failed run once, however often its end is reported.
+void TaskFailed(Cell& cell, Actions& actions, Job& job, const RunId& run,
+                const TargetId& target, Time now) {
+  Step& step = *FindStep(job, run.task.occurrence, run.task.step);
+  const StepSpec& spec = job.spec.steps[run.task.step];
+  Task& counted = step.tasks[spec.gang ? 0 : run.task.index];
+  if (run.number <= counted.failed_run) {
+    return;
+  }
+  counted.failed_run = run.number;
+  counted.failed_on = target;
+  ++counted.failures;
+  Touch(cell, job, false, now);
+  const Queue* queue = QueueOf(cell, job.spec.queue);
+  const std::uint32_t attempts =
+      queue == nullptr ? counted.failures + 1 : queue->max_attempts;
+  if (!spec.service && counted.failures >= attempts) {
+    EndJob(cell, actions, job, JobPhase::kFailed,
+           "task " + TaskName(run.task) + " failed in every attempt", now);
+  }
+}
+
+void KeepCheckpoint(Step& step, const StepSpec& spec, std::uint32_t index,
+                    const std::string& checkpoint) {
+  if (!checkpoint.empty()) {
+    step.tasks[spec.gang ? 0 : index].checkpoint = checkpoint;
+  }
+}
+
+void NoteHealth(Target& target, const EndReport& end, const Task* task,
+                const Options& options, Time now) {
+  TargetHealth& health = target.health;
+  if (end.end == RunEnd::kDone) {
+    health.failures_in_row = 0;
+    health.last_success = now;
+  } else if (end.end == RunEnd::kFailed &&
+             (task == nullptr || task->failures == 0)) {
+    // A task that has failed elsewhere says little about this target.
+    constexpr int kFailuresToSuspend = 2;
+    if (++health.failures_in_row >= kFailuresToSuspend) {
+      health.suspended_until = now + options.suspension;
+    }
+  }
+}
+
+}  // namespace
+
+std::string_view EndName(RunEnd end) {
+  switch (end) {
+    case RunEnd::kDone:
+      return "done";
+    case RunEnd::kFailed:
+      return "failed";
+    case RunEnd::kStopped:
+      return "stopped";
+    case RunEnd::kLapsed:
+      return "lapsed";
+    case RunEnd::kBroken:
+      return "broken";
+    case RunEnd::kAlone:
+      return "alone";
+  }
+  return "unknown";
+}
+
+void BeginDue(Cell& cell, Actions& actions, Job& job, Time now) {
+  while (!job.Ended() && IsDue(cell, job, now)) {
+    const std::uint32_t number = job.occurrences_begun++;
+    job.occurrences.emplace(number, MakeOccurrence(job.spec));
+    RefreshReady(cell, job, number, now);
+    if (job.spec.recurrence.count > 0) {
+      Touch(cell, job, false, now);
+      Note(actions, "occurrence_begun",
+           {{"job", job.spec.id}, {"occurrence", std::to_string(number)}});
+    }
+  }
+}
+
+void RefreshStep(Cell& cell, const Job& job, std::uint32_t occurrence,
+                 std::uint32_t number) {
+  const StepRef ref{job.spec.id, occurrence, number};
+  const auto found = job.occurrences.find(occurrence);
+  if (job.Ended() || found == job.occurrences.end()) {
+    cell.ready.erase(ref);
+    return;
+  }
+  const Step& step = found->second.steps[number];
+  const bool waits = step.ready && step.done + step.live < step.tasks.size();
+  if (waits) {
+    cell.ready.insert(ref);
+  } else {
+    cell.ready.erase(ref);
+  }
+}
+
+void RefreshReady(Cell& cell, Job& job, std::uint32_t number, Time now) {
+  Occurrence& occurrence = job.occurrences.at(number);
+  for (std::uint32_t i = 0; i < occurrence.steps.size(); ++i) {
+    Step& step = occurrence.steps[i];
+    const bool turn =
+        std::ranges::all_of(job.spec.steps[i].after, [&](std::uint32_t before) {
+          return IsDone(occurrence, job.spec, before);
+        });
+    if (turn && !step.ready) {
+      step.ready = true;
+      step.ready_at = now;
+    }
+    RefreshStep(cell, job, number, i);
+  }
+  cell.plan_due = true;
+}
+
+void TakeEnd(Cell& cell, Actions& actions, Target& target, const EndReport& end,
+             Time now) {
+  Job* job = FindJob(cell, end.run.task.job);
+  Task* task = job == nullptr || job->Ended() ? nullptr
+                                              : FindTask(*job, end.run.task);
+  NoteHealth(target, end, task, cell.options, now);
+  Note(actions, "task_ended",
+       {{"job", end.run.task.job},
+        {"task", TaskName(end.run.task)},
+        {"run", std::to_string(end.run.number)},
+        {"target", target.entry.id},
+        {"end", std::string(EndName(end.end))},
+        {"sequence", std::to_string(end.sequence)}});
+  ReleaseRun(cell, target, end.run);
+  if (task == nullptr) {
+    return;
+  }
+  task->next_run = std::max(task->next_run, end.run.number + 1);
+  const StepSpec& spec = job->spec.steps[end.run.task.step];
+  Step& step = *FindStep(*job, end.run.task.occurrence, end.run.task.step);
+  KeepCheckpoint(step, spec, end.run.task.index, end.checkpoint);
+  if (end.end == RunEnd::kDone && task->phase != TaskPhase::kDone) {
+    if (!spec.service) {
+      TaskDone(cell, actions, *job, end.run.task, now);
+    }
+  } else if (end.end == RunEnd::kFailed && task->phase != TaskPhase::kDone) {
+    TaskFailed(cell, actions, *job, end.run, target.entry.id, now);
+  }
+  cell.plan_due = true;
+}
+
+void CheckRecovery(Cell& cell, Actions& actions, Time now) {
+  if (cell.recovered || !cell.loaded) {
+    return;
+  }
+  const Millis lapse =
+      cell.options.lease +
+      cell.options.lease * cell.options.drift_per_mille / 1000 + Millis(300);
+  const bool all_reported =
+      !cell.targets.empty() &&
+      std::ranges::all_of(cell.targets,
+                          [](const auto& entry) {
+                            return entry.second.reported ||
+                                   entry.second.removed;
+                          }) &&
+      std::ranges::all_of(cell.expected, [&](const TargetId& id) {
+        return cell.targets.contains(id);
+      });
+  if (!all_reported && now < cell.claimed_at + lapse) {
+    return;
+  }
+  cell.recovered = true;
+  Note(actions, "recovery_done",
+       {{"epoch", std::to_string(cell.epoch)},
+        {"all_reported", all_reported ? "true" : "false"},
+        {"after_ms", std::to_string((now - cell.claimed_at).count())}});
+  for (auto& [id, job] : cell.jobs) {
+    if (!job.adopted || job.Ended()) {
+      continue;
+    }
+    for (auto& [number, occurrence] : job.occurrences) {
+      for (std::uint32_t i = 0; i < occurrence.steps.size(); ++i) {
+        Step& step = occurrence.steps[i];
+        for (Task& task : step.tasks) {
+          task.next_run += kRunGap;
+        }
+        // A gang of which only some members run can't go on.
+        const bool partial = job.spec.steps[i].gang && step.live > 0 &&
+                             step.live < step.tasks.size();
+        if (!partial) {
+          continue;
+        }
+        for (std::uint32_t t = 0; t < step.tasks.size(); ++t) {
+          const Task& task = step.tasks[t];
+          Target* target = task.phase == TaskPhase::kLive
+                               ? FindTarget(cell, task.target)
+                               : nullptr;
+          if (target != nullptr) {
+            StopRun(cell, actions, *target, {{id, number, i, t}, task.run},
+                    "gang incomplete after takeover", now);
+          }
+        }
+      }
+    }
+  }
+  cell.plan_due = true;
+}
+
+}  // namespace buckthornmux::cell
--- /dev/null
+++ b/src/cell/tick.cc
@@ -0,0 +1,63 @@
+#include "internal.h"
+
+namespace buckthornmux::cell {
+namespace {
+
+void ForgetOld(Cell& cell, Time now) {
+  while (!cell.ended_jobs.empty() &&
+         now - cell.ended_jobs.front().first > cell.options.job_retention) {
+    const JobId id = cell.ended_jobs.front().second;
+    cell.ended_jobs.pop_front();
+    if (Job* job = FindJob(cell, id)) {
+      job->forget = true;
+      Touch(cell, *job, false, now);
+    }
+  }
+}
+
+void ExpireAdvice(Cell& cell, Actions& actions, Time now) {
+  std::vector<std::uint64_t> overdue;
+  for (const auto& [ask, open] : cell.open_advice) {
+    if (now >= open.give_up) {
+      overdue.push_back(ask);
+    }
+  }
+  for (const std::uint64_t ask : overdue) {
+    AdviceAnswered(cell, actions, ask, false, {}, now);
+  }
+}
+
+}  // namespace
+
+void StartService(Cell& cell, Actions& actions, Time now) {
+  cell.loaded = true;
+  for (auto& [id, job] : cell.jobs) {
+    for (const auto& [number, occurrence] : job.occurrences) {
+      RefreshReady(cell, job, number, now);
+    }
+    BeginDue(cell, actions, job, now);
+  }
+  CheckRecovery(cell, actions, now);
+}
+
+void Tick(Cell& cell, Actions& actions, Time now) {
+  for (auto& [id, target] : cell.targets) {
+    RepeatOrders(cell, actions, target, now);
+    ExpireTarget(cell, actions, target, now);
+  }
+  std::erase_if(cell.targets,
+                [](const auto& entry) { return entry.second.removed; });
+  if (!cell.loaded) {
+    return;
+  }
+  for (auto& [id, job] : cell.jobs) {
+    if (!job.Ended() && job.durable > 0 && job.spec.recurrence.count > 0) {
+      BeginDue(cell, actions, job, now);
+    }
+  }
+  ExpireAdvice(cell, actions, now);
+  ForgetOld(cell, now);
+  CheckRecovery(cell, actions, now);
+}
+
+}  // namespace buckthornmux::cell
--- a/src/cli/command_line.cc
+++ b/src/cli/command_line.cc
@@ -13,6 +13,7 @@
 
 constexpr auto kCommands = std::to_array<Command>({
     {"serve", "run an entry host", RunServeCommand},
+    {"host", "run an entry host on the users' platform", RunHostCommand},
     {"check", "check an inventory and rules, all problems at once",
      RunCheckCommand},
     {"diff", "show what an apply would change", RunDiffCommand},
--- /dev/null
+++ b/src/entry/cell_host.cc
@@ -0,0 +1,431 @@
+#include "buckthornmux/detail/entry/cell_host.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "buckthornmux/detail/entry/clock.h"
+#include "buckthornmux/detail/runtime/log_line.h"
+
+namespace buckthornmux::entry {
+namespace {
+
+using runtime::Counter;
+using runtime::LogLine;
+using Level = runtime::LogLine::Level;
+
+constexpr Millis kTickEvery{50};
+/// A start or stop without an answer by then is repeated; a healthy target
+/// answers in some milliseconds.
+constexpr Millis kOrderTimeout{300};
+constexpr Millis kReportWait{1000};  ///< A report waits so long for an end.
+constexpr Millis kReportSlack{500};  ///< Beyond the wait.
+constexpr Millis kReportRetry{200};
+/// While ends wait to be stored, a report would be answered at once.
+constexpr Millis kUnackedPause{60};
+/// A write that waits longer shows that the store is not well.
+constexpr Millis kStoreUnwellAfter{500};
+/// Most of a target's lease: an owner is found and its state read within it.
+constexpr Millis kLongestLease{5000};
+
+cell::Options OptionsOf(const Bounds& bounds) {
+  constexpr Millis kStatusSlack{10'000};
+  cell::Options options;
+  options.lease = std::min(kLongestLease, bounds.longest_lease);
+  options.stop_time = bounds.stop_time;
+  options.gang_timeout = bounds.gang_timeout;
+  options.cancel_within = bounds.cancel_within;
+  options.job_retention = bounds.status_kept + kStatusSlack;
+  options.far_factor = bounds.far_factor;
+  return options;
+}
+
+void Log(const cell::Decision& decision) {
+  LogLine line(decision.event);
+  for (const auto& [key, value] : decision.fields) {
+    line.With(key, value);
+  }
+}
+
+}  // namespace
+
+CellHost::CellHost(const HostSettings& settings, const store::AsyncStore& store,
+                   net::HttpClient& client, runtime::Metrics& metrics,
+                   TargetCalls calls, CellHostEvents events)
+    : m_settings(settings),
+      m_client(client),
+      m_metrics(metrics),
+      m_calls(std::move(calls)),
+      m_events(std::move(events)),
+      m_journal(store, {[this](auto records) { Loaded(std::move(records)); },
+                        [this](const auto& batch) { Stored(batch); },
+                        [this] { m_events.lost(); }}) {}
+
+void CellHost::Open(const member::OwnerRecord& owner) {
+  Close("opened anew");
+  m_owner = owner;
+  m_cell = std::make_unique<cell::Cell>();
+  m_cell->options = OptionsOf(m_settings.bounds);
+  m_cell->epoch = owner.epoch;
+  m_cell->claimed_at = Now();
+  m_cell->wall_offset = WallOffset();
+  m_metrics.Count(Counter::kRangesGained);
+  m_journal.Open(owner);
+}
+
+void CellHost::Close(std::string_view why) {
+  ++m_term;
+  if (!m_owner) {
+    return;
+  }
+  LogLine("cell_closed")
+      .With("range", m_owner->range)
+      .With("epoch", m_owner->epoch)
+      .With("reason", why)
+      .With("open_calls", static_cast<std::uint64_t>(m_open_calls.size()));
+  m_metrics.Count(Counter::kRangesLost);
+  m_journal.Close();
+  m_owner.reset();
+  m_cell.reset();
+  m_reports.clear();
+  m_released = nullptr;
+  for (const auto& [id, open] : std::exchange(m_open_calls, {})) {
+    CellReply reply;
+    reply.call = open.call;
+    reply.error = ErrorKind::kOwnerStale;
+    reply.message = "the owner changed meanwhile";
+    m_events.reply(open.from, reply);
+  }
+}
+
+void CellHost::Release(std::function<void()> done) {
+  if (!m_cell || !m_cell->loaded) {
+    Close("released");
+    done();
+    return;
+  }
+  m_released = std::move(done);
+  m_cell->options.write_delay = Millis(0);
+  Proceed();
+}
+
+void CellHost::SetLeaseHeld(bool held) { m_lease_held = held; }
+
+void CellHost::Loaded(std::vector<cell::RecordWrite> records) {
+  const Time now = Now();
+  cell::Actions actions;
+  if (m_rules) {
+    cell::SetRules(*m_cell, actions, *m_rules, now);
+  }
+  auto outcome = Capture(
+      [&] { return cell::LoadRecords(*m_cell, records, now); });
+  if (const auto* error = std::get_if<Error>(&outcome)) {
+    LogLine("records_unreadable", Level::kError)
+        .With("range", m_owner->range)
+        .With("reason", error->message);
+    Close("records unreadable");
+    return;
+  }
+  LogLine("records_read")
+      .With("range", m_owner->range)
+      .With("epoch", m_owner->epoch)
+      .With("records", static_cast<std::uint64_t>(records.size()))
+      .With("jobs", static_cast<std::uint64_t>(std::get<std::size_t>(outcome)))
+      .With("took_ms", (now - m_cell->claimed_at).count());
+  cell::SetTargets(*m_cell, actions, m_entries, now);
+  cell::SetLanes(*m_cell, m_lanes);
+  cell::StartService(*m_cell, actions, now);
+  Act(std::move(actions));
+  Proceed();
+}
+
+void CellHost::Stored(const cell::Batch& batch) {
+  m_metrics.Count(Counter::kJournalWrites);
+  m_metrics.Count(Counter::kJournalRecords, batch.writes.size());
+  cell::Actions actions;
+  cell::SetStoreWell(*m_cell, actions, true);
+  cell::BatchStored(*m_cell, actions, batch, Now());
+  Act(std::move(actions));
+  Proceed();
+}
+
+void CellHost::SetRules(const RulesPtr& rules) {
+  m_rules = rules;
+  if (m_cell && rules) {
+    cell::Actions actions;
+    cell::SetRules(*m_cell, actions, *rules, Now());
+    Act(std::move(actions));
+    Proceed();
+  }
+}
+
+void CellHost::SetTargets(std::span<const cell::TargetEntry> entries) {
+  m_entries.assign(entries.begin(), entries.end());
+  if (Serving()) {
+    cell::Actions actions;
+    cell::SetTargets(*m_cell, actions, entries, Now());
+    Act(std::move(actions));
+    Proceed();
+  }
+}
+
+void CellHost::SetLanes(std::span<const HostId> hosts) {
+  m_lanes.assign(hosts.begin(), hosts.end());
+  if (m_cell) {
+    cell::SetLanes(*m_cell, hosts);
+  }
+}
+
+void CellHost::Call(const HostId& from, const CellCall& call) {
+  CellReply reply;
+  reply.call = call.call;
+  if (!Serving() || m_released) {
+    reply.end = call.kind == CallKind::kSubmit ? CallEnd::kRefused
+                                               : CallEnd::kUnknown;
+    reply.error =
+        m_owner ? ErrorKind::kNotReady : ErrorKind::kOwnerUnknown;
+    reply.message = "this host does not serve the cell now";
+    m_events.reply(from, reply);
+    return;
+  }
+  if (call.kind == CallKind::kQuery) {
+    const auto phase = cell::PhaseOf(*m_cell, call.job);
+    reply.end = phase ? CallEnd::kPhase : CallEnd::kNoSuchJob;
+    reply.phase = phase.value_or(cell::JobPhase::kQueued);
+    m_events.reply(from, reply);
+    return;
+  }
+  if (call.kind == CallKind::kPending) {
+    reply.end = CallEnd::kPending;
+    reply.pending = cell::PendingOf(*m_cell, call.queue);
+    m_events.reply(from, reply);
+    return;
+  }
+  const cell::CallId id = m_next_call++;
+  m_open_calls.emplace(id, OpenCall{from, call.call});
+  cell::Actions actions;
+  if (call.kind == CallKind::kSubmit) {
+    cell::Submit(*m_cell, actions, id, call.spec, Now());
+  } else {
+    cell::Cancel(*m_cell, actions, id, call.job, call.team, Now());
+  }
+  Act(std::move(actions));
+  Proceed();
+}
+
+void CellHost::Reply(cell::CallId call, CellReply reply) {
+  const auto found = m_open_calls.find(call);
+  if (found == m_open_calls.end()) {
+    return;
+  }
+  reply.call = found->second.call;
+  const HostId to = found->second.from;
+  m_open_calls.erase(found);
+  m_events.reply(to, std::move(reply));
+}
+
+void CellHost::AdviceAnswered(const AdviceReply& reply) {
+  if (!Serving() || reply.epoch != m_cell->epoch) {
+    return;
+  }
+  cell::Actions actions;
+  cell::AdviceAnswered(*m_cell, actions, reply.ask, reply.answered,
+                       reply.tickets, Now());
+  Act(std::move(actions));
+  Proceed();
+}
+
+// ---- Actions ----------------------------------------------------------------
+
+void CellHost::Act(cell::Actions actions) {
+  for (cell::Action& action : actions) {
+    if (auto* decision = std::get_if<cell::Decision>(&action)) {
+      Log(*decision);
+    } else if (auto* submit = std::get_if<cell::AnswerSubmit>(&action)) {
+      CellReply reply;
+      reply.end = submit->error ? CallEnd::kRefused : CallEnd::kAccepted;
+      if (submit->error) {
+        reply.error = submit->error->kind;
+        reply.message = submit->error->message;
+      }
+      Reply(submit->call, std::move(reply));
+    } else if (auto* cancel = std::get_if<cell::AnswerCancel>(&action)) {
+      CellReply reply;
+      reply.end = cancel->known ? CallEnd::kCancelled : CallEnd::kNoSuchJob;
+      Reply(cancel->call, std::move(reply));
+    } else if (auto* start = std::get_if<cell::SendStart>(&action)) {
+      Send(*start);
+    } else if (auto* stop = std::get_if<cell::SendStop>(&action)) {
+      Send(*stop);
+    } else if (auto* ask = std::get_if<cell::AskAdvice>(&action)) {
+      m_events.ask_adviser(ask->lane, {ask->ask, m_cell->epoch, ask->step,
+                                       std::move(ask->targets), ask->timeout});
+    } else if (std::holds_alternative<cell::FencedOff>(action)) {
+      m_events.fenced();
+    }
+  }
+}
+
+void CellHost::Send(const cell::SendStart& start) {
+  const auto target = m_cell->targets.find(start.target);
+  const auto answered = [this, term = m_term, id = start.target,
+                         run = start.run](cell::OrderOutcome outcome) {
+    if (term != m_term) {
+      return;
+    }
+    cell::Actions actions;
+    cell::StartAnswered(*m_cell, actions, id, run, outcome, Now());
+    Act(std::move(actions));
+    Proceed();
+  };
+  if (!m_lease_held || target == m_cell->targets.end()) {
+    answered(cell::OrderOutcome::kNotSent);
+    return;
+  }
+  m_metrics.Count(Counter::kTasksStarted);
+  m_client.Call(target->second.entry.address,
+                m_calls.start(start, m_cell->epoch), kOrderTimeout,
+                [this, answered](const auto& answer) {
+                  answered(m_calls.outcome(answer));
+                });
+}
+
+void CellHost::Send(const cell::SendStop& stop) {
+  const auto target = m_cell->targets.find(stop.target);
+  if (target == m_cell->targets.end()) {
+    return;
+  }
+  m_metrics.Count(Counter::kTasksStopped);
+  m_client.Call(target->second.entry.address,
+                m_calls.stop(stop, m_cell->epoch), kOrderTimeout,
+                [this, term = m_term, id = stop.target,
+                 run = stop.run](const auto& answer) {
+                  if (term != m_term) {
+                    return;
+                  }
+                  cell::Actions actions;
+                  cell::StopAnswered(*m_cell, actions, id, run,
+                                     m_calls.outcome(answer), Now());
+                  Act(std::move(actions));
+                  Proceed();
+                });
+}
+
+// ---- Reports ----------------------------------------------------------------
+
+void CellHost::Report(const TargetId& id, const cell::Target& target,
+                      Time now) {
+  ReportLoop& loop = m_reports[id];
+  const bool unacked = target.seen_end > target.acked_end;
+  if (loop.in_flight || now < loop.next) {
+    return;
+  }
+  loop.in_flight = true;
+  const cell::ReportCall call = cell::MakeReportCall(*m_cell, target, now);
+  if (call.deadline_ms > 0) {
+    cell::LeaseSent(*m_cell, id, now);
+  }
+  const bool first = !target.reported || !target.clock_known || unacked;
+  const Millis wait = first ? Millis(0) : kReportWait;
+  m_client.Call(
+      target.entry.address, m_calls.report(id, call, m_cell->epoch, wait),
+      wait + kReportSlack,
+      [this, term = m_term, id, now](const auto& answer) {
+        if (term == m_term) {
+          ReportAnswered(id, now, answer);
+        }
+      });
+}
+
+void CellHost::ReportAnswered(const TargetId& id, Time sent_at,
+                              const Outcome<net::HttpResponse>& answer) {
+  const Time now = Now();
+  ReportLoop& loop = m_reports[id];
+  loop.in_flight = false;
+  loop.next = now;
+  cell::OrderOutcome outcome = m_calls.outcome(answer);
+  cell::Actions actions;
+  if (outcome == cell::OrderOutcome::kDone) {
+    auto report = Capture([&] {
+      return m_calls.parse_report(std::get<net::HttpResponse>(answer).body);
+    });
+    if (const auto* good = std::get_if<cell::TargetReport>(&report)) {
+      m_metrics.Count(Counter::kTasksEnded, good->ended.size());
+      cell::Reported(*m_cell, actions, id, *good, sent_at, now);
+    } else {
+      LogLine("report_unreadable", Level::kWarning)
+          .With("target", id)
+          .With("reason", std::get<Error>(report).message);
+      outcome = cell::OrderOutcome::kUnknown;
+    }
+  }
+  if (outcome != cell::OrderOutcome::kDone) {
+    loop.next = now + kReportRetry;
+    cell::ReportFailed(*m_cell, actions, id, outcome, now);
+  }
+  const auto target = m_cell->targets.find(id);
+  if (target != m_cell->targets.end() &&
+      target->second.seen_end > target->second.acked_end) {
+    loop.next = std::max(loop.next, now + kUnackedPause);
+  }
+  Act(std::move(actions));
+  Proceed();
+}
+
+// ---- Time -------------------------------------------------------------------
+
+void CellHost::WriteDue(Time now) {
+  if (!m_journal.Ready()) {
+    return;
+  }
+  auto batch = cell::TakeBatch(*m_cell, JournalWriter::MostWrites(), now);
+  if (batch) {
+    m_journal.Write(std::move(*batch), now);
+  } else if (m_released && m_cell->dirty.empty()) {
+    const auto done = std::exchange(m_released, nullptr);
+    Close("released");
+    done();
+  }
+}
+
+void CellHost::Proceed() {
+  if (!Serving()) {
+    return;
+  }
+  const Time now = Now();
+  if (m_cell->plan_due && MayOrder() && !m_released) {
+    cell::Actions actions;
+    cell::Plan(*m_cell, actions, now);
+    Act(std::move(actions));
+  }
+  WriteDue(now);
+  if (!m_cell || !m_lease_held) {
+    return;
+  }
+  for (const auto& [id, target] : m_cell->targets) {
+    Report(id, target, now);
+  }
+}
+
+void CellHost::Tick(Time now) {
+  m_journal.Tick(now);
+  if (!Serving() || now < m_tick_at) {
+    return;
+  }
+  m_tick_at = now + kTickEvery;
+  cell::Actions actions;
+  const auto waiting = m_journal.WaitingSince();
+  if (waiting && now - *waiting > kStoreUnwellAfter) {
+    cell::SetStoreWell(*m_cell, actions, false);
+  }
+  if (MayOrder()) {
+    cell::Tick(*m_cell, actions, now);
+    m_cell->plan_due = m_cell->plan_due || !m_cell->ready.empty();
+  }
+  Act(std::move(actions));
+  std::erase_if(m_reports, [&](const auto& entry) {
+    return !m_cell->targets.contains(entry.first) && !entry.second.in_flight;
+  });
+  Proceed();
+}
+
+}  // namespace buckthornmux::entry
--- /dev/null
+++ b/src/entry/host.cc
@@ -0,0 +1,481 @@
+#include "buckthornmux/detail/entry/host.h"
+
+#include <malloc.h>
+#include <unistd.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <csignal>
+#include <fstream>
+#include <memory>
+#include <sstream>
+#include <utility>
+
+#include "buckthornmux/detail/entry/callers.h"
+#include "buckthornmux/detail/entry/cell_host.h"
+#include "buckthornmux/detail/entry/clock.h"
+#include "buckthornmux/detail/entry/log_buffer.h"
+#include "buckthornmux/detail/entry/membership.h"
+#include "buckthornmux/detail/entry/rules_reader.h"
+#include "buckthornmux/detail/entry/target_reader.h"
+#include "buckthornmux/detail/net/http_server.h"
+#include "buckthornmux/detail/peer/peer_links.h"
+#include "buckthornmux/detail/runtime/log_line.h"
+#include "platform/adviser.h"
+#include "platform/jobs.h"
+#include "platform/kv_store.h"
+#include "platform/names.h"
+#include "platform/orders.h"
+#include "platform/rules.h"
+#include "platform/settings.h"
+#include "platform/targets.h"
+
+namespace buckthornmux::entry {
+namespace {
+
+namespace asio = boost::asio;
+using runtime::LogLine;
+using Level = runtime::LogLine::Level;
+
+/// The one range of today: a cell of all targets of a service. A larger fleet
+/// is cut into more.
+constexpr std::string_view kRange = "cell/0";
+
+constexpr Millis kTickEvery{50};
+constexpr Millis kStoreTimeout{700};  ///< A slow store answers within 400 ms.
+constexpr Millis kSettingsEvery{2000};
+constexpr Millis kPeerPing{300};
+constexpr Millis kPeerSilent{900};
+/// A leaving host serves on while the balancer takes it out of rotation, which
+/// takes two of its questions, a second apart.
+constexpr Millis kServeWhileLeaving{3500};
+constexpr Millis kShutdownMargin{800};  ///< Before the kill.
+constexpr std::size_t kConnectionsPerPeer = 8;
+constexpr Millis kConnectTimeout{400};
+
+net::HttpClientOptions ClientOptions() {
+  net::HttpClientOptions options;
+  options.max_connections_per_peer = kConnectionsPerPeer;
+  options.connect_timeout = kConnectTimeout;
+  return options;
+}
+
+CallerCodec MakeCallerCodec() {
+  return {std::string(platform::kKeyHeader),
+          std::string(platform::kDeadlineHeader),
+          platform::ParseJob,
+          platform::IsJobId,
+          platform::FormatPhase,
+          platform::FormatPending};
+}
+
+TargetCalls MakeTargetCalls() {
+  return {platform::StartCall, platform::StopCall, platform::ReportCall,
+          platform::OutcomeOf, platform::ParseReport};
+}
+
+Result<HostSettings> ReadSettings(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) {
+    return Fail(ErrorKind::kFileUnreadable, "can't read the settings", path);
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  return platform::ParseSettings(text.str());
+}
+
+member::Member SelfOf(const HostSettings& settings) {
+  return {settings.host, {},
+          settings.ip + ":" + std::to_string(settings.peer_port),
+          settings.callers_address, settings.data_centre};
+}
+
+/// The process: everything runs on one loop and one thread.
+class Host {
+ public:
+  Host(HostSettings settings, std::string settings_path)
+      : m_settings(std::move(settings)),
+        m_settings_path(std::move(settings_path)),
+        m_signals(m_io, SIGTERM, SIGINT, SIGHUP),
+        m_timer(m_io),
+        m_log(STDOUT_FILENO),
+        m_client(m_io, ClientOptions()),
+        m_store(platform::MakeKvStore(m_client, m_settings.store_address,
+                                      kStoreTimeout)),
+        m_rules(m_store, std::string(platform::kRulesKey), platform::ParseRules,
+                [this] { m_cell.SetRules(m_rules.Current()); }),
+        m_targets(m_store, std::string(platform::kTargetsPrefix),
+                  platform::ParseTarget,
+                  [this](const auto& entries) { m_cell.SetTargets(entries); }),
+        m_members(m_io, m_store, SelfOf(m_settings), {{std::string(kRange), {}}},
+                  MembershipHandlers()),
+        m_cell(m_settings, m_store, m_client, m_metrics, MakeTargetCalls(),
+               CellHandlers()),
+        m_callers(m_io, m_settings.callers_address, MakeCallerCodec(), m_rules,
+                  m_settings.bounds.key_trust, m_metrics,
+                  [this](const CellCall& call, HostId& to) {
+                    return Forward(call, to);
+                  }),
+        m_peers(m_io, PeerOptions(), PeerHandlers()) {
+    runtime::SetLogSink([this](std::string_view line) { m_log.Append(line); });
+    ServeReadiness();
+    ServeMetrics();
+  }
+  Host(const Host&) = delete;
+  Host& operator=(const Host&) = delete;
+  ~Host() { runtime::SetLogSink({}); }
+
+  int Run() {
+    LogLine("started")
+        .With("host", m_settings.host)
+        .With("data_centre", m_settings.data_centre)
+        .With("callers", m_settings.callers_address)
+        .With("store", m_settings.store_address)
+        .With("first_start", m_settings.first_start ? "true" : "false");
+    AwaitSignal();
+    m_members.Start();
+    Tick();
+    m_io.run();
+    LogLine("stopped").With("host", m_settings.host);
+    m_log.Flush();
+    return 0;
+  }
+
+ private:
+  MembershipEvents MembershipHandlers() {
+    return {[this](const member::OwnerRecord& record) {
+              m_targets.SetActive(true);
+              m_cell.Open(record);
+            },
+            [this](const std::string& /*range*/) {
+              m_targets.SetActive(false);
+              m_cell.Close("owned by another host");
+            },
+            [this](const std::string& range) {
+              m_cell.Release([this, range] {
+                m_targets.SetActive(false);
+                m_members.Released(range);
+              });
+            },
+            [this](bool held) { m_cell.SetLeaseHeld(held); },
+            [this] { TakeView(); }};
+  }
+
+  CellHostEvents CellHandlers() {
+    return {[this](const HostId& to, const CellReply& reply) {
+              if (to == m_settings.host) {
+                m_callers.Reply(reply);
+              } else {
+                SendTo(to, reply);
+              }
+            },
+            [this](const HostId& lane, const AdviceAsk& ask) {
+              if (lane == m_settings.host) {
+                AskAdviser(lane, ask);
+              } else if (!m_peers.Send(lane, ask)) {
+                m_cell.AdviceAnswered({ask.ask, ask.epoch, false, {}});
+              }
+            },
+            [this] { m_members.Recheck(); },
+            [this] {
+              m_cell.Close("records are another owner's");
+              m_members.Recheck();
+            }};
+  }
+
+  peer::PeerLinkOptions PeerOptions() const {
+    peer::PeerLinkOptions options;
+    options.self = m_settings.host;
+    options.incarnation = m_settings.host;
+    options.listen = SelfOf(m_settings).peer_address;
+    options.ping_every = kPeerPing;
+    options.silent_after = kPeerSilent;
+    return options;
+  }
+
+  peer::PeerEvents PeerHandlers() {
+    return {[this](const HostId& from, const peer::Message& message) {
+              TakeMessage(from, message);
+            },
+            [this](const HostId& peer, bool up) {
+              LogLine(up ? "peer_regained" : "peer_lost").With("peer", peer);
+              if (up) {
+                m_links_up.insert(peer);
+              } else {
+                m_links_up.erase(peer);
+                m_callers.HostLost(peer);
+              }
+              SetLanes();
+            },
+            [](const peer::Heartbeat&) {}};
+  }
+
+  void SendTo(const HostId& to, const peer::Message& message) {
+    if (!m_peers.Send(to, message)) {
+      LogLine("message_not_sent", Level::kWarning).With("to", to);
+    }
+  }
+
+  void TakeMessage(const HostId& from, const peer::Message& message) {
+    m_metrics.Count(runtime::Counter::kPeerMessages);
+    if (const auto* call = std::get_if<CellCall>(&message)) {
+      m_cell.Call(from, *call);
+    } else if (const auto* reply = std::get_if<CellReply>(&message)) {
+      m_callers.Reply(*reply);
+    } else if (const auto* ask = std::get_if<AdviceAsk>(&message)) {
+      AskAdviser(from, *ask);
+    } else if (const auto* advice = std::get_if<AdviceReply>(&message)) {
+      m_cell.AdviceAnswered(*advice);
+    } else {
+      LogLine("message_unexpected", Level::kWarning)
+          .With("from", from)
+          .With("kind", static_cast<std::uint64_t>(message.index()));
+    }
+  }
+
+  void TakeView() {
+    std::vector<peer::PeerAddress> peers;
+    for (const member::Member& known : m_members.Members()) {
+      peers.push_back({known.id, known.peer_address});
+    }
+    m_peers.SetPeers(peers);
+    SetLanes();
+  }
+
+  void SetLanes() {
+    std::vector<HostId> lanes{m_settings.host};
+    for (const member::Member& known : m_members.Members()) {
+      if (known.id != m_settings.host && m_links_up.contains(known.id)) {
+        lanes.push_back(known.id);
+      }
+    }
+    m_cell.SetLanes(lanes);
+  }
+
+  /// Asks the adviser on behalf of the cell's owner.
+  void AskAdviser(const HostId& owner, const AdviceAsk& ask) {
+    m_client.Call(
+        m_settings.adviser_address, platform::AdviceCall(ask.step, ask.targets),
+        ask.timeout, [this, owner, id = ask.ask, epoch = ask.epoch](auto got) {
+          AdviceReply reply{id, epoch, false, {}};
+          const auto* response = std::get_if<net::HttpResponse>(&got);
+          if (response != nullptr && response->status == 200) {
+            auto tickets =
+                Capture([&] { return platform::ParseAdvice(response->body); });
+            if (auto* good =
+                    std::get_if<std::vector<cell::Ticket>>(&tickets)) {
+              reply.answered = true;
+              reply.tickets = std::move(*good);
+            }
+          }
+          if (!reply.answered) {
+            LogLine("advice_failed", Level::kWarning)
+                .With("ask", id)
+                .With("status", static_cast<std::int64_t>(
+                                    response == nullptr ? 0
+                                                        : response->status));
+          }
+          if (owner == m_settings.host) {
+            m_cell.AdviceAnswered(reply);
+          } else {
+            SendTo(owner, reply);
+          }
+        });
+  }
+
+  Handed Forward(const CellCall& call, HostId& to) {
+    if (m_cell.Owning()) {
+      to = m_settings.host;
+      m_cell.Call(m_settings.host, call);
+      return Handed::kSent;
+    }
+    to = m_members.OwnerOf(std::string(kRange));
+    if (to.empty() || to == m_settings.host) {
+      return Handed::kNoOwner;
+    }
+    return m_peers.Send(to, call) ? Handed::kSent : Handed::kUnreachable;
+  }
+
+  [[nodiscard]] bool Ready() const {
+    if (m_leaving || !m_callers.RulesTrusted(Now())) {
+      return false;
+    }
+    const HostId owner = m_members.OwnerOf(std::string(kRange));
+    return owner.empty() || owner == m_settings.host ||
+           m_links_up.contains(owner);
+  }
+
+  void ServeReadiness() {
+    net::HttpServerOptions options;
+    options.address = m_settings.readiness_address;
+    m_readiness = std::make_unique<net::HttpServer>(
+        m_io, options,
+        [this](const net::HttpRequest& request, const net::Responder& respond) {
+          constexpr int kNotFound = 404;
+          constexpr int kUnavailable = 503;
+          net::HttpResponse response;
+          if (request.target != platform::kReadinessPath) {
+            response.status = kNotFound;
+          } else if (!Ready()) {
+            response.status = kUnavailable;
+          }
+          respond(std::move(response));
+        });
+  }
+
+  void ServeMetrics() {
+    net::HttpServerOptions options;
+    options.address = m_settings.metrics_address;
+    m_metrics_server = std::make_unique<net::HttpServer>(
+        m_io, options,
+        [this](const net::HttpRequest&, const net::Responder& respond) {
+          net::HttpResponse response;
+          response.content_type = "text/plain";
+          response.body = m_metrics.Text();
+          respond(std::move(response));
+        });
+  }
+
+  void AwaitSignal() {
+    m_signals.async_wait([this](boost::system::error_code error, int signal) {
+      if (error) {
+        return;
+      }
+      if (signal == SIGHUP) {
+        Reload("signal");
+        AwaitSignal();
+      } else if (m_leaving) {
+        LogLine("stop_forced", Level::kWarning).With("host", m_settings.host);
+        m_io.stop();
+      } else {
+        Leave();
+        AwaitSignal();
+      }
+    });
+  }
+
+  /// Reads the settings again. Addresses of this host can't change while it
+  /// runs; what else changed is logged.
+  void Reload(std::string_view cause) {
+    auto outcome = Capture([this] { return ReadSettings(m_settings_path); });
+    if (const auto* error = std::get_if<Error>(&outcome)) {
+      LogLine("settings_unreadable", Level::kWarning)
+          .With("cause", cause)
+          .With("reason", error->message);
+      return;
+    }
+    auto& settings = std::get<HostSettings>(outcome);
+    if (settings.store_address != m_settings.store_address) {
+      m_store = platform::MakeKvStore(m_client, settings.store_address,
+                                      kStoreTimeout);
+    }
+    LogLine("settings_read")
+        .With("cause", cause)
+        .With("store", settings.store_address)
+        .With("adviser", settings.adviser_address);
+    m_settings.store_address = settings.store_address;
+    m_settings.adviser_address = settings.adviser_address;
+  }
+
+  /// Settings may change without a signal.
+  void WatchSettings(Time now) {
+    if (now < m_settings_at) {
+      return;
+    }
+    m_settings_at = now + kSettingsEvery;
+    auto outcome = Capture([this] { return ReadSettings(m_settings_path); });
+    const auto* settings = std::get_if<HostSettings>(&outcome);
+    if (settings != nullptr &&
+        (settings->store_address != m_settings.store_address ||
+         settings->adviser_address != m_settings.adviser_address)) {
+      Reload("file changed");
+    }
+  }
+
+  void Leave() {
+    m_leaving = true;
+    m_leave_at = Now();
+    LogLine("leaving")
+        .With("host", m_settings.host)
+        .With("open_calls", static_cast<std::uint64_t>(m_callers.Open()));
+    m_callers.Leave();
+    m_members.Leave();
+  }
+
+  /// Ends the process once it has handed over and answered everything.
+  void LeaveWhenDone(Time now) {
+    if (!m_leaving || m_unregistering) {
+      return;
+    }
+    const Millis since = now - m_leave_at;
+    const Millis longest = m_settings.bounds.shutdown - kShutdownMargin;
+    const bool done = since >= std::min(kServeWhileLeaving, longest) &&
+                      m_callers.Open() == 0 && m_members.OwnsNothing();
+    if (!done && since < longest) {
+      return;
+    }
+    m_unregistering = true;
+    LogLine("draining")
+        .With("host", m_settings.host)
+        .With("open_calls", static_cast<std::uint64_t>(m_callers.Open()));
+    m_callers.Stop();
+    m_members.Unregister([this] { m_io.stop(); });
+  }
+
+  void Tick() {
+    const Time now = Now();
+    m_rules.Tick(now);
+    m_targets.Tick(now);
+    m_members.Tick(now);
+    m_cell.Tick(now);
+    m_callers.Tick(now);
+    WatchSettings(now);
+    LeaveWhenDone(now);
+    m_log.Flush();
+    m_timer.expires_after(kTickEvery);
+    m_timer.async_wait([this](boost::system::error_code error) {
+      if (!error) {
+        Tick();
+      }
+    });
+  }
+
+  HostSettings m_settings;
+  std::string m_settings_path;
+  asio::io_context m_io{1};
+  asio::signal_set m_signals;
+  asio::steady_timer m_timer;
+  LogBuffer m_log;
+  runtime::Metrics m_metrics;
+  net::HttpClient m_client;
+  store::AsyncStore m_store;
+  RulesReader m_rules;
+  TargetReader m_targets;
+  Membership m_members;
+  CellHost m_cell;
+  Callers m_callers;
+  peer::PeerLinks m_peers;
+  std::unique_ptr<net::HttpServer> m_readiness;
+  std::unique_ptr<net::HttpServer> m_metrics_server;
+  std::set<HostId> m_links_up;
+  bool m_leaving = false;
+  bool m_unregistering = false;
+  Time m_leave_at;
+  Time m_settings_at;
+};
+
+}  // namespace
+
+Result<int> RunHost(const std::string& settings_path) {
+  static_cast<void>(std::signal(SIGPIPE, SIG_IGN));
+  // Memory is dear on entry hosts: freed pages go back early.
+  constexpr int kTrimAbove = 256 * 1024;
+  mallopt(M_TRIM_THRESHOLD, kTrimAbove);
+  mallopt(M_ARENA_MAX, 1);
+  BOOST_LEAF_AUTO(settings, ReadSettings(settings_path));
+  Host host(std::move(settings), settings_path);
+  return host.Run();
+}
+
+}  // namespace buckthornmux::entry
--- /dev/null
+++ b/src/entry/log_buffer.cc
@@ -0,0 +1,68 @@
+#include "buckthornmux/detail/entry/log_buffer.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <chrono>
+
+#include "buckthornmux/detail/entry/clock.h"
+
+namespace buckthornmux::entry {
+namespace {
+
+constexpr std::size_t kMostBytes = 256 * 1024;
+constexpr std::uint64_t kMostLinesPerSecond = 2000;
+constexpr std::int64_t kMillisPerSecond = 1000;
+
+}  // namespace
+
+LogBuffer::LogBuffer(int descriptor) : m_descriptor(descriptor) {
+  const int flags = fcntl(descriptor, F_GETFL);
+  if (flags >= 0) {
+    fcntl(descriptor, F_SETFL, flags | O_NONBLOCK);
+  }
+}
+
+void LogBuffer::AppendNow(std::string_view line) {
+  const auto wall = std::chrono::duration_cast<Millis>(
+      std::chrono::system_clock::now().time_since_epoch());
+  m_text += "time_ms=";
+  m_text += std::to_string(wall.count());
+  m_text += ' ';
+  m_text += line;
+  m_text += '\n';
+}
+
+void LogBuffer::Append(std::string_view line) {
+  const std::int64_t second =
+      Now().time_since_epoch().count() / kMillisPerSecond;
+  if (second != m_second) {
+    m_second = second;
+    m_in_second = 0;
+  }
+  if (m_text.size() + line.size() > kMostBytes ||
+      m_in_second >= kMostLinesPerSecond) {
+    ++m_dropped;
+    return;
+  }
+  if (m_dropped > 0) {
+    AppendNow("level=warning event=log_lines_dropped count=" +
+              std::to_string(m_dropped));
+    m_dropped = 0;
+  }
+  ++m_in_second;
+  AppendNow(line);
+}
+
+void LogBuffer::Flush() {
+  while (!m_text.empty()) {
+    const ssize_t written =
+        write(m_descriptor, m_text.data(), m_text.size());
+    if (written <= 0) {
+      return;  // Full, or nobody reads: tried again at the next flush.
+    }
+    m_text.erase(0, static_cast<std::size_t>(written));
+  }
+}
+
+}  // namespace buckthornmux::entry
--- /dev/null
+++ b/src/entry/membership.cc
@@ -0,0 +1,404 @@
+#include "buckthornmux/detail/entry/membership.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "buckthornmux/detail/config/keys.h"
+#include "buckthornmux/detail/entry/clock.h"
+#include "buckthornmux/detail/member/records.h"
+#include "buckthornmux/detail/runtime/log_line.h"
+
+namespace buckthornmux::entry {
+namespace {
+
+using runtime::LogLine;
+using Level = runtime::LogLine::Level;
+
+/// How long a host counts as there after its last renewal. Bounds the time
+/// that a killed owner's cell stays without one.
+constexpr Millis kLease{2500};
+constexpr Millis kRenewEvery{700};
+constexpr Millis kRetry{250};       ///< After a store call that failed.
+constexpr Millis kViewEvery{2000};  ///< At least; changes are watched.
+constexpr Millis kWatchWait{10'000};
+constexpr Millis kTakeoverDelay{100};
+constexpr Millis kMoveInterval{1000};
+constexpr Millis kClaimRetry{150};
+constexpr std::size_t kIncarnationBytes = 8;
+constexpr std::string_view kStatePrefix = store::kStatePrefix;
+
+member::OwnershipOptions OwnershipBounds() {
+  member::OwnershipOptions options;
+  options.lease_ttl = kLease;
+  options.takeover_delay = kTakeoverDelay;
+  options.move_interval = kMoveInterval;
+  options.claim_retry = kClaimRetry;
+  // A cell's state is large: it moves only when its owner leaves or is gone.
+  options.rebalance = false;
+  return options;
+}
+
+std::string NewIncarnation() {
+  auto text = Capture([] { return config::RandomHex(kIncarnationBytes); });
+  if (auto* good = std::get_if<std::string>(&text)) {
+    return std::move(*good);
+  }
+  return std::to_string(WallOffset() + Now().time_since_epoch().count());
+}
+
+std::string MemberKey(const HostId& host) {
+  return std::string(store::kMembersPrefix) + host;
+}
+
+std::string OwnerKey(const std::string& range) {
+  return std::string(store::kOwnersPrefix) + range;
+}
+
+}  // namespace
+
+Membership::Membership(boost::asio::io_context& io,
+                       const store::AsyncStore& store, member::Member self,
+                       std::vector<member::RangesWanted::Range> ranges,
+                       MembershipEvents events)
+    : m_io(io),
+      m_store(store),
+      m_self(std::move(self)),
+      m_ranges(std::move(ranges)),
+      m_events(std::move(events)),
+      m_ownership(member::MakeOwnership(m_self, OwnershipBounds())) {}
+
+void Membership::Start() {
+  Decide(member::RangesWanted{m_ranges});
+  Register();
+  ReadOwners();
+}
+
+void Membership::Tick(Time now) {
+  if (m_unregistered) {
+    return;
+  }
+  if (m_lease == store::kNoLease && !m_registering && now >= m_register_at) {
+    Register();
+  }
+  if (m_lease != store::kNoLease && !m_renewing && now >= m_renew_at) {
+    Renew();
+  }
+  if (!m_reading && now >= m_read_at) {
+    ReadOwners();
+  }
+  if (!m_watching && m_watch_from > 0 && now >= m_watch_at) {
+    Watch();
+  }
+  Decide(member::Tick{});
+}
+
+void Membership::Decide(const member::Event& event) {
+  for (const member::Action& action :
+       member::Apply(m_ownership, event, Now())) {
+    if (const auto* claim = std::get_if<member::Claim>(&action)) {
+      Claim(claim->record);
+    } else if (const auto* gained = std::get_if<member::Gained>(&action)) {
+      const member::OwnerRecord record =
+          m_ownership.ranges.at(gained->range).record;
+      LogLine("range_gained")
+          .With("range", gained->range)
+          .With("epoch", gained->epoch);
+      m_events.gained(record);
+    } else if (const auto* lost = std::get_if<member::Lost>(&action)) {
+      LogLine("range_lost", Level::kWarning).With("range", lost->range);
+      m_events.lost(lost->range);
+    } else if (const auto* release = std::get_if<member::Release>(&action)) {
+      LogLine("range_released").With("range", release->range);
+      m_events.release(release->range);
+    } else if (const auto* held = std::get_if<member::LeaseHeld>(&action)) {
+      LogLine(held->held ? "lease_held" : "lease_lapsed",
+              held->held ? Level::kInfo : Level::kWarning)
+          .With("host", m_self.id);
+      m_events.lease(held->held);
+    }
+  }
+}
+
+// ---- Registration -----------------------------------------------------------
+
+void Membership::RegisterFailed(const Error& error, std::string_view call) {
+  if (m_store_well) {
+    m_store_well = false;
+    LogLine("store_lost", Level::kWarning)
+        .With("by", "membership")
+        .With("call", call)
+        .With("reason", error.message);
+  }
+  m_registering = false;
+  m_lease = store::kNoLease;
+  m_register_at = Now() + kRetry;
+}
+
+void Membership::Register() {
+  m_registering = true;
+  const Time sent_at = Now();
+  m_store.get(MemberKey(m_self.id), [this, sent_at](auto found) {
+    if (const auto* error = std::get_if<Error>(&found)) {
+      RegisterFailed(*error, "get");
+      return;
+    }
+    const auto& entry = std::get<std::optional<store::Entry>>(found);
+    const Revision expected = entry ? entry->revision : store::kAbsent;
+    m_store.grant_lease(kLease, [this, expected](auto granted) {
+      if (const auto* error = std::get_if<Error>(&granted)) {
+        RegisterFailed(*error, "lease");
+        return;
+      }
+      WriteMember(std::get<store::LeaseGrant>(granted).lease, expected, Now());
+    });
+  });
+}
+
+void Membership::WriteMember(store::LeaseId lease, Revision expected,
+                             Time sent_at) {
+  m_self.incarnation = NewIncarnation();
+  store::Transaction write;
+  write.conditions.push_back({MemberKey(m_self.id), expected});
+  write.writes.push_back(
+      {MemberKey(m_self.id), member::EncodeMember(m_self), lease});
+  m_store.commit(std::move(write), [this, lease, sent_at](auto outcome) {
+    if (const auto* error = std::get_if<Error>(&outcome)) {
+      RegisterFailed(*error, "register");
+      return;
+    }
+    const auto& end = std::get<store::TransactionEnd>(outcome);
+    if (end.kind != store::TransactionEnd::Kind::kApplied) {
+      RegisterFailed({ErrorKind::kStoreConflict, "registered meanwhile", {}},
+                     "register");
+      return;
+    }
+    m_registering = false;
+    m_lease = lease;
+    m_member_revision = end.revision;
+    m_renew_at = sent_at + kRenewEvery;
+    if (!m_store_well) {
+      m_store_well = true;
+      LogLine("store_regained").With("by", "membership");
+    }
+    LogLine("registered")
+        .With("host", m_self.id)
+        .With("incarnation", m_self.incarnation);
+    Decide(member::Registered{m_self.incarnation, sent_at});
+    ReadOwners();
+  });
+}
+
+void Membership::Renew() {
+  m_renewing = true;
+  const Time sent_at = Now();
+  m_store.renew_lease(m_lease, [this, sent_at](auto outcome) {
+    m_renewing = false;
+    m_renew_at = sent_at + kRenewEvery;
+    if (const auto* error = std::get_if<Error>(&outcome)) {
+      m_renew_at = Now() + kRetry;
+      if (m_store_well) {
+        m_store_well = false;
+        LogLine("store_lost", Level::kWarning)
+            .With("by", "membership")
+            .With("call", "renew")
+            .With("reason", error->message);
+      }
+    } else if (!std::get<bool>(outcome)) {
+      LogLine("lease_ended", Level::kWarning).With("host", m_self.id);
+      m_lease = store::kNoLease;
+      m_register_at = Now();
+    } else {
+      if (!m_store_well) {
+        m_store_well = true;
+        LogLine("store_regained").With("by", "membership");
+      }
+      Decide(member::LeaseRenewed{sent_at});
+    }
+  });
+}
+
+void Membership::Leave() {
+  m_self.leaving = true;
+  const auto hand_over = [this] { Decide(member::Leave{}); };
+  if (m_lease == store::kNoLease) {
+    hand_over();
+    return;
+  }
+  // Others have to see that this host claims nothing before they divide what
+  // it hands over.
+  store::Transaction write;
+  write.conditions.push_back({MemberKey(m_self.id), m_member_revision});
+  write.writes.push_back(
+      {MemberKey(m_self.id), member::EncodeMember(m_self), m_lease});
+  m_store.commit(std::move(write), [hand_over](auto outcome) {
+    if (const auto* error = std::get_if<Error>(&outcome)) {
+      LogLine("leave_not_written", Level::kWarning)
+          .With("reason", error->message);
+    }
+    hand_over();
+  });
+}
+
+void Membership::Released(const std::string& range) {
+  Decide(member::Released{range});
+}
+
+void Membership::Unregister(std::function<void()> done) {
+  m_unregistered = true;
+  if (m_lease == store::kNoLease) {
+    done();
+    return;
+  }
+  m_store.end_lease(m_lease, [done = std::move(done)](auto outcome) {
+    if (const auto* error = std::get_if<Error>(&outcome)) {
+      LogLine("lease_not_ended", Level::kWarning)
+          .With("reason", error->message);
+    }
+    done();
+  });
+}
+
+// ---- Views ------------------------------------------------------------------
+
+void Membership::Recheck() {
+  if (m_reading) {
+    m_read_again = true;
+  } else {
+    ReadOwners();
+  }
+}
+
+/// Owners are read before members, as StoreView demands.
+void Membership::ReadOwners() {
+  m_reading = true;
+  m_read_again = false;
+  const Time began = Now();
+  m_store.list(
+      std::string(store::kOwnersPrefix), {}, [this, began](auto outcome) {
+        if (std::holds_alternative<Error>(outcome)) {
+          m_reading = false;
+          m_read_at = Now() + kRetry;
+          return;  // The renewal logs the store's loss.
+        }
+        std::vector<member::OwnerRecord> owners;
+        for (const auto& item : std::get<store::ItemPage>(outcome).items) {
+          auto record = Capture([&] {
+            return member::DecodeOwnerRecord(item.value, item.revision);
+          });
+          if (auto* good = std::get_if<member::OwnerRecord>(&record)) {
+            owners.push_back(std::move(*good));
+          } else {
+            LogLine("owner_record_unreadable", Level::kError)
+                .With("key", item.key);
+          }
+        }
+        ReadMembers(std::move(owners), began, {}, {});
+      });
+}
+
+void Membership::ReadMembers(std::vector<member::OwnerRecord> owners,
+                             Time began, std::string after,
+                             std::vector<member::Member> members) {
+  m_store.list(
+      std::string(store::kMembersPrefix), std::move(after),
+      [this, began, owners = std::move(owners),
+       members = std::move(members)](auto outcome) mutable {
+        if (std::holds_alternative<Error>(outcome)) {
+          m_reading = false;
+          m_read_at = Now() + kRetry;
+          return;
+        }
+        const auto& page = std::get<store::ItemPage>(outcome);
+        for (const auto& item : page.items) {
+          auto found =
+              Capture([&] { return member::DecodeMember(item.value); });
+          if (auto* good = std::get_if<member::Member>(&found)) {
+            members.push_back(std::move(*good));
+          }
+        }
+        if (page.more && !page.items.empty()) {
+          ReadMembers(std::move(owners), began, page.items.back().key,
+                      std::move(members));
+          return;
+        }
+        m_reading = false;
+        m_read_at = Now() + kViewEvery;
+        if (m_watch_from == 0) {
+          m_watch_from = page.revision;
+        }
+        TakeView({began, std::move(members), std::move(owners)});
+        if (m_read_again) {
+          ReadOwners();
+        }
+      });
+}
+
+void Membership::TakeView(member::StoreView view) {
+  Decide(std::move(view));
+  m_events.view();
+}
+
+void Membership::Watch() {
+  m_watching = true;
+  m_store.watch(std::string(kStatePrefix), m_watch_from, kWatchWait,
+                [this](auto outcome) {
+                  m_watching = false;
+                  if (std::holds_alternative<Error>(outcome)) {
+                    m_watch_at = Now() + kRetry;
+                    return;
+                  }
+                  const auto& batch = std::get<store::WatchBatch>(outcome);
+                  if (batch.compacted) {
+                    m_watch_from = 0;  // The next view begins a new watch.
+                    Recheck();
+                    return;
+                  }
+                  m_watch_from = std::max(m_watch_from, batch.revision);
+                  if (!batch.puts.empty() || !batch.deletes.empty()) {
+                    Recheck();
+                  }
+                  Watch();
+                });
+}
+
+void Membership::Claim(const member::OwnerRecord& record) {
+  store::Transaction write;
+  const std::string key = OwnerKey(record.range);
+  write.conditions.push_back({key, record.revision});
+  write.writes.push_back(
+      {key, member::EncodeOwnerRecord(record), store::kNoLease});
+  m_store.commit(std::move(write), [this, record](auto outcome) {
+    using End = member::ClaimAnswered::End;
+    member::ClaimAnswered answer{record, End::kUnknown, 0};
+    if (const auto* error = std::get_if<Error>(&outcome)) {
+      answer.end = error->kind == ErrorKind::kStoreUnavailable
+                       ? End::kUnavailable
+                       : End::kUnknown;
+    } else {
+      const auto& end = std::get<store::TransactionEnd>(outcome);
+      const bool applied = end.kind == store::TransactionEnd::Kind::kApplied;
+      answer.end = applied ? End::kWritten : End::kLost;
+      answer.revision = end.revision;
+    }
+    Decide(answer);
+    if (answer.end != End::kWritten) {
+      Recheck();
+    }
+  });
+}
+
+HostId Membership::OwnerOf(const std::string& range) const {
+  const auto found = m_ownership.ranges.find(range);
+  if (found == m_ownership.ranges.end()) {
+    return {};
+  }
+  const member::OwnerRecord& record = found->second.record;
+  const bool registered =
+      std::ranges::any_of(m_ownership.members, [&](const auto& known) {
+        return known.id == record.owner &&
+               known.incarnation == record.incarnation;
+      });
+  return registered ? record.owner : HostId();
+}
+
+}  // namespace buckthornmux::entry
--- a/src/member/ownership.cc
+++ b/src/member/ownership.cc
@@ -162,7 +162,8 @@
 
 /// Hands over one range at a time, and none while the store may be away.
 void Rebalance(OwnershipState& state, Time now, Actions& actions) {
-  if (now < state.next_move || state.wanted_owners.empty()) {
+  if (!state.options.rebalance || now < state.next_move ||
+      state.wanted_owners.empty()) {
     return;
   }
   const bool moving = std::ranges::any_of(state.ranges, [](const auto& entry) {
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -166,6 +166,9 @@
     if (!call.request.authorization.empty()) {
       message.set(http::field::authorization, call.request.authorization);
     }
+    for (const Header& header : call.request.headers) {
+      message.set(header.name, header.value);
+    }
     message.body() = call.request.body;
     message.prepare_payload();
     connection.stream.expires_at(call.deadline);
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -207,6 +207,12 @@
     request.authorization = std::string(message[http::field::authorization]);
     request.body = message.body();
     request.connection = connection;
+    for (const std::string& name : options.kept_headers) {
+      const auto found = message.find(name);
+      if (found != message.end()) {
+        request.headers.push_back({name, std::string(found->value())});
+      }
+    }
     const bool keep_alive = message.keep_alive();
     const unsigned version = message.version();
     stream.expires_never();
@@ -216,8 +222,9 @@
       --open_requests;
       co_return false;
     }
+    const bool close_after = closing || response.close;
     const bool more = co_await Write(stream, std::move(response), version,
-                                     keep_alive && !closing);
+                                     keep_alive && !close_after);
     --open_requests;
     co_return more;
   }
--- a/src/runtime/log_line.cc
+++ b/src/runtime/log_line.cc
@@ -4,14 +4,33 @@
 
 #include <iomanip>
 #include <sstream>
+#include <utility>
 
 namespace buckthornmux::runtime {
 
+namespace {
+
+LogSink& Sink() {
+  static LogSink sink;
+  return sink;
+}
+
+}  // namespace
+
+void SetLogSink(LogSink sink) { Sink() = std::move(sink); }
+
 LogLine::LogLine(std::string_view event, Level level) : m_level(level) {
   m_text = "event=" + std::string(event);
 }
 
 LogLine::~LogLine() {
+  if (Sink()) {
+    constexpr std::string_view kLevels[] = {"info", "warning", "error"};
+    Sink()("level=" +
+           std::string(kLevels[static_cast<std::size_t>(m_level)]) + ' ' +
+           m_text);
+    return;
+  }
   switch (m_level) {
     case Level::kInfo:
       LOG(INFO) << m_text;
--- a/src/target/task_json.h
+++ b/src/target/task_json.h
@@ -3,7 +3,7 @@
 
 #include "buckthornmux/detail/core/types.h"
 #include "buckthornmux/detail/sched/shard.h"
-#include "json_reader.h"
+#include "buckthornmux/detail/core/json_reader.h"
 
 namespace buckthornmux::target {
 
