--- a/include/buckthornmux/detail/cell/state.h
+++ b/include/buckthornmux/detail/cell/state.h
@@ -110,11 +110,13 @@
 struct Task {
   TaskPhase phase = TaskPhase::kWaiting;
   std::uint32_t next_run = 1;
-  std::uint32_t failures = 0;
-  std::uint32_t failed_run = 0;  ///< Highest run that counts as a failure.
+  std::vector<std::uint32_t> failed_runs;  ///< Each counts as one attempt.
   TargetId target;  ///< Where its live run is.
   std::uint32_t run = 0;
   std::string checkpoint;
+  [[nodiscard]] std::uint32_t Failures() const {
+    return static_cast<std::uint32_t>(failed_runs.size());
+  }
   TargetId failed_on;  ///< Not tried there again at once.
 };
 
--- a/include/buckthornmux/detail/entry/cell_host.h
+++ b/include/buckthornmux/detail/entry/cell_host.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <map>
 #include <memory>
@@ -47,7 +48,8 @@
 /// @brief The cell while this host owns it: its state, its journal, its orders.
 class CellHost {
  public:
-  CellHost(const HostSettings& settings, const store::AsyncStore& store,
+  CellHost(boost::asio::io_context& io, const HostSettings& settings,
+           const store::AsyncStore& store,
            net::HttpClient& client, runtime::Metrics& metrics,
            TargetCalls calls, CellHostEvents events);
 
@@ -89,6 +91,7 @@
   void Stored(const cell::Batch& batch);
   void Act(cell::Actions actions);
   void Proceed();
+  void Pump();
   void WriteDue(Time now);
   void Report(const TargetId& id, const cell::Target& target, Time now);
   void ReportAnswered(const TargetId& id, Time sent_at,
@@ -116,6 +119,9 @@
   cell::CallId m_next_call = 1;
   std::function<void()> m_released;
   Time m_tick_at;
+  boost::asio::steady_timer m_pump_timer;
+  bool m_pump_due = false;
+  Time m_pumped_at;
 };
 
 }  // namespace buckthornmux::entry
--- a/src/cell/advice.cc
+++ b/src/cell/advice.cc
@@ -1,7 +1,7 @@
 #include <algorithm>
 #include <cmath>
 
-#include "internal.h"
+#include "round.h"
 
 namespace buckthornmux::cell {
 namespace {
@@ -51,31 +51,32 @@
   double left;  ///< Part of its processor that stays free.
 };
 
-std::vector<Option> FindOptions(const Cell& cell, const StepRef& ref,
-                            const Job& job, const Step& step,
-                            const Queue& queue, Time now) {
+std::vector<Option> FindOptions(const Round& round, const StepRef& ref,
+                                const Job& job, const Step& step,
+                                const Queue& queue) {
   const StepSpec& spec = job.spec.steps[ref.step];
+  const AdviceState& advice = step.advice;
   std::vector<Option> options;
-  for (const auto& [id, target] : cell.targets) {
-    if (step.advice.unusable.contains(id) ||
-        !Eligible(cell, target, queue, spec, now)) {
+  for (const Slot& slot : round.slots) {
+    const Target& target = *slot.target;
+    if (!Suits(target, queue, spec)) {
       continue;
     }
-    const auto ticket = step.advice.tickets.find(id);
-    if (ticket != step.advice.tickets.end() && ticket->second.until > now &&
+    const std::uint32_t slots = SlotsOn(target, spec, ref);
+    if (slots == 0 || advice.unusable.contains(target.entry.id)) {
+      continue;
+    }
+    const auto ticket = advice.tickets.find(target.entry.id);
+    if (ticket != advice.tickets.end() && ticket->second.until > round.now &&
         ticket->second.life == target.entry.life && !spec.gang) {
       continue;  // Its ticket is good; only its room may be lacking.
     }
-    const Resources room = RoomOf(target);
-    const std::uint32_t slots = SlotsOn(target, room, spec, ref);
-    if (slots > 0) {
-      const double left =
-          static_cast<double>(room.cpu_milli) /
-          static_cast<double>(
-              std::max<std::int64_t>(1, target.entry.capacity.cpu_milli));
-      options.push_back(
-          {&target, slots, step.advice.usable.contains(id), left});
-    }
+    const double left =
+        static_cast<double>(RoomOf(target).cpu_milli) /
+        static_cast<double>(
+            std::max<std::int64_t>(1, target.entry.capacity.cpu_milli));
+    options.push_back(
+        {&target, slots, advice.usable.contains(target.entry.id), left});
   }
   // Gangs want much room in few places, single tasks fill the gaps.
   std::ranges::sort(options, [&](const Option& a, const Option& b) {
@@ -136,23 +137,28 @@
   }
 }
 
-void AskIfUseful(Cell& cell, Actions& actions, const StepRef& ref, Job& job,
-                 Step& step, const Queue& queue, Time now) {
+void AskIfUseful(Round& round, const StepRef& ref, const Job& job, Step& step,
+                 const Queue& queue) {
+  Cell& cell = round.cell;
+  const Time now = round.now;
   AdviceState& advice = step.advice;
-  if (advice.asking || now < advice.next_ask || cell.lanes.empty()) {
+  if (advice.asking || now < advice.next_ask ||
+      FreeLane(cell, queue.advice->decide, now) == nullptr) {
     return;
   }
   DropOldTickets(advice, now);
   const StepSpec& spec = job.spec.steps[ref.step];
+  if ((spec.gang && !advice.tickets.empty()) ||
+      !TeamAllows(cell, job.spec.team, ReservedBy(spec))) {
+    return;
+  }
   const std::uint32_t waiting = spec.count - step.done - step.live;
   const double rate =
       std::max(kLeastGoodRate, cell.advice_stats[queue.name].good_rate);
   const std::vector<Option> options =
-      FindOptions(cell, ref, job, step, queue, now);
+      FindOptions(round, ref, job, step, queue);
   if (options.empty() ||
-      !TeamAllows(cell, job.spec.team, ReservedBy(spec)) ||
-      (spec.gang &&
-       (!advice.tickets.empty() || !GangMayFit(options, spec.count, rate)))) {
+      (spec.gang && !GangMayFit(options, spec.count, rate))) {
     return;
   }
   std::vector<TargetId> names = ChooseNames(options, waiting, rate);
@@ -172,13 +178,13 @@
   cell.open_advice.emplace(
       advice.ask,
       OpenAdvice{ref, lane->host, now, now + timeout + Millis(100), names});
-  Note(actions, "advice_asked",
+  Note(round.actions, "advice_asked",
        {{"job", ref.job},
         {"step", std::to_string(ref.step)},
         {"through", lane->host},
         {"named", std::to_string(names.size())},
         {"waiting", std::to_string(waiting)}});
-  actions.emplace_back(
+  round.actions.emplace_back(
       AskAdvice{advice.ask, lane->host, ref, std::move(names), timeout});
 }
 
--- a/src/cell/internal.h
+++ b/src/cell/internal.h
@@ -96,16 +96,4 @@
 [[nodiscard]] bool TeamAllows(const Cell& cell, const TeamName& team,
                               const Resources& more);
 
-/// Targets that a step may ask the adviser for or be started on, room aside.
-[[nodiscard]] bool Eligible(const Cell& cell, const Target& target,
-                            const Queue& queue, const StepSpec& step, Time now);
-
-/// How many tasks of a step still fit on a target.
-[[nodiscard]] std::uint32_t SlotsOn(const Target& target, const Resources& room,
-                                    const StepSpec& spec, const StepRef& ref);
-
-/// Asks for tickets where a step lacks them and a lane is free.
-void AskIfUseful(Cell& cell, Actions& actions, const StepRef& ref, Job& job,
-                 Step& step, const Queue& queue, Time now);
-
 }  // namespace buckthornmux::cell
--- a/src/cell/plan.cc
+++ b/src/cell/plan.cc
@@ -1,7 +1,7 @@
 #include <algorithm>
 #include <set>
 
-#include "internal.h"
+#include "round.h"
 
 namespace buckthornmux::cell {
 namespace {
@@ -11,6 +11,10 @@
 constexpr int kHopelessFactor = 3;
 /// Successes this recent make a target fit for a task's last attempt.
 constexpr Millis kProvenWithin{10'000};
+/// Failures in a row after which a target gets one task at a time.
+constexpr int kFailuresToProbe = 2;
+/// Steps looked at in one round: what comes later finds no room anyway.
+constexpr std::size_t kMostPlanned = 150;
 
 /// A step in the order of its turn.
 struct Candidate {
@@ -48,35 +52,17 @@
   return candidate;
 }
 
-/// State of one round of planning.
-struct Round {
-  Cell& cell;
-  Actions& actions;
-  Time now;
-  std::set<TargetId> kept;  ///< Held for a gang that waits for room.
-};
-
+/// Whether a task may be started on a target, room aside.
 bool MayUse(const Round& round, const Candidate& candidate, const Job& job,
-            const Queue& queue, const Step& step, const Task& task,
-            const Target& target) {
+            const Queue& queue, const Task& task, const Slot& slot) {
+  const Target& target = *slot.target;
   const StepSpec& spec = job.spec.steps[candidate.ref.step];
-  if (!Eligible(round.cell, target, queue, spec, round.now)) {
-    return false;
-  }
-  if (candidate.priority != kUrgentPriority &&
-      round.kept.contains(target.entry.id)) {
+  if (!Suits(target, queue, spec) ||
+      (slot.kept && candidate.priority != kUrgentPriority)) {
     return false;
   }
-  if (queue.advice) {
-    const auto ticket = step.advice.tickets.find(target.entry.id);
-    if (ticket == step.advice.tickets.end() ||
-        ticket->second.until <= round.now ||
-        ticket->second.life != target.entry.life) {
-      return false;
-    }
-  }
-  const bool last_attempt = task.failures + 1 >= queue.max_attempts;
-  if (task.failures > 0 && last_attempt && !spec.service) {
+  const bool last_attempt = task.Failures() + 1 >= queue.max_attempts;
+  if (!task.failed_runs.empty() && last_attempt && !spec.service) {
     return task.failed_on != target.entry.id &&
            target.health.failures_in_row == 0 &&
            round.now - target.health.last_success <= kProvenWithin;
@@ -84,6 +70,24 @@
   return true;
 }
 
+/// Calls `use` for each target that the step has a right to.
+template <class Use>
+void ForEachAllowed(Round& round, const Queue& queue, const Step& step,
+                    Use use) {
+  if (!queue.advice) {
+    for (Slot& slot : round.slots) {
+      use(slot);
+    }
+    return;
+  }
+  for (const auto& [id, ticket] : step.advice.tickets) {
+    Slot* slot = ticket.until > round.now ? FindSlot(round, id) : nullptr;
+    if (slot != nullptr && slot->target->entry.life == ticket.life) {
+      use(*slot);
+    }
+  }
+}
+
 /// Lower is better.
 double Score(const Target& target, const Resources& room, const StepSpec& spec,
              int priority) {
@@ -105,19 +109,20 @@
   const StepSpec& spec = job.spec.steps[candidate.ref.step];
   Target* best = nullptr;
   double best_score = 0;
-  for (auto& [id, target] : round.cell.targets) {
+  ForEachAllowed(round, queue, step, [&](const Slot& slot) {
+    Target& target = *slot.target;
     const Resources room = RoomOf(target);
     if (!ReservedBy(spec).FitsIn(room) ||
-        !MayUse(round, candidate, job, queue, step, task, target) ||
-        SlotsOn(target, room, spec, candidate.ref) == 0) {
-      continue;
+        !MayUse(round, candidate, job, queue, task, slot) ||
+        SlotsOn(target, spec, candidate.ref) == 0) {
+      return;
     }
     const double score = Score(target, room, spec, candidate.priority);
     if (best == nullptr || score < best_score) {
       best = &target;
       best_score = score;
     }
-  }
+  });
   return best;
 }
 
@@ -179,7 +184,7 @@
     }
     Target* target = BestTarget(round, candidate, job, queue, step, task);
     if (target == nullptr) {
-      if (task.failures == 0) {
+      if (task.failed_runs.empty()) {
         break;  // The other untried tasks are alike.
       }
       continue;
@@ -198,17 +203,17 @@
     std::uint32_t slots;
   };
   std::map<std::string, std::vector<Place>> racks;
-  for (auto& [id, target] : round.cell.targets) {
-    if (!MayUse(round, candidate, job, queue, step, step.tasks[0], target)) {
-      continue;
+  ForEachAllowed(round, queue, step, [&](const Slot& slot) {
+    if (!MayUse(round, candidate, job, queue, step.tasks[0], slot)) {
+      return;
     }
-    const std::uint32_t slots =
-        SlotsOn(target, RoomOf(target), spec, candidate.ref);
+    Target& target = *slot.target;
+    const std::uint32_t slots = SlotsOn(target, spec, candidate.ref);
     if (slots > 0) {
       racks[spec.same_rack ? target.rack : std::string()].push_back(
           {&target, slots});
     }
-  }
+  });
   for (auto& [rack, places] : racks) {
     std::ranges::sort(places, std::ranges::greater{}, &Place::slots);
     std::vector<Target*> chosen;
@@ -255,12 +260,13 @@
 
 /// Keeps the targets of the first waiting gang free of lower work.
 void KeepForGang(Round& round, const Step& step) {
-  if (!round.kept.empty()) {
+  if (round.gang_waits) {
     return;
   }
   for (const auto& [id, ticket] : step.advice.tickets) {
-    if (ticket.until > round.now) {
-      round.kept.insert(id);
+    if (Slot* slot = FindSlot(round, id); slot != nullptr) {
+      slot->kept = true;
+      round.gang_waits = true;
     }
   }
 }
@@ -283,8 +289,7 @@
     return;
   }
   if (queue->advice) {
-    AskIfUseful(round.cell, round.actions, candidate.ref, job, *step, *queue,
-                round.now);
+    AskIfUseful(round, candidate.ref, job, *step, *queue);
   }
   if (gang && step->live == 0) {
     KeepForGang(round, *step);
@@ -325,22 +330,37 @@
          within(used.accelerators, most.accelerators);
 }
 
-bool Eligible(const Cell& cell, const Target& target, const Queue& queue,
-              const StepSpec& step, Time now) {
-  (void)cell;
-  const TargetHealth& health = target.health;
-  const bool probing = health.failures_in_row >= 2 && !target.runs.empty();
-  return target.reported && target.listed && !target.entry.draining &&
-         !target.silent && target.unknown_runs == 0 &&
-         target.entry.service == queue.service &&
-         now >= health.suspended_until && !probing &&
+Round BeginRound(Cell& cell, Actions& actions, Time now) {
+  Round round{cell, actions, now, {}, {}, false};
+  for (auto& [id, target] : cell.targets) {
+    const TargetHealth& health = target.health;
+    const bool probing =
+        health.failures_in_row >= kFailuresToProbe && !target.runs.empty();
+    if (target.reported && target.listed && !target.entry.draining &&
+        !target.silent && target.unknown_runs == 0 &&
+        now >= health.suspended_until && !probing) {
+      round.by_id.emplace(id, round.slots.size());
+      round.slots.push_back({&target});
+    }
+  }
+  return round;
+}
+
+Slot* FindSlot(Round& round, const TargetId& id) {
+  const auto found = round.by_id.find(id);
+  return found == round.by_id.end() ? nullptr : &round.slots[found->second];
+}
+
+bool Suits(const Target& target, const Queue& queue, const StepSpec& step) {
+  return target.entry.service == queue.service &&
          (step.label.empty() ||
           std::ranges::count(target.entry.labels, step.label) > 0);
 }
 
-std::uint32_t SlotsOn(const Target& target, const Resources& room,
-                      const StepSpec& spec, const StepRef& ref) {
+std::uint32_t SlotsOn(const Target& target, const StepSpec& spec,
+                      const StepRef& ref) {
   const Resources need = ReservedBy(spec);
+  const Resources room = RoomOf(target);
   std::int64_t slots = spec.count;
   const auto bound = [&](std::int64_t available, std::int64_t each) {
     if (each > 0) {
@@ -374,8 +394,12 @@
       candidates.push_back(MakeCandidate(ref, job, now));
     }
   }
-  std::ranges::sort(candidates, Before);
-  Round round{cell, actions, now, {}};
+  const std::size_t planned = std::min(candidates.size(), kMostPlanned);
+  std::ranges::partial_sort(
+      candidates,
+      candidates.begin() + static_cast<std::ptrdiff_t>(planned), Before);
+  candidates.resize(planned);
+  Round round = BeginRound(cell, actions, now);
   for (const Candidate& candidate : candidates) {
     PlanStep(round, candidate);
   }
--- a/src/cell/records.cc
+++ b/src/cell/records.cc
@@ -24,8 +24,7 @@
 struct StoredTask {
   bool done = false;
   std::uint32_t next_run = 1;
-  std::uint32_t failures = 0;
-  std::uint32_t failed_run = 0;
+  std::vector<std::uint32_t> failed_runs;
   std::string checkpoint;
 };
 
@@ -54,7 +53,7 @@
       std::vector<StoredTask> tasks;
       for (const Task& task : step.tasks) {
         tasks.push_back({task.phase == TaskPhase::kDone, task.next_run,
-                         task.failures, task.failed_run, task.checkpoint});
+                         task.failed_runs, task.checkpoint});
       }
       open.steps.push_back(std::move(tasks));
     }
@@ -75,8 +74,7 @@
         Task& task = step.tasks[t];
         task.phase = from.done ? TaskPhase::kDone : TaskPhase::kWaiting;
         task.next_run = from.next_run;
-        task.failures = from.failures;
-        task.failed_run = from.failed_run;
+        task.failed_runs = from.failed_runs;
         task.checkpoint = from.checkpoint;
         step.done += from.done ? 1U : 0U;
       }
--- a/src/cell/steps.cc
+++ b/src/cell/steps.cc
@@ -89,17 +89,16 @@
   Step& step = *FindStep(job, run.task.occurrence, run.task.step);
   const StepSpec& spec = job.spec.steps[run.task.step];
   Task& counted = step.tasks[spec.gang ? 0 : run.task.index];
-  if (run.number <= counted.failed_run) {
+  if (std::ranges::count(counted.failed_runs, run.number) > 0) {
     return;
   }
-  counted.failed_run = run.number;
+  counted.failed_runs.push_back(run.number);
   counted.failed_on = target;
-  ++counted.failures;
   Touch(cell, job, false, now);
   const Queue* queue = QueueOf(cell, job.spec.queue);
   const std::uint32_t attempts =
-      queue == nullptr ? counted.failures + 1 : queue->max_attempts;
-  if (!spec.service && counted.failures >= attempts) {
+      queue == nullptr ? counted.Failures() + 1 : queue->max_attempts;
+  if (!spec.service && counted.Failures() >= attempts) {
     EndJob(cell, actions, job, JobPhase::kFailed,
            "task " + TaskName(run.task) + " failed in every attempt", now);
   }
@@ -119,7 +118,7 @@
     health.failures_in_row = 0;
     health.last_success = now;
   } else if (end.end == RunEnd::kFailed &&
-             (task == nullptr || task->failures == 0)) {
+             (task == nullptr || task->failed_runs.empty())) {
     // A task that has failed elsewhere says little about this target.
     constexpr int kFailuresToSuspend = 2;
     if (++health.failures_in_row >= kFailuresToSuspend) {
--- a/src/entry/cell_host.cc
+++ b/src/entry/cell_host.cc
@@ -14,6 +14,8 @@
 using Level = runtime::LogLine::Level;
 
 constexpr Millis kTickEvery{50};
+/// Events within this span share one round of planning and one write.
+constexpr Millis kPumpEvery{8};
 /// A start or stop without an answer by then is repeated; a healthy target
 /// answers in some milliseconds.
 constexpr Millis kOrderTimeout{300};
@@ -48,8 +50,8 @@
 
 }  // namespace
 
-CellHost::CellHost(const HostSettings& settings, const store::AsyncStore& store,
-                   net::HttpClient& client, runtime::Metrics& metrics,
+CellHost::CellHost(boost::asio::io_context& io, const HostSettings& settings,
+                   const store::AsyncStore& store, net::HttpClient& client, runtime::Metrics& metrics,
                    TargetCalls calls, CellHostEvents events)
     : m_settings(settings),
       m_client(client),
@@ -58,7 +60,8 @@
       m_events(std::move(events)),
       m_journal(store, {[this](auto records) { Loaded(std::move(records)); },
                         [this](const auto& batch) { Stored(batch); },
-                        [this] { m_events.lost(); }}) {}
+                        [this] { m_events.lost(); }}),
+      m_pump_timer(io) {}
 
 void CellHost::Open(const member::OwnerRecord& owner) {
   Close("opened anew");
@@ -387,11 +390,28 @@
   }
 }
 
+/// Runs what events have made due, together for all events of a short span.
 void CellHost::Proceed() {
+  if (m_pump_due) {
+    return;
+  }
+  m_pump_due = true;
+  const Millis since = Now() - m_pumped_at;
+  m_pump_timer.expires_after(std::max(Millis(0), kPumpEvery - since));
+  m_pump_timer.async_wait([this](boost::system::error_code error) {
+    if (!error) {
+      m_pump_due = false;
+      Pump();
+    }
+  });
+}
+
+void CellHost::Pump() {
   if (!Serving()) {
     return;
   }
   const Time now = Now();
+  m_pumped_at = now;
   if (m_cell->plan_due && MayOrder() && !m_released) {
     cell::Actions actions;
     cell::Plan(*m_cell, actions, now);
--- a/src/entry/host.cc
+++ b/src/entry/host.cc
@@ -110,7 +110,7 @@
                   [this](const auto& entries) { m_cell.SetTargets(entries); }),
         m_members(m_io, m_store, SelfOf(m_settings), {{std::string(kRange), {}}},
                   MembershipHandlers()),
-        m_cell(m_settings, m_store, m_client, m_metrics, MakeTargetCalls(),
+        m_cell(m_io, m_settings, m_store, m_client, m_metrics, MakeTargetCalls(),
                CellHandlers()),
         m_callers(m_io, m_settings.callers_address, MakeCallerCodec(), m_rules,
                   m_settings.bounds.key_trust, m_metrics,
