--- a/include/buckthornmux/detail/entry/membership.h
+++ b/include/buckthornmux/detail/entry/membership.h
@@ -46,6 +46,8 @@
 
   /// @brief Leaves: claims nothing more and hands over.
   void Leave();
+  /// @brief Takes part again after Leave.
+  void Return();
 
   /// @brief The owner has let go of a range.
   void Released(const std::string& range);
@@ -62,6 +64,8 @@
   }
   /// @brief Registered owner of a range; empty where none is known.
   [[nodiscard]] HostId OwnerOf(const std::string& range) const;
+  /// @brief Other members that may own ranges.
+  [[nodiscard]] std::size_t OthersActive() const;
   /// @brief Whether nothing is owned or about to be.
   [[nodiscard]] bool OwnsNothing() const {
     return member::OwnsNothing(m_ownership);
@@ -72,6 +76,7 @@
   void Decide(const member::Event& event);
   void Register();
   void WriteMember(store::LeaseId lease, Revision expected, Time sent_at);
+  void UpdateRecord(std::function<void()> then);
   void Renew();
   void ReadOwners();
   void ReadMembers(std::vector<member::OwnerRecord> owners, Time began,
--- a/include/buckthornmux/detail/member/ownership.h
+++ b/include/buckthornmux/detail/member/ownership.h
@@ -83,13 +83,15 @@
 struct Released {
   std::string range;
 };
-/// This process shuts down: hand over everything.
+/// This process shuts down or is not well: hand over everything.
 struct Leave {};
+/// This process takes part again after it had left.
+struct Return {};
 /// Time passed.
 struct Tick {};
 
 using Event = std::variant<RangesWanted, StoreView, Registered, LeaseRenewed,
-                           ClaimAnswered, Released, Leave, Tick>;
+                           ClaimAnswered, Released, Leave, Return, Tick>;
 
 // ---- Actions --------------------------------------------------------------
 
--- a/src/entry/host.cc
+++ b/src/entry/host.cc
@@ -43,7 +43,6 @@
 constexpr std::string_view kRange = "cell/0";
 
 constexpr Millis kTickEvery{50};
-constexpr Millis kStoreTimeout{700};  ///< A slow store answers within 400 ms.
 constexpr Millis kSettingsEvery{2000};
 constexpr Millis kPeerPing{300};
 constexpr Millis kPeerSilent{900};
@@ -51,6 +50,10 @@
 /// takes two of its questions, a second apart.
 constexpr Millis kServeWhileLeaving{3500};
 constexpr Millis kShutdownMargin{800};  ///< Before the kill.
+/// A slow host stays out of ownership for at least this.
+constexpr Millis kRest{5000};
+/// Other hosts that must be there to take over from a slow one.
+constexpr std::size_t kLeastOthers = 2;
 constexpr std::size_t kConnectionsPerPeer = 8;
 constexpr Millis kConnectTimeout{400};
 
@@ -91,6 +94,27 @@
           settings.callers_address, settings.data_centre};
 }
 
+/// @brief Tells from late ticks whether this host is too slow to decide for
+///   all. A machine can turn slow while it still answers the store.
+class SlownessGauge {
+ public:
+  /// @brief Takes in how late a tick came.
+  void Add(Millis late) {
+    m_late_ms += kWeight * (static_cast<double>(late.count()) - m_late_ms);
+  }
+  [[nodiscard]] bool Slow() const { return m_late_ms > kSlowAbove; }
+  [[nodiscard]] bool Well() const { return m_late_ms < kWellBelow; }
+  [[nodiscard]] Millis Late() const {
+    return Millis(static_cast<std::int64_t>(m_late_ms));
+  }
+
+ private:
+  static constexpr double kWeight = 0.15;    ///< Of one tick of 50 ms.
+  static constexpr double kSlowAbove = 60;   ///< Mean lateness, ms.
+  static constexpr double kWellBelow = 15;
+  double m_late_ms = 0;
+};
+
 /// The process: everything runs on one loop and one thread.
 class Host {
  public:
@@ -101,8 +125,8 @@
         m_timer(m_io),
         m_log(STDOUT_FILENO),
         m_client(m_io, ClientOptions()),
-        m_store(platform::MakeKvStore(m_client, m_settings.store_address,
-                                      kStoreTimeout)),
+        m_store(
+            platform::MakeKvStore(m_client, m_settings.store_address, {})),
         m_rules(m_store, std::string(platform::kRulesKey), platform::ParseRules,
                 [this] { m_cell.SetRules(m_rules.Current()); }),
         m_targets(m_store, std::string(platform::kTargetsPrefix),
@@ -367,8 +391,7 @@
     }
     auto& settings = std::get<HostSettings>(outcome);
     if (settings.store_address != m_settings.store_address) {
-      m_store = platform::MakeKvStore(m_client, settings.store_address,
-                                      kStoreTimeout);
+      m_store = platform::MakeKvStore(m_client, settings.store_address, {});
     }
     LogLine("settings_read")
         .With("cause", cause)
@@ -423,8 +446,35 @@
     m_members.Unregister([this] { m_io.stop(); });
   }
 
+  /// A slow owner hands the cell over, if enough others are there, and takes
+  /// part again once it is well.
+  void MindSlowness(Time now) {
+    m_slowness.Add(now - m_tick_due);
+    if (m_leaving || m_cell.Owning() == m_resting) {
+      return;
+    }
+    if (m_resting) {
+      if (m_slowness.Well() && now >= m_rest_until) {
+        m_resting = false;
+        LogLine("takes_part_again").With("host", m_settings.host);
+        m_members.Return();
+      }
+      return;
+    }
+    if (!m_slowness.Slow() || m_members.OthersActive() < kLeastOthers) {
+      return;
+    }
+    m_resting = true;
+    m_rest_until = now + kRest;
+    LogLine("hands_over_when_slow", Level::kWarning)
+        .With("host", m_settings.host)
+        .With("ticks_late_ms", m_slowness.Late().count());
+    m_members.Leave();
+  }
+
   void Tick() {
     const Time now = Now();
+    MindSlowness(now);
     m_rules.Tick(now);
     m_targets.Tick(now);
     m_members.Tick(now);
@@ -433,6 +483,7 @@
     WatchSettings(now);
     LeaveWhenDone(now);
     m_log.Flush();
+    m_tick_due = Now() + kTickEvery;
     m_timer.expires_after(kTickEvery);
     m_timer.async_wait([this](boost::system::error_code error) {
       if (!error) {
@@ -459,6 +510,10 @@
   std::unique_ptr<net::HttpServer> m_readiness;
   std::unique_ptr<net::HttpServer> m_metrics_server;
   std::set<HostId> m_links_up;
+  SlownessGauge m_slowness;
+  Time m_tick_due = Now();
+  bool m_resting = false;  ///< Handed over because this host is slow.
+  Time m_rest_until;
   bool m_leaving = false;
   bool m_unregistering = false;
   Time m_leave_at;
--- a/src/entry/membership.cc
+++ b/src/entry/membership.cc
@@ -16,9 +16,9 @@
 
 /// How long a host counts as there after its last renewal. Bounds the time
 /// that a killed owner's cell stays without one.
-constexpr Millis kLease{2500};
-constexpr Millis kRenewEvery{700};
-constexpr Millis kRetry{250};       ///< After a store call that failed.
+constexpr Millis kLease{1600};
+constexpr Millis kRenewEvery{400};
+constexpr Millis kRetry{100};       ///< After a store call that failed.
 constexpr Millis kViewEvery{2000};  ///< At least; changes are watched.
 constexpr Millis kWatchWait{10'000};
 constexpr Millis kTakeoverDelay{100};
@@ -217,25 +217,39 @@
   });
 }
 
+/// Others have to see that this host claims nothing before they divide what it
+/// hands over.
 void Membership::Leave() {
   m_self.leaving = true;
-  const auto hand_over = [this] { Decide(member::Leave{}); };
+  UpdateRecord([this] { Decide(member::Leave{}); });
+}
+
+void Membership::Return() {
+  m_self.leaving = false;
+  UpdateRecord([this] { Decide(member::Return{}); });
+}
+
+void Membership::UpdateRecord(std::function<void()> then) {
   if (m_lease == store::kNoLease) {
-    hand_over();
+    then();  // The next registration writes the record as it is now.
     return;
   }
-  // Others have to see that this host claims nothing before they divide what
-  // it hands over.
   store::Transaction write;
   write.conditions.push_back({MemberKey(m_self.id), m_member_revision});
   write.writes.push_back(
       {MemberKey(m_self.id), member::EncodeMember(m_self), m_lease});
-  m_store.commit(std::move(write), [hand_over](auto outcome) {
-    if (const auto* error = std::get_if<Error>(&outcome)) {
-      LogLine("leave_not_written", Level::kWarning)
-          .With("reason", error->message);
+  m_store.commit(std::move(write), [this, then = std::move(then)](
+                                       auto outcome) {
+    const auto* end = std::get_if<store::TransactionEnd>(&outcome);
+    if (end != nullptr &&
+        end->kind == store::TransactionEnd::Kind::kApplied) {
+      m_member_revision = end->revision;
+    } else {
+      LogLine("member_record_not_written", Level::kWarning)
+          .With("host", m_self.id)
+          .With("leaving", m_self.leaving ? "true" : "false");
     }
-    hand_over();
+    then();
   });
 }
 
@@ -387,6 +401,13 @@
   });
 }
 
+std::size_t Membership::OthersActive() const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(m_ownership.members, [&](const auto& known) {
+        return known.id != m_self.id && !known.leaving;
+      }));
+}
+
 HostId Membership::OwnerOf(const std::string& range) const {
   const auto found = m_ownership.ranges.find(range);
   if (found == m_ownership.ranges.end()) {
--- a/src/member/ownership.cc
+++ b/src/member/ownership.cc
@@ -312,6 +312,11 @@
   }
 }
 
+void Handle(OwnershipState& state, const Return& /*event*/, Time /*now*/,
+            Actions& /*actions*/) {
+  state.self.leaving = false;
+}
+
 void Handle(OwnershipState& /*state*/, const Tick& /*event*/, Time /*now*/,
             Actions& /*actions*/) {}
 
--- a/tests/unit-ownership.cc
+++ b/tests/unit-ownership.cc
@@ -73,7 +73,9 @@
   CPPUNIT_TEST(NewIncarnationClaimsAnew);
   CPPUNIT_TEST(LateViewIsIgnored);
   CPPUNIT_TEST(LeaverReleasesAll);
+  CPPUNIT_TEST(LeaverThatReturnsClaimsAgain);
   CPPUNIT_TEST(RangeMovesToNewcomer);
+  CPPUNIT_TEST(RangeStaysWithoutRebalance);
   CPPUNIT_TEST(LostRecordKeepsEpochsRising);
   CPPUNIT_TEST(HomesAreKnownFromALaterView);
   CPPUNIT_TEST(WantedOwnersAreLocalAndBalanced);
@@ -182,6 +184,41 @@
     CPPUNIT_ASSERT(Apply(state, View(again, {}), again).empty());
   }
 
+  void LeaverThatReturnsClaimsAgain() {
+    auto state = MakeOwner();
+    Time now = kStart + Millis(700);
+    (void)Apply(state, Leave{}, now);
+    const auto claims = Only<Claim>(Apply(state, Released{"shard/1"}, now));
+    (void)Apply(state,
+                Answer(claims.at(0), ClaimAnswered::End::kWritten, 12), now);
+    const OwnerRecord released{"shard/1", "", "", 1, 12};
+    CPPUNIT_ASSERT(
+        Only<Claim>(Apply(state, View(now, {released}), now)).empty());
+    const auto again = Only<Claim>(Apply(state, Return{}, now));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, again.size());
+    CPPUNIT_ASSERT_EQUAL(Epoch{2}, again[0].record.epoch);
+  }
+
+  void RangeStaysWithoutRebalance() {
+    const std::vector<Member> both{MakeMember("a", "east"),
+                                   MakeMember("b", "east")};
+    auto state = MakeReady();
+    state.options.rebalance = false;
+    std::vector<Range> ranges;
+    std::vector<OwnerRecord> owners;
+    for (int i = 0; i < 20; ++i) {
+      ranges.push_back(
+          {.name = "partition/" + std::to_string(i), .data_centre = {}});
+      owners.push_back(
+          {ranges.back().name, "a", "a-1", 1, static_cast<Revision>(10 + i)});
+    }
+    (void)Apply(state, RangesWanted{ranges}, kStart);
+    (void)Apply(state, View(kStart, owners), kStart);
+    const Time now = kStart + Millis(10);
+    const auto actions = Apply(state, View(now, owners, both), now);
+    CPPUNIT_ASSERT(Only<Release>(actions).empty());
+  }
+
   void RangeMovesToNewcomer() {
     const std::vector<Member> both{MakeMember("a", "east"),
                                    MakeMember("b", "east")};
