--- a/scripts/lib/fleet.sh
+++ b/scripts/lib/fleet.sh
@@ -2,7 +2,7 @@
 # entry hosts. Sourced by scripts/quickstart, scripts/faults and tests/live.
 # Every process is started here and ended here, by its id.
 
-BUILD_DIR=${BUILD_DIR:-build}
+BUILD_DIR=${BUILD_DIR:-target/build}
 PORT_BASE=${PORT_BASE:-21000}
 KV_PORT=$PORT_BASE
 LIST_PORT=$((PORT_BASE + 1))
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -15,43 +15,13 @@
 #include <vector>
 
 #include "buckthornmux/detail/cell/cell.h"
+#include "standins/job_checker.h"
+#include "standins/sim_target.h"
 
 namespace buckthornmux::tests {
 
 using cell::RunId;
-
-/// A run at a simulated target.
-struct SimRun {
-  Time began;
-  Time ends;
-  Resources demand;
-  bool fails = false;
-  bool stuck = false;  ///< Makes no progress and never ends.
-  std::string checkpoint;
-};
-
-/// How a simulated target misbehaves.
-struct SimFaults {
-  bool fails_all = false;
-  bool stuck = false;
-  bool cut = false;            ///< Nothing reaches it; it runs on.
-  double answers_lost = 0;     ///< Share of orders done but not answered.
-  double orders_late = 0;      ///< Share carried out seconds later, unanswered.
-  double slowdown = 1;
-};
-
-struct SimTarget {
-  cell::TargetEntry entry;
-  double speed = 1;
-  SimFaults faults;
-  Epoch fence = 0;
-  std::map<RunId, SimRun> running;
-  std::map<cell::TaskId, std::uint32_t> refused_up_to;  ///< Run numbers.
-  std::vector<cell::EndReport> ended;
-  std::uint64_t sequence = 0;
-  Time lease_until;
-  bool reporting = false;
-};
+using standins::SimTarget;
 
 /// One queue's load.
 struct SimLoad {
@@ -123,12 +93,14 @@
   }
   /// @brief Breaches of what must hold, in words; empty where all held.
   [[nodiscard]] const std::vector<std::string>& Breaches() const {
-    return m_breaches;
+    return m_checker.Breaches();
   }
-  [[nodiscard]] int Starts() const { return m_starts; }
+  [[nodiscard]] int Starts() const { return m_checker.Starts(); }
   [[nodiscard]] int AdviceCalls() const { return m_advice_calls; }
   /// @brief Starts of one task that targets carried out.
-  [[nodiscard]] int StartsOf(const cell::TaskId& task) const;
+  [[nodiscard]] int StartsOf(const cell::TaskId& task) const {
+    return m_checker.StartsOf(task);
+  }
 
  private:
   struct Event {
@@ -139,29 +111,15 @@
       return at != other.at ? at > other.at : order > other.order;
     }
   };
-  struct JobRecord {
-    std::string queue;
-    cell::JobSpec spec;
-    Time handed_in;
-    Millis objective{0};
-    bool accepted = false;
-    bool refused = false;
-    bool cancelled = false;
-  };
-
   void Act(cell::Actions actions);
   void Step();
   void Carry(const cell::SendStart& start);
   void CarryStop(const cell::SendStop& stop);
   cell::OrderOutcome Begin(SimTarget& target, const cell::SendStart& start);
-  void EndRun(SimTarget& target, const RunId& id, cell::RunEnd end);
   void Ask(const cell::AskAdvice& ask);
   void Report(SimTarget& target);
-  void Lapse(SimTarget& target);
-  void CheckStart(const SimTarget& target, const RunId& id,
-                  const Resources& demand);
+  void AdvanceTargets();
   [[nodiscard]] bool Chance(double share);
-  [[nodiscard]] std::int64_t ClockOf(Time time) const;
   SimTarget* Find(const TargetId& id);
   void OpenCell(Epoch epoch);
 
@@ -177,14 +135,10 @@
   std::map<std::string, std::string> m_records;
   bool m_writing = false;
   cell::Rules m_rules;
-  std::map<std::string, JobRecord> m_jobs;
+  standins::JobChecker m_checker;
   std::map<cell::CallId, std::string> m_calls;
   cell::CallId m_next_call = 1;
-  std::map<cell::TaskId, int> m_done_acked;
-  std::map<cell::TaskId, int> m_task_starts;
-  std::vector<std::string> m_breaches;
   std::map<std::string, Time> m_completed;
-  int m_starts = 0;
   int m_advice_calls = 0;
 };
 
--- a/tests/standins/cell_world.cc
+++ b/tests/standins/cell_world.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <stdexcept>
 #include <utility>
 
 namespace buckthornmux::tests {
@@ -13,11 +14,6 @@
 constexpr Millis kOrderTimeout{300};
 constexpr std::size_t kMostWrites = 29;
 
-std::string NameOf(const cell::TaskId& task) {
-  return task.job + "." + std::to_string(task.occurrence) + "." +
-         std::to_string(task.step) + "." + std::to_string(task.index);
-}
-
 }  // namespace
 
 World::World(WorldOptions options)
@@ -51,8 +47,8 @@
   cell::SetRules(*m_cell, actions, m_rules, m_now);
   const auto loaded =
       Capture([&] { return cell::LoadRecords(*m_cell, records, m_now); });
-  if (std::holds_alternative<Error>(loaded)) {
-    m_breaches.push_back("records unreadable");
+  if (const auto* error = std::get_if<Error>(&loaded)) {
+    throw std::runtime_error("records unreadable: " + error->message);
   }
   std::vector<cell::TargetEntry> entries;
   for (SimTarget& target : m_targets) {
@@ -77,6 +73,7 @@
   ++m_rules.version;
   m_rules.queues = std::move(queues);
   m_rules.teams = std::move(teams);
+  m_checker.SetTeams(m_rules.teams);
   cell::Actions actions;
   cell::SetRules(*m_cell, actions, m_rules, m_now);
   Act(std::move(actions));
@@ -87,10 +84,6 @@
          std::uniform_real_distribution<double>(0, 1)(m_random) < share;
 }
 
-std::int64_t World::ClockOf(Time time) const {
-  return time.time_since_epoch().count() - 500'000;
-}
-
 SimTarget* World::Find(const TargetId& id) {
   const auto found = std::ranges::find_if(
       m_targets, [&](const auto& target) { return target.entry.id == id; });
@@ -102,16 +95,9 @@
 }
 
 void World::Submit(cell::JobSpec spec) {
-  const std::string id = spec.id;
-  const auto queue =
-      std::ranges::find(m_rules.queues, spec.queue, &cell::Queue::name);
-  JobRecord record{spec.queue, spec, m_now,
-                   queue == m_rules.queues.end()
-                       ? Millis(0)
-                       : cell::ObjectiveOf(*queue, spec)};
-  m_jobs[id] = record;
+  m_checker.HandedIn(spec, m_now);
   const cell::CallId call = m_next_call++;
-  m_calls[call] = id;
+  m_calls[call] = spec.id;
   cell::Actions actions;
   cell::Submit(*m_cell, actions, call, std::move(spec), m_now);
   Act(std::move(actions));
@@ -121,7 +107,8 @@
   const cell::CallId call = m_next_call++;
   m_calls[call] = job;
   cell::Actions actions;
-  cell::Cancel(*m_cell, actions, call, job, m_jobs[job].spec.team, m_now);
+  cell::Cancel(*m_cell, actions, call, job, m_checker.Jobs()[job].spec.team,
+               m_now);
   Act(std::move(actions));
 }
 
@@ -153,9 +140,7 @@
       m_cell->plan_due = m_cell->plan_due || !m_cell->ready.empty();
       Act(std::move(actions));
     }
-    for (SimTarget& target : m_targets) {
-      Lapse(target);
-    }
+    AdvanceTargets();
     Step();
     m_now += kStep;
   }
@@ -204,11 +189,16 @@
 void World::Act(cell::Actions actions) {
   for (const cell::Action& action : actions) {
     if (const auto* submit = std::get_if<cell::AnswerSubmit>(&action)) {
-      JobRecord& record = m_jobs[m_calls[submit->call]];
-      record.accepted = !submit->error;
-      record.refused = submit->error.has_value();
+      const std::string& job = m_calls[submit->call];
+      if (submit->error) {
+        m_checker.Refused(job);
+      } else {
+        m_checker.Accepted(job);
+      }
     } else if (const auto* cancel = std::get_if<cell::AnswerCancel>(&action)) {
-      m_jobs[m_calls[cancel->call]].cancelled = cancel->known;
+      if (cancel->known) {
+        m_checker.Cancelled(m_calls[cancel->call]);
+      }
     } else if (const auto* start = std::get_if<cell::SendStart>(&action)) {
       Carry(*start);
     } else if (const auto* stop = std::get_if<cell::SendStop>(&action)) {
@@ -236,12 +226,9 @@
     if (there.faults.cut) {
       return;
     }
-    if (epoch < there.fence) {
-      *outcome = cell::OrderOutcome::kFenced;
-      return;
-    }
-    there.fence = epoch;
-    *outcome = Begin(there, start);
+    *outcome = standins::PassesFence(there, epoch)
+                   ? Begin(there, start)
+                   : cell::OrderOutcome::kFenced;
   });
   const bool unanswered = lost || target->faults.cut;
   const Time back =
@@ -269,16 +256,12 @@
     if (there.faults.cut) {
       return;
     }
-    if (epoch < there.fence) {
+    if (!standins::PassesFence(there, epoch)) {
       *outcome = cell::OrderOutcome::kFenced;
       return;
     }
-    there.fence = epoch;
-    std::uint32_t& up_to = there.refused_up_to[stop.run.task];
-    up_to = std::max(up_to, stop.run.number);
-    if (there.running.contains(stop.run)) {
-      EndRun(there, stop.run, cell::RunEnd::kStopped);
-    }
+    standins::StopRun(there, stop.run);
+    Report(there);
     *outcome = cell::OrderOutcome::kDone;
   });
   const Time back =
@@ -294,121 +277,32 @@
   });
 }
 
-void World::CheckStart(const SimTarget& target, const RunId& id,
-                       const Resources& demand) {
-  Resources used = demand;
-  for (const auto& [other, run] : target.running) {
-    used += run.demand;
-  }
-  if (!used.FitsIn(target.entry.capacity)) {
-    m_breaches.push_back("limit: " + NameOf(id.task) + " on " +
-                         target.entry.id);
-  }
-  for (const SimTarget& other : m_targets) {
-    for (const auto& [run, state] : other.running) {
-      if (run.task == id.task) {
-        m_breaches.push_back("twice: " + NameOf(id.task));
-      }
-    }
-  }
-  if (m_done_acked.contains(id.task)) {
-    m_breaches.push_back("again: " + NameOf(id.task));
-  }
-  const JobRecord& job = m_jobs[id.task.job];
-  if (job.cancelled || job.refused || !job.accepted) {
-    m_breaches.push_back("unasked: " + NameOf(id.task));
-  }
-  for (const std::uint32_t before : job.spec.steps[id.task.step].after) {
-    for (std::uint32_t i = 0; i < job.spec.steps[before].count; ++i) {
-      cell::TaskId earlier{id.task.job, id.task.occurrence, before, i};
-      const bool gang = job.spec.steps[before].gang;
-      bool any = m_done_acked.contains(earlier);
-      for (std::uint32_t g = 0; gang && g < job.spec.steps[before].count; ++g) {
-        earlier.index = g;
-        any = any || m_done_acked.contains(earlier);
-      }
-      if (!any) {
-        m_breaches.push_back("order: " + NameOf(id.task));
-      }
-    }
-  }
-  Resources team_used = demand;
-  for (const SimTarget& other : m_targets) {
-    for (const auto& [run, state] : other.running) {
-      if (m_jobs[run.task.job].spec.team == job.spec.team) {
-        team_used += state.demand;
-      }
-    }
-  }
-  const auto team =
-      std::ranges::find(m_rules.teams, job.spec.team, &cell::Team::name);
-  if (team != m_rules.teams.end() && team->maximum.cpu_milli > 0 &&
-      team_used.cpu_milli > team->maximum.cpu_milli) {
-    m_breaches.push_back("team limit: " + job.spec.team);
-  }
-}
-
 cell::OrderOutcome World::Begin(SimTarget& target,
                                 const cell::SendStart& start) {
   if (target.running.contains(start.run)) {
     return cell::OrderOutcome::kDone;
   }
-  if (start.deadline_ms <= ClockOf(m_now)) {
-    return cell::OrderOutcome::kLate;
-  }
-  const auto refused = target.refused_up_to.find(start.run.task);
-  if (refused != target.refused_up_to.end() &&
-      start.run.number <= refused->second) {
-    return cell::OrderOutcome::kOld;
-  }
-  const cell::StepSpec& spec =
-      m_jobs[start.run.task.job].spec.steps[start.run.task.step];
-  CheckStart(target, start.run, spec.demand);
-  ++m_starts;
-  ++m_task_starts[start.run.task];
-  SimRun run;
-  run.began = m_now;
-  run.demand = spec.demand;
-  run.fails = target.faults.fails_all;
-  run.stuck = target.faults.stuck;
-  const double took = static_cast<double>(spec.estimate.count()) *
-                      target.faults.slowdown / target.speed;
-  run.ends = run.stuck ? Time::max()
-                       : m_now + Millis(static_cast<std::int64_t>(took));
-  target.lease_until = std::max(
-      target.lease_until, m_now + Millis(start.deadline_ms - ClockOf(m_now)));
-  target.running[start.run] = run;
-  if (!run.stuck) {
-    At(run.ends, [this, id = target.entry.id, start, life = target.entry.life] {
-      SimTarget& there = *Find(id);
-      const auto found = there.running.find(start.run);
-      if (there.entry.life == life && found != there.running.end()) {
-        EndRun(there, start.run,
-               found->second.fails ? cell::RunEnd::kFailed
-                                   : cell::RunEnd::kDone);
-      }
-    });
+  const cell::OrderOutcome verdict =
+      standins::JudgeStart(target, start.run, start.deadline_ms, m_now);
+  if (verdict != cell::OrderOutcome::kDone) {
+    return verdict;
   }
+  m_checker.Starting(m_targets, target, start.run, true);
+  const cell::StepSpec& spec = *m_checker.StepOf(start.run.task);
+  standins::BeginRun(target, start.run, spec.demand, spec.estimate,
+                     start.deadline_ms, m_now);
   return cell::OrderOutcome::kDone;
 }
 
-void World::EndRun(SimTarget& target, const RunId& id, cell::RunEnd end) {
-  target.running.erase(id);
-  std::uint32_t& up_to = target.refused_up_to[id.task];
-  up_to = std::max(up_to, id.number);
-  target.ended.push_back({++target.sequence, id, end, {}});
-  if (end == cell::RunEnd::kDone) {
-    ++m_done_acked[id.task];
-  }
-  Report(target);
-}
-
-void World::Lapse(SimTarget& target) {
-  if (m_now < target.lease_until || target.running.empty()) {
-    return;
-  }
-  while (!target.running.empty()) {
-    EndRun(target, target.running.begin()->first, cell::RunEnd::kLapsed);
+void World::AdvanceTargets() {
+  for (SimTarget& target : m_targets) {
+    const std::uint64_t before = target.sequence;
+    for (const cell::TaskId& task : standins::Advance(target, m_now)) {
+      m_checker.Done(task);
+    }
+    if (target.sequence > before) {
+      Report(target);
+    }
   }
 }
 
@@ -450,26 +344,8 @@
       return;
     }
     there.fence = std::max(there.fence, m_cell->epoch);
-    if (call.deadline_ms > 0) {
-      there.lease_until =
-          std::max(there.lease_until,
-                   m_now + Millis(call.deadline_ms - ClockOf(m_now)));
-    }
-    std::erase_if(there.ended, [&](const cell::EndReport& end) {
-      return end.sequence <= call.acked_end;
-    });
-    cell::TargetReport report;
-    report.life = there.entry.life;
-    report.clock_ms = ClockOf(m_now);
-    report.ended = there.ended;
-    for (const auto& [run, state] : there.running) {
-      const auto total = std::max<std::int64_t>(
-          1, state.stuck ? 1 : (state.ends - state.began).count());
-      const auto percent =
-          state.stuck ? 0 : (m_now - state.began).count() * 99 / total;
-      report.running.push_back(
-          {run, state.checkpoint, static_cast<std::int32_t>(percent), 0});
-    }
+    const cell::TargetReport report =
+        standins::TakeReportCall(there, call, m_now);
     At(m_now + m_options.link, [this, id, report, sent_at, life] {
       if (life != m_life) {
         return;
@@ -525,22 +401,25 @@
      });
 }
 
-SimCount World::CountOf(const std::string& queue) {
+SimCount World::CountOf(const std::string& name) {
   SimCount count;
-  for (const auto& [id, record] : m_jobs) {
-    if (record.queue != queue || record.cancelled) {
+  const auto queue =
+      std::ranges::find(m_rules.queues, name, &cell::Queue::name);
+  for (const auto& [id, job] : m_checker.Jobs()) {
+    if (job.spec.queue != name || job.cancelled) {
       continue;
     }
     ++count.handed_in;
     const auto phase = cell::PhaseOf(*m_cell, id);
-    if (record.refused) {
+    if (job.refused) {
       ++count.refused;
     } else if (phase == cell::JobPhase::kFailed) {
       ++count.failed;
     } else if (phase == cell::JobPhase::kCompleted) {
-      const Millis took = m_completed[id] - record.handed_in;
+      const Millis took = m_completed[id] - job.handed_in;
       count.worst = std::max(count.worst, took);
-      ++(took <= record.objective ? count.in_time : count.late);
+      ++(took <= cell::ObjectiveOf(*queue, job.spec) ? count.in_time
+                                                     : count.late);
     } else {
       ++count.open;
     }
@@ -548,9 +427,4 @@
   return count;
 }
 
-int World::StartsOf(const cell::TaskId& task) const {
-  const auto found = m_task_starts.find(task);
-  return found == m_task_starts.end() ? 0 : found->second;
-}
-
 }  // namespace buckthornmux::tests
--- /dev/null
+++ b/tests/standins/job_checker.cc
@@ -0,0 +1,125 @@
+#include "standins/job_checker.h"
+
+#include <algorithm>
+
+namespace buckthornmux::standins {
+namespace {
+
+std::string NameOf(const cell::TaskId& task) {
+  return task.job + "." + std::to_string(task.occurrence) + "." +
+         std::to_string(task.step) + "." + std::to_string(task.index);
+}
+
+}  // namespace
+
+void JobChecker::HandedIn(const cell::JobSpec& spec, Time now) {
+  KnownJob& job = m_jobs[spec.id];
+  job.spec = spec;
+  job.handed_in = now;
+}
+
+void JobChecker::Refused(const std::string& job) {
+  m_jobs[job].refused = true;
+  if (m_started_jobs.contains(job)) {
+    m_breaches.push_back("refused: " + job);
+  }
+}
+
+const cell::StepSpec* JobChecker::StepOf(const cell::TaskId& task) const {
+  const auto job = m_jobs.find(task.job);
+  if (job == m_jobs.end() || task.step >= job->second.spec.steps.size()) {
+    return nullptr;
+  }
+  return &job->second.spec.steps[task.step];
+}
+
+int JobChecker::StartsOf(const cell::TaskId& task) const {
+  const auto found = m_task_starts.find(task);
+  return found == m_task_starts.end() ? 0 : found->second;
+}
+
+/// One end stands for a whole gang.
+bool JobChecker::StepDone(const KnownJob& job, const cell::TaskId& task,
+                          std::uint32_t step) const {
+  const cell::StepSpec& spec = job.spec.steps[step];
+  std::uint32_t done = 0;
+  for (std::uint32_t i = 0; i < spec.count; ++i) {
+    done += m_done.contains({task.job, task.occurrence, step, i}) ? 1U : 0U;
+  }
+  return spec.gang ? done > 0 : done == spec.count;
+}
+
+void JobChecker::CheckRoom(const SimTarget& target, const cell::RunId& run,
+                           const Resources& demand) {
+  Resources used = demand;
+  for (const auto& [other, state] : target.running) {
+    used += state.demand;
+  }
+  if (!used.FitsIn(target.entry.capacity)) {
+    m_breaches.push_back("limit: " + NameOf(run.task) + " on " +
+                         target.entry.id);
+  }
+}
+
+void JobChecker::CheckTeam(std::span<const SimTarget> targets,
+                           const cell::RunId& run, const Resources& demand) {
+  const std::string& name = m_jobs[run.task.job].spec.team;
+  const auto team = std::ranges::find(m_teams, name, &cell::Team::name);
+  if (team == m_teams.end() || team->maximum.cpu_milli == 0) {
+    return;
+  }
+  Resources used = demand;
+  for (const SimTarget& other : targets) {
+    for (const auto& [id, state] : other.running) {
+      if (m_jobs[id.task.job].spec.team == name) {
+        used += state.demand;
+      }
+    }
+  }
+  if (used.cpu_milli > team->maximum.cpu_milli) {
+    m_breaches.push_back("team limit: " + name);
+  }
+}
+
+void JobChecker::Starting(std::span<const SimTarget> targets,
+                          const SimTarget& target, const cell::RunId& run,
+                          bool strict_acceptance) {
+  ++m_starts;
+  ++m_task_starts[run.task];
+  m_started_jobs.insert(run.task.job);
+  const cell::StepSpec* spec = StepOf(run.task);
+  const KnownJob& job = m_jobs[run.task.job];
+  if (spec == nullptr || job.cancelled || job.refused ||
+      (strict_acceptance && !job.accepted)) {
+    m_breaches.push_back("unasked: " + NameOf(run.task));
+    return;
+  }
+  CheckRoom(target, run, spec->demand);
+  CheckTeam(targets, run, spec->demand);
+  for (const SimTarget& other : targets) {
+    for (const auto& [id, state] : other.running) {
+      if (id.task == run.task) {
+        m_breaches.push_back("twice: " + NameOf(run.task));
+      }
+    }
+  }
+  if (m_done.contains(run.task)) {
+    m_breaches.push_back("again: " + NameOf(run.task));
+  }
+  for (const std::uint32_t before : spec->after) {
+    if (!StepDone(job, run.task, before)) {
+      m_breaches.push_back("order: " + NameOf(run.task));
+    }
+  }
+}
+
+void JobChecker::ShownCompleted(const std::string& id) {
+  const KnownJob& job = m_jobs[id];
+  for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
+    if (!StepDone(job, {id, 0, step, 0}, step)) {
+      m_breaches.push_back("shown completed too early: " + id);
+    }
+  }
+}
+
+}  // namespace buckthornmux::standins
--- /dev/null
+++ b/tests/standins/job_checker.h
@@ -0,0 +1,66 @@
+/// Judges from what callers and targets see whether a cell keeps its promises.
+#pragma once
+
+#include <map>
+#include <set>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "standins/sim_target.h"
+
+namespace buckthornmux::standins {
+
+/// What callers know of a job.
+struct KnownJob {
+  cell::JobSpec spec;
+  Time handed_in;
+  bool accepted = false;
+  bool refused = false;
+  bool cancelled = false;
+};
+
+/// @brief Collects jobs, starts and ends, and names every breach.
+class JobChecker {
+ public:
+  void HandedIn(const cell::JobSpec& spec, Time now);
+  void Accepted(const std::string& job) { m_jobs[job].accepted = true; }
+  void Refused(const std::string& job);
+  void Cancelled(const std::string& job) { m_jobs[job].cancelled = true; }
+  void SetTeams(std::vector<cell::Team> teams) { m_teams = std::move(teams); }
+
+  /// @brief A target is about to begin a run.
+  /// @param strict_acceptance a start before the caller has its answer counts
+  void Starting(std::span<const SimTarget> targets, const SimTarget& target,
+                const cell::RunId& run, bool strict_acceptance);
+  void Done(const cell::TaskId& task) { ++m_done[task]; }
+
+  /// @brief A caller was told that a job is completed.
+  void ShownCompleted(const std::string& job);
+
+  [[nodiscard]] std::map<std::string, KnownJob>& Jobs() { return m_jobs; }
+  [[nodiscard]] const cell::StepSpec* StepOf(const cell::TaskId& task) const;
+  [[nodiscard]] const std::vector<std::string>& Breaches() const {
+    return m_breaches;
+  }
+  [[nodiscard]] int Starts() const { return m_starts; }
+  [[nodiscard]] int StartsOf(const cell::TaskId& task) const;
+
+ private:
+  [[nodiscard]] bool StepDone(const KnownJob& job, const cell::TaskId& task,
+                              std::uint32_t step) const;
+  void CheckRoom(const SimTarget& target, const cell::RunId& run,
+                 const Resources& demand);
+  void CheckTeam(std::span<const SimTarget> targets, const cell::RunId& run,
+                 const Resources& demand);
+
+  std::map<std::string, KnownJob> m_jobs;
+  std::map<cell::TaskId, int> m_done;
+  std::map<cell::TaskId, int> m_task_starts;
+  std::set<std::string> m_started_jobs;
+  std::vector<cell::Team> m_teams;
+  std::vector<std::string> m_breaches;
+  int m_starts = 0;
+};
+
+}  // namespace buckthornmux::standins
--- /dev/null
+++ b/tests/standins/sim_target.cc
@@ -0,0 +1,114 @@
+#include "standins/sim_target.h"
+
+#include <algorithm>
+
+namespace buckthornmux::standins {
+namespace {
+
+constexpr std::int64_t kClockOrigin = 500'000;  ///< Of targets, ms.
+
+void EndRun(SimTarget& target, const cell::RunId& id, cell::RunEnd end) {
+  target.running.erase(id);
+  std::uint32_t& up_to = target.refused_up_to[id.task];
+  up_to = std::max(up_to, id.number);
+  target.ended.push_back({++target.sequence, id, end, {}});
+}
+
+}  // namespace
+
+std::int64_t TargetClock(Time now) {
+  return now.time_since_epoch().count() - kClockOrigin;
+}
+
+bool PassesFence(SimTarget& target, Epoch epoch) {
+  if (epoch < target.fence) {
+    return false;
+  }
+  target.fence = epoch;
+  return true;
+}
+
+cell::OrderOutcome JudgeStart(const SimTarget& target, const cell::RunId& run,
+                              std::int64_t deadline_ms, Time now) {
+  if (deadline_ms <= TargetClock(now)) {
+    return cell::OrderOutcome::kLate;
+  }
+  const auto refused = target.refused_up_to.find(run.task);
+  if (refused != target.refused_up_to.end() && run.number <= refused->second) {
+    return cell::OrderOutcome::kOld;
+  }
+  return cell::OrderOutcome::kDone;
+}
+
+void BeginRun(SimTarget& target, const cell::RunId& id, const Resources& demand,
+              Millis work, std::int64_t deadline_ms, Time now) {
+  SimRun run;
+  run.began = now;
+  run.demand = demand;
+  run.fails = target.faults.fails_all;
+  run.stuck = target.faults.stuck;
+  const double took = static_cast<double>(work.count()) *
+                      target.faults.slowdown / target.speed;
+  run.ends = run.stuck ? Time::max()
+                       : now + Millis(static_cast<std::int64_t>(took));
+  target.lease_until = std::max(
+      target.lease_until, now + Millis(deadline_ms - TargetClock(now)));
+  target.running[id] = run;
+}
+
+void StopRun(SimTarget& target, const cell::RunId& id) {
+  std::uint32_t& up_to = target.refused_up_to[id.task];
+  up_to = std::max(up_to, id.number);
+  if (target.running.contains(id)) {
+    EndRun(target, id, cell::RunEnd::kStopped);
+  }
+}
+
+std::vector<cell::TaskId> Advance(SimTarget& target, Time now) {
+  std::vector<cell::RunId> over;
+  for (const auto& [id, run] : target.running) {
+    if (now >= run.ends || now >= target.lease_until) {
+      over.push_back(id);
+    }
+  }
+  std::vector<cell::TaskId> done;
+  for (const cell::RunId& id : over) {
+    const SimRun& run = target.running.at(id);
+    if (now < run.ends) {
+      EndRun(target, id, cell::RunEnd::kLapsed);
+    } else if (run.fails) {
+      EndRun(target, id, cell::RunEnd::kFailed);
+    } else {
+      EndRun(target, id, cell::RunEnd::kDone);
+      done.push_back(id.task);
+    }
+  }
+  return done;
+}
+
+cell::TargetReport TakeReportCall(SimTarget& target,
+                                  const cell::ReportCall& call, Time now) {
+  if (call.deadline_ms > 0) {
+    target.lease_until =
+        std::max(target.lease_until,
+                 now + Millis(call.deadline_ms - TargetClock(now)));
+  }
+  std::erase_if(target.ended, [&](const cell::EndReport& end) {
+    return end.sequence <= call.acked_end;
+  });
+  cell::TargetReport report;
+  report.life = target.entry.life;
+  report.clock_ms = TargetClock(now);
+  report.ended = target.ended;
+  for (const auto& [run, state] : target.running) {
+    constexpr std::int64_t kAlmostDone = 99;
+    const auto total =
+        std::max<std::int64_t>(1, (state.ends - state.began).count());
+    const auto percent =
+        state.stuck ? 0 : (now - state.began).count() * kAlmostDone / total;
+    report.running.push_back({run, {}, static_cast<std::int32_t>(percent), 0});
+  }
+  return report;
+}
+
+}  // namespace buckthornmux::standins
