Emulator of the users' platform: store, adviser, targets, callers, judged by what they see

Its first version had a gang that fitted nowhere (one usable target of eight); that was the emulator's adviser, not the scheduler: mended there.

--- /dev/null
+++ b/tests/standins/day_command.cc
@@ -0,0 +1,46 @@
+#include <boost/asio/io_context.hpp>
+#include <cxxopts.hpp>
+
+#include "standins/platform_day.h"
+#include "standins/standins.h"
+
+namespace buckthornmux::standins {
+
+int RunDay(int argc, const char* const* argv) {
+  cxxopts::Options options(
+      "standin day",
+      "A short day on a stand-in of the users' platform, with a verdict");
+  options.add_options()("port-base", "store; adviser +1, targets from +10",
+                        cxxopts::value<int>()->default_value("28000"))(
+      "host", "callers' address of an entry host; repeat",
+      cxxopts::value<std::vector<std::string>>())(
+      "targets", "count", cxxopts::value<int>()->default_value("8"))(
+      "rate", "jobs a second", cxxopts::value<double>()->default_value("8"))(
+      "length-ms", "of the load",
+      cxxopts::value<int>()->default_value("8000"))(
+      "seed", "of the load",
+      cxxopts::value<std::uint64_t>()->default_value("1"))(
+      "store-away-at-ms", "from the start of the load",
+      cxxopts::value<int>()->default_value("0"))(
+      "store-away-for-ms", "0: never",
+      cxxopts::value<int>()->default_value("0"))(
+      "answers-lost", "share of starts done but not answered",
+      cxxopts::value<double>()->default_value("0"));
+  const auto given = options.parse(argc, argv);
+  DayOptions day;
+  day.port_base = given["port-base"].as<int>();
+  day.hosts = given["host"].as<std::vector<std::string>>();
+  day.targets = given["targets"].as<int>();
+  day.rate = given["rate"].as<double>();
+  day.length = Millis(given["length-ms"].as<int>());
+  day.seed = given["seed"].as<std::uint64_t>();
+  day.store_away_at = Millis(given["store-away-at-ms"].as<int>());
+  day.store_away_for = Millis(given["store-away-for-ms"].as<int>());
+  day.answers_lost = given["answers-lost"].as<double>();
+  boost::asio::io_context io(1);
+  const PlatformDay played(io, day);
+  io.run();
+  return played.Verdict();
+}
+
+}  // namespace buckthornmux::standins
--- a/tests/standins/main.cc
+++ b/tests/standins/main.cc
@@ -23,6 +23,7 @@
     {"balancer", RunBalancer},
     {"callers", RunCallers},
     {"verify", RunVerify},
+    {"day", RunDay},
 });
 
 int Usage() {
--- /dev/null
+++ b/tests/standins/platform_day.cc
@@ -0,0 +1,512 @@
+#include "standins/platform_day.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <charconv>
+#include <iostream>
+#include <utility>
+
+#include "../cell_loads.h"
+#include "standins/json_http.h"
+
+namespace buckthornmux::standins {
+namespace {
+
+namespace json = boost::json;
+
+constexpr Millis kTick{10};
+constexpr Millis kEntriesEvery{500};
+constexpr Millis kPollEvery{250};
+constexpr Millis kCallTimeout{3000};
+constexpr int kMostTries = 12;
+constexpr std::string_view kHostName = "day.example";
+constexpr std::string_view kKey = "key-of-team-0";
+constexpr std::string_view kService = "service";
+
+std::string Loopback(int port) { return "127.0.0.1:" + std::to_string(port); }
+
+std::string PathOf(const cell::JobSpec& spec) {
+  return "/" + spec.queue + "/" + spec.id;
+}
+
+json::object StepJson(const cell::StepSpec& step) {
+  json::object row{{"count", step.count},
+                   {"cpu", step.demand.cpu_milli},
+                   {"mem_mb", step.demand.memory_mb},
+                   {"estimated_ms", step.estimate.count()}};
+  if (!step.after.empty()) {
+    json::array after;
+    for (const std::uint32_t before : step.after) {
+      after.emplace_back(before);
+    }
+    row["after"] = std::move(after);
+  }
+  if (step.gang) {
+    row["gang"] = true;
+  }
+  return row;
+}
+
+std::string JobJson(const cell::JobSpec& spec) {
+  json::array steps;
+  for (const cell::StepSpec& step : spec.steps) {
+    steps.push_back(StepJson(step));
+  }
+  return json::serialize(
+      json::object{{"spec", spec.payload}, {"steps", std::move(steps)}});
+}
+
+json::object QueueJson(const cell::Queue& queue) {
+  return {{"name", queue.name},
+          {"hostname", kHostName},
+          {"prefix", "/" + queue.name + "/"},
+          {"service", kService},
+          {"priority", queue.priority},
+          {"max_attempts", queue.max_attempts},
+          {"stretch", queue.stretch},
+          {"target_runtime_ms", queue.target_runtime.count()},
+          {"advice",
+           {{"decide_ms", queue.advice->decide.count()},
+            {"each_ms", queue.advice->each_ms},
+            {"valid_ms", queue.advice->valid.count()}}},
+          {"public", false}};
+}
+
+std::string FormatTask(const cell::TaskId& task) {
+  return task.job + "." + std::to_string(task.occurrence) + "." +
+         std::to_string(task.step) + "." + std::to_string(task.index);
+}
+
+/// "job.occurrence.step.index", as the server names tasks.
+cell::TaskId ParseTask(const std::string& name) {
+  cell::TaskId task;
+  std::vector<std::uint32_t> numbers;
+  std::size_t at = name.find('.');
+  task.job = name.substr(0, at);
+  while (at != std::string::npos) {
+    std::uint32_t number = 0;
+    std::from_chars(name.data() + at + 1, name.data() + name.size(), number);
+    numbers.push_back(number);
+    at = name.find('.', at + 1);
+  }
+  numbers.resize(3);
+  task.occurrence = numbers[0];
+  task.step = numbers[1];
+  task.index = numbers[2];
+  return task;
+}
+
+std::string_view EndText(cell::RunEnd end) {
+  constexpr std::string_view kNames[] = {"done",   "failed", "stopped",
+                                         "lapsed", "broken", "alone"};
+  return kNames[static_cast<std::size_t>(end)];
+}
+
+net::HttpResponse ReportJson(const cell::TargetReport& report) {
+  json::array running;
+  for (const auto& row : report.running) {
+    running.push_back(json::array{FormatTask(row.run.task), row.run.number,
+                                  row.checkpoint, row.percent, row.load});
+  }
+  json::array ended;
+  for (const auto& row : report.ended) {
+    ended.push_back(json::array{row.sequence, FormatTask(row.run.task),
+                                row.run.number, EndText(row.end),
+                                row.checkpoint});
+  }
+  return JsonAnswer(200, json::object{{"clock_ms", report.clock_ms},
+                                      {"born", report.life},
+                                      {"running", std::move(running)},
+                                      {"ended", std::move(ended)}});
+}
+
+net::HttpResponse Conflict(Time now, std::string_view reason) {
+  return JsonAnswer(409, json::object{{"clock_ms", TargetClock(now)},
+                                      {"reason", reason}});
+}
+
+std::string_view ReasonOf(cell::OrderOutcome outcome) {
+  return outcome == cell::OrderOutcome::kLate ? "late" : "old";
+}
+
+std::vector<cell::Queue> Queues() {
+  tests::UserQueues queues = tests::MakeUserQueues();
+  return {queues.gangs, queues.batches, queues.urgent};
+}
+
+}  // namespace
+
+PlatformDay::PlatformDay(boost::asio::io_context& io, DayOptions options)
+    : m_io(io),
+      m_options(std::move(options)),
+      m_random(m_options.seed),
+      m_store(io, Loopback(m_options.port_base)),
+      m_client(io, {}),
+      m_timer(io) {
+  constexpr int kFirstTarget = 10;
+  constexpr int kPerRack = 4;
+  for (int i = 0; i < m_options.targets; ++i) {
+    SimTarget target;
+    target.entry.id = "target-" + std::to_string(i);
+    target.entry.address = Loopback(m_options.port_base + kFirstTarget + i);
+    target.entry.life = WallNow();
+    target.entry.capacity = {0, 16'000, 32'768, 0};
+    target.entry.labels = {"a", "rack-" + std::to_string(i / kPerRack)};
+    m_targets.push_back(std::move(target));
+  }
+  for (std::size_t i = 0; i < m_targets.size(); ++i) {
+    net::HttpServerOptions server;
+    server.address = m_targets[i].entry.address;
+    m_servers.push_back(std::make_unique<net::HttpServer>(
+        io, server,
+        [this, i](const net::HttpRequest& request,
+                  const net::Responder& respond) {
+          TakeOrder(i, request, respond);
+        }));
+  }
+  net::HttpServerOptions adviser;
+  adviser.address = Loopback(m_options.port_base + 1);
+  m_servers.push_back(std::make_unique<net::HttpServer>(
+      io, adviser,
+      [this](const net::HttpRequest& request, const net::Responder& respond) {
+        Advise(request, respond);
+      }));
+  cell::Team team{.name = "team-0"};
+  team.maximum.cpu_milli = 16'000L * m_options.targets;
+  m_checker.SetTeams({team});
+  WriteRules();
+  WriteEntries();
+  m_began = SteadyNow();
+  Tick();
+}
+
+void PlatformDay::WriteRules() {
+  json::array routes;
+  for (const cell::Queue& queue : Queues()) {
+    routes.push_back(QueueJson(queue));
+  }
+  const json::object rules{
+      {"version", 1},
+      {"routes", std::move(routes)},
+      {"services",
+       json::array{json::object{{"name", kService},
+                                {"admission_check", false}}}},
+      {"tenants",
+       json::array{json::object{
+           {"name", "team-0"},
+           {"api_keys", json::array{kKey}},
+           {"weight", 1000},
+           {"maximum", {{"cpu", 16'000L * m_options.targets}}}}}}};
+  m_store.Put("op/config", json::serialize(rules));
+}
+
+void PlatformDay::WriteEntries() {
+  for (const SimTarget& target : m_targets) {
+    json::array labels;
+    for (const std::string& label : target.entry.labels) {
+      labels.emplace_back(label);
+    }
+    const Resources& capacity = target.entry.capacity;
+    m_store.Put("servers/" + target.entry.id,
+                json::serialize(json::object{
+                    {"service", kService},
+                    {"address", target.entry.address},
+                    {"zone", "here"},
+                    {"state", "ready"},
+                    {"born", target.entry.life},
+                    {"capacity",
+                     {{"cpu", capacity.cpu_milli},
+                      {"mem_mb", capacity.memory_mb}}},
+                    {"labels", std::move(labels)},
+                    {"sequence", WallNow()}}));
+  }
+}
+
+// ---- Targets ----------------------------------------------------------------
+
+void PlatformDay::TakeOrder(std::size_t index, const net::HttpRequest& request,
+                            const net::Responder& respond) {
+  const auto body = ParseObject(request.body);
+  if (!body) {
+    respond(ErrorAnswerOf(400, "body"));
+    return;
+  }
+  SimTarget& target = m_targets[index];
+  const Time now = SteadyNow();
+  const auto epoch = static_cast<Epoch>(IntegerAt(*body, "fencing_token", 0));
+  if (!PassesFence(target, epoch)) {
+    respond(Conflict(now, "fence"));
+    return;
+  }
+  if (request.target == "/buckthornmux/run-start") {
+    Start(index, *body, respond);
+  } else if (request.target == "/buckthornmux/run-stop") {
+    StopRun(target,
+            {ParseTask(StringAt(*body, "task")),
+             static_cast<std::uint32_t>(IntegerAt(*body, "run", 0))});
+    respond(JsonAnswer(200, json::object{{"clock_ms", TargetClock(now)}}));
+  } else if (request.target == "/buckthornmux/hold") {
+    const cell::ReportCall call{
+        IntegerAt(*body, "deadline_ms", 0),
+        static_cast<std::uint64_t>(IntegerAt(*body, "ack_cursor", 0))};
+    const Millis wait(IntegerAt(*body, "wait_ms", 0));
+    if (wait > Millis(0) && target.ended.empty()) {
+      if (call.deadline_ms > 0) {
+        static_cast<void>(TakeReportCall(target, call, now));
+      }
+      m_held[index].push_back({now + wait, call, respond});
+    } else {
+      AnswerReport(index, call, respond);
+    }
+  } else {
+    respond(ErrorAnswerOf(404, "path"));
+  }
+}
+
+void PlatformDay::AnswerReport(std::size_t index, const cell::ReportCall& call,
+                               const net::Responder& respond) {
+  respond(ReportJson(TakeReportCall(m_targets[index], call, SteadyNow())));
+}
+
+void PlatformDay::Start(std::size_t index, const json::object& body,
+                        const net::Responder& respond) {
+  SimTarget& target = m_targets[index];
+  const Time now = SteadyNow();
+  const cell::RunId run{ParseTask(StringAt(body, "task")),
+                        static_cast<std::uint32_t>(IntegerAt(body, "run", 0))};
+  const std::int64_t deadline = IntegerAt(body, "deadline_ms", 0);
+  const auto done = JsonAnswer(200, json::object{{"clock_ms",
+                                                  TargetClock(now)}});
+  if (target.running.contains(run)) {
+    respond(done);
+    return;
+  }
+  const cell::OrderOutcome verdict = JudgeStart(target, run, deadline, now);
+  if (verdict != cell::OrderOutcome::kDone) {
+    respond(Conflict(now, ReasonOf(verdict)));
+    return;
+  }
+  if (StringAt(body, "ticket").empty()) {
+    respond(Conflict(now, "ticket"));
+    return;
+  }
+  // The acceptance may still be on its way to the caller.
+  m_checker.Starting(m_targets, target, run, false);
+  if (const cell::StepSpec* spec = m_checker.StepOf(run.task)) {
+    BeginRun(target, run, spec->demand, spec->estimate, deadline, now);
+  }
+  std::uniform_real_distribution<double> part(0, 1);
+  if (part(m_random) >= m_options.answers_lost) {
+    respond(done);
+  }  // Otherwise the connection stays silent until its other end gives up.
+}
+
+void PlatformDay::Advise(const net::HttpRequest& request,
+                         const net::Responder& respond) {
+  const auto body = ParseObject(request.body);
+  if (!body) {
+    respond(ErrorAnswerOf(400, "body"));
+    return;
+  }
+  json::array good;
+  for (const auto& name : body->at("workers").as_array()) {
+    const std::string pair =
+        StringAt(*body, "step") + "/" + std::string(name.as_string());
+    // Three in four: the widest gang of the day has to find room on a fleet
+    // as small as this.
+    constexpr std::size_t kOneIn = 4;
+    if (std::hash<std::string>{}(pair) % kOneIn != 0) {
+      good.push_back(json::array{name, "ticket"});
+    }
+  }
+  auto timer = std::make_shared<boost::asio::steady_timer>(m_io, Millis(10));
+  auto answer = JsonAnswer(200, json::object{{"good", std::move(good)}});
+  timer->async_wait([timer, respond, answer](boost::system::error_code) {
+    respond(answer);
+  });
+}
+
+// ---- Callers ----------------------------------------------------------------
+
+net::HttpRequest PlatformDay::CallOf(const std::string& method,
+                                     const std::string& id) {
+  net::HttpRequest request;
+  request.method = method;
+  request.target = PathOf(m_checker.Jobs()[id].spec);
+  request.headers.push_back({"Host", std::string(kHostName)});
+  request.headers.push_back({"X-Key", std::string(kKey)});
+  return request;
+}
+
+void PlatformDay::SubmitOne() {
+  const tests::UserQueues queues = tests::MakeUserQueues();
+  std::uniform_real_distribution<double> part(0, 1);
+  const double kind = part(m_random);
+  tests::JobShape shape = kind < 0.1   ? queues.gang_shape
+                          : kind < 0.3 ? queues.batch_shape
+                                       : queues.urgent_shape;
+  const std::string queue = kind < 0.1   ? "gangs"
+                            : kind < 0.3 ? "batches"
+                                         : "urgent";
+  shape.width = std::min(shape.width, 4.0);
+  shape.most_width = 4;
+  shape.most_cpu_milli = std::min(shape.most_cpu_milli, 5000.0);
+  shape.run_ms /= 4;
+  const cell::JobSpec spec =
+      tests::DrawJob(m_random, shape, queue, "team-0");
+  m_checker.HandedIn(spec, SteadyNow());
+  m_callers[spec.id] = {};
+  Submit(spec.id);
+}
+
+/// Tries again at another host until the job is accepted.
+void PlatformDay::Submit(const std::string& id) {
+  Caller& caller = m_callers[id];
+  if (++caller.tries > kMostTries) {
+    caller.ended = true;
+    if (!caller.unsure) {
+      m_checker.Refused(id);
+    }
+    return;
+  }
+  net::HttpRequest request = CallOf("POST", id);
+  request.body = JobJson(m_checker.Jobs()[id].spec);
+  const std::string& host =
+      m_options.hosts[m_next_host++ % m_options.hosts.size()];
+  m_client.Call(host, request, kCallTimeout, [this, id](const auto& outcome) {
+    const auto* answer = std::get_if<net::HttpResponse>(&outcome);
+    Caller& known = m_callers[id];
+    if (answer != nullptr && answer->status == 200) {
+      known.accepted = true;
+      m_checker.Accepted(id);
+      known.next_poll = SteadyNow() + kPollEvery;
+      return;
+    }
+    const auto* error = std::get_if<Error>(&outcome);
+    const bool not_run =
+        answer != nullptr ? answer->status == 503 || answer->status == 429
+                          : error->kind == ErrorKind::kPeerUnreachable;
+    known.unsure = known.unsure || !not_run;
+    auto timer =
+        std::make_shared<boost::asio::steady_timer>(m_io, Millis(400));
+    timer->async_wait([this, id, timer](boost::system::error_code) {
+      Submit(id);
+    });
+  });
+}
+
+void PlatformDay::Poll(const std::string& id) {
+  Caller& caller = m_callers[id];
+  caller.polling = true;
+  const std::string& host =
+      m_options.hosts[m_next_host++ % m_options.hosts.size()];
+  m_client.Call(host, CallOf("GET", id), kCallTimeout,
+                [this, id](const auto& outcome) {
+                  Caller& known = m_callers[id];
+                  known.polling = false;
+                  known.next_poll = SteadyNow() + kPollEvery;
+                  const auto* answer = std::get_if<net::HttpResponse>(&outcome);
+                  if (answer == nullptr || answer->status / 100 == 5) {
+                    return;
+                  }
+                  const auto body = ParseObject(answer->body);
+                  const std::string state =
+                      body ? StringAt(*body, "state") : std::string();
+                  if (answer->status == 410) {
+                    m_lost.push_back(id);
+                    known.ended = true;
+                  } else if (state == "completed") {
+                    known.ended = true;
+                    m_checker.ShownCompleted(id);
+                  } else if (state == "failed" || state == "cancelled") {
+                    known.ended = true;
+                    m_lost.push_back(id);  // Nothing fails on this day.
+                  }
+                });
+}
+
+bool PlatformDay::AllEnded() const {
+  return std::ranges::all_of(
+      m_callers, [](const auto& entry) { return entry.second.ended; });
+}
+
+void PlatformDay::Tick() {
+  const Time now = SteadyNow();
+  const Millis since = now - m_began;
+  const bool away = m_options.store_away_for > Millis(0) &&
+                    since >= m_options.store_away_at &&
+                    since < m_options.store_away_at + m_options.store_away_for;
+  m_store.SetAway(away);
+  m_store.Tick(now);
+  for (std::size_t i = 0; i < m_targets.size(); ++i) {
+    for (const cell::TaskId& task : Advance(m_targets[i], now)) {
+      m_checker.Done(task);
+    }
+    auto& held = m_held[i];
+    while (!held.empty() &&
+           (!m_targets[i].ended.empty() || now >= held.front().until)) {
+      AnswerReport(i, held.front().call, held.front().respond);
+      held.pop_front();
+    }
+  }
+  if (now >= m_next_entries && !away) {
+    m_next_entries = now + kEntriesEvery;
+    WriteEntries();
+  }
+  constexpr double kMillisPerSecond = 1000;
+  if (since < m_options.length) {
+    m_due += m_options.rate * static_cast<double>(kTick.count()) /
+             kMillisPerSecond;
+    for (; m_due >= 1; m_due -= 1) {
+      SubmitOne();
+    }
+  }
+  for (auto& [id, caller] : m_callers) {
+    if (caller.accepted && !caller.ended && !caller.polling &&
+        now >= caller.next_poll) {
+      Poll(id);
+    }
+  }
+  const bool over = since >= m_options.length + m_options.finish;
+  if (over || (since >= m_options.length && AllEnded())) {
+    Summarise();
+    m_io.stop();
+    return;
+  }
+  m_timer.expires_after(kTick);
+  m_timer.async_wait([this](boost::system::error_code error) {
+    if (!error) {
+      Tick();
+    }
+  });
+}
+
+void PlatformDay::Summarise() {
+  std::size_t accepted = 0;
+  for (auto& [id, caller] : m_callers) {
+    accepted += caller.accepted ? 1U : 0U;
+    if (caller.accepted && !caller.ended) {
+      m_lost.push_back(id);
+    }
+  }
+  std::cout << "jobs=" << m_callers.size() << " accepted=" << accepted
+            << " starts=" << m_checker.Starts()
+            << " store_calls=" << m_store.Calls() << '\n';
+  for (const std::string& breach : m_checker.Breaches()) {
+    std::cout << "BROKEN " << breach << '\n';
+  }
+  for (const std::string& id : m_lost) {
+    std::cout << "BROKEN lost: " << id << '\n';
+  }
+  std::cout << (Verdict() == 0 ? "kept" : "broken") << std::endl;
+}
+
+int PlatformDay::Verdict() const {
+  const bool served =
+      std::ranges::any_of(m_callers, [](const auto& entry) {
+        return entry.second.accepted && entry.second.ended;
+      });
+  return served && m_checker.Breaches().empty() && m_lost.empty() ? 0 : 1;
+}
+
+}  // namespace buckthornmux::standins
--- a/tests/standins/standins.h
+++ b/tests/standins/standins.h
@@ -20,6 +20,10 @@
 /// @brief Runs open-loop callers.
 int RunCallers(int argc, const char* const* argv);
 
+/// @brief Plays a short day on a stand-in of the users' platform.
+/// @return 0 where every promise was kept
+int RunDay(int argc, const char* const* argv);
+
 /// @brief Runs the balancer.
 int RunBalancer(int argc, const char* const* argv);
 
