--- a/include/buckthornmux/detail/cell/state.h
+++ b/include/buckthornmux/detail/cell/state.h
@@ -36,6 +36,10 @@
   Millis suspension{3000};     ///< Of a target that fails what it starts.
   Millis kept_unlisted{600};   ///< A target missing from the list stays known.
   std::size_t max_open_jobs = 20'000;  ///< More are refused.
+  Millis share_burst{2000};  ///< A team may save up its rate for so long.
+  /// Waiting work, as part of all processors, from which on a team's excess is
+  /// refused.
+  double busy_backlog = 0.05;
 };
 
 enum class RunPhase : std::uint8_t {
@@ -173,6 +177,7 @@
   std::vector<CallId> cancel_calls;
   Time ended_at;
   bool forget = false;  ///< Its records are being erased.
+  bool excess = false;  ///< Beyond what its team may send; yields to others.
   int priority = 0;
 
   [[nodiscard]] bool Ended() const {
@@ -258,6 +263,8 @@
   std::optional<Time> dirty_since;
   std::map<QueueName, std::uint32_t> pending;  ///< Jobs not begun, by queue.
   std::deque<std::pair<Time, JobId>> ended_jobs;  ///< In order of their end.
+  std::int64_t backlog_cpu = 0;   ///< Waiting to start, thousandths of a core.
+  std::int64_t capacity_cpu = 0;  ///< Of the targets that take work.
   std::set<TargetId> expected;  ///< Targets that a former owner knew.
   bool targets_dirty = false;   ///< The stored list of targets is outdated.
   bool plan_due = false;
--- a/include/buckthornmux/detail/entry/callers.h
+++ b/include/buckthornmux/detail/entry/callers.h
@@ -51,18 +51,22 @@
  public:
   /// Hands a call to the owner of the cell.
   using Forward = std::function<Handed(const CellCall& call, HostId& to)>;
+  /// Whether a new owner can be expected soon: this host sees the store.
+  using OwnerExpected = std::function<bool()>;
 
   Callers(boost::asio::io_context& io, const std::string& address,
           CallerCodec codec, const RulesReader& rules, Millis key_trust,
-          runtime::Metrics& metrics, Forward forward);
+          runtime::Metrics& metrics, Forward forward,
+          OwnerExpected owner_expected);
 
   /// @brief Takes an owner's answer.
   void Reply(const CellReply& reply);
 
-  /// @brief Calls that were sent to a host can't be answered any more.
+  /// @brief A host is lost: what was sent there waits for the next owner. Jobs
+  ///   are known by their ids, so a submit that did arrive is met again.
   void HostLost(const HostId& host);
 
-  /// @brief Ends what is past its deadline.
+  /// @brief Hands on what waits for an owner, ends what is past its deadline.
   void Tick(Time now);
 
   /// @brief Whether keys may be trusted now.
@@ -75,26 +79,29 @@
 
  private:
   struct OpenCall {
-    CallKind kind = CallKind::kQuery;
-    std::string job;
-    HostId sent_to;
+    CellCall call;
+    HostId sent_to;      ///< Empty: waits for an owner.
+    bool sent = false;   ///< Has been handed on at least once.
     Time began;
     Time deadline;
+    Time owner_by;       ///< Refused where no owner took it by then.
     net::Responder respond;
   };
 
   void Take(const net::HttpRequest& request, const net::Responder& respond);
   void Hand(CellCall call, Millis patience, const net::Responder& respond);
+  void TryHand(std::uint64_t number, Time now);
+  void GiveUp(std::uint64_t number, ErrorKind kind, std::string_view why);
   void Answer(const OpenCall& open, net::HttpResponse response,
               std::string_view why);
   [[nodiscard]] net::HttpResponse Refusal(ErrorKind kind, int status) const;
-  [[nodiscard]] static int LostStatus(CallKind kind);
 
   CallerCodec m_codec;
   const RulesReader& m_rules;
   Millis m_key_trust;
   runtime::Metrics& m_metrics;
   Forward m_forward;
+  OwnerExpected m_owner_expected;
   std::uint64_t m_next = 1;
   std::map<std::uint64_t, OpenCall> m_open;
   std::unique_ptr<net::HttpServer> m_server;
--- a/src/cell/advice.cc
+++ b/src/cell/advice.cc
@@ -129,6 +129,14 @@
   return expected >= count;
 }
 
+/// Whether room is left for a gang besides those before it in line: a call for
+/// one that can't be placed blocks a lane for nothing.
+bool RoomIsLeft(const Round& round, const StepSpec& spec,
+                std::uint32_t waiting) {
+  return round.promised_cpu + waiting * ReservedBy(spec).cpu_milli <=
+         round.free_cpu;
+}
+
 void DropOldTickets(AdviceState& advice, Time now) {
   std::erase_if(advice.tickets,
                 [&](const auto& entry) { return entry.second.until <= now; });
@@ -169,7 +177,8 @@
   // A gang that its tickets have room for is held up by something else.
   if (prospects.options.empty() ||
       (spec.gang && (prospects.ticketed >= waiting ||
-                     !GangMayFit(prospects, waiting, rate)))) {
+                     !GangMayFit(prospects, waiting, rate) ||
+                     !RoomIsLeft(round, spec, waiting)))) {
     return;
   }
   std::vector<TargetId> names = ChooseNames(
--- a/src/cell/jobs.cc
+++ b/src/cell/jobs.cc
@@ -81,6 +81,39 @@
   }
 }
 
+/// Whether a job is beyond the rate that its team may send at.
+bool TakeToken(Cell& cell, const TeamName& name, Time now) {
+  const auto team = cell.teams.find(name);
+  if (team == cell.teams.end()) {
+    return false;
+  }
+  constexpr double kMillisPerSecond = 1000;
+  TeamUsage& usage = cell.usage[name];
+  const double rate = team->second.weight;
+  const double most =
+      rate * static_cast<double>(cell.options.share_burst.count()) /
+      kMillisPerSecond;
+  if (!usage.tokens_set) {
+    usage.tokens_set = true;
+    usage.tokens = most;
+    usage.tokens_at = now;
+  }
+  const auto passed = static_cast<double>((now - usage.tokens_at).count());
+  usage.tokens_at = now;
+  usage.tokens =
+      std::min(most, usage.tokens + passed * rate / kMillisPerSecond);
+  if (usage.tokens < 1) {
+    return true;
+  }
+  usage.tokens -= 1;
+  return false;
+}
+
+bool IsBusy(const Cell& cell) {
+  return static_cast<double>(cell.backlog_cpu) >
+         cell.options.busy_backlog * static_cast<double>(cell.capacity_cpu);
+}
+
 void StopAll(Cell& cell, Actions& actions, const Job& job, std::string_view why,
              Time now) {
   for (auto& [id, target] : cell.targets) {
@@ -215,8 +248,15 @@
     Refuse(actions, call, spec, reason->kind, std::move(reason->message));
     return;
   }
+  const bool excess = TakeToken(cell, spec.team, now);
+  if (excess && IsBusy(cell)) {
+    Refuse(actions, call, spec, ErrorKind::kTeamLimit,
+           "the team sends more than its share while work waits");
+    return;
+  }
   const Queue& queue = *QueueOf(cell, spec.queue);
   Job job;
+  job.excess = excess;
   job.objective = ObjectiveOf(queue, spec);
   job.priority = queue.priority;
   job.arrived = now;
--- a/src/cell/plan.cc
+++ b/src/cell/plan.cc
@@ -20,6 +20,7 @@
 struct Candidate {
   StepRef ref;
   int priority = 0;
+  bool excess = false;    ///< Beyond its team's share.
   bool hopeless = false;  ///< No longer worth anything by its objective.
   Millis slack{0};        ///< Time left before it must start.
 };
@@ -27,6 +28,9 @@
 bool Before(const Candidate& a, const Candidate& b) {
   const bool a_urgent = a.priority == kUrgentPriority;
   const bool b_urgent = b.priority == kUrgentPriority;
+  if (a.excess != b.excess) {
+    return b.excess;
+  }
   if (a_urgent != b_urgent) {
     return a_urgent;
   }
@@ -40,7 +44,7 @@
 }
 
 Candidate MakeCandidate(const StepRef& ref, const Job& job, Time now) {
-  Candidate candidate{ref, job.priority, false, Millis(0)};
+  Candidate candidate{ref, job.priority, job.excess, false, Millis(0)};
   const Millis chain = ChainFrom(job.spec, ref.step);
   Time due = job.arrived + job.objective;
   if (job.spec.recurrence.count > 0) {
@@ -293,6 +297,30 @@
   }
   if (gang && step->live == 0) {
     KeepForGang(round, *step);
+    if (step->advice.asking || !step->advice.tickets.empty()) {
+      const StepSpec& spec = job.spec.steps[candidate.ref.step];
+      round.promised_cpu += spec.count * ReservedBy(spec).cpu_milli;
+    }
+  }
+}
+
+/// How much work waits, against all that the targets hold.
+void CountBacklog(Cell& cell, const std::vector<Candidate>& candidates) {
+  cell.backlog_cpu = 0;
+  for (const Candidate& candidate : candidates) {
+    Job& job = *FindJob(cell, candidate.ref.job);
+    const Step& step =
+        *FindStep(job, candidate.ref.occurrence, candidate.ref.step);
+    const StepSpec& spec = job.spec.steps[candidate.ref.step];
+    const auto waiting =
+        static_cast<std::int64_t>(spec.count - step.done - step.live);
+    cell.backlog_cpu += waiting * ReservedBy(spec).cpu_milli;
+  }
+  cell.capacity_cpu = 0;
+  for (const auto& [id, target] : cell.targets) {
+    if (target.reported && target.listed && !target.entry.draining) {
+      cell.capacity_cpu += target.entry.capacity.cpu_milli;
+    }
   }
 }
 
@@ -331,7 +359,7 @@
 }
 
 Round BeginRound(Cell& cell, Actions& actions, Time now) {
-  Round round{cell, actions, now, {}, {}, false};
+  Round round{cell, actions, now, {}, {}, false, 0, 0};
   for (auto& [id, target] : cell.targets) {
     const TargetHealth& health = target.health;
     const bool probing =
@@ -341,6 +369,7 @@
         now >= health.suspended_until && !probing) {
       round.by_id.emplace(id, round.slots.size());
       round.slots.push_back({&target});
+      round.free_cpu += RoomOf(target).cpu_milli;
     }
   }
   return round;
@@ -394,6 +423,7 @@
       candidates.push_back(MakeCandidate(ref, job, now));
     }
   }
+  CountBacklog(cell, candidates);
   const std::size_t planned = std::min(candidates.size(), kMostPlanned);
   std::ranges::partial_sort(
       candidates,
--- a/src/cell/reports.cc
+++ b/src/cell/reports.cc
@@ -9,6 +9,9 @@
 /// A target that did not answer for so long gets no renewals, so that what
 /// runs there is known to lapse. Longer than the longest wait of a report call.
 constexpr Millis kSilentAfter{1500};
+/// A draining target that vanishes from the list this soon after an answer has
+/// left by itself; one that fell silent stays listed for longer.
+constexpr Millis kLeftWithin{2500};
 /// Most of a run's estimate without any progress before it counts as stuck.
 constexpr int kStuckFactor = 3;
 constexpr Millis kStuckAtLeast{2500};
@@ -291,8 +294,11 @@
 /// itself once it is neither listed nor heard of.
 void ExpireTarget(Cell& cell, Actions& actions, Target& target, Time now) {
   const bool silent = now - target.last_answer > kSilentAfter;
-  if (silent && !target.runs.empty() && now > target.lease_until) {
-    DropRuns(cell, actions, target, "lease over");
+  const bool left = !target.listed && target.entry.draining &&
+                    target.unlisted_at - target.last_answer < kLeftWithin;
+  if (silent && !target.runs.empty() &&
+      (left || now > target.lease_until)) {
+    DropRuns(cell, actions, target, left ? "target left" : "lease over");
     target.reported = false;
   }
   if (!target.listed && !target.removed && silent && target.runs.empty() &&
--- a/src/cell/round.h
+++ b/src/cell/round.h
@@ -25,6 +25,9 @@
   std::vector<Slot> slots;
   std::unordered_map<std::string_view, std::size_t> by_id;
   bool gang_waits = false;
+  /// Processor time that gangs before in line have asked or hold tickets for.
+  std::int64_t promised_cpu = 0;
+  std::int64_t free_cpu = 0;
 };
 
 /// @brief Collects the targets that take work.
--- a/src/cell/steps.cc
+++ b/src/cell/steps.cc
@@ -127,6 +127,22 @@
   }
 }
 
+/// Targets on which a former owner's runs may still be unseen.
+std::vector<TargetId> Unreported(const Cell& cell) {
+  std::vector<TargetId> unreported;
+  for (const auto& [id, target] : cell.targets) {
+    if (!target.reported && !target.removed) {
+      unreported.push_back(id);
+    }
+  }
+  for (const TargetId& id : cell.expected) {
+    if (!cell.targets.contains(id)) {
+      unreported.push_back(id);
+    }
+  }
+  return unreported;
+}
+
 }  // namespace
 
 std::string_view EndName(RunEnd end) {
@@ -232,23 +248,16 @@
   const Millis lapse =
       cell.options.lease +
       cell.options.lease * cell.options.drift_per_mille / 1000 + Millis(300);
-  const bool all_reported =
-      !cell.targets.empty() &&
-      std::ranges::all_of(cell.targets,
-                          [](const auto& entry) {
-                            return entry.second.reported ||
-                                   entry.second.removed;
-                          }) &&
-      std::ranges::all_of(cell.expected, [&](const TargetId& id) {
-        return cell.targets.contains(id);
-      });
+  const std::vector<TargetId> unreported = Unreported(cell);
+  const bool all_reported = !cell.targets.empty() && unreported.empty();
   if (!all_reported && now < cell.claimed_at + lapse) {
     return;
   }
   cell.recovered = true;
   Note(actions, "recovery_done",
        {{"epoch", std::to_string(cell.epoch)},
-        {"all_reported", all_reported ? "true" : "false"},
+        {"unreported", std::to_string(unreported.size())},
+        {"first", unreported.empty() ? std::string() : unreported.front()},
         {"after_ms", std::to_string((now - cell.claimed_at).count())}});
   for (auto& [id, job] : cell.jobs) {
     if (!job.adopted || job.Ended()) {
--- a/src/entry/callers.cc
+++ b/src/entry/callers.cc
@@ -18,7 +18,9 @@
 constexpr int kTrustPercent = 70;
 constexpr Millis kDefaultPatience{3000};  ///< Where a caller names none.
 /// An owner that has not answered by then is about to be replaced.
-constexpr Millis kLongestWait{2000};
+constexpr Millis kLongestWait{2500};
+/// A call waits so long for an owner: a lost one is replaced within its lease.
+constexpr Millis kOwnerWait{1500};
 constexpr Millis kAnswerMargin{150};  ///< For the answer's way back.
 /// When to come back: a new owner serves within about this time.
 constexpr Millis kOwnerReturn{1000};
@@ -96,12 +98,14 @@
 
 Callers::Callers(boost::asio::io_context& io, const std::string& address,
                  CallerCodec codec, const RulesReader& rules, Millis key_trust,
-                 runtime::Metrics& metrics, Forward forward)
+                 runtime::Metrics& metrics, Forward forward,
+                 OwnerExpected owner_expected)
     : m_codec(std::move(codec)),
       m_rules(rules),
       m_key_trust(key_trust * kTrustPercent / 100),
       m_metrics(metrics),
-      m_forward(std::move(forward)) {
+      m_forward(std::move(forward)),
+      m_owner_expected(std::move(owner_expected)) {
   net::HttpServerOptions options;
   options.address = address;
   options.kept_headers = {"Host", m_codec.key_header, m_codec.deadline_header};
@@ -201,47 +205,66 @@
 void Callers::Hand(CellCall call, Millis patience,
                    const net::Responder& respond) {
   const Time now = Now();
-  call.call = m_next++;
-  OpenCall open{call.kind, call.job, {}, now, now + patience, respond};
-  // The answer may come before the hand-over returns.
-  OpenCall& kept = m_open.emplace(call.call, std::move(open)).first->second;
+  const std::uint64_t number = m_next++;
+  call.call = number;
+  const Millis wait = m_owner_expected() ? kOwnerWait : Millis(0);
+  m_open.emplace(number,
+                 OpenCall{std::move(call), {}, false, now, now + patience,
+                          now + std::min(wait, patience), respond});
+  TryHand(number, now);
+}
+
+/// Hands a call on; where nobody takes it, it waits until `owner_by`.
+void Callers::TryHand(std::uint64_t number, Time now) {
+  OpenCall& open = m_open.at(number);
   HostId to;
-  const Handed handed = m_forward(call, to);
-  const auto found = m_open.find(call.call);
+  // The answer may come, and end the call, before the hand-over returns.
+  const bool was_sent = std::exchange(open.sent, true);
+  const Handed handed = m_forward(open.call, to);
+  const auto found = m_open.find(number);
+  if (found == m_open.end()) {
+    return;
+  }
   if (handed == Handed::kSent) {
-    if (found != m_open.end()) {
-      kept.sent_to = to;
-    }
+    found->second.sent_to = to;
     return;
   }
-  const OpenCall ended = std::move(found->second);
-  m_open.erase(found);
-  const ErrorKind kind = handed == Handed::kNoOwner
-                             ? ErrorKind::kOwnerUnknown
-                             : ErrorKind::kPeerUnreachable;
-  Answer(ended, Refusal(kind, kUnavailable), AnswerFor(kind).name);
+  found->second.sent = was_sent;
+  if (now >= found->second.owner_by) {
+    const ErrorKind kind = handed == Handed::kNoOwner
+                               ? ErrorKind::kOwnerUnknown
+                               : ErrorKind::kPeerUnreachable;
+    GiveUp(number, kind, AnswerFor(kind).name);
+  }
 }
 
-int Callers::LostStatus(CallKind kind) {
-  // A submit or cancel may have been taken: only that makes "not run" untrue.
-  return kind == CallKind::kSubmit || kind == CallKind::kCancel
-             ? kGatewayTimeout
-             : kUnavailable;
+void Callers::GiveUp(std::uint64_t number, ErrorKind kind,
+                     std::string_view why) {
+  const auto found = m_open.find(number);
+  const OpenCall open = std::move(found->second);
+  m_open.erase(found);
+  // A submit or cancel that was handed on may have been taken: "not run" would
+  // be untrue.
+  const bool changes = open.call.kind == CallKind::kSubmit ||
+                       open.call.kind == CallKind::kCancel;
+  Answer(open,
+         Refusal(kind, open.sent && changes ? kGatewayTimeout : kUnavailable),
+         why);
 }
 
 void Callers::Answer(const OpenCall& open, net::HttpResponse response,
                      std::string_view why) {
   const Time now = Now();
   const bool good = response.status / 100 == 2;
-  if (open.kind == CallKind::kSubmit) {
+  const CallKind kind = open.call.kind;
+  if (kind == CallKind::kSubmit) {
     m_metrics.Count(good ? Counter::kJobsAnswered : Counter::kJobsRefused);
     m_metrics.Record(runtime::Timing::kPatientAccept, now - open.began);
   }
-  if (!good || open.kind == CallKind::kSubmit ||
-      open.kind == CallKind::kCancel) {
+  if (!good || kind == CallKind::kSubmit || kind == CallKind::kCancel) {
     LogLine("call_answered")
-        .With("job", open.job)
-        .With("call", KindName(open.kind))
+        .With("job", open.call.job)
+        .With("call", KindName(kind))
         .With("owner", open.sent_to)
         .With("status", static_cast<std::int64_t>(response.status))
         .With("reason", why)
@@ -255,6 +278,15 @@
   if (found == m_open.end()) {
     return;  // Its deadline has passed, and its caller has an answer.
   }
+  const bool not_owner = reply.error == ErrorKind::kOwnerStale ||
+                         reply.error == ErrorKind::kOwnerUnknown ||
+                         reply.error == ErrorKind::kNotReady;
+  const bool unanswered =
+      reply.end == CallEnd::kRefused || reply.end == CallEnd::kUnknown;
+  if (unanswered && not_owner) {
+    found->second.sent_to.clear();  // Waits for the next owner.
+    return;
+  }
   const OpenCall open = std::move(found->second);
   m_open.erase(found);
   net::HttpResponse response;
@@ -282,7 +314,7 @@
       break;
     }
     case CallEnd::kUnknown:
-      response = Refusal(reply.error, LostStatus(open.kind));
+      response = Refusal(reply.error, kGatewayTimeout);
       why = reply.message;
       break;
   }
@@ -290,32 +322,30 @@
 }
 
 void Callers::HostLost(const HostId& host) {
-  std::vector<OpenCall> lost;
-  std::erase_if(m_open, [&](auto& entry) {
-    if (entry.second.sent_to != host) {
-      return false;
+  const Time now = Now();
+  for (auto& [number, open] : m_open) {
+    if (open.sent_to == host) {
+      open.sent_to.clear();
+      open.owner_by = std::min(open.deadline, now + kOwnerWait);
     }
-    lost.push_back(std::move(entry.second));
-    return true;
-  });
-  for (const OpenCall& open : lost) {
-    Answer(open, Refusal(ErrorKind::kPeerUnreachable, LostStatus(open.kind)),
-           "owner unreachable");
   }
 }
 
 void Callers::Tick(Time now) {
-  std::vector<OpenCall> overdue;
-  std::erase_if(m_open, [&](auto& entry) {
-    if (now < entry.second.deadline) {
-      return false;
+  std::vector<std::uint64_t> overdue;
+  std::vector<std::uint64_t> waiting;
+  for (const auto& [number, open] : m_open) {
+    if (now >= open.deadline) {
+      overdue.push_back(number);
+    } else if (open.sent_to.empty()) {
+      waiting.push_back(number);
     }
-    overdue.push_back(std::move(entry.second));
-    return true;
-  });
-  for (const OpenCall& open : overdue) {
-    Answer(open, Refusal(ErrorKind::kOutcomeUnknown, LostStatus(open.kind)),
-           "owner silent");
+  }
+  for (const std::uint64_t number : overdue) {
+    GiveUp(number, ErrorKind::kOutcomeUnknown, "owner silent");
+  }
+  for (const std::uint64_t number : waiting) {
+    TryHand(number, now);
   }
 }
 
--- a/src/entry/cell_host.cc
+++ b/src/entry/cell_host.cc
@@ -18,7 +18,7 @@
 constexpr Millis kPumpEvery{8};
 /// A start or stop without an answer by then is repeated; a healthy target
 /// answers in some milliseconds.
-constexpr Millis kOrderTimeout{300};
+constexpr Millis kOrderTimeout{150};
 constexpr Millis kReportWait{1000};  ///< A report waits so long for an end.
 constexpr Millis kReportSlack{500};  ///< Beyond the wait.
 constexpr Millis kReportRetry{200};
--- a/src/entry/host.cc
+++ b/src/entry/host.cc
@@ -18,6 +18,7 @@
 #include "buckthornmux/detail/entry/log_buffer.h"
 #include "buckthornmux/detail/entry/membership.h"
 #include "buckthornmux/detail/entry/rules_reader.h"
+#include "buckthornmux/detail/entry/slowness.h"
 #include "buckthornmux/detail/entry/target_reader.h"
 #include "buckthornmux/detail/net/http_server.h"
 #include "buckthornmux/detail/peer/peer_links.h"
@@ -52,6 +53,7 @@
 constexpr Millis kShutdownMargin{800};  ///< Before the kill.
 /// A slow host stays out of ownership for at least this.
 constexpr Millis kRest{5000};
+constexpr Millis kLateLogEvery{1000};
 /// Other hosts that must be there to take over from a slow one.
 constexpr std::size_t kLeastOthers = 2;
 constexpr std::size_t kConnectionsPerPeer = 8;
@@ -94,27 +96,6 @@
           settings.callers_address, settings.data_centre};
 }
 
-/// @brief Tells from late ticks whether this host is too slow to decide for
-///   all. A machine can turn slow while it still answers the store.
-class SlownessGauge {
- public:
-  /// @brief Takes in how late a tick came.
-  void Add(Millis late) {
-    m_late_ms += kWeight * (static_cast<double>(late.count()) - m_late_ms);
-  }
-  [[nodiscard]] bool Slow() const { return m_late_ms > kSlowAbove; }
-  [[nodiscard]] bool Well() const { return m_late_ms < kWellBelow; }
-  [[nodiscard]] Millis Late() const {
-    return Millis(static_cast<std::int64_t>(m_late_ms));
-  }
-
- private:
-  static constexpr double kWeight = 0.15;    ///< Of one tick of 50 ms.
-  static constexpr double kSlowAbove = 60;   ///< Mean lateness, ms.
-  static constexpr double kWellBelow = 15;
-  double m_late_ms = 0;
-};
-
 /// The process: everything runs on one loop and one thread.
 class Host {
  public:
@@ -140,7 +121,8 @@
                   m_settings.bounds.key_trust, m_metrics,
                   [this](const CellCall& call, HostId& to) {
                     return Forward(call, to);
-                  }),
+                  },
+                  [this] { return m_members.LeaseHeld(); }),
         m_peers(m_io, PeerOptions(), PeerHandlers()) {
     runtime::SetLogSink([this](std::string_view line) { m_log.Append(line); });
     ServeReadiness();
@@ -450,6 +432,13 @@
   /// part again once it is well.
   void MindSlowness(Time now) {
     m_slowness.Add(now - m_tick_due);
+    if (!m_slowness.Well() && now >= m_late_logged + kLateLogEvery) {
+      m_late_logged = now;
+      LogLine("loop_late", Level::kWarning)
+          .With("host", m_settings.host)
+          .With("ticks_late_ms", m_slowness.Late().count())
+          .With("open_calls", static_cast<std::uint64_t>(m_callers.Open()));
+    }
     if (m_leaving || m_cell.Owning() == m_resting) {
       return;
     }
@@ -514,6 +503,7 @@
   Time m_tick_due = Now();
   bool m_resting = false;  ///< Handed over because this host is slow.
   Time m_rest_until;
+  Time m_late_logged;
   bool m_leaving = false;
   bool m_unregistering = false;
   Time m_leave_at;
--- a/src/entry/log_buffer.cc
+++ b/src/entry/log_buffer.cc
@@ -3,6 +3,8 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <climits>
 #include <chrono>
 
 #include "buckthornmux/detail/entry/clock.h"
@@ -54,15 +56,22 @@
   AppendNow(line);
 }
 
+/// Writes whole lines, in pieces that a pipe takes whole or not at all.
 void LogBuffer::Flush() {
-  while (!m_text.empty()) {
-    const ssize_t written =
-        write(m_descriptor, m_text.data(), m_text.size());
+  std::size_t done = 0;
+  while (done < m_text.size()) {
+    std::size_t size = std::min<std::size_t>(PIPE_BUF, m_text.size() - done);
+    const std::size_t last = m_text.rfind('\n', done + size - 1);
+    if (last != std::string::npos && last >= done) {
+      size = last + 1 - done;
+    }
+    const ssize_t written = write(m_descriptor, m_text.data() + done, size);
     if (written <= 0) {
-      return;  // Full, or nobody reads: tried again at the next flush.
+      break;  // Full, or nobody reads: tried again at the next flush.
     }
-    m_text.erase(0, static_cast<std::size_t>(written));
+    done += static_cast<std::size_t>(written);
   }
+  m_text.erase(0, done);
 }
 
 }  // namespace buckthornmux::entry
