--- a/include/buckthornmux/detail/cell/state.h
+++ b/include/buckthornmux/detail/cell/state.h
@@ -39,7 +39,8 @@
   Millis share_burst{2000};  ///< A team may save up its rate for so long.
   /// Waiting work, as part of all processors, from which on a team's excess is
   /// refused.
-  double busy_backlog = 0.05;
+  double busy_backlog = 0.3;
+  double busy_free = 0.15;  ///< ...and only while no more than this is free.
 };
 
 enum class RunPhase : std::uint8_t {
@@ -265,6 +266,7 @@
   std::deque<std::pair<Time, JobId>> ended_jobs;  ///< In order of their end.
   std::int64_t backlog_cpu = 0;   ///< Waiting to start, thousandths of a core.
   std::int64_t capacity_cpu = 0;  ///< Of the targets that take work.
+  std::int64_t free_cpu = 0;      ///< Of that, not held by runs.
   std::set<TargetId> expected;  ///< Targets that a former owner knew.
   bool targets_dirty = false;   ///< The stored list of targets is outdated.
   bool plan_due = false;
--- a/src/cell/jobs.cc
+++ b/src/cell/jobs.cc
@@ -110,8 +110,11 @@
 }
 
 bool IsBusy(const Cell& cell) {
+  const auto capacity = static_cast<double>(cell.capacity_cpu);
   return static_cast<double>(cell.backlog_cpu) >
-         cell.options.busy_backlog * static_cast<double>(cell.capacity_cpu);
+             cell.options.busy_backlog * capacity &&
+         static_cast<double>(cell.free_cpu) <
+             cell.options.busy_free * capacity;
 }
 
 void StopAll(Cell& cell, Actions& actions, const Job& job, std::string_view why,
--- a/src/cell/plan.cc
+++ b/src/cell/plan.cc
@@ -317,9 +317,11 @@
     cell.backlog_cpu += waiting * ReservedBy(spec).cpu_milli;
   }
   cell.capacity_cpu = 0;
+  cell.free_cpu = 0;
   for (const auto& [id, target] : cell.targets) {
     if (target.reported && target.listed && !target.entry.draining) {
       cell.capacity_cpu += target.entry.capacity.cpu_milli;
+      cell.free_cpu += RoomOf(target).cpu_milli;
     }
   }
 }
--- /dev/null
+++ b/tests/mock_async_store.h
@@ -0,0 +1,151 @@
+/// A store in memory for tests: answers at once, or loses what it is told to.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "buckthornmux/detail/store/async_store.h"
+
+namespace buckthornmux::tests {
+
+/// What happens to one commit.
+enum class CommitFate : std::uint8_t {
+  kAnswered,
+  kLostAfter,   ///< Done, and not answered.
+  kLostBefore,  ///< Neither done nor answered.
+  kDelayed,     ///< Not answered; done when `RunDelayed` is called.
+  kRefused,     ///< 503.
+};
+
+class MockAsyncStore {
+ public:
+  store::AsyncStore Calls() {
+    store::AsyncStore calls;
+    calls.get = [this](std::string key, const auto& reply) { Get(key, reply); };
+    calls.list = [this](std::string prefix, std::string after,
+                        const auto& reply) { List(prefix, after, reply); };
+    calls.watch = [](std::string, Revision, Millis, const auto&) {};
+    calls.commit = [this](store::Transaction transaction, const auto& reply) {
+      Commit(std::move(transaction), reply);
+    };
+    return calls;
+  }
+
+  void Put(const std::string& key, std::string value) {
+    items[key] = {key, std::move(value), ++revision};
+  }
+
+  /// @brief Carries out what was delayed.
+  void RunDelayed() {
+    for (const auto& transaction : std::exchange(delayed, {})) {
+      (void)Apply(transaction);
+    }
+  }
+
+  std::map<std::string, store::Entry> items;
+  Revision revision = 0;
+  std::deque<CommitFate> fates;  ///< Of the next commits; then kAnswered.
+  std::vector<store::Transaction> delayed;
+  bool away = false;  ///< Reads are not answered well.
+  int commits = 0;
+  int reads = 0;
+  std::size_t page = 500;
+
+ private:
+  void Get(const std::string& key,
+           const store::Reply<std::optional<store::Entry>>& reply) {
+    ++reads;
+    if (away) {
+      reply(Error{ErrorKind::kStoreUnavailable, "away", {}});
+      return;
+    }
+    const auto found = items.find(key);
+    reply(found == items.end() ? std::optional<store::Entry>()
+                               : std::optional(found->second));
+  }
+
+  void List(const std::string& prefix, const std::string& after,
+            const store::Reply<store::ItemPage>& reply) {
+    ++reads;
+    if (away) {
+      reply(Error{ErrorKind::kStoreUnavailable, "away", {}});
+      return;
+    }
+    store::ItemPage result;
+    result.revision = revision;
+    for (const auto& [key, item] : items) {
+      if (!key.starts_with(prefix) || key <= after) {
+        continue;
+      }
+      if (result.items.size() == page) {
+        result.more = true;
+        break;
+      }
+      result.items.push_back(item);
+    }
+    reply(result);
+  }
+
+  void Commit(store::Transaction transaction,
+              const store::Reply<store::TransactionEnd>& reply) {
+    ++commits;
+    CommitFate fate = CommitFate::kAnswered;
+    if (!fates.empty()) {
+      fate = fates.front();
+      fates.pop_front();
+    }
+    const Error lost{ErrorKind::kStoreUnknown, "no answer", {}};
+    switch (fate) {
+      case CommitFate::kAnswered:
+        reply(Apply(transaction));
+        break;
+      case CommitFate::kLostAfter:
+        (void)Apply(transaction);
+        reply(lost);
+        break;
+      case CommitFate::kLostBefore:
+        reply(lost);
+        break;
+      case CommitFate::kDelayed:
+        delayed.push_back(std::move(transaction));
+        reply(lost);
+        break;
+      case CommitFate::kRefused:
+        reply(Error{ErrorKind::kStoreUnavailable, "503", {}});
+        break;
+    }
+  }
+
+  store::TransactionEnd Apply(const store::Transaction& transaction) {
+    store::TransactionEnd end;
+    for (const store::Condition& condition : transaction.conditions) {
+      const auto found = items.find(condition.key);
+      const Revision there =
+          found == items.end() ? store::kAbsent : found->second.revision;
+      if (found != items.end()) {
+        end.current.push_back(found->second);
+      }
+      if (there != condition.revision) {
+        end.kind = store::TransactionEnd::Kind::kConditionFailed;
+      }
+    }
+    if (end.kind == store::TransactionEnd::Kind::kConditionFailed) {
+      return end;
+    }
+    end.current.clear();
+    end.revision = ++revision;
+    for (const store::ItemWrite& write : transaction.writes) {
+      items[write.key] = {write.key, write.value, revision};
+    }
+    for (const std::string& key : transaction.erasures) {
+      items.erase(key);
+    }
+    return end;
+  }
+};
+
+}  // namespace buckthornmux::tests
--- /dev/null
+++ b/tests/unit-entry.cc
@@ -0,0 +1,179 @@
+// An entry host's small parts: routes, keys, rules, logs, slowness.
+#include <cppunit/extensions/HelperMacros.h>
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <array>
+
+#include "buckthornmux/detail/entry/callers.h"
+#include "buckthornmux/detail/entry/clock.h"
+#include "buckthornmux/detail/entry/log_buffer.h"
+#include "buckthornmux/detail/entry/rules_reader.h"
+#include "buckthornmux/detail/entry/slowness.h"
+#include "buckthornmux/detail/entry/target_reader.h"
+#include "mock_async_store.h"
+
+namespace buckthornmux::tests {
+namespace {
+
+Result<cell::Rules> ParseVersion(std::string_view text) {
+  cell::Rules rules;
+  if (text == "broken") {
+    return Fail(ErrorKind::kMalformed, "broken");
+  }
+  rules.version = static_cast<std::uint64_t>(std::stoi(std::string(text)));
+  return rules;
+}
+
+class EntryTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(EntryTest);
+  CPPUNIT_TEST(LongestPrefixWins);
+  CPPUNIT_TEST(KeysNameTheirTeam);
+  CPPUNIT_TEST(OnlyReadsConfirmRules);
+  CPPUNIT_TEST(OlderOrBrokenRulesAreNotTaken);
+  CPPUNIT_TEST(UnreadableEntryHidesNoOther);
+  CPPUNIT_TEST(LogsAreBoundedAndNeverBlock);
+  CPPUNIT_TEST(SlownessNeedsSeveralLateTicks);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void LongestPrefixWins() {
+    cell::Rules rules;
+    rules.queues = {{.name = "short", .host_name = "a", .prefix = "/x/"},
+                    {.name = "long", .host_name = "a", .prefix = "/x/y/"},
+                    {.name = "other", .host_name = "b", .prefix = "/x/"}};
+    const auto match = entry::FindRoute(rules, "a", "/x/y/0123");
+    CPPUNIT_ASSERT(match.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::string("long"), match->queue->name);
+    CPPUNIT_ASSERT_EQUAL(std::string("0123"), std::string(match->rest));
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("other"),
+        entry::FindRoute(rules, "b", "/x/y/0123")->queue->name);
+    CPPUNIT_ASSERT(!entry::FindRoute(rules, "c", "/x/y/0123"));
+    CPPUNIT_ASSERT(!entry::FindRoute(rules, "a", "/z"));
+  }
+
+  void KeysNameTheirTeam() {
+    cell::Rules rules;
+    rules.teams = {{.name = "red", .keys = {"k1", "k2"}},
+                   {.name = "blue", .keys = {"k3"}}};
+    CPPUNIT_ASSERT_EQUAL(std::string("red"),
+                         entry::FindTeam(rules, "k2")->name);
+    CPPUNIT_ASSERT(entry::FindTeam(rules, "k4") == nullptr);
+    CPPUNIT_ASSERT(entry::FindTeam(rules, "") == nullptr);
+  }
+
+  void OnlyReadsConfirmRules() {
+    MockAsyncStore store;
+    store.Put("rules", "7");
+    const auto calls = store.Calls();
+    int changed = 0;
+    entry::RulesReader reader(calls, "rules", ParseVersion,
+                              [&changed] { ++changed; });
+    CPPUNIT_ASSERT(!reader.Current());
+    const Time begin = entry::Now();
+    reader.Tick(begin);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, reader.Current()->version);
+    CPPUNIT_ASSERT(reader.ConfirmedAt() >= begin);
+    const Time confirmed = reader.ConfirmedAt();
+    store.away = true;
+    reader.Tick(begin + Millis(60'000));
+    CPPUNIT_ASSERT(reader.ConfirmedAt() == confirmed);
+    CPPUNIT_ASSERT_EQUAL(1, changed);
+  }
+
+  void OlderOrBrokenRulesAreNotTaken() {
+    MockAsyncStore store;
+    store.Put("rules", "7");
+    const auto calls = store.Calls();
+    entry::RulesReader reader(calls, "rules", ParseVersion, [] {});
+    reader.Tick(entry::Now());
+    for (const char* text : {"broken", "5"}) {
+      store.Put("rules", text);
+      reader.Tick(entry::Now() + Millis(60'000));
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, reader.Current()->version);
+    }
+    store.Put("rules", "9");
+    reader.Tick(entry::Now() + Millis(120'000));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, reader.Current()->version);
+  }
+
+  void UnreadableEntryHidesNoOther() {
+    MockAsyncStore store;
+    store.Put("targets/a", "good");
+    store.Put("targets/b", "broken");
+    store.Put("targets/c", "good");
+    const auto calls = store.Calls();
+    std::vector<cell::TargetEntry> seen;
+    entry::TargetReader reader(
+        calls, "targets/",
+        [](std::string_view key,
+           std::string_view text) -> Result<cell::TargetEntry> {
+          if (text == "broken") {
+            return Fail(ErrorKind::kMalformed, "broken");
+          }
+          return cell::TargetEntry{.id = std::string(key)};
+        },
+        [&seen](auto entries) { seen = std::move(entries); });
+    reader.Tick(entry::Now());
+    CPPUNIT_ASSERT(seen.empty());
+    reader.SetActive(true);
+    reader.Tick(entry::Now());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, seen.size());
+  }
+
+  // Nobody reads the pipe: lines are dropped, counted, and nothing waits.
+  void LogsAreBoundedAndNeverBlock() {
+    std::array<int, 2> ends{};
+    CPPUNIT_ASSERT_EQUAL(0, pipe(ends.data()));
+    entry::LogBuffer log(ends[1]);
+    const std::string line(1000, 'x');
+    for (int i = 0; i < 5000; ++i) {
+      log.Append(line);
+      log.Flush();
+    }
+    std::string text;
+    std::array<char, 65536> buffer{};
+    fcntl(ends[0], F_SETFL, O_NONBLOCK);
+    while (true) {
+      const ssize_t count = read(ends[0], buffer.data(), buffer.size());
+      if (count <= 0) {
+        break;
+      }
+      text.append(buffer.data(), static_cast<std::size_t>(count));
+      log.Flush();
+    }
+    log.Append("last");
+    log.Flush();
+    const ssize_t rest = read(ends[0], buffer.data(), buffer.size());
+    CPPUNIT_ASSERT(rest > 0);
+    text.append(buffer.data(), static_cast<std::size_t>(rest));
+    CPPUNIT_ASSERT(text.find("event=log_lines_dropped count=") !=
+                   std::string::npos);
+    CPPUNIT_ASSERT(text.size() < 1'000'000);
+    CPPUNIT_ASSERT(text.starts_with("time_ms="));
+    // Whole lines only, in spite of the full pipe.
+    CPPUNIT_ASSERT_EQUAL('\n', text.back());
+    close(ends[0]);
+    close(ends[1]);
+  }
+
+  void SlownessNeedsSeveralLateTicks() {
+    entry::SlownessGauge gauge;
+    gauge.Add(Millis(100));
+    CPPUNIT_ASSERT(!gauge.Slow());
+    for (int i = 0; i < 10; ++i) {
+      gauge.Add(Millis(60));
+    }
+    CPPUNIT_ASSERT(gauge.Slow());
+    for (int i = 0; i < 30; ++i) {
+      gauge.Add(Millis(2));
+    }
+    CPPUNIT_ASSERT(gauge.Well());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EntryTest);
+
+}  // namespace
+}  // namespace buckthornmux::tests
--- /dev/null
+++ b/tests/unit-journal-writer.cc
@@ -0,0 +1,163 @@
+// One batch after the other is stored once, whatever the store loses.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "buckthornmux/detail/entry/clock.h"
+#include "buckthornmux/detail/entry/journal_writer.h"
+#include "mock_async_store.h"
+
+namespace buckthornmux::tests {
+namespace {
+
+using entry::JournalWriter;
+
+cell::Batch BatchOf(const std::string& key, const std::string& value) {
+  cell::Batch batch;
+  batch.writes.push_back({key, value, false});
+  return batch;
+}
+
+/// A writer with its store and what it reported.
+struct Fixture {
+  MockAsyncStore store;
+  store::AsyncStore calls = store.Calls();
+  int stored = 0;
+  int lost = 0;
+  std::vector<cell::RecordWrite> loaded;
+  JournalWriter writer{
+      calls,
+      {[this](auto records) { loaded = std::move(records); },
+       [this](const cell::Batch&) { ++stored; }, [this] { ++lost; }}};
+
+  void Open() {
+    store.Put("state/owners/cell/0", "owner");
+    writer.Open({"cell/0", "host-1", "life", 1, store.revision});
+  }
+  /// Lets so much time pass that everything unanswered is repeated.
+  void Settle() {
+    Time now = entry::Now();
+    for (int i = 0; i < 20; ++i) {
+      now += Millis(200);
+      writer.Tick(now);
+    }
+  }
+  [[nodiscard]] std::string Value(const std::string& key) const {
+    const auto found = store.items.find("journal/cell/0/" + key);
+    return found == store.items.end() ? "" : found->second.value;
+  }
+};
+
+class JournalWriterTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(JournalWriterTest);
+  CPPUNIT_TEST(BatchIsStored);
+  CPPUNIT_TEST(RecordsAreReadPageByPage);
+  CPPUNIT_TEST(LostAnswerIsLookedUp);
+  CPPUNIT_TEST(LostWriteIsRepeated);
+  CPPUNIT_TEST(LateWriteTakesNoEffectAfterALaterOne);
+  CPPUNIT_TEST(RefusedWriteIsRepeated);
+  CPPUNIT_TEST(NewOwnerEndsIt);
+  CPPUNIT_TEST(ErasuresAreWritten);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void BatchIsStored() {
+    Fixture f;
+    f.Open();
+    CPPUNIT_ASSERT(f.writer.Ready());
+    f.writer.Write(BatchOf("job/1", "a"), entry::Now());
+    CPPUNIT_ASSERT_EQUAL(1, f.stored);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), f.Value("job/1"));
+    f.writer.Write(BatchOf("job/1", "b"), entry::Now());
+    CPPUNIT_ASSERT_EQUAL(2, f.stored);
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), f.Value("job/1"));
+    CPPUNIT_ASSERT_EQUAL(2, f.store.commits);
+  }
+
+  void RecordsAreReadPageByPage() {
+    Fixture f;
+    f.store.page = 2;
+    for (int i = 0; i < 7; ++i) {
+      f.store.Put("journal/cell/0/job/" + std::to_string(i), "x");
+    }
+    f.store.Put("journal/cell/1/job/9", "another range's");
+    f.Open();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{7}, f.loaded.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("job/0"), f.loaded[0].key);
+  }
+
+  void LostAnswerIsLookedUp() {
+    Fixture f;
+    f.Open();
+    f.store.fates = {CommitFate::kLostAfter};
+    f.writer.Write(BatchOf("job/1", "a"), entry::Now());
+    CPPUNIT_ASSERT_EQUAL(0, f.stored);
+    f.Settle();
+    CPPUNIT_ASSERT_EQUAL(1, f.stored);
+    f.writer.Write(BatchOf("job/1", "b"), entry::Now());
+    f.Settle();
+    CPPUNIT_ASSERT_EQUAL(2, f.stored);
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), f.Value("job/1"));
+  }
+
+  void LostWriteIsRepeated() {
+    Fixture f;
+    f.Open();
+    f.store.fates = {CommitFate::kLostBefore, CommitFate::kLostBefore};
+    f.writer.Write(BatchOf("job/1", "a"), entry::Now());
+    f.Settle();
+    CPPUNIT_ASSERT_EQUAL(1, f.stored);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), f.Value("job/1"));
+  }
+
+  // The first send takes effect only after the second one and another batch.
+  void LateWriteTakesNoEffectAfterALaterOne() {
+    Fixture f;
+    f.Open();
+    f.store.fates = {CommitFate::kDelayed};
+    f.writer.Write(BatchOf("job/1", "a"), entry::Now());
+    f.Settle();
+    CPPUNIT_ASSERT_EQUAL(1, f.stored);
+    f.writer.Write(BatchOf("job/1", "b"), entry::Now());
+    f.store.RunDelayed();
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), f.Value("job/1"));
+    f.writer.Write(BatchOf("job/2", "c"), entry::Now());
+    f.Settle();
+    CPPUNIT_ASSERT_EQUAL(3, f.stored);
+  }
+
+  void RefusedWriteIsRepeated() {
+    Fixture f;
+    f.Open();
+    f.store.fates = {CommitFate::kRefused, CommitFate::kRefused};
+    f.writer.Write(BatchOf("job/1", "a"), entry::Now());
+    CPPUNIT_ASSERT(f.writer.WaitingSince().has_value());
+    f.Settle();
+    CPPUNIT_ASSERT_EQUAL(1, f.stored);
+    CPPUNIT_ASSERT(!f.writer.WaitingSince().has_value());
+  }
+
+  void NewOwnerEndsIt() {
+    Fixture f;
+    f.Open();
+    f.store.Put("state/owners/cell/0", "another");
+    f.writer.Write(BatchOf("job/1", "a"), entry::Now());
+    CPPUNIT_ASSERT_EQUAL(0, f.stored);
+    CPPUNIT_ASSERT_EQUAL(1, f.lost);
+    CPPUNIT_ASSERT_EQUAL(std::string(), f.Value("job/1"));
+  }
+
+  void ErasuresAreWritten() {
+    Fixture f;
+    f.Open();
+    f.writer.Write(BatchOf("job/1", "a"), entry::Now());
+    cell::Batch batch;
+    batch.writes.push_back({"job/1", {}, true});
+    f.writer.Write(batch, entry::Now());
+    CPPUNIT_ASSERT_EQUAL(2, f.stored);
+    CPPUNIT_ASSERT_EQUAL(std::string(), f.Value("job/1"));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(JournalWriterTest);
+
+}  // namespace
+}  // namespace buckthornmux::tests
