Member lease of 1.2 s with renewals in parallel

Cause: the gap after an owner that is killed, cut off or turned away by the store was the lease's 1.6 s and a bit. Renewals that wait for each other would not outlive a store sixty times slower within 1.2 s; in parallel they do.

--- a/include/buckthornmux/detail/entry/membership.h
+++ b/include/buckthornmux/detail/entry/membership.h
@@ -95,7 +95,7 @@
   store::LeaseId m_lease = store::kNoLease;
   Revision m_member_revision = store::kAbsent;
   bool m_registering = false;
-  bool m_renewing = false;
+  int m_renewals = 0;  ///< That are not answered yet.
   bool m_reading = false;
   bool m_read_again = false;
   bool m_watching = false;
--- a/src/entry/membership.cc
+++ b/src/entry/membership.cc
@@ -16,12 +16,14 @@
 
 /// How long a host counts as there after its last renewal. Bounds the time
 /// that a killed owner's cell stays without one.
-constexpr Millis kLease{1600};
-constexpr Millis kRenewEvery{400};
+constexpr Millis kLease{1200};
+constexpr Millis kRenewEvery{300};
+/// Renewals don't wait for each other: a slow store answers late, but in time.
+constexpr int kMostRenewals = 3;
 constexpr Millis kRetry{100};       ///< After a store call that failed.
 constexpr Millis kViewEvery{2000};  ///< At least; changes are watched.
 constexpr Millis kWatchWait{10'000};
-constexpr Millis kTakeoverDelay{100};
+constexpr Millis kTakeoverDelay{30};
 constexpr Millis kMoveInterval{1000};
 constexpr Millis kClaimRetry{150};
 constexpr std::size_t kIncarnationBytes = 8;
@@ -80,7 +82,8 @@
   if (m_lease == store::kNoLease && !m_registering && now >= m_register_at) {
     Register();
   }
-  if (m_lease != store::kNoLease && !m_renewing && now >= m_renew_at) {
+  if (m_lease != store::kNoLease && m_renewals < kMostRenewals &&
+      now >= m_renew_at) {
     Renew();
   }
   if (!m_reading && now >= m_read_at) {
@@ -189,13 +192,16 @@
 }
 
 void Membership::Renew() {
-  m_renewing = true;
+  ++m_renewals;
   const Time sent_at = Now();
-  m_store.renew_lease(m_lease, [this, sent_at](auto outcome) {
-    m_renewing = false;
-    m_renew_at = sent_at + kRenewEvery;
+  m_renew_at = sent_at + kRenewEvery;
+  m_store.renew_lease(m_lease, [this, sent_at, lease = m_lease](auto outcome) {
+    --m_renewals;
+    if (lease != m_lease) {
+      return;  // Registered anew meanwhile.
+    }
     if (const auto* error = std::get_if<Error>(&outcome)) {
-      m_renew_at = Now() + kRetry;
+      m_renew_at = std::min(m_renew_at, Now() + kRetry);
       if (m_store_well) {
         m_store_well = false;
         LogLine("store_lost", Level::kWarning)
