--- a/include/buckthornmux/detail/cell/cell.h
+++ b/include/buckthornmux/detail/cell/cell.h
@@ -69,8 +69,7 @@
                                               std::string_view job);
 
 /// @brief Jobs of a queue of which no task has been started.
-[[nodiscard]] std::uint32_t PendingOf(const Cell& cell,
-                                      std::string_view queue);
+[[nodiscard]] std::uint32_t PendingOf(const Cell& cell, std::string_view queue);
 
 /// @brief What the next report call to a target carries.
 struct ReportCall {
--- a/include/buckthornmux/detail/cell/state.h
+++ b/include/buckthornmux/detail/cell/state.h
@@ -19,18 +19,18 @@
 
 /// Bounds and delays. Those without another source are the project's own.
 struct Options {
-  Millis lease{6000};        ///< Of what runs on a target, from each renewal.
-  int drift_per_mille = 20;  ///< A target's clock may be so much slower.
-  Millis stop_time{400};     ///< A stop takes at most this long.
-  Millis gang_timeout{3000};  ///< Gang members wait so long for the others.
+  Millis lease{6000};          ///< Of what runs on a target, from each renewal.
+  int drift_per_mille = 20;    ///< A target's clock may be so much slower.
+  Millis stop_time{400};       ///< A stop takes at most this long.
+  Millis gang_timeout{3000};   ///< Gang members wait so long for the others.
   Millis cancel_within{3000};  ///< A cancelled job's tasks are gone by then.
   Millis job_retention{130'000};  ///< Ended jobs are told of for so long.
   double far_factor = 3;          ///< Slowdown away from the data.
-  Millis start_retry{150};    ///< Before an unanswered start is repeated.
-  int start_tries = 3;        ///< Sends of one start before it is stopped.
-  Millis stop_retry{250};     ///< Before an unanswered stop is repeated.
-  Millis write_delay{150};    ///< Ends of tasks wait so long to be batched.
-  Millis ticket_margin{250};  ///< A ticket is not used this close to its end.
+  Millis start_retry{150};        ///< Before an unanswered start is repeated.
+  int start_tries = 3;            ///< Sends of one start before it is stopped.
+  Millis stop_retry{250};         ///< Before an unanswered stop is repeated.
+  Millis write_delay{150};        ///< Ends of tasks wait so long to be batched.
+  Millis ticket_margin{250};   ///< A ticket is not used this close to its end.
   Millis advice_timeout{400};  ///< Beyond the time that the advice takes.
   Millis advice_retry{120};    ///< After advice that named no usable target.
   Millis suspension{3000};     ///< Of a target that fails what it starts.
@@ -52,13 +52,13 @@
 /// One run at a target, from the start's sending to its reported end.
 struct Run {
   RunPhase phase = RunPhase::kSent;
-  Resources demand;   ///< Held at the target and for the team.
+  Resources demand;             ///< Held at the target and for the team.
   bool demand_unknown = false;  ///< Its job is not known any more.
   TeamName team;
-  Time sent;          ///< First send of the start.
-  Time confirmed_at;  ///< The target confirmed the start.
-  Time next_try;      ///< When an unanswered order is sent again.
-  int tries = 0;      ///< Sends of the present order.
+  Time sent;               ///< First send of the start.
+  Time confirmed_at;       ///< The target confirmed the start.
+  Time next_try;           ///< When an unanswered order is sent again.
+  int tries = 0;           ///< Sends of the present order.
   bool in_flight = false;  ///< An order for it is not answered yet.
   bool unsure = false;     ///< A start had no answer: it may still arrive.
   bool stop_done = false;  ///< The stop was confirmed; its end is awaited.
@@ -84,20 +84,20 @@
   int failures_in_row = 0;
   Time suspended_until;
   Time last_success;
-  double slowness = 1;  ///< Run time against the estimate, smoothed.
+  double slowness = 1;  ///< Run time against estimates, smoothed over runs.
 };
 
 /// A target and what we know to be on it.
 struct Target {
   TargetEntry entry;
   std::string rack;
-  bool listed = true;   ///< Stands in the list of targets.
+  bool listed = true;  ///< Stands in the list of targets.
   Time unlisted_at;
   bool reported = false;  ///< Has answered under our epoch in this life.
   bool removed = false;
-  Time lease_until;       ///< What runs there has surely ended after this.
+  Time lease_until;  ///< What runs there has surely ended after this.
   Time last_answer;
-  bool silent = false;    ///< The last report call had no answer.
+  bool silent = false;  ///< The last report call had no answer.
   Resources used;
   int unknown_runs = 0;  ///< Runs whose demand isn't known; nothing starts.
   std::map<RunId, Run> runs;
@@ -116,13 +116,14 @@
   TaskPhase phase = TaskPhase::kWaiting;
   std::uint32_t next_run = 1;
   std::vector<std::uint32_t> failed_runs;  ///< Each counts as one attempt.
-  TargetId target;  ///< Where its live run is.
+  TargetId target;                         ///< Where its live run is.
   std::uint32_t run = 0;
   std::string checkpoint;
   [[nodiscard]] std::uint32_t Failures() const {
     return static_cast<std::uint32_t>(failed_runs.size());
   }
   TargetId failed_on;  ///< Not tried there again at once.
+  int moves = 0;       ///< Times it was taken off a slow target.
 };
 
 /// A ticket and until when it may be used.
@@ -169,9 +170,9 @@
   std::map<std::uint32_t, Occurrence> occurrences;  ///< Open ones, by number.
   std::uint32_t occurrences_begun = 0;
   std::uint32_t occurrences_done = 0;
-  std::uint64_t version = 0;     ///< Rises with each change that must last.
+  std::uint64_t version = 0;      ///< Rises with each change that must last.
   std::uint64_t end_version = 0;  ///< The version that holds its end.
-  std::uint64_t durable = 0;     ///< Version that is stored.
+  std::uint64_t durable = 0;      ///< Version that is stored.
   bool spec_stored = false;
   bool adopted = false;  ///< Taken over: a former owner may have started tasks.
   std::vector<CallId> submit_calls;
@@ -193,7 +194,11 @@
   std::uint32_t occurrence = 0;
   std::uint32_t step = 0;
 
-  auto operator<=>(const StepRef&) const = default;
+  bool operator==(const StepRef&) const = default;
+  bool operator<(const StepRef& other) const {
+    return std::tie(job, occurrence, step) <
+           std::tie(other.job, other.occurrence, other.step);
+  }
 };
 
 /// One host that can ask the adviser; it answers each host's calls in turn.
@@ -245,7 +250,7 @@
   Rules rules;
   Epoch epoch = 0;
   Time claimed_at;
-  bool loaded = false;    ///< Stored jobs are in; work is taken.
+  bool loaded = false;     ///< Stored jobs are in; work is taken.
   bool recovered = false;  ///< Nothing of a former owner can run unseen.
   bool store_well = true;  ///< The last write was answered in time.
   std::map<std::string, Queue, std::less<>> queues;
@@ -262,13 +267,13 @@
   std::set<JobId> dirty;         ///< Jobs with a change that is not stored.
   std::set<JobId> dirty_urgent;  ///< Of these, those that a caller waits for.
   std::optional<Time> dirty_since;
-  std::map<QueueName, std::uint32_t> pending;  ///< Jobs not begun, by queue.
+  std::map<QueueName, std::uint32_t> pending;     ///< Jobs not begun, by queue.
   std::deque<std::pair<Time, JobId>> ended_jobs;  ///< In order of their end.
   std::int64_t backlog_cpu = 0;   ///< Waiting to start, thousandths of a core.
   std::int64_t capacity_cpu = 0;  ///< Of the targets that take work.
   std::int64_t free_cpu = 0;      ///< Of that, not held by runs.
-  std::set<TargetId> expected;  ///< Targets that a former owner knew.
-  bool targets_dirty = false;   ///< The stored list of targets is outdated.
+  std::set<TargetId> expected;    ///< Targets that a former owner knew.
+  bool targets_dirty = false;     ///< The stored list of targets is outdated.
   bool plan_due = false;
   WallMillis wall_offset = 0;  ///< Wall clock minus `Time`, ms.
 };
--- a/include/buckthornmux/detail/cell/types.h
+++ b/include/buckthornmux/detail/cell/types.h
@@ -2,10 +2,10 @@
 /// schedules them by.
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "buckthornmux/detail/core/types.h"
@@ -20,12 +20,12 @@
   std::uint32_t count = 1;  ///< Tasks of the step.
   Resources demand;         ///< Of each task.
   Millis estimate{0};       ///< Declared run time of a task, often far off.
-  std::vector<std::uint32_t> after;  ///< Steps that have to be done first.
-  std::string label;                 ///< A target must carry it; empty: any.
-  std::string data_rack;             ///< Other racks are slower; empty: none.
-  std::uint32_t max_per_target = 0;  ///< Tasks on one target; 0: no bound.
-  std::string image;                 ///< What the tasks run.
-  Millis tail_target{0};             ///< Bound on a service's response times.
+  std::vector<std::uint32_t> after;   ///< Steps that have to be done first.
+  std::string label;                  ///< A target must carry it; empty: any.
+  std::string data_rack;              ///< Other racks are slower; empty: none.
+  std::uint32_t max_per_target = 0;   ///< Tasks on one target; 0: no bound.
+  std::string image;                  ///< What the tasks run.
+  Millis tail_target{0};              ///< Bound on a service's response times.
   std::uint32_t max_unavailable = 0;  ///< Of a service, by our own doing.
   bool checkpoints = false;           ///< Its tasks save their progress.
   bool gang = false;                  ///< All tasks at once or none.
@@ -59,7 +59,11 @@
   std::uint32_t step = 0;
   std::uint32_t index = 0;
 
-  auto operator<=>(const TaskId&) const = default;
+  bool operator==(const TaskId&) const = default;
+  bool operator<(const TaskId& other) const {
+    return std::tie(job, occurrence, step, index) <
+           std::tie(other.job, other.occurrence, other.step, other.index);
+  }
 };
 
 /// One start of a task. Numbers rise with each start of the same task.
@@ -67,7 +71,10 @@
   TaskId task;
   std::uint32_t number = 0;
 
-  auto operator<=>(const RunId&) const = default;
+  bool operator==(const RunId&) const = default;
+  bool operator<(const RunId& other) const {
+    return std::tie(task, number) < std::tie(other.task, other.number);
+  }
 };
 
 /// What a job's caller is told of it.
@@ -81,9 +88,9 @@
 
 /// How long the adviser of a queue takes, and how long its word is good.
 struct AdviceRules {
-  Millis decide{0};             ///< For each call.
-  double each_ms = 0;           ///< For each target named, ms.
-  Millis valid{0};              ///< Of a ticket, since it was given.
+  Millis decide{0};    ///< For each call.
+  double each_ms = 0;  ///< For each target named, ms.
+  Millis valid{0};     ///< Of a ticket, since it was given.
 };
 
 /// A queue of jobs, and how they are treated.
@@ -131,8 +138,8 @@
   std::string address;  ///< IP:port.
   DataCentre data_centre;
   bool draining = false;
-  Millis remaining{0};  ///< Least time before a draining target leaves.
-  Millis cold{0};       ///< How much longer it is slow after its start.
+  Millis remaining{0};    ///< Least time before a draining target leaves.
+  Millis cold{0};         ///< How much longer it is slow after its start.
   std::int64_t life = 0;  ///< Names one life of the target: its start time.
   Resources capacity;
   std::vector<std::string> labels;  ///< Kind and rack, in this order.
@@ -141,11 +148,11 @@
 /// How a run ended at its target.
 enum class RunEnd : std::uint8_t {
   kDone,
-  kFailed,     ///< By its own fault or the target's.
-  kStopped,    ///< On our order.
-  kLapsed,     ///< Its lease ran out.
-  kBroken,     ///< Another member of the gang ended.
-  kAlone,      ///< The rest of the gang did not come in time.
+  kFailed,   ///< By its own fault or the target's.
+  kStopped,  ///< On our order.
+  kLapsed,   ///< Its lease ran out.
+  kBroken,   ///< Another member of the gang ended.
+  kAlone,    ///< The rest of the gang did not come in time.
 };
 
 /// A run that a target reports as running.
@@ -175,16 +182,16 @@
 /// What became of an order to a target.
 enum class OrderOutcome : std::uint8_t {
   kDone,
-  kNotSent,      ///< Surely never left this host.
-  kUnknown,      ///< No answer: may take effect, also later.
-  kFenced,       ///< A higher epoch has been there.
-  kOld,          ///< That run, or a higher one, has ended or was stopped there.
-  kLate,         ///< Its deadline had passed.
+  kNotSent,  ///< Surely never left this host.
+  kUnknown,  ///< No answer: may take effect, also later.
+  kFenced,   ///< A higher epoch has been there.
+  kOld,      ///< That run, or a higher one, has ended or was stopped there.
+  kLate,     ///< Its deadline had passed.
   kNoRoom,
   kBadTicket,
-  kUnhealthy,    ///< Did nothing; not well.
-  kOtherLife,    ///< The target that was meant is gone.
-  kRefused,      ///< Not understood.
+  kUnhealthy,  ///< Did nothing; not well.
+  kOtherLife,  ///< The target that was meant is gone.
+  kRefused,    ///< Not understood.
 };
 
 /// Right to start a step's tasks on one target.
--- a/include/buckthornmux/detail/entry/callers.h
+++ b/include/buckthornmux/detail/entry/callers.h
@@ -80,11 +80,11 @@
  private:
   struct OpenCall {
     CellCall call;
-    HostId sent_to;      ///< Empty: waits for an owner.
-    bool sent = false;   ///< Has been handed on at least once.
+    HostId sent_to;     ///< Empty: waits for an owner.
+    bool sent = false;  ///< Has been handed on at least once.
     Time began;
     Time deadline;
-    Time owner_by;       ///< Refused where no owner took it by then.
+    Time owner_by;  ///< Refused where no owner took it by then.
     net::Responder respond;
   };
 
--- a/include/buckthornmux/detail/entry/calls.h
+++ b/include/buckthornmux/detail/entry/calls.h
@@ -23,13 +23,13 @@
 };
 
 enum class CallEnd : std::uint8_t {
-  kAccepted,    ///< Stored.
-  kRefused,     ///< Not taken, and never will be by this call.
-  kUnknown,     ///< It can't be told.
-  kPhase,       ///< `phase` holds.
-  kCancelled,   ///< Cancelled, or had ended before.
+  kAccepted,   ///< Stored.
+  kRefused,    ///< Not taken, and never will be by this call.
+  kUnknown,    ///< It can't be told.
+  kPhase,      ///< `phase` holds.
+  kCancelled,  ///< Cancelled, or had ended before.
   kNoSuchJob,
-  kPending,     ///< `pending` holds.
+  kPending,  ///< `pending` holds.
 };
 
 /// The owner's answer.
--- a/include/buckthornmux/detail/entry/cell_host.h
+++ b/include/buckthornmux/detail/entry/cell_host.h
@@ -49,9 +49,8 @@
 class CellHost {
  public:
   CellHost(boost::asio::io_context& io, const HostSettings& settings,
-           const store::AsyncStore& store,
-           net::HttpClient& client, runtime::Metrics& metrics,
-           TargetCalls calls, CellHostEvents events);
+           const store::AsyncStore& store, net::HttpClient& client,
+           runtime::Metrics& metrics, TargetCalls calls, CellHostEvents events);
 
   /// @brief Reads the records of the cell and then serves it.
   void Open(const member::OwnerRecord& owner);
--- a/include/buckthornmux/detail/entry/clock.h
+++ b/include/buckthornmux/detail/entry/clock.h
@@ -14,8 +14,8 @@
   clock_gettime(CLOCK_BOOTTIME, &now);
   constexpr std::int64_t kMillisPerSecond = 1000;
   constexpr std::int64_t kNanosPerMilli = 1'000'000;
-  return Time(Millis(now.tv_sec * kMillisPerSecond +
-                     now.tv_nsec / kNanosPerMilli));
+  return Time(
+      Millis(now.tv_sec * kMillisPerSecond + now.tv_nsec / kNanosPerMilli));
 }
 
 /// @brief Wall clock minus Now(), ms.
--- a/include/buckthornmux/detail/entry/slowness.h
+++ b/include/buckthornmux/detail/entry/slowness.h
@@ -20,8 +20,8 @@
   }
 
  private:
-  static constexpr double kWeight = 0.15;    ///< Of one tick of 50 ms.
-  static constexpr double kSlowAbove = 25;   ///< Mean lateness, ms.
+  static constexpr double kWeight = 0.15;   ///< Of one tick of 50 ms.
+  static constexpr double kSlowAbove = 25;  ///< Mean lateness, ms.
   static constexpr double kWellBelow = 15;
   double m_late_ms = 0;
 };
--- a/include/buckthornmux/detail/net/http_server.h
+++ b/include/buckthornmux/detail/net/http_server.h
@@ -18,10 +18,10 @@
 struct HttpServerOptions {
   std::string address = "127.0.0.1:0";  ///< IP:port; port 0: any free one.
   std::uint64_t max_body_bytes = 1 << 20;
-  Millis read_timeout{5000};           ///< From first byte to whole request.
-  Millis idle_timeout{60'000};         ///< Between requests.
-  Millis write_timeout{10'000};        ///< For the whole answer.
-  std::size_t max_connections = 4096;  ///< More are closed on accept.
+  Millis read_timeout{5000};              ///< From first byte to whole request.
+  Millis idle_timeout{60'000};            ///< Between requests.
+  Millis write_timeout{10'000};           ///< For the whole answer.
+  std::size_t max_connections = 4096;     ///< More are closed on accept.
   std::vector<std::string> kept_headers;  ///< Passed on in HttpRequest.
 };
 
--- a/include/buckthornmux/detail/net/http_types.h
+++ b/include/buckthornmux/detail/net/http_types.h
@@ -26,7 +26,7 @@
   std::string authorization;   ///< "Bearer <key>", or empty.
   Time send_by = Time::max();  ///< To be sent: not after this time.
   std::uint64_t connection =
-      0;  ///< Received: number of its connection, from 1.
+      0;                        ///< Received: number of its connection, from 1.
   std::vector<Header> headers;  ///< Received: those the server keeps.
 
   /// @brief Value of a header in `headers`, or empty.
--- a/src/cell/advice.cc
+++ b/src/cell/advice.cc
@@ -55,13 +55,12 @@
 
 /// What a step could be placed on.
 struct Prospects {
-  std::vector<Option> options;    ///< Without a ticket.
-  std::uint32_t ticketed = 0;  ///< Tasks that fit where there is a ticket.
+  std::vector<Option> options;  ///< Without a ticket.
+  std::uint32_t ticketed = 0;   ///< Tasks that fit where there is a ticket.
 };
 
-Prospects FindProspects(const Round& round, const StepRef& ref,
-                        const Job& job, const Step& step,
-                        const Queue& queue) {
+Prospects FindProspects(const Round& round, const StepRef& ref, const Job& job,
+                        const Step& step, const Queue& queue) {
   const StepSpec& spec = job.spec.steps[ref.step];
   const AdviceState& advice = step.advice;
   Prospects prospects;
@@ -81,10 +80,9 @@
       prospects.ticketed += slots;
       continue;
     }
-    const double left =
-        static_cast<double>(RoomOf(target).cpu_milli) /
-        static_cast<double>(
-            std::max<std::int64_t>(1, target.entry.capacity.cpu_milli));
+    const double left = static_cast<double>(RoomOf(target).cpu_milli) /
+                        static_cast<double>(std::max<std::int64_t>(
+                            1, target.entry.capacity.cpu_milli));
     options.push_back(
         {&target, slots, advice.usable.contains(target.entry.id), left});
   }
@@ -218,8 +216,7 @@
   }
   const OpenAdvice open = std::move(found->second);
   cell.open_advice.erase(found);
-  const auto lane =
-      std::ranges::find(cell.lanes, open.lane, &AdviceLane::host);
+  const auto lane = std::ranges::find(cell.lanes, open.lane, &AdviceLane::host);
   if (lane != cell.lanes.end()) {
     lane->busy = false;
     if (!answered) {
--- a/src/cell/jobs.cc
+++ b/src/cell/jobs.cc
@@ -90,9 +90,9 @@
   constexpr double kMillisPerSecond = 1000;
   TeamUsage& usage = cell.usage[name];
   const double rate = team->second.weight;
-  const double most =
-      rate * static_cast<double>(cell.options.share_burst.count()) /
-      kMillisPerSecond;
+  const double most = rate *
+                      static_cast<double>(cell.options.share_burst.count()) /
+                      kMillisPerSecond;
   if (!usage.tokens_set) {
     usage.tokens_set = true;
     usage.tokens = most;
@@ -113,8 +113,7 @@
   const auto capacity = static_cast<double>(cell.capacity_cpu);
   return static_cast<double>(cell.backlog_cpu) >
              cell.options.busy_backlog * capacity &&
-         static_cast<double>(cell.free_cpu) <
-             cell.options.busy_free * capacity;
+         static_cast<double>(cell.free_cpu) < cell.options.busy_free * capacity;
 }
 
 void StopAll(Cell& cell, Actions& actions, const Job& job, std::string_view why,
--- a/src/cell/plan.cc
+++ b/src/cell/plan.cc
@@ -99,8 +99,8 @@
       std::max<std::int64_t>(1, target.entry.capacity.cpu_milli));
   const double left =
       static_cast<double>(room.cpu_milli - spec.demand.cpu_milli) / total;
-  double score = left + target.health.slowness *
-                            (priority == kUrgentPriority ? 1.0 : 0.2);
+  double score =
+      left + target.health.slowness * (priority == kUrgentPriority ? 1.0 : 0.2);
   if (!spec.data_rack.empty() &&
       std::ranges::count(target.entry.labels, spec.data_rack) == 0) {
     score += 10;
@@ -134,9 +134,9 @@
                std::uint32_t index, std::uint32_t number, Target& target) {
   const StepSpec& spec = job.spec.steps[candidate.ref.step];
   Task& task = step.tasks[index];
-  const RunId id{{job.spec.id, candidate.ref.occurrence, candidate.ref.step,
-                  index},
-                 number};
+  const RunId id{
+      {job.spec.id, candidate.ref.occurrence, candidate.ref.step, index},
+      number};
   Run run;
   run.demand = ReservedBy(spec);
   run.team = job.spec.team;
@@ -428,8 +428,8 @@
   CountBacklog(cell, candidates);
   const std::size_t planned = std::min(candidates.size(), kMostPlanned);
   std::ranges::partial_sort(
-      candidates,
-      candidates.begin() + static_cast<std::ptrdiff_t>(planned), Before);
+      candidates, candidates.begin() + static_cast<std::ptrdiff_t>(planned),
+      Before);
   candidates.resize(planned);
   Round round = BeginRound(cell, actions, now);
   for (const Candidate& candidate : candidates) {
--- a/src/cell/records.cc
+++ b/src/cell/records.cc
@@ -44,9 +44,12 @@
 };
 
 StoredProgress ProgressOf(const Job& job) {
-  StoredProgress stored{static_cast<std::uint8_t>(job.phase), job.spec.queue,
-                        job.spec.team, job.occurrences_begun,
-                        job.occurrences_done, {}};
+  StoredProgress stored{static_cast<std::uint8_t>(job.phase),
+                        job.spec.queue,
+                        job.spec.team,
+                        job.occurrences_begun,
+                        job.occurrences_done,
+                        {}};
   for (const auto& [number, occurrence] : job.occurrences) {
     StoredOccurrence open{number, {}};
     for (const Step& step : occurrence.steps) {
@@ -184,8 +187,8 @@
       found[JobId(key.substr(kProgressKey.size()))].progress =
           std::move(progress);
     } else if (key == kTargetsKey) {
-      BOOST_LEAF_AUTO(targets, DecodeBinary<std::vector<TargetId>>(record.value,
-                                                                  key));
+      BOOST_LEAF_AUTO(targets,
+                      DecodeBinary<std::vector<TargetId>>(record.value, key));
       cell.expected.insert(targets.begin(), targets.end());
     }
   }
--- a/src/cell/reports.cc
+++ b/src/cell/reports.cc
@@ -16,6 +16,15 @@
 constexpr int kStuckFactor = 3;
 constexpr Millis kStuckAtLeast{2500};
 
+/// Smoothed run time against estimates from which on a target counts as slow;
+/// targets differ by half in speed, and estimates are off by as much.
+constexpr double kSlowAbove = 2.5;
+constexpr double kSlownessWeight = 0.3;  ///< Of one report.
+constexpr Millis kJudgedAfter{400};  ///< A younger run tells nothing yet.
+constexpr int kMostMoves = 2;        ///< Of one task: its estimate may be wrong.
+constexpr Millis kMoveCost{500};     ///< To stop it and to start it elsewhere.
+constexpr Millis kSlowSuspension{1500};  ///< Renewed while it stays slow.
+
 std::string RackOf(const TargetEntry& entry) {
   return entry.labels.size() > 1 ? entry.labels.back() : std::string();
 }
@@ -159,6 +168,63 @@
   }
 }
 
+/// Projected time of a run at its present pace; nothing while that is unclear.
+std::optional<Millis> ProjectedTime(const Run& run, Time now) {
+  const Millis ran = now - run.confirmed_at;
+  constexpr int kAll = 100;
+  if (run.phase != RunPhase::kRunning || !run.listed || run.percent <= 0 ||
+      run.percent >= kAll || ran < kJudgedAfter || run.estimate <= Millis(0)) {
+    return std::nullopt;
+  }
+  return ran * kAll / run.percent;
+}
+
+/// Takes in how fast the target's runs go on.
+void JudgePace(Target& target, Time now) {
+  double sum = 0;
+  int count = 0;
+  for (const auto& [id, run] : target.runs) {
+    if (const auto projected = ProjectedTime(run, now)) {
+      sum += static_cast<double>(projected->count()) /
+             static_cast<double>(run.estimate.count());
+      ++count;
+    }
+  }
+  if (count == 0) {
+    return;
+  }
+  TargetHealth& health = target.health;
+  health.slowness += kSlownessWeight * (sum / count - health.slowness);
+  if (health.slowness > kSlowAbove) {
+    health.suspended_until =
+        std::max(health.suspended_until, now + kSlowSuspension);
+  }
+}
+
+/// Takes tasks off a slow target that would end sooner if they began anew.
+void MoveFromSlow(Cell& cell, Actions& actions, Target& target, Time now) {
+  if (target.health.slowness <= kSlowAbove) {
+    return;
+  }
+  std::vector<RunId> moved;
+  for (const auto& [id, run] : target.runs) {
+    const auto projected = ProjectedTime(run, now);
+    const Millis anew = run.estimate * (run.gang ? 4 : 3) / 2 + kMoveCost;
+    if (!projected || *projected - (now - run.confirmed_at) <= anew) {
+      continue;
+    }
+    Job* job = FindJob(cell, id.task.job);
+    Task* task = job == nullptr ? nullptr : FindTask(*job, id.task);
+    if (task != nullptr && task->moves < kMostMoves) {
+      ++task->moves;
+      moved.push_back(id);
+    }
+  }
+  for (const RunId& id : moved) {
+    StopRun(cell, actions, target, id, "target slow", now);
+  }
+}
+
 void StopStuck(Cell& cell, Actions& actions, Target& target, Time now) {
   std::vector<RunId> stuck;
   for (const auto& [id, run] : target.runs) {
@@ -264,6 +330,8 @@
   DropUnlisted(cell, actions, *target, listed, sent_at);
   AdvanceAcks(cell, *target);
   StopStuck(cell, actions, *target, now);
+  JudgePace(*target, now);
+  MoveFromSlow(cell, actions, *target, now);
   if (!target->reported) {
     target->reported = true;
     cell.plan_due = true;
@@ -296,8 +364,7 @@
   const bool silent = now - target.last_answer > kSilentAfter;
   const bool left = !target.listed && target.entry.draining &&
                     target.unlisted_at - target.last_answer < kLeftWithin;
-  if (silent && !target.runs.empty() &&
-      (left || now > target.lease_until)) {
+  if (silent && !target.runs.empty() && (left || now > target.lease_until)) {
     DropRuns(cell, actions, target, left ? "target left" : "lease over");
     target.reported = false;
   }
--- a/src/cell/runs.cc
+++ b/src/cell/runs.cc
@@ -31,8 +31,8 @@
       continue;
     }
     const TargetId target_id = task.target;
-    const RunId member{
-        {id.task.job, id.task.occurrence, id.task.step, i}, task.run};
+    const RunId member{{id.task.job, id.task.occurrence, id.task.step, i},
+                       task.run};
     if (Target* target = FindTarget(cell, target_id)) {
       StopRun(cell, actions, *target, member, "gang member missing", now);
     }
@@ -54,7 +54,10 @@
   }
   const auto ticket = step->advice.tickets.find(target.entry.id);
   const StepSpec& spec = known.spec.steps[id.task.step];
-  SendStart start{target.entry.id, target.entry.life, id, known.spec.payload,
+  SendStart start{target.entry.id,
+                  target.entry.life,
+                  id,
+                  known.spec.payload,
                   step->tasks[spec.gang ? 0 : id.task.index].checkpoint,
                   ticket == step->advice.tickets.end() ? std::string()
                                                        : ticket->second.text,
@@ -136,8 +139,8 @@
                  Run& run, Time now) {
   run.in_flight = true;
   ++run.tries;
-  run.next_try = now + (run.tries == 1 ? kFirstStopRetry
-                                       : cell.options.stop_retry);
+  run.next_try =
+      now + (run.tries == 1 ? kFirstStopRetry : cell.options.stop_retry);
   actions.emplace_back(SendStop{target.entry.id, target.entry.life, id});
 }
 
@@ -288,10 +291,10 @@
 void LeaseSent(Cell& cell, const TargetId& id, Time now) {
   if (Target* target = FindTarget(cell, id)) {
     const Millis lease = cell.options.lease;
-    target->lease_until =
-        std::max(target->lease_until,
-                 now + lease + lease * cell.options.drift_per_mille / kPerMille +
-                     cell.options.stop_time);
+    target->lease_until = std::max(
+        target->lease_until,
+        now + lease + lease * cell.options.drift_per_mille / kPerMille +
+            cell.options.stop_time);
   }
 }
 
--- a/src/cell/steps.cc
+++ b/src/cell/steps.cc
@@ -213,8 +213,8 @@
 void TakeEnd(Cell& cell, Actions& actions, Target& target, const EndReport& end,
              Time now) {
   Job* job = FindJob(cell, end.run.task.job);
-  Task* task = job == nullptr || job->Ended() ? nullptr
-                                              : FindTask(*job, end.run.task);
+  Task* task =
+      job == nullptr || job->Ended() ? nullptr : FindTask(*job, end.run.task);
   NoteHealth(target, end, task, cell.options, now);
   Note(actions, "task_ended",
        {{"job", end.run.task.job},
--- a/src/entry/callers.cc
+++ b/src/entry/callers.cc
@@ -110,8 +110,8 @@
   options.address = address;
   options.kept_headers = {"Host", m_codec.key_header, m_codec.deadline_header};
   m_server = std::make_unique<net::HttpServer>(
-      io, options, [this](const net::HttpRequest& request,
-                          const net::Responder& respond) {
+      io, options,
+      [this](const net::HttpRequest& request, const net::Responder& respond) {
         Take(request, respond);
       });
 }
@@ -124,9 +124,9 @@
   const ErrorAnswer& answer = AnswerFor(kind);
   net::HttpResponse response;
   response.status = status;
-  response.body =
-      R"({"error":")" + std::string(answer.name) + R"(","ran":")" +
-      std::string(status == kGatewayTimeout ? "unknown" : "no") + R"("})";
+  response.body = R"({"error":")" + std::string(answer.name) + R"(","ran":")" +
+                  std::string(status == kGatewayTimeout ? "unknown" : "no") +
+                  R"("})";
   if (status == kUnavailable || status == 429) {
     response.retry_after = ReturnAfter(kind);
     // This host can't help: let the caller's next try reach another one.
@@ -188,8 +188,9 @@
     m_metrics.Count(Counter::kJobsSubmitted);
     auto spec = Capture([&] { return m_codec.parse_job(request.body); });
     if (const auto* error = std::get_if<Error>(&spec)) {
-      LogLine("job_unreadable").With("job", call.job).With("reason",
-                                                           error->message);
+      LogLine("job_unreadable")
+          .With("job", call.job)
+          .With("reason", error->message);
       return refuse(ErrorKind::kMalformed, 400);
     }
     call.spec = std::move(std::get<cell::JobSpec>(spec));
@@ -208,9 +209,13 @@
   const std::uint64_t number = m_next++;
   call.call = number;
   const Millis wait = m_owner_expected() ? kOwnerWait : Millis(0);
-  m_open.emplace(number,
-                 OpenCall{std::move(call), {}, false, now, now + patience,
-                          now + std::min(wait, patience), respond});
+  m_open.emplace(number, OpenCall{std::move(call),
+                                  {},
+                                  false,
+                                  now,
+                                  now + patience,
+                                  now + std::min(wait, patience),
+                                  respond});
   TryHand(number, now);
 }
 
--- a/src/entry/cell_host.cc
+++ b/src/entry/cell_host.cc
@@ -51,8 +51,9 @@
 }  // namespace
 
 CellHost::CellHost(boost::asio::io_context& io, const HostSettings& settings,
-                   const store::AsyncStore& store, net::HttpClient& client, runtime::Metrics& metrics,
-                   TargetCalls calls, CellHostEvents events)
+                   const store::AsyncStore& store, net::HttpClient& client,
+                   runtime::Metrics& metrics, TargetCalls calls,
+                   CellHostEvents events)
     : m_settings(settings),
       m_client(client),
       m_metrics(metrics),
@@ -119,8 +120,8 @@
   if (m_rules) {
     cell::SetRules(*m_cell, actions, *m_rules, now);
   }
-  auto outcome = Capture(
-      [&] { return cell::LoadRecords(*m_cell, records, now); });
+  auto outcome =
+      Capture([&] { return cell::LoadRecords(*m_cell, records, now); });
   if (const auto* error = std::get_if<Error>(&outcome)) {
     LogLine("records_unreadable", Level::kError)
         .With("range", m_owner->range)
@@ -182,10 +183,9 @@
   CellReply reply;
   reply.call = call.call;
   if (!Serving() || m_released) {
-    reply.end = call.kind == CallKind::kSubmit ? CallEnd::kRefused
-                                               : CallEnd::kUnknown;
-    reply.error =
-        m_owner ? ErrorKind::kNotReady : ErrorKind::kOwnerUnknown;
+    reply.end =
+        call.kind == CallKind::kSubmit ? CallEnd::kRefused : CallEnd::kUnknown;
+    reply.error = m_owner ? ErrorKind::kNotReady : ErrorKind::kOwnerUnknown;
     reply.message = "this host does not serve the cell now";
     m_events.reply(from, reply);
     return;
@@ -298,8 +298,8 @@
     return;
   }
   m_metrics.Count(Counter::kTasksStopped);
-  m_client.Call(target->second.entry.address,
-                m_calls.stop(stop, m_cell->epoch), kOrderTimeout,
+  m_client.Call(target->second.entry.address, m_calls.stop(stop, m_cell->epoch),
+                kOrderTimeout,
                 [this, term = m_term, id = stop.target,
                  run = stop.run](const auto& answer) {
                   if (term != m_term) {
@@ -331,8 +331,7 @@
   const Millis wait = first ? Millis(0) : kReportWait;
   m_client.Call(
       target.entry.address, m_calls.report(id, call, m_cell->epoch, wait),
-      wait + kReportSlack,
-      [this, term = m_term, id, now](const auto& answer) {
+      wait + kReportSlack, [this, term = m_term, id, now](const auto& answer) {
         if (term == m_term) {
           ReportAnswered(id, now, answer);
         }
--- a/src/entry/host.cc
+++ b/src/entry/host.cc
@@ -91,9 +91,11 @@
 }
 
 member::Member SelfOf(const HostSettings& settings) {
-  return {settings.host, {},
+  return {settings.host,
+          {},
           settings.ip + ":" + std::to_string(settings.peer_port),
-          settings.callers_address, settings.data_centre};
+          settings.callers_address,
+          settings.data_centre};
 }
 
 /// The process: everything runs on one loop and one thread.
@@ -106,23 +108,23 @@
         m_timer(m_io),
         m_log(STDOUT_FILENO),
         m_client(m_io, ClientOptions()),
-        m_store(
-            platform::MakeKvStore(m_client, m_settings.store_address, {})),
+        m_store(platform::MakeKvStore(m_client, m_settings.store_address, {})),
         m_rules(m_store, std::string(platform::kRulesKey), platform::ParseRules,
                 [this] { m_cell.SetRules(m_rules.Current()); }),
         m_targets(m_store, std::string(platform::kTargetsPrefix),
                   platform::ParseTarget,
                   [this](const auto& entries) { m_cell.SetTargets(entries); }),
-        m_members(m_io, m_store, SelfOf(m_settings), {{std::string(kRange), {}}},
-                  MembershipHandlers()),
-        m_cell(m_io, m_settings, m_store, m_client, m_metrics, MakeTargetCalls(),
-               CellHandlers()),
-        m_callers(m_io, m_settings.callers_address, MakeCallerCodec(), m_rules,
-                  m_settings.bounds.key_trust, m_metrics,
-                  [this](const CellCall& call, HostId& to) {
-                    return Forward(call, to);
-                  },
-                  [this] { return m_members.LeaseHeld(); }),
+        m_members(m_io, m_store, SelfOf(m_settings),
+                  {{std::string(kRange), {}}}, MembershipHandlers()),
+        m_cell(m_io, m_settings, m_store, m_client, m_metrics,
+               MakeTargetCalls(), CellHandlers()),
+        m_callers(
+            m_io, m_settings.callers_address, MakeCallerCodec(), m_rules,
+            m_settings.bounds.key_trust, m_metrics,
+            [this](const CellCall& call, HostId& to) {
+              return Forward(call, to);
+            },
+            [this] { return m_members.LeaseHeld(); }),
         m_peers(m_io, PeerOptions(), PeerHandlers()) {
     runtime::SetLogSink([this](std::string_view line) { m_log.Append(line); });
     ServeReadiness();
@@ -269,8 +271,7 @@
           if (response != nullptr && response->status == 200) {
             auto tickets =
                 Capture([&] { return platform::ParseAdvice(response->body); });
-            if (auto* good =
-                    std::get_if<std::vector<cell::Ticket>>(&tickets)) {
+            if (auto* good = std::get_if<std::vector<cell::Ticket>>(&tickets)) {
               reply.answered = true;
               reply.tickets = std::move(*good);
             }
@@ -278,9 +279,9 @@
           if (!reply.answered) {
             LogLine("advice_failed", Level::kWarning)
                 .With("ask", id)
-                .With("status", static_cast<std::int64_t>(
-                                    response == nullptr ? 0
-                                                        : response->status));
+                .With("status",
+                      static_cast<std::int64_t>(
+                          response == nullptr ? 0 : response->status));
           }
           if (owner == m_settings.host) {
             m_cell.AdviceAnswered(reply);
--- a/src/entry/journal_writer.cc
+++ b/src/entry/journal_writer.cc
@@ -77,31 +77,31 @@
 
 void JournalWriter::ReadRecords(std::string after) {
   const std::string prefix = Key("");
-  m_store.list(prefix, std::move(after),
-               [this, round = m_round, prefix](auto outcome) {
-                 if (round != m_round) {
-                   return;
-                 }
-                 if (std::holds_alternative<Error>(outcome)) {
-                   RetryLoad();
-                   return;
-                 }
-                 auto& page = std::get<store::ItemPage>(outcome);
-                 const std::string last =
-                     page.items.empty() ? "" : page.items.back().key;
-                 for (auto& item : page.items) {
-                   m_records.push_back({item.key.substr(prefix.size()),
-                                        std::move(item.value), false});
-                 }
-                 if (page.more && !last.empty()) {
-                   ReadRecords(last);
-                   return;
-                 }
-                 m_loading = false;
-                 m_open = true;
-                 m_events.loaded(std::move(m_records));
-                 m_records = {};
-               });
+  m_store.list(
+      prefix, std::move(after), [this, round = m_round, prefix](auto outcome) {
+        if (round != m_round) {
+          return;
+        }
+        if (std::holds_alternative<Error>(outcome)) {
+          RetryLoad();
+          return;
+        }
+        auto& page = std::get<store::ItemPage>(outcome);
+        const std::string last =
+            page.items.empty() ? "" : page.items.back().key;
+        for (auto& item : page.items) {
+          m_records.push_back(
+              {item.key.substr(prefix.size()), std::move(item.value), false});
+        }
+        if (page.more && !last.empty()) {
+          ReadRecords(last);
+          return;
+        }
+        m_loading = false;
+        m_open = true;
+        m_events.loaded(std::move(m_records));
+        m_records = {};
+      });
 }
 
 void JournalWriter::Write(cell::Batch batch, Time now) {
@@ -129,13 +129,13 @@
   m_sent = Now();
   m_send_again.reset();
   ++m_in_flight;
-  m_store.commit(std::move(transaction),
-                 [this, round = m_round,
-                  sequence = m_sequence](const auto& outcome) {
-                   if (round == m_round && sequence == m_sequence) {
-                     Answered(round, outcome);
-                   }
-                 });
+  m_store.commit(
+      std::move(transaction),
+      [this, round = m_round, sequence = m_sequence](const auto& outcome) {
+        if (round == m_round && sequence == m_sequence) {
+          Answered(round, outcome);
+        }
+      });
 }
 
 void JournalWriter::Answered(std::uint64_t /*round*/,
@@ -183,37 +183,37 @@
     return;
   }
   m_checking = true;
-  m_store.get(Key(kHead), [this, round = m_round,
-                           sequence = m_sequence](auto outcome) {
-    if (round != m_round) {
-      return;
-    }
-    m_checking = false;
-    if (!m_batch || sequence != m_sequence ||
-        std::holds_alternative<Error>(outcome)) {
-      return;  // Tick sends or checks again.
-    }
-    const auto& head = std::get<std::optional<store::Entry>>(outcome);
-    const std::string mine = HeadValue(m_owner.epoch, m_sequence);
-    if (head && head->value == mine) {
-      Applied(head->revision);
-    } else if (!head || head->revision == m_head_revision) {
-      // Not written yet. A former send may still take effect; it and the next
-      // one share a condition, so only one of them can.
-      if (m_in_flight < kMostInFlight) {
-        m_send_again = Now();
-      }
-    } else if (head->value == HeadValue(m_owner.epoch, m_sequence - 1)) {
-      m_head_revision = head->revision;
-      m_send_again = Now();
-    } else {
-      LogLine("journal_lost", Level::kWarning)
-          .With("range", m_owner.range)
-          .With("head", head->value)
-          .With("expected", mine);
-      m_events.lost();
-    }
-  });
+  m_store.get(
+      Key(kHead), [this, round = m_round, sequence = m_sequence](auto outcome) {
+        if (round != m_round) {
+          return;
+        }
+        m_checking = false;
+        if (!m_batch || sequence != m_sequence ||
+            std::holds_alternative<Error>(outcome)) {
+          return;  // Tick sends or checks again.
+        }
+        const auto& head = std::get<std::optional<store::Entry>>(outcome);
+        const std::string mine = HeadValue(m_owner.epoch, m_sequence);
+        if (head && head->value == mine) {
+          Applied(head->revision);
+        } else if (!head || head->revision == m_head_revision) {
+          // Not written yet. A former send may still take effect; it and the
+          // next one share a condition, so only one of them can.
+          if (m_in_flight < kMostInFlight) {
+            m_send_again = Now();
+          }
+        } else if (head->value == HeadValue(m_owner.epoch, m_sequence - 1)) {
+          m_head_revision = head->revision;
+          m_send_again = Now();
+        } else {
+          LogLine("journal_lost", Level::kWarning)
+              .With("range", m_owner.range)
+              .With("head", head->value)
+              .With("expected", mine);
+          m_events.lost();
+        }
+      });
 }
 
 void JournalWriter::Tick(Time now) {
--- a/src/entry/log_buffer.cc
+++ b/src/entry/log_buffer.cc
@@ -4,15 +4,15 @@
 #include <unistd.h>
 
 #include <algorithm>
-#include <climits>
 #include <chrono>
+#include <climits>
 
 #include "buckthornmux/detail/entry/clock.h"
 
 namespace buckthornmux::entry {
 namespace {
 
-constexpr std::size_t kMostBytes = 256 * 1024;
+constexpr std::size_t kMostBytes = std::size_t{256} * 1024;
 constexpr std::uint64_t kMostLinesPerSecond = 2000;
 constexpr std::int64_t kMillisPerSecond = 1000;
 
--- a/src/entry/membership.cc
+++ b/src/entry/membership.cc
@@ -244,11 +244,10 @@
   write.conditions.push_back({MemberKey(m_self.id), m_member_revision});
   write.writes.push_back(
       {MemberKey(m_self.id), member::EncodeMember(m_self), m_lease});
-  m_store.commit(std::move(write), [this, then = std::move(then)](
-                                       auto outcome) {
+  m_store.commit(std::move(write), [this,
+                                    then = std::move(then)](auto outcome) {
     const auto* end = std::get_if<store::TransactionEnd>(&outcome);
-    if (end != nullptr &&
-        end->kind == store::TransactionEnd::Kind::kApplied) {
+    if (end != nullptr && end->kind == store::TransactionEnd::Kind::kApplied) {
       m_member_revision = end->revision;
     } else {
       LogLine("member_record_not_written", Level::kWarning)
@@ -319,38 +318,37 @@
 void Membership::ReadMembers(std::vector<member::OwnerRecord> owners,
                              Time began, std::string after,
                              std::vector<member::Member> members) {
-  m_store.list(
-      std::string(store::kMembersPrefix), std::move(after),
-      [this, began, owners = std::move(owners),
-       members = std::move(members)](auto outcome) mutable {
-        if (std::holds_alternative<Error>(outcome)) {
-          m_reading = false;
-          m_read_at = Now() + kRetry;
-          return;
-        }
-        const auto& page = std::get<store::ItemPage>(outcome);
-        for (const auto& item : page.items) {
-          auto found =
-              Capture([&] { return member::DecodeMember(item.value); });
-          if (auto* good = std::get_if<member::Member>(&found)) {
-            members.push_back(std::move(*good));
-          }
-        }
-        if (page.more && !page.items.empty()) {
-          ReadMembers(std::move(owners), began, page.items.back().key,
-                      std::move(members));
-          return;
-        }
-        m_reading = false;
-        m_read_at = Now() + kViewEvery;
-        if (m_watch_from == 0) {
-          m_watch_from = page.revision;
-        }
-        TakeView({began, std::move(members), std::move(owners)});
-        if (m_read_again) {
-          ReadOwners();
-        }
-      });
+  m_store.list(std::string(store::kMembersPrefix), std::move(after),
+               [this, began, owners = std::move(owners),
+                members = std::move(members)](auto outcome) mutable {
+                 if (std::holds_alternative<Error>(outcome)) {
+                   m_reading = false;
+                   m_read_at = Now() + kRetry;
+                   return;
+                 }
+                 const auto& page = std::get<store::ItemPage>(outcome);
+                 for (const auto& item : page.items) {
+                   auto found = Capture(
+                       [&] { return member::DecodeMember(item.value); });
+                   if (auto* good = std::get_if<member::Member>(&found)) {
+                     members.push_back(std::move(*good));
+                   }
+                 }
+                 if (page.more && !page.items.empty()) {
+                   ReadMembers(std::move(owners), began, page.items.back().key,
+                               std::move(members));
+                   return;
+                 }
+                 m_reading = false;
+                 m_read_at = Now() + kViewEvery;
+                 if (m_watch_from == 0) {
+                   m_watch_from = page.revision;
+                 }
+                 TakeView({began, std::move(members), std::move(owners)});
+                 if (m_read_again) {
+                   ReadOwners();
+                 }
+               });
 }
 
 void Membership::TakeView(member::StoreView view) {
--- a/src/entry/target_reader.cc
+++ b/src/entry/target_reader.cc
@@ -56,37 +56,36 @@
 
 void TargetReader::Read(std::string after,
                         std::vector<cell::TargetEntry> entries) {
-  m_store.list(
-      m_prefix, std::move(after),
-      [this, entries = std::move(entries)](auto outcome) mutable {
-        if (const auto* error = std::get_if<Error>(&outcome)) {
-          m_reading = false;
-          m_next = Now() + kRetry;
-          if (m_well) {
-            m_well = false;
-            LogLine("store_lost", Level::kWarning)
-                .With("by", "targets")
-                .With("reason", error->message);
-          }
-          return;
-        }
-        const auto& page = std::get<store::ItemPage>(outcome);
-        for (const store::Entry& item : page.items) {
-          Take(item, entries);
-        }
-        if (page.more && !page.items.empty()) {
-          Read(page.items.back().key, std::move(entries));
-          return;
-        }
-        m_reading = false;
-        if (!m_well) {
-          m_well = true;
-          LogLine("store_regained").With("by", "targets");
-        }
-        if (m_active) {
-          m_listed(std::move(entries));
-        }
-      });
+  m_store.list(m_prefix, std::move(after),
+               [this, entries = std::move(entries)](auto outcome) mutable {
+                 if (const auto* error = std::get_if<Error>(&outcome)) {
+                   m_reading = false;
+                   m_next = Now() + kRetry;
+                   if (m_well) {
+                     m_well = false;
+                     LogLine("store_lost", Level::kWarning)
+                         .With("by", "targets")
+                         .With("reason", error->message);
+                   }
+                   return;
+                 }
+                 const auto& page = std::get<store::ItemPage>(outcome);
+                 for (const store::Entry& item : page.items) {
+                   Take(item, entries);
+                 }
+                 if (page.more && !page.items.empty()) {
+                   Read(page.items.back().key, std::move(entries));
+                   return;
+                 }
+                 m_reading = false;
+                 if (!m_well) {
+                   m_well = true;
+                   LogLine("store_regained").With("by", "targets");
+                 }
+                 if (m_active) {
+                   m_listed(std::move(entries));
+                 }
+               });
 }
 
 }  // namespace buckthornmux::entry
--- a/src/peer/messages.cc
+++ b/src/peer/messages.cc
@@ -25,7 +25,9 @@
 
 std::string Encode(const Message& message) { return EncodeBinary(message); }
 
-std::string Encode(const Heartbeat& heartbeat) { return EncodeBinary(heartbeat); }
+std::string Encode(const Heartbeat& heartbeat) {
+  return EncodeBinary(heartbeat);
+}
 
 Result<Message> DecodeMessage(std::string_view bytes) {
   return DecodeBinary<Message>(bytes, "a peer message");
--- a/src/runtime/log_line.cc
+++ b/src/runtime/log_line.cc
@@ -26,9 +26,8 @@
 LogLine::~LogLine() {
   if (Sink()) {
     constexpr std::string_view kLevels[] = {"info", "warning", "error"};
-    Sink()("level=" +
-           std::string(kLevels[static_cast<std::size_t>(m_level)]) + ' ' +
-           m_text);
+    Sink()("level=" + std::string(kLevels[static_cast<std::size_t>(m_level)]) +
+           ' ' + m_text);
     return;
   }
   switch (m_level) {
--- a/src/target/task_json.h
+++ b/src/target/task_json.h
@@ -1,9 +1,9 @@
 /// Tasks, resources and homes as JSON.
 #pragma once
 
+#include "buckthornmux/detail/core/json_reader.h"
 #include "buckthornmux/detail/core/types.h"
 #include "buckthornmux/detail/sched/shard.h"
-#include "buckthornmux/detail/core/json_reader.h"
 
 namespace buckthornmux::target {
 
--- a/tests/cell_loads.h
+++ b/tests/cell_loads.h
@@ -13,8 +13,8 @@
 /// @brief A number around a mean with a long tail, bounded above.
 inline double DrawAround(std::mt19937_64& random, double mean, double spread,
                          double most) {
-  std::lognormal_distribution<double> draw(
-      std::log(mean) - spread * spread / 2, spread);
+  std::lognormal_distribution<double> draw(std::log(mean) - spread * spread / 2,
+                                           spread);
   return std::min(most, draw(random));
 }
 
@@ -56,14 +56,14 @@
   for (long i = 0; i < steps; ++i) {
     cell::StepSpec step;
     step.count = static_cast<std::uint32_t>(std::max(
-        1L, std::lround(DrawAround(random, shape.width, 0.8,
-                                   shape.most_width))));
+        1L,
+        std::lround(DrawAround(random, shape.width, 0.8, shape.most_width))));
     step.demand.cpu_milli = std::lround(
         DrawAround(random, shape.cpu_milli, 0.4, shape.most_cpu_milli));
     step.demand.memory_mb = std::lround(
         DrawAround(random, shape.memory_mb, 0.5, shape.most_memory_mb));
-    step.estimate = Millis(std::lround(
-        DrawAround(random, shape.run_ms, 0.5, shape.most_run_ms)));
+    step.estimate = Millis(
+        std::lround(DrawAround(random, shape.run_ms, 0.5, shape.most_run_ms)));
     step.gang = part(random) < shape.gang_share;
     step.checkpoints = part(random) < shape.checkpoint_share;
     if (i > 0) {
@@ -94,13 +94,14 @@
                   .stretch = 2.2,
                   .target_runtime = Millis(1000),
                   .advice = cell::AdviceRules{Millis(380), 5.4, Millis(2500)}};
-  queues.batches = {.name = "batches",
-                    .service = "service",
-                    .priority = 2,
-                    .max_attempts = 2,
-                    .stretch = 4,
-                    .target_runtime = Millis(3000),
-                    .advice = cell::AdviceRules{Millis(62), 0.88, Millis(2500)}};
+  queues.batches = {
+      .name = "batches",
+      .service = "service",
+      .priority = 2,
+      .max_attempts = 2,
+      .stretch = 4,
+      .target_runtime = Millis(3000),
+      .advice = cell::AdviceRules{Millis(62), 0.88, Millis(2500)}};
   queues.urgent = {.name = "urgent",
                    .service = "service",
                    .priority = 0,
@@ -108,12 +109,12 @@
                    .stretch = 1.5,
                    .target_runtime = Millis(250),
                    .advice = cell::AdviceRules{Millis(7), 0.1, Millis(2500)}};
-  queues.gang_shape = {1.2, 3, 8, 48, 4500, 7600, 8000, 16000, 5000, 12000,
-                       1, 0.5};
-  queues.batch_shape = {1.5, 3.8, 10, 60, 980, 2900, 1400, 4200, 3400, 8400,
-                        0, 0.8};
-  queues.urgent_shape = {1, 2.5, 2, 12, 1400, 4200, 2000, 6000, 800, 2000,
-                         0.3, 0};
+  queues.gang_shape = {1.2,  3,     8,    48,    4500, 7600,
+                       8000, 16000, 5000, 12000, 1,    0.5};
+  queues.batch_shape = {1.5,  3.8,  10,   60,   980, 2900,
+                        1400, 4200, 3400, 8400, 0,   0.8};
+  queues.urgent_shape = {1,    2.5,  2,   12,   1400, 4200,
+                         2000, 6000, 800, 2000, 0.3,  0};
   return queues;
 }
 
@@ -121,8 +122,8 @@
                         double per_second, int teams) {
   return {queue, per_second, [queue, shape, teams](std::mt19937_64& random) {
             const auto team =
-                "team-" + std::to_string(random() %
-                                         static_cast<std::uint64_t>(teams));
+                "team-" +
+                std::to_string(random() % static_cast<std::uint64_t>(teams));
             return DrawJob(random, shape, queue.name, team);
           }};
 }
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -53,8 +53,8 @@
   int rack = 8;
   double good_share = 0.5;  ///< Of targets, as the adviser sees it.
   std::map<std::string, double> good_shares;  ///< By queue.
-  Millis link{2};           ///< One way.
-  Millis store{6};          ///< A write.
+  Millis link{2};                             ///< One way.
+  Millis store{6};                            ///< A write.
 };
 
 /// @brief The world around one cell.
--- a/tests/standins/cell_world.cc
+++ b/tests/standins/cell_world.cc
@@ -217,7 +217,8 @@
   SimTarget* target = Find(start.target);
   const bool late = Chance(target->faults.orders_late);
   const bool lost = late || Chance(target->faults.answers_lost);
-  const Time arrives = m_now + m_options.link + (late ? Millis(4000) : Millis(0));
+  const Time arrives =
+      m_now + m_options.link + (late ? Millis(4000) : Millis(0));
   const Epoch epoch = m_cell->epoch;
   const auto outcome =
       std::make_shared<cell::OrderOutcome>(cell::OrderOutcome::kUnknown);
@@ -238,9 +239,9 @@
       return;
     }
     cell::Actions actions;
-    cell::StartAnswered(
-        *m_cell, actions, start.target, start.run,
-        unanswered ? cell::OrderOutcome::kUnknown : *outcome, m_now);
+    cell::StartAnswered(*m_cell, actions, start.target, start.run,
+                        unanswered ? cell::OrderOutcome::kUnknown : *outcome,
+                        m_now);
     Act(std::move(actions));
   });
 }
@@ -264,8 +265,7 @@
     Report(there);
     *outcome = cell::OrderOutcome::kDone;
   });
-  const Time back =
-      cut ? m_now + kOrderTimeout : m_now + 2 * m_options.link;
+  const Time back = cut ? m_now + kOrderTimeout : m_now + 2 * m_options.link;
   At(back, [this, stop, outcome, life = m_life] {
     if (life != m_life) {
       return;
@@ -356,12 +356,11 @@
       cell::Reported(*m_cell, actions, id, report, sent_at, m_now);
       Act(std::move(actions));
       const bool unacked = !again.ended.empty();
-      At(m_now + (unacked ? Millis(50) : kReportEvery),
-         [this, id, life] {
-           if (life == m_life) {
-             Report(*Find(id));
-           }
-         });
+      At(m_now + (unacked ? Millis(50) : kReportEvery), [this, id, life] {
+        if (life == m_life) {
+          Report(*Find(id));
+        }
+      });
     });
   });
 }
@@ -373,8 +372,8 @@
       std::ranges::find(m_rules.queues, job.spec.queue, &cell::Queue::name);
   const Millis takes =
       queue->advice->decide +
-      Millis(static_cast<std::int64_t>(queue->advice->each_ms *
-                                       static_cast<double>(ask.targets.size())));
+      Millis(static_cast<std::int64_t>(
+          queue->advice->each_ms * static_cast<double>(ask.targets.size())));
   Time& free = m_lane_free[ask.lane];
   free = std::max(free, m_now) + takes;
   const auto share = m_options.good_shares.find(job.spec.queue);
@@ -383,22 +382,21 @@
                           : share->second;
   std::vector<cell::Ticket> tickets;
   for (const TargetId& target : ask.targets) {
-    const std::string name = ask.step.job + "." +
-                             std::to_string(ask.step.step) + "/" + target;
+    const std::string name =
+        ask.step.job + "." + std::to_string(ask.step.step) + "/" + target;
     std::mt19937_64 fixed(std::hash<std::string>{}(name) ^ m_options.seed);
     if (std::uniform_real_distribution<double>(0, 1)(fixed) < good) {
       tickets.push_back({target, "ticket"});
     }
   }
-  At(free + 2 * m_options.link,
-     [this, id = ask.ask, tickets, life = m_life] {
-       if (life != m_life) {
-         return;
-       }
-       cell::Actions actions;
-       cell::AdviceAnswered(*m_cell, actions, id, true, tickets, m_now);
-       Act(std::move(actions));
-     });
+  At(free + 2 * m_options.link, [this, id = ask.ask, tickets, life = m_life] {
+    if (life != m_life) {
+      return;
+    }
+    cell::Actions actions;
+    cell::AdviceAnswered(*m_cell, actions, id, true, tickets, m_now);
+    Act(std::move(actions));
+  });
 }
 
 SimCount World::CountOf(const std::string& name) {
--- a/tests/standins/day_command.cc
+++ b/tests/standins/day_command.cc
@@ -16,8 +16,7 @@
       cxxopts::value<std::vector<std::string>>())(
       "targets", "count", cxxopts::value<int>()->default_value("8"))(
       "rate", "jobs a second", cxxopts::value<double>()->default_value("8"))(
-      "length-ms", "of the load",
-      cxxopts::value<int>()->default_value("8000"))(
+      "length-ms", "of the load", cxxopts::value<int>()->default_value("8000"))(
       "seed", "of the load",
       cxxopts::value<std::uint64_t>()->default_value("1"))(
       "store-away-at-ms", "from the start of the load",
--- a/tests/standins/platform_day.cc
+++ b/tests/standins/platform_day.cc
@@ -121,8 +121,8 @@
 }
 
 net::HttpResponse Conflict(Time now, std::string_view reason) {
-  return JsonAnswer(409, json::object{{"clock_ms", TargetClock(now)},
-                                      {"reason", reason}});
+  return JsonAnswer(
+      409, json::object{{"clock_ms", TargetClock(now)}, {"reason", reason}});
 }
 
 std::string_view ReasonOf(cell::OrderOutcome outcome) {
@@ -188,15 +188,13 @@
   const json::object rules{
       {"version", 1},
       {"routes", std::move(routes)},
-      {"services",
-       json::array{json::object{{"name", kService},
-                                {"admission_check", false}}}},
-      {"tenants",
-       json::array{json::object{
-           {"name", "team-0"},
-           {"api_keys", json::array{kKey}},
-           {"weight", 1000},
-           {"maximum", {{"cpu", 16'000L * m_options.targets}}}}}}};
+      {"services", json::array{json::object{{"name", kService},
+                                            {"admission_check", false}}}},
+      {"tenants", json::array{json::object{
+                      {"name", "team-0"},
+                      {"api_keys", json::array{kKey}},
+                      {"weight", 1000},
+                      {"maximum", {{"cpu", 16'000L * m_options.targets}}}}}}};
   m_store.Put("op/config", json::serialize(rules));
 }
 
@@ -208,17 +206,16 @@
     }
     const Resources& capacity = target.entry.capacity;
     m_store.Put("servers/" + target.entry.id,
-                json::serialize(json::object{
-                    {"service", kService},
-                    {"address", target.entry.address},
-                    {"zone", "here"},
-                    {"state", "ready"},
-                    {"born", target.entry.life},
-                    {"capacity",
-                     {{"cpu", capacity.cpu_milli},
-                      {"mem_mb", capacity.memory_mb}}},
-                    {"labels", std::move(labels)},
-                    {"sequence", WallNow()}}));
+                json::serialize(json::object{{"service", kService},
+                                             {"address", target.entry.address},
+                                             {"zone", "here"},
+                                             {"state", "ready"},
+                                             {"born", target.entry.life},
+                                             {"capacity",
+                                              {{"cpu", capacity.cpu_milli},
+                                               {"mem_mb", capacity.memory_mb}}},
+                                             {"labels", std::move(labels)},
+                                             {"sequence", WallNow()}}));
   }
 }
 
@@ -241,9 +238,8 @@
   if (request.target == "/buckthornmux/run-start") {
     Start(index, *body, respond);
   } else if (request.target == "/buckthornmux/run-stop") {
-    StopRun(target,
-            {ParseTask(StringAt(*body, "task")),
-             static_cast<std::uint32_t>(IntegerAt(*body, "run", 0))});
+    StopRun(target, {ParseTask(StringAt(*body, "task")),
+                     static_cast<std::uint32_t>(IntegerAt(*body, "run", 0))});
     respond(JsonAnswer(200, json::object{{"clock_ms", TargetClock(now)}}));
   } else if (request.target == "/buckthornmux/hold") {
     const cell::ReportCall call{
@@ -275,8 +271,8 @@
   const cell::RunId run{ParseTask(StringAt(body, "task")),
                         static_cast<std::uint32_t>(IntegerAt(body, "run", 0))};
   const std::int64_t deadline = IntegerAt(body, "deadline_ms", 0);
-  const auto done = JsonAnswer(200, json::object{{"clock_ms",
-                                                  TargetClock(now)}});
+  const auto done =
+      JsonAnswer(200, json::object{{"clock_ms", TargetClock(now)}});
   if (target.running.contains(run)) {
     respond(done);
     return;
@@ -321,9 +317,8 @@
   }
   auto timer = std::make_shared<boost::asio::steady_timer>(m_io, Millis(10));
   auto answer = JsonAnswer(200, json::object{{"good", std::move(good)}});
-  timer->async_wait([timer, respond, answer](boost::system::error_code) {
-    respond(answer);
-  });
+  timer->async_wait(
+      [timer, respond, answer](boost::system::error_code) { respond(answer); });
 }
 
 // ---- Callers ----------------------------------------------------------------
@@ -352,8 +347,7 @@
   shape.most_width = 4;
   shape.most_cpu_milli = std::min(shape.most_cpu_milli, 5000.0);
   shape.run_ms /= 4;
-  const cell::JobSpec spec =
-      tests::DrawJob(m_random, shape, queue, "team-0");
+  const cell::JobSpec spec = tests::DrawJob(m_random, shape, queue, "team-0");
   m_checker.HandedIn(spec, SteadyNow());
   m_callers[spec.id] = {};
   Submit(spec.id);
@@ -383,15 +377,13 @@
       return;
     }
     const auto* error = std::get_if<Error>(&outcome);
-    const bool not_run =
-        answer != nullptr ? answer->status == 503 || answer->status == 429
-                          : error->kind == ErrorKind::kPeerUnreachable;
+    const bool not_run = answer != nullptr
+                             ? answer->status == 503 || answer->status == 429
+                             : error->kind == ErrorKind::kPeerUnreachable;
     known.unsure = known.unsure || !not_run;
-    auto timer =
-        std::make_shared<boost::asio::steady_timer>(m_io, Millis(400));
-    timer->async_wait([this, id, timer](boost::system::error_code) {
-      Submit(id);
-    });
+    auto timer = std::make_shared<boost::asio::steady_timer>(m_io, Millis(400));
+    timer->async_wait(
+        [this, id, timer](boost::system::error_code) { Submit(id); });
   });
 }
 
@@ -455,8 +447,8 @@
   }
   constexpr double kMillisPerSecond = 1000;
   if (since < m_options.length) {
-    m_due += m_options.rate * static_cast<double>(kTick.count()) /
-             kMillisPerSecond;
+    m_due +=
+        m_options.rate * static_cast<double>(kTick.count()) / kMillisPerSecond;
     for (; m_due >= 1; m_due -= 1) {
       SubmitOne();
     }
@@ -502,10 +494,9 @@
 }
 
 int PlatformDay::Verdict() const {
-  const bool served =
-      std::ranges::any_of(m_callers, [](const auto& entry) {
-        return entry.second.accepted && entry.second.ended;
-      });
+  const bool served = std::ranges::any_of(m_callers, [](const auto& entry) {
+    return entry.second.accepted && entry.second.ended;
+  });
   return served && m_checker.Breaches().empty() && m_lost.empty() ? 0 : 1;
 }
 
--- a/tests/standins/platform_day.h
+++ b/tests/standins/platform_day.h
@@ -23,13 +23,13 @@
   int port_base = 28'000;  ///< Store; adviser one above; targets from +10.
   std::vector<std::string> hosts;  ///< Callers' addresses of the entry hosts.
   int targets = 8;
-  double rate = 8;             ///< Jobs a second.
-  Millis length{8000};         ///< Of the load.
-  Millis finish{15'000};       ///< Then every accepted job has to end.
+  double rate = 8;        ///< Jobs a second.
+  Millis length{8000};    ///< Of the load.
+  Millis finish{15'000};  ///< Then every accepted job has to end.
   std::uint64_t seed = 1;
-  Millis store_away_at{0};     ///< From the start of the load; 0: never.
+  Millis store_away_at{0};  ///< From the start of the load; 0: never.
   Millis store_away_for{0};
-  double answers_lost = 0;     ///< Share of starts done but not answered.
+  double answers_lost = 0;  ///< Share of starts done but not answered.
 };
 
 /// @brief Plays the day; its summary and verdict go to standard output.
--- a/tests/standins/platform_store.cc
+++ b/tests/standins/platform_store.cc
@@ -65,11 +65,10 @@
 
 PlatformStore::PlatformStore(boost::asio::io_context& io,
                              const std::string& address)
-    : m_server(io, ServerOptions(address),
-               [this](const net::HttpRequest& request,
-                      const net::Responder& respond) {
-                 Take(request, respond);
-               }) {}
+    : m_server(
+          io, ServerOptions(address),
+          [this](const net::HttpRequest& request,
+                 const net::Responder& respond) { Take(request, respond); }) {}
 
 void PlatformStore::Put(const std::string& key, const std::string& value) {
   const auto found = m_state.keys.find(key);
@@ -88,8 +87,7 @@
     respond(ErrorAnswerOf(503, "away"));
     return;
   }
-  const auto parsed =
-      Capture([&] { return net::ParseTarget(request.target); });
+  const auto parsed = Capture([&] { return net::ParseTarget(request.target); });
   const auto* target = std::get_if<net::RequestTarget>(&parsed);
   if (target == nullptr) {
     respond(ErrorAnswerOf(400, "target"));
@@ -199,8 +197,7 @@
 
 void PlatformStore::Watch(std::string prefix, Revision after, Millis wait,
                           const net::Responder& respond) {
-  m_waiting.push_back(
-      {std::move(prefix), after, SteadyNow() + wait, respond});
+  m_waiting.push_back({std::move(prefix), after, SteadyNow() + wait, respond});
   WakeWatches(SteadyNow());
 }
 
@@ -217,14 +214,12 @@
       events.push_back(ItemJson(entry));
     }
     for (const store::Entry& entry : batch.deletes) {
-      events.push_back(json::object{{"key", entry.key},
-                                    {"revision", entry.revision},
-                                    {"deleted", true}});
+      events.push_back(json::object{
+          {"key", entry.key}, {"revision", entry.revision}, {"deleted", true}});
     }
-    it->respond(JsonAnswer(
-        batch.compacted ? 410 : 200,
-        json::object{{"events", std::move(events)},
-                     {"current_rev", m_state.revision}}));
+    it->respond(JsonAnswer(batch.compacted ? 410 : 200,
+                           json::object{{"events", std::move(events)},
+                                        {"current_rev", m_state.revision}}));
     it = m_waiting.erase(it);
   }
 }
--- a/tests/standins/sim_target.cc
+++ b/tests/standins/sim_target.cc
@@ -47,12 +47,12 @@
   run.demand = demand;
   run.fails = target.faults.fails_all;
   run.stuck = target.faults.stuck;
-  const double took = static_cast<double>(work.count()) *
-                      target.faults.slowdown / target.speed;
-  run.ends = run.stuck ? Time::max()
-                       : now + Millis(static_cast<std::int64_t>(took));
-  target.lease_until = std::max(
-      target.lease_until, now + Millis(deadline_ms - TargetClock(now)));
+  const double took =
+      static_cast<double>(work.count()) * target.faults.slowdown / target.speed;
+  run.ends =
+      run.stuck ? Time::max() : now + Millis(static_cast<std::int64_t>(took));
+  target.lease_until = std::max(target.lease_until,
+                                now + Millis(deadline_ms - TargetClock(now)));
   target.running[id] = run;
 }
 
@@ -89,9 +89,8 @@
 cell::TargetReport TakeReportCall(SimTarget& target,
                                   const cell::ReportCall& call, Time now) {
   if (call.deadline_ms > 0) {
-    target.lease_until =
-        std::max(target.lease_until,
-                 now + Millis(call.deadline_ms - TargetClock(now)));
+    target.lease_until = std::max(
+        target.lease_until, now + Millis(call.deadline_ms - TargetClock(now)));
   }
   std::erase_if(target.ended, [&](const cell::EndReport& end) {
     return end.sequence <= call.acked_end;
--- a/tests/standins/sim_target.h
+++ b/tests/standins/sim_target.h
@@ -24,9 +24,9 @@
 struct SimFaults {
   bool fails_all = false;
   bool stuck = false;
-  bool cut = false;          ///< Nothing reaches it; it runs on.
-  double answers_lost = 0;   ///< Share of orders done but not answered.
-  double orders_late = 0;    ///< Share carried out seconds later, unanswered.
+  bool cut = false;         ///< Nothing reaches it; it runs on.
+  double answers_lost = 0;  ///< Share of orders done but not answered.
+  double orders_late = 0;   ///< Share carried out seconds later, unanswered.
   double slowdown = 1;
 };
 
--- /dev/null
+++ b/tests/unit-load.cc
@@ -0,0 +1,93 @@
+// How callers fare under load and trouble: one test for each pattern of
+// load_patterns.h, by its name. Urgent work is to be in time for 99 of 100 callers
+// up to 85 of 100 of the room, and for 9 of 10 in any trouble listed there.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+#include "load_patterns.h"
+
+namespace buckthornmux::tests {
+namespace {
+
+constexpr double kLoadTarget = 0.99;
+constexpr double kTroubleTarget = 0.9;
+
+/// How a pattern went, over some seeds.
+struct Outcome {
+  double urgent = 1;
+  double batches = 1;
+  int batches_open = 0;
+  std::string breach;
+};
+
+Outcome PlayByName(const std::string& name) {
+  const auto patterns = LoadPatterns();
+  const auto pattern =
+      std::ranges::find(patterns, name, &LoadPattern::name);
+  CPPUNIT_ASSERT(pattern != patterns.end());
+  constexpr std::uint64_t kSeeds = 2;
+  Outcome outcome;
+  double urgent = 0;
+  double batches = 0;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    World world(UserWorld(seed));
+    PlayPattern(world, *pattern);
+    urgent += world.CountOf("urgent").InTimeShare();
+    batches += world.CountOf("batches").InTimeShare();
+    outcome.batches_open += world.CountOf("batches").open;
+    if (!world.Breaches().empty()) {
+      outcome.breach = world.Breaches().front();
+    }
+  }
+  outcome.urgent = urgent / kSeeds;
+  outcome.batches = batches / kSeeds;
+  return outcome;
+}
+
+void Demand(const std::string& name, double urgent_target) {
+  const Outcome outcome = PlayByName(name);
+  CPPUNIT_ASSERT_EQUAL_MESSAGE(name, std::string(), outcome.breach);
+  CPPUNIT_ASSERT_EQUAL_MESSAGE(name, 0, outcome.batches_open);
+  CPPUNIT_ASSERT_MESSAGE(
+      name + ": urgent in time " + std::to_string(outcome.urgent),
+      outcome.urgent >= urgent_target);
+}
+
+class LoadTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(LoadTest);
+  CPPUNIT_TEST(Even);
+  CPPUNIT_TEST(Busy);
+  CPPUNIT_TEST(BurstUrgent);
+  CPPUNIT_TEST(BurstGangs);
+  CPPUNIT_TEST(HotTeam);
+  CPPUNIT_TEST(FailingTargets);
+  CPPUNIT_TEST(SlowTargets);
+  CPPUNIT_TEST(StuckTargets);
+  CPPUNIT_TEST(LostAnswers);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void Even() { Demand("even", kLoadTarget); }
+  void Busy() { Demand("busy", kLoadTarget); }
+  void BurstUrgent() { Demand("burst_urgent", kLoadTarget); }
+  void BurstGangs() { Demand("burst_gangs", kLoadTarget); }
+  void HotTeam() { Demand("hot_team", kTroubleTarget); }
+  void FailingTargets() { Demand("failing_targets", kTroubleTarget); }
+  void StuckTargets() { Demand("stuck_targets", kTroubleTarget); }
+  void LostAnswers() { Demand("lost_answers", kTroubleTarget); }
+
+  // Batches on slow targets went on there for up to 47 s: they are moved.
+  void SlowTargets() {
+    Demand("slow_targets", kTroubleTarget);
+    const Outcome outcome = PlayByName("slow_targets");
+    CPPUNIT_ASSERT_MESSAGE(
+        "batches in time " + std::to_string(outcome.batches),
+        outcome.batches >= kLoadTarget);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LoadTest);
+
+}  // namespace
+}  // namespace buckthornmux::tests
--- a/tests/unit-ownership.cc
+++ b/tests/unit-ownership.cc
@@ -189,8 +189,8 @@
     Time now = kStart + Millis(700);
     (void)Apply(state, Leave{}, now);
     const auto claims = Only<Claim>(Apply(state, Released{"shard/1"}, now));
-    (void)Apply(state,
-                Answer(claims.at(0), ClaimAnswered::End::kWritten, 12), now);
+    (void)Apply(state, Answer(claims.at(0), ClaimAnswered::End::kWritten, 12),
+                now);
     const OwnerRecord released{"shard/1", "", "", 1, 12};
     CPPUNIT_ASSERT(
         Only<Claim>(Apply(state, View(now, {released}), now)).empty());
