--- a/bench/bench-load.cc
+++ b/bench/bench-load.cc
@@ -48,8 +48,7 @@
   int breaches = 0;
   for (const LoadPattern& pattern : LoadPatterns()) {
     if (!wanted.empty() &&
-        std::find(wanted.begin(), wanted.end(), pattern.name) ==
-            wanted.end()) {
+        std::find(wanted.begin(), wanted.end(), pattern.name) == wanted.end()) {
       continue;
     }
     std::map<std::string, Sum> sums;
--- a/include/buckthornmux/detail/cell/state.h
+++ b/include/buckthornmux/detail/cell/state.h
@@ -63,11 +63,11 @@
   bool unsure = false;     ///< A start had no answer: it may still arrive.
   bool stop_done = false;  ///< The stop was confirmed; its end is awaited.
   Time stop_done_at;
-  std::int32_t percent = 0;  ///< Last reported progress.
+  std::int32_t percent = 0;        ///< Last reported progress.
   std::int32_t first_percent = 0;  ///< First progress above zero...
   Time first_at;                   ///< ...and when it was reported.
-  Time progress_at;          ///< When `percent` last rose.
-  bool listed = false;       ///< The target has reported it as running.
+  Time progress_at;                ///< When `percent` last rose.
+  bool listed = false;             ///< The target has reported it as running.
   int priority = 0;
   bool checkpoints = false;
   bool gang = false;
--- a/include/buckthornmux/detail/entry/membership.h
+++ b/include/buckthornmux/detail/entry/membership.h
@@ -1,8 +1,6 @@
 /// Registers this host, reads who else is there and who owns the cell.
 #pragma once
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <string>
 #include <vector>
@@ -33,8 +31,7 @@
  public:
   /// @param self as it registers; its incarnation is drawn anew
   /// @param ranges that are to be owned
-  Membership(boost::asio::io_context& io, const store::AsyncStore& store,
-             member::Member self,
+  Membership(const store::AsyncStore& store, member::Member self,
              std::vector<member::RangesWanted::Range> ranges,
              MembershipEvents events);
 
@@ -86,7 +83,6 @@
   void Claim(const member::OwnerRecord& record);
   void RegisterFailed(const Error& error, std::string_view call);
 
-  boost::asio::io_context& m_io;
   const store::AsyncStore& m_store;
   member::Member m_self;
   std::vector<member::RangesWanted::Range> m_ranges;
--- a/src/cell/reports.cc
+++ b/src/cell/reports.cc
@@ -22,9 +22,9 @@
 /// healthy ones differ by half in speed, and tasks of a step by a third.
 constexpr double kSlowAbove = 2.2;
 constexpr double kSlownessWeight = 0.3;  ///< Of one report.
-constexpr Millis kJudgedAfter{700};  ///< Less of a run tells nothing yet.
-constexpr int kMostMoves = 2;        ///< Of one task: its estimate may be wrong.
-constexpr Millis kMoveCost{500};     ///< To stop it and to start it elsewhere.
+constexpr Millis kJudgedAfter{700};      ///< Less of a run tells nothing yet.
+constexpr int kMostMoves = 2;     ///< Of one task: its estimate may be wrong.
+constexpr Millis kMoveCost{500};  ///< To stop it and to start it elsewhere.
 constexpr Millis kSlowSuspension{1500};  ///< Renewed while it stays slow.
 
 std::string RackOf(const TargetEntry& entry) {
@@ -176,8 +176,9 @@
   }
 }
 
-/// Time of a whole run at its present pace; nothing while that is unclear. Taken
-/// between two reports, since a task needs some time before it begins to work.
+/// Time of a whole run at its present pace; nothing while that is unclear.
+/// Taken between two reports, since a task needs some time before it begins to
+/// work.
 std::optional<Millis> TimeAtPace(const Run& run, Time now) {
   const Millis seen = now - run.first_at;
   const std::int32_t gained = run.percent - run.first_percent;
--- a/src/entry/host.cc
+++ b/src/entry/host.cc
@@ -114,8 +114,8 @@
         m_targets(m_store, std::string(platform::kTargetsPrefix),
                   platform::ParseTarget,
                   [this](const auto& entries) { m_cell.SetTargets(entries); }),
-        m_members(m_io, m_store, SelfOf(m_settings),
-                  {{std::string(kRange), {}}}, MembershipHandlers()),
+        m_members(m_store, SelfOf(m_settings), {{std::string(kRange), {}}},
+                  MembershipHandlers()),
         m_cell(m_io, m_settings, m_store, m_client, m_metrics,
                MakeTargetCalls(), CellHandlers()),
         m_callers(
--- a/src/entry/membership.cc
+++ b/src/entry/membership.cc
@@ -58,12 +58,10 @@
 
 }  // namespace
 
-Membership::Membership(boost::asio::io_context& io,
-                       const store::AsyncStore& store, member::Member self,
+Membership::Membership(const store::AsyncStore& store, member::Member self,
                        std::vector<member::RangesWanted::Range> ranges,
                        MembershipEvents events)
-    : m_io(io),
-      m_store(store),
+    : m_store(store),
       m_self(std::move(self)),
       m_ranges(std::move(ranges)),
       m_events(std::move(events)),
@@ -139,8 +137,7 @@
 
 void Membership::Register() {
   m_registering = true;
-  const Time sent_at = Now();
-  m_store.get(MemberKey(m_self.id), [this, sent_at](auto found) {
+  m_store.get(MemberKey(m_self.id), [this](auto found) {
     if (const auto* error = std::get_if<Error>(&found)) {
       RegisterFailed(*error, "get");
       return;
--- a/tests/cell_loads.h
+++ b/tests/cell_loads.h
@@ -52,8 +52,9 @@
   spec.payload = "work";
   std::uniform_real_distribution<double> part(0, 1);
   const auto steps = std::max(
-      1L, std::lround(DrawAround(random, shape.steps, 0.4, shape.most_steps)));
-  for (long i = 0; i < steps; ++i) {
+      std::int64_t{1},
+      std::lround(DrawAround(random, shape.steps, 0.4, shape.most_steps)));
+  for (std::int64_t i = 0; i < steps; ++i) {
     cell::StepSpec step;
     step.count = static_cast<std::uint32_t>(std::max(
         1L,
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -54,8 +54,8 @@
   double good_share = 0.5;  ///< Of targets, as the adviser sees it.
   std::map<std::string, double> good_shares;  ///< By queue.
   double estimate_spread = 0;  ///< Of true run times around estimates, log.
-  Millis link{2};                             ///< One way.
-  Millis store{6};                            ///< A write.
+  Millis link{2};              ///< One way.
+  Millis store{6};             ///< A write.
 };
 
 /// @brief The world around one cell.
--- a/tests/load_patterns.h
+++ b/tests/load_patterns.h
@@ -86,15 +86,15 @@
          SetFaults(world, 0, 4, begin + Millis(5000), begin + Millis(11'000),
                    [](auto& faults, bool on) { faults.fails_all = on; });
        }});
-  patterns.push_back(
-      {"slow_targets", "slow targets get no urgent work",
-       [](World& world, const UserQueues& queues, Time begin) {
-         AtLoad(world, queues, begin, 0.7);
-         SetFaults(world, 0, 8, begin + Millis(4000), begin + Millis(11'000),
-                   [](auto& faults, bool on) {
-                     faults.slowdown = on ? 6.5 : 1;
-                   });
-       }});
+  patterns.push_back({"slow_targets", "slow targets get no urgent work",
+                      [](World& world, const UserQueues& queues, Time begin) {
+                        AtLoad(world, queues, begin, 0.7);
+                        SetFaults(world, 0, 8, begin + Millis(4000),
+                                  begin + Millis(11'000),
+                                  [](auto& faults, bool on) {
+                                    faults.slowdown = on ? 6.5 : 1;
+                                  });
+                      }});
   patterns.push_back(
       {"stuck_targets", "tasks that stand still move elsewhere",
        [](World& world, const UserQueues& queues, Time begin) {
@@ -112,13 +112,13 @@
                      faults.orders_late = on ? 0.03 : 0;
                    });
        }});
-  patterns.push_back(
-      {"new_owner", "a lost owner costs seconds, not jobs",
-       [](World& world, const UserQueues& queues, Time begin) {
-         AtLoad(world, queues, begin, 0.8);
-         world.At(begin + Millis(8000),
-                  [&world] { world.ReplaceOwner(Millis(1500)); });
-       }});
+  patterns.push_back({"new_owner", "a lost owner costs seconds, not jobs",
+                      [](World& world, const UserQueues& queues, Time begin) {
+                        AtLoad(world, queues, begin, 0.8);
+                        world.At(begin + Millis(8000), [&world] {
+                          world.ReplaceOwner(Millis(1500));
+                        });
+                      }});
   return patterns;
 }
 
--- a/tests/standins/cell_world.cc
+++ b/tests/standins/cell_world.cc
@@ -40,6 +40,7 @@
   m_cell->wall_offset = 0;
   m_writing = false;
   std::vector<cell::RecordWrite> records;
+  records.reserve(m_records.size());
   for (const auto& [key, value] : m_records) {
     records.push_back({key, value, false});
   }
@@ -51,12 +52,14 @@
     throw std::runtime_error("records unreadable: " + error->message);
   }
   std::vector<cell::TargetEntry> entries;
+  entries.reserve(m_targets.size());
   for (SimTarget& target : m_targets) {
     entries.push_back(target.entry);
     target.reporting = false;
   }
   cell::SetTargets(*m_cell, actions, entries, m_now);
   std::vector<HostId> lanes;
+  lanes.reserve(static_cast<std::size_t>(m_options.lanes));
   for (int i = 0; i < m_options.lanes; ++i) {
     lanes.push_back("host-" + std::to_string(i));
   }
@@ -296,8 +299,8 @@
   return cell::OrderOutcome::kDone;
 }
 
-/// What a task takes at full speed: estimates are off, for all tasks of a step by
-/// the same factor.
+/// What a task takes at full speed: estimates are off, for all tasks of a step
+/// by the same factor.
 Millis World::TrueTime(const cell::TaskId& task,
                        const cell::StepSpec& spec) const {
   if (m_options.estimate_spread <= 0) {
--- a/tests/unit-load.cc
+++ b/tests/unit-load.cc
@@ -1,6 +1,7 @@
 // How callers fare under load and trouble: one test for each pattern of
-// load_patterns.h, by its name. Urgent work is to be in time for 99 of 100 callers
-// up to 85 of 100 of the room, and for 9 of 10 in any trouble listed there.
+// load_patterns.h, by its name. Urgent work is to be in time for 99 of 100
+// callers up to 85 of 100 of the room, and for 9 of 10 in any trouble listed
+// there.
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
@@ -23,8 +24,7 @@
 
 Outcome PlayByName(const std::string& name) {
   const auto patterns = LoadPatterns();
-  const auto pattern =
-      std::ranges::find(patterns, name, &LoadPattern::name);
+  const auto pattern = std::ranges::find(patterns, name, &LoadPattern::name);
   CPPUNIT_ASSERT(pattern != patterns.end());
   constexpr std::uint64_t kSeeds = 2;
   Outcome outcome;
@@ -98,10 +98,9 @@
       }
       // One task in a hundred may be stopped for nothing.
       constexpr int kOneIn = 100;
-      CPPUNIT_ASSERT_MESSAGE(
-          std::to_string(world.Starts()) + " starts of " +
-              std::to_string(tasks) + " tasks",
-          world.Starts() <= tasks + tasks / kOneIn);
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(world.Starts()) + " starts of " +
+                                 std::to_string(tasks) + " tasks",
+                             world.Starts() <= tasks + tasks / kOneIn);
     }
   }
 
@@ -109,9 +108,8 @@
   void SlowTargets() {
     Demand("slow_targets", kTroubleTarget);
     const Outcome outcome = PlayByName("slow_targets");
-    CPPUNIT_ASSERT_MESSAGE(
-        "batches in time " + std::to_string(outcome.batches),
-        outcome.batches >= kLoadTarget);
+    CPPUNIT_ASSERT_MESSAGE("batches in time " + std::to_string(outcome.batches),
+                           outcome.batches >= kLoadTarget);
   }
 };
 
--- a/tests/unit-platform.cc
+++ b/tests/unit-platform.cc
@@ -75,8 +75,7 @@
       CPPUNIT_ASSERT(KindOf([&] { return ParseSettings(text); }) ==
                      ErrorKind::kMalformed);
     }
-    const std::string number =
-        std::string(kSettings) + "bounds.stop_ms=soon\n";
+    const std::string number = std::string(kSettings) + "bounds.stop_ms=soon\n";
     CPPUNIT_ASSERT(KindOf([&] { return ParseSettings(number); }) ==
                    ErrorKind::kMalformed);
   }
@@ -148,9 +147,8 @@
               "capacity":{"cpu":"many"}})",
           R"({"service":"s","address":"a","zone":"z","state":"ready",
               "labels":"a"})"}) {
-      CPPUNIT_ASSERT(KindOf([&] {
-                       return ParseTarget("servers/i-1", text);
-                     }) == ErrorKind::kMalformed);
+      CPPUNIT_ASSERT(KindOf([&] { return ParseTarget("servers/i-1", text); }) ==
+                     ErrorKind::kMalformed);
     }
   }
 
@@ -191,8 +189,8 @@
 
   void OrdersCarryWhatTheyName() {
     const cell::RunId run{{"5c0e7a21d94b36f8", 0, 1, 17}, 2};
-    const auto request = StartCall(
-        {"i-1", 5, run, "work", "save", "pass", 486'000}, Epoch{7});
+    const auto request =
+        StartCall({"i-1", 5, run, "work", "save", "pass", 486'000}, Epoch{7});
     const auto body = json::parse(request.body).as_object();
     CPPUNIT_ASSERT_EQUAL(std::string("5c0e7a21d94b36f8.0.1.17"),
                          std::string(body.at("task").as_string()));
@@ -201,8 +199,7 @@
     CPPUNIT_ASSERT(body.contains("ticket") && body.contains("checkpoint"));
     CPPUNIT_ASSERT_EQUAL(std::string("i-1"),
                          std::string(request.HeaderValue("X-Expect-Instance")));
-    const auto plain =
-        StartCall({"i-1", 5, run, "work", {}, {}, 1}, Epoch{7});
+    const auto plain = StartCall({"i-1", 5, run, "work", {}, {}, 1}, Epoch{7});
     CPPUNIT_ASSERT(plain.body.find("ticket") == std::string::npos);
     const auto report = ReportCall("i-1", {0, 57}, Epoch{7}, Millis(0));
     CPPUNIT_ASSERT(report.body.find("deadline_ms") == std::string::npos);
@@ -216,8 +213,8 @@
     const auto conflict = [](std::string_view reason) {
       net::HttpResponse response;
       response.status = 409;
-      response.body = R"({"clock_ms":1,"reason":")" + std::string(reason) +
-                      R"("})";
+      response.body =
+          R"({"clock_ms":1,"reason":")" + std::string(reason) + R"("})";
       return OutcomeOf(response);
     };
     const auto status = [](int code) {
