--- a/src/cell/plan.cc
+++ b/src/cell/plan.cc
@@ -92,9 +92,14 @@
   }
 }
 
+/// Costs in a target's score, whose other parts stay below 3: far from the data
+/// is never chosen while there is a near one, a failed place only before that.
+constexpr double kAwayFromData = 10;
+constexpr double kFailedThere = 5;
+
 /// Lower is better.
 double Score(const Target& target, const Resources& room, const StepSpec& spec,
-             int priority) {
+             const Task& task, int priority) {
   const auto total = static_cast<double>(
       std::max<std::int64_t>(1, target.entry.capacity.cpu_milli));
   const double left =
@@ -103,7 +108,10 @@
       left + target.health.slowness * (priority == kUrgentPriority ? 1.0 : 0.2);
   if (!spec.data_rack.empty() &&
       std::ranges::count(target.entry.labels, spec.data_rack) == 0) {
-    score += 10;
+    score += kAwayFromData;
+  }
+  if (task.failed_on == target.entry.id) {
+    score += kFailedThere;
   }
   return score;
 }
@@ -121,7 +129,7 @@
         SlotsOn(target, spec, candidate.ref) == 0) {
       return;
     }
-    const double score = Score(target, room, spec, candidate.priority);
+    const double score = Score(target, room, spec, task, candidate.priority);
     if (best == nullptr || score < best_score) {
       best = &target;
       best_score = score;
--- a/tests/unit-cell.cc
+++ b/tests/unit-cell.cc
@@ -51,6 +51,7 @@
   CPPUNIT_TEST(CancelledJobStops);
   CPPUNIT_TEST(FailedRunsCountOnceInAnyOrder);
   CPPUNIT_TEST(JobFailsAfterItsAttempts);
+  CPPUNIT_TEST(FailedTaskGoesElsewhereFirst);
   CPPUNIT_TEST(TeamLimitHolds);
   CPPUNIT_TEST(TooLargeTaskIsRefused);
   CPPUNIT_TEST(GangAsksForFurtherTargetsAtOnce);
@@ -163,6 +164,25 @@
     NoBreaches(world);
   }
 
+  // Seen on trouble-1 of ppl-coop: three attempts in a row went to one target.
+  void FailedTaskGoesElsewhereFirst() {
+    WorldOptions options;
+    options.targets = 6;
+    World world(options);
+    cell::Queue queue = PlainQueue("plain");
+    queue.max_attempts = 6;
+    world.SetRules({queue});
+    for (int i = 0; i < 5; ++i) {
+      world.Target(i).faults.fails_all = true;
+    }
+    world.Submit(PlainJob("j1", 1, 100));
+    world.RunUntil(world.NowTime() + Millis(250));
+    for (int i = 0; i < 6; ++i) {
+      const auto& target = world.Target(i);
+      CPPUNIT_ASSERT(target.sequence <= 1);
+    }
+  }
+
   void TeamLimitHolds() {
     World world({});
     cell::Team team{.name = "team-0"};
