--- a/include/buckthornmux/detail/cell/state.h
+++ b/include/buckthornmux/detail/cell/state.h
@@ -19,13 +19,10 @@
 
 /// Bounds and delays. Those without another source are the project's own.
 struct Options {
-  Millis lease{6000};          ///< Of what runs on a target, from each renewal.
-  int drift_per_mille = 20;    ///< A target's clock may be so much slower.
-  Millis stop_time{400};       ///< A stop takes at most this long.
-  Millis gang_timeout{3000};   ///< Gang members wait so long for the others.
-  Millis cancel_within{3000};  ///< A cancelled job's tasks are gone by then.
+  Millis lease{6000};        ///< Of what runs on a target, from each renewal.
+  int drift_per_mille = 20;  ///< A target's clock may be so much slower.
+  Millis stop_time{400};     ///< A stop takes at most this long.
   Millis job_retention{130'000};  ///< Ended jobs are told of for so long.
-  double far_factor = 3;          ///< Slowdown away from the data.
   Millis start_retry{150};        ///< Before an unanswered start is repeated.
   int start_tries = 3;            ///< Sends of one start before it is stopped.
   Millis stop_retry{250};         ///< Before an unanswered stop is repeated.
@@ -109,7 +106,6 @@
   std::int64_t clock_offset = 0;  ///< Target clock minus ours, ms.
   bool clock_known = false;
   TargetHealth health;
-  std::optional<Time> drain_seen;
 };
 
 enum class TaskPhase : std::uint8_t { kWaiting, kLive, kDone };
@@ -140,8 +136,6 @@
   bool asking = false;
   std::uint64_t ask = 0;  ///< Number of the question that is open.
   Time next_ask;
-  Time asked_at;
-  int rounds = 0;
   std::map<TargetId, HeldTicket> tickets;
   // A step's usable targets don't change while it lasts.
   std::set<TargetId> usable;
@@ -210,7 +204,6 @@
   HostId host;
   bool busy = false;
   bool long_call = false;
-  Time busy_since;
   Time not_before;  ///< After a failure.
 };
 
@@ -245,7 +238,6 @@
 /// A set of writes that become durable together.
 struct Batch {
   std::vector<RecordWrite> writes;
-  bool has_targets = false;
   std::vector<std::pair<JobId, std::uint64_t>> versions;
 };
 
--- a/include/buckthornmux/detail/entry/callers.h
+++ b/include/buckthornmux/detail/entry/callers.h
@@ -76,6 +76,8 @@
   void Leave();
   void Stop();
   [[nodiscard]] std::size_t Open() const { return m_open.size(); }
+  /// @brief Port in use.
+  [[nodiscard]] std::uint16_t Port() const { return m_server->Port(); }
 
  private:
   struct OpenCall {
--- a/include/buckthornmux/detail/entry/journal_writer.h
+++ b/include/buckthornmux/detail/entry/journal_writer.h
@@ -57,7 +57,7 @@
   void RetryLoad();
   void Send();
   void CheckHead();
-  void Answered(std::uint64_t round, const Outcome<store::TransactionEnd>& end);
+  void Answered(const Outcome<store::TransactionEnd>& outcome);
   void Applied(Revision revision);
   [[nodiscard]] std::string Key(std::string_view name) const;
 
--- /dev/null
+++ b/include/buckthornmux/detail/entry/status_server.h
@@ -0,0 +1,26 @@
+/// Small HTTP servers of an entry host: readiness and metrics.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "buckthornmux/detail/net/http_server.h"
+#include "buckthornmux/detail/runtime/metrics.h"
+
+namespace buckthornmux::entry {
+
+/// @brief Tells the balancer whether this host takes callers: 200 or 503.
+/// @param path that the balancer asks for; others get 404
+[[nodiscard]] std::unique_ptr<net::HttpServer> ServeReadiness(
+    boost::asio::io_context& io, const std::string& address,
+    std::string_view path, std::function<bool()> ready);
+
+/// @brief Serves the metrics as text, on any path.
+/// @param metrics outlives the server
+[[nodiscard]] std::unique_ptr<net::HttpServer> ServeMetrics(
+    boost::asio::io_context& io, const std::string& address,
+    const runtime::Metrics& metrics);
+
+}  // namespace buckthornmux::entry
--- a/src/cell/advice.cc
+++ b/src/cell/advice.cc
@@ -189,11 +189,8 @@
   }
   lane->busy = true;
   lane->long_call = time > kLongCall;
-  lane->busy_since = now;
   advice.asking = true;
-  advice.asked_at = now;
   advice.ask = cell.next_ask++;
-  ++advice.rounds;
   const Millis timeout = time + cell.options.advice_timeout;
   cell.open_advice.emplace(
       advice.ask,
--- a/src/cell/reports.cc
+++ b/src/cell/reports.cc
@@ -48,16 +48,14 @@
   target.acked_end = 0;
   target.pending_ends.clear();
   target.health = {};
-  target.drain_seen.reset();
 }
 
 void UpdateTarget(Cell& cell, Actions& actions, Target& target,
-                  const TargetEntry& entry, Time now) {
+                  const TargetEntry& entry) {
   if (entry.life > target.entry.life) {
     BeginLife(cell, actions, target, entry.life, "list");
   }
   if (entry.draining && !target.entry.draining) {
-    target.drain_seen = now;
     Note(actions, "target_draining",
          {{"target", entry.id},
           {"remaining_ms", std::to_string(entry.remaining.count())}});
@@ -332,7 +330,7 @@
             {"address", entry.address},
             {"service", entry.service}});
     } else {
-      UpdateTarget(cell, actions, found->second, entry, now);
+      UpdateTarget(cell, actions, found->second, entry);
     }
   }
   for (auto& [id, target] : cell.targets) {
--- a/src/entry/callers.cc
+++ b/src/entry/callers.cc
@@ -159,6 +159,9 @@
     return refuse(ErrorKind::kConfigStale, kUnavailable);
   }
   const cell::Rules& rules = *m_rules.Current();
+  if (request.body.size() > rules.max_body_bytes) {
+    return refuse(ErrorKind::kTooLarge, 413);
+  }
   const auto route =
       FindRoute(rules, WithoutPort(request.HeaderValue("Host")), path);
   if (!route) {
--- a/src/entry/cell_host.cc
+++ b/src/entry/cell_host.cc
@@ -34,10 +34,7 @@
   cell::Options options;
   options.lease = std::min(kLongestLease, bounds.longest_lease);
   options.stop_time = bounds.stop_time;
-  options.gang_timeout = bounds.gang_timeout;
-  options.cancel_within = bounds.cancel_within;
   options.job_retention = bounds.status_kept + kStatusSlack;
-  options.far_factor = bounds.far_factor;
   return options;
 }
 
--- a/src/entry/host.cc
+++ b/src/entry/host.cc
@@ -7,9 +7,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
-#include <fstream>
 #include <memory>
-#include <sstream>
 #include <utility>
 
 #include "buckthornmux/detail/entry/callers.h"
@@ -18,7 +16,9 @@
 #include "buckthornmux/detail/entry/log_buffer.h"
 #include "buckthornmux/detail/entry/membership.h"
 #include "buckthornmux/detail/entry/rules_reader.h"
+#include "buckthornmux/detail/entry/settings_file.h"
 #include "buckthornmux/detail/entry/slowness.h"
+#include "buckthornmux/detail/entry/status_server.h"
 #include "buckthornmux/detail/entry/target_reader.h"
 #include "buckthornmux/detail/net/http_server.h"
 #include "buckthornmux/detail/peer/peer_links.h"
@@ -80,16 +80,6 @@
           platform::OutcomeOf, platform::ParseReport};
 }
 
-Result<HostSettings> ReadSettings(const std::string& path) {
-  std::ifstream file(path);
-  if (!file) {
-    return Fail(ErrorKind::kFileUnreadable, "can't read the settings", path);
-  }
-  std::ostringstream text;
-  text << file.rdbuf();
-  return platform::ParseSettings(text.str());
-}
-
 member::Member SelfOf(const HostSettings& settings) {
   return {settings.host,
           {},
@@ -127,8 +117,11 @@
             [this] { return m_members.LeaseHeld(); }),
         m_peers(m_io, PeerOptions(), PeerHandlers()) {
     runtime::SetLogSink([this](std::string_view line) { m_log.Append(line); });
-    ServeReadiness();
-    ServeMetrics();
+    m_readiness =
+        ServeReadiness(m_io, m_settings.readiness_address,
+                       platform::kReadinessPath, [this] { return Ready(); });
+    m_metrics_server =
+        ServeMetrics(m_io, m_settings.metrics_address, m_metrics);
   }
   Host(const Host&) = delete;
   Host& operator=(const Host&) = delete;
@@ -313,37 +306,6 @@
            m_links_up.contains(owner);
   }
 
-  void ServeReadiness() {
-    net::HttpServerOptions options;
-    options.address = m_settings.readiness_address;
-    m_readiness = std::make_unique<net::HttpServer>(
-        m_io, options,
-        [this](const net::HttpRequest& request, const net::Responder& respond) {
-          constexpr int kNotFound = 404;
-          constexpr int kUnavailable = 503;
-          net::HttpResponse response;
-          if (request.target != platform::kReadinessPath) {
-            response.status = kNotFound;
-          } else if (!Ready()) {
-            response.status = kUnavailable;
-          }
-          respond(std::move(response));
-        });
-  }
-
-  void ServeMetrics() {
-    net::HttpServerOptions options;
-    options.address = m_settings.metrics_address;
-    m_metrics_server = std::make_unique<net::HttpServer>(
-        m_io, options,
-        [this](const net::HttpRequest&, const net::Responder& respond) {
-          net::HttpResponse response;
-          response.content_type = "text/plain";
-          response.body = m_metrics.Text();
-          respond(std::move(response));
-        });
-  }
-
   void AwaitSignal() {
     m_signals.async_wait([this](boost::system::error_code error, int signal) {
       if (error) {
@@ -365,7 +327,9 @@
   /// Reads the settings again. Addresses of this host can't change while it
   /// runs; what else changed is logged.
   void Reload(std::string_view cause) {
-    auto outcome = Capture([this] { return ReadSettings(m_settings_path); });
+    auto outcome = Capture([this] {
+      return ReadSettings(m_settings_path, platform::ParseSettings);
+    });
     if (const auto* error = std::get_if<Error>(&outcome)) {
       LogLine("settings_unreadable", Level::kWarning)
           .With("cause", cause)
@@ -390,7 +354,9 @@
       return;
     }
     m_settings_at = now + kSettingsEvery;
-    auto outcome = Capture([this] { return ReadSettings(m_settings_path); });
+    auto outcome = Capture([this] {
+      return ReadSettings(m_settings_path, platform::ParseSettings);
+    });
     const auto* settings = std::get_if<HostSettings>(&outcome);
     if (settings != nullptr &&
         (settings->store_address != m_settings.store_address ||
@@ -519,7 +485,8 @@
   constexpr int kTrimAbove = 256 * 1024;
   mallopt(M_TRIM_THRESHOLD, kTrimAbove);
   mallopt(M_ARENA_MAX, 1);
-  BOOST_LEAF_AUTO(settings, ReadSettings(settings_path));
+  BOOST_LEAF_AUTO(settings,
+                  ReadSettings(settings_path, platform::ParseSettings));
   Host host(std::move(settings), settings_path);
   return host.Run();
 }
--- a/src/entry/journal_writer.cc
+++ b/src/entry/journal_writer.cc
@@ -133,13 +133,12 @@
       std::move(transaction),
       [this, round = m_round, sequence = m_sequence](const auto& outcome) {
         if (round == m_round && sequence == m_sequence) {
-          Answered(round, outcome);
+          Answered(outcome);
         }
       });
 }
 
-void JournalWriter::Answered(std::uint64_t /*round*/,
-                             const Outcome<store::TransactionEnd>& outcome) {
+void JournalWriter::Answered(const Outcome<store::TransactionEnd>& outcome) {
   --m_in_flight;
   if (!m_batch) {
     return;  // Known to be stored meanwhile.
