--- a/include/buckthornmux/detail/cell/state.h
+++ b/include/buckthornmux/detail/cell/state.h
@@ -121,6 +121,7 @@
     return static_cast<std::uint32_t>(failed_runs.size());
   }
   TargetId failed_on;  ///< Not tried there again at once.
+  Time failed_at;      ///< When its last failed run was reported.
   int moves = 0;       ///< Times it was taken off a slow target.
 };
 
--- a/src/cell/plan.cc
+++ b/src/cell/plan.cc
@@ -11,6 +11,11 @@
 constexpr int kHopelessFactor = 3;
 /// Successes this recent make a target fit for a task's last attempt.
 constexpr Millis kProvenWithin{10'000};
+/// A last attempt waits so long for such a target: in a quiet cell there is
+/// none.
+constexpr Millis kProofWait{1500};
+/// Then so long for one that has not failed lately; after that it takes any.
+constexpr Millis kHealthyWait{4000};
 /// Steps looked at in one round: what comes later finds no room anyway.
 constexpr std::size_t kMostPlanned = 150;
 
@@ -69,12 +74,15 @@
     return false;
   }
   const bool last_attempt = task.Failures() + 1 >= queue.max_attempts;
-  if (!task.failed_runs.empty() && last_attempt && !spec.service) {
-    return task.failed_on != target.entry.id &&
-           target.health.failures_in_row == 0 &&
-           round.now - target.health.last_success <= kProvenWithin;
+  const Millis waited = round.now - task.failed_at;
+  if (task.failed_runs.empty() || !last_attempt || spec.service ||
+      waited > kHealthyWait) {
+    return true;
   }
-  return true;
+  const bool healthy =
+      task.failed_on != target.entry.id && target.health.failures_in_row == 0;
+  const bool proven = round.now - target.health.last_success <= kProvenWithin;
+  return healthy && (proven || waited > kProofWait);
 }
 
 /// Calls `use` for each target that the step has a right to.
--- a/src/cell/steps.cc
+++ b/src/cell/steps.cc
@@ -94,6 +94,7 @@
   }
   counted.failed_runs.push_back(run.number);
   counted.failed_on = target;
+  counted.failed_at = now;
   Touch(cell, job, false, now);
   const Queue* queue = QueueOf(cell, job.spec.queue);
   const std::uint32_t attempts =
--- a/tests/unit-cell.cc
+++ b/tests/unit-cell.cc
@@ -52,6 +52,7 @@
   CPPUNIT_TEST(FailedRunsCountOnceInAnyOrder);
   CPPUNIT_TEST(JobFailsAfterItsAttempts);
   CPPUNIT_TEST(FailedTaskGoesElsewhereFirst);
+  CPPUNIT_TEST(LastAttemptNeedsNoProofInAQuietCell);
   CPPUNIT_TEST(TeamLimitHolds);
   CPPUNIT_TEST(TooLargeTaskIsRefused);
   CPPUNIT_TEST(GangAsksForFurtherTargetsAtOnce);
@@ -183,6 +184,30 @@
     }
   }
 
+  // Seen in a hunt on ppl-coop (deploy/days/other-troubles.toml, seed
+  // 207597780558): at the end of the day no target had worked within 10 s, and
+  // a task with one attempt left was not started again for 16 s.
+  void LastAttemptNeedsNoProofInAQuietCell() {
+    for (const int targets : {6, 1}) {
+      WorldOptions options;
+      options.targets = targets;
+      World world(options);
+      cell::Queue queue = PlainQueue("plain");
+      queue.max_attempts = 2;
+      world.SetRules({queue});
+      for (int i = 0; i < targets; ++i) {
+        world.Target(i).faults.fails_all = true;
+      }
+      world.Submit(PlainJob("j1", 1, 100));
+      world.RunUntil(world.NowTime() + Millis(400));
+      for (int i = 0; i < targets; ++i) {
+        world.Target(i).faults.fails_all = false;
+      }
+      world.RunUntil(world.NowTime() + Millis(5000));
+      CPPUNIT_ASSERT(world.PhaseOf("j1") == JobPhase::kCompleted);
+    }
+  }
+
   void TeamLimitHolds() {
     World world({});
     cell::Team team{.name = "team-0"};
