A host that the store turns away goes on by what other hosts have read

Cause: callers of such hosts fared worst. Ruled out: room and tickets (waits of urgent work had a median of 24 ms).

Change: a gauge of store calls tells since when the store does not serve this host; it then asks others what they have read (rules with their age, the owner), keeps its links to them, believes a later owner record, and hands the cell over to a host that the store still serves. Calls wait for that owner; a host without a registration answers none from its state. Callers are served and their connections closed, so that they move to a host in rotation.

Tests: unit-store-relay, unit-ownership, unit-entry-callers.

--- a/include/buckthornmux/detail/entry/callers.h
+++ b/include/buckthornmux/detail/entry/callers.h
@@ -45,19 +45,24 @@
 /// What became of handing a call on.
 enum class Handed : std::uint8_t { kSent, kNoOwner, kUnreachable };
 
+/// What callers' calls need of the process around them.
+struct CallerLinks {
+  /// Hands a call to the owner of the cell.
+  std::function<Handed(const CellCall& call, HostId& to)> forward;
+  /// Whether a lost owner is about to be replaced.
+  std::function<bool()> owner_expected;
+  /// Whether callers fare better at other hosts: they are served, and their
+  /// connections closed.
+  std::function<bool()> others_fare_better;
+};
+
 /// @brief Serves callers. Each request gets one answer, at its deadline at the
 ///   latest; what surely has not been taken is refused at once.
 class Callers {
  public:
-  /// Hands a call to the owner of the cell.
-  using Forward = std::function<Handed(const CellCall& call, HostId& to)>;
-  /// Whether a new owner can be expected soon: this host sees the store.
-  using OwnerExpected = std::function<bool()>;
-
   Callers(boost::asio::io_context& io, const std::string& address,
           CallerCodec codec, const RulesReader& rules, Millis key_trust,
-          runtime::Metrics& metrics, Forward forward,
-          OwnerExpected owner_expected);
+          runtime::Metrics& metrics, CallerLinks links);
 
   /// @brief Takes an owner's answer.
   void Reply(const CellReply& reply);
@@ -82,18 +87,21 @@
  private:
   struct OpenCall {
     CellCall call;
-    HostId sent_to;     ///< Empty: waits for an owner.
-    bool sent = false;  ///< Has been handed on at least once.
+    HostId sent_to;         ///< Empty: waits for an owner.
+    bool doubtful = false;  ///< Some hand-over has no sure word.
     Time began;
     Time deadline;
     Time owner_by;  ///< Refused where no owner took it by then.
+    Time hand_at;   ///< Not handed on again before.
+    ErrorKind waits_for = ErrorKind::kOwnerUnknown;  ///< Why nobody took it.
     net::Responder respond;
   };
 
   void Take(const net::HttpRequest& request, const net::Responder& respond);
   void Hand(CellCall call, Millis patience, const net::Responder& respond);
   void TryHand(std::uint64_t number, Time now);
-  void GiveUp(std::uint64_t number, ErrorKind kind, std::string_view why);
+  void GiveUp(std::uint64_t number);
+  static void WaitForOwner(OpenCall& open, const CellReply& reply);
   void Answer(const OpenCall& open, net::HttpResponse response,
               std::string_view why);
   [[nodiscard]] net::HttpResponse Refusal(ErrorKind kind, int status) const;
@@ -102,8 +110,7 @@
   const RulesReader& m_rules;
   Millis m_key_trust;
   runtime::Metrics& m_metrics;
-  Forward m_forward;
-  OwnerExpected m_owner_expected;
+  CallerLinks m_links;
   std::uint64_t m_next = 1;
   std::map<std::uint64_t, OpenCall> m_open;
   std::unique_ptr<net::HttpServer> m_server;
--- a/include/buckthornmux/detail/entry/calls.h
+++ b/include/buckthornmux/detail/entry/calls.h
@@ -7,6 +7,7 @@
 
 #include "buckthornmux/detail/cell/state.h"
 #include "buckthornmux/detail/core/error.h"
+#include "buckthornmux/detail/member/ownership.h"
 
 namespace buckthornmux::entry {
 
@@ -51,6 +52,28 @@
   Millis timeout{0};
 };
 
+/// A host that the store does not serve asks another one what it has read.
+struct StoreNewsAsk {
+  std::uint64_t ask = 0;
+  Revision rules_known = 0;  ///< Revision of the configuration that it has.
+};
+
+struct StoreNews {
+  std::uint64_t ask = 0;
+  Millis served_age{0};  ///< Since the start of the last call answered well.
+  bool may_own = false;  ///< Would take the cell over.
+  Revision rules_revision = 0;
+  Millis rules_age{0};        ///< Since this revision was surely the newest.
+  std::string rules_text;     ///< Where the asking host has an older one.
+  member::OwnerRecord owner;  ///< Without a range where none is registered.
+};
+
+/// The sender has abandoned the range and asks the receiver to claim it.
+struct RangeOffer {
+  std::string range;
+  Epoch epoch = 0;
+};
+
 struct AdviceReply {
   std::uint64_t ask = 0;
   Epoch epoch = 0;
--- a/include/buckthornmux/detail/entry/membership.h
+++ b/include/buckthornmux/detail/entry/membership.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -49,6 +50,13 @@
   /// @brief The owner has let go of a range.
   void Released(const std::string& range);
 
+  /// @brief Serves a range no more, without a word to the store.
+  void Abandon(const std::string& range);
+  /// @brief The owner of that epoch has abandoned the range to this host.
+  void TakeOffer(const std::string& range, Epoch epoch);
+  /// @brief Another host has read this record from the store.
+  void HearOwner(const member::OwnerRecord& record);
+
   /// @brief Ends the registration; the last call.
   void Unregister(std::function<void()> done);
 
@@ -61,13 +69,17 @@
   }
   /// @brief Registered owner of a range; empty where none is known.
   [[nodiscard]] HostId OwnerOf(const std::string& range) const;
+  /// @brief Epoch under which this host owns a range; 0 where it does not.
+  [[nodiscard]] Epoch OwnedEpoch(const std::string& range) const;
+  /// @brief Record of a range whose owner is registered in the last view.
+  [[nodiscard]] std::optional<member::OwnerRecord> RegisteredOwner(
+      const std::string& range) const;
   /// @brief Other members that may own ranges.
   [[nodiscard]] std::size_t OthersActive() const;
   /// @brief Whether nothing is owned or about to be.
   [[nodiscard]] bool OwnsNothing() const {
     return member::OwnsNothing(m_ownership);
   }
-  [[nodiscard]] bool LeaseHeld() const { return m_ownership.lease_held; }
 
  private:
   void Decide(const member::Event& event);
@@ -97,6 +109,8 @@
   bool m_watching = false;
   bool m_unregistered = false;
   bool m_store_well = true;
+  member::OwnerRecord m_heard;  ///< Last record that another host told of.
+  Time m_heard_at;
   Time m_register_at;
   Time m_renew_at;
   Time m_read_at;
--- a/include/buckthornmux/detail/entry/rules_reader.h
+++ b/include/buckthornmux/detail/entry/rules_reader.h
@@ -37,16 +37,26 @@
   ///   last read that was answered.
   [[nodiscard]] Time ConfirmedAt() const { return m_confirmed_at; }
 
+  /// @brief The value in force and its revision, as other hosts are told.
+  [[nodiscard]] const store::Entry& Latest() const { return m_latest; }
+
+  /// @brief Takes what another host has read.
+  /// @param entry with an empty value where this host has that revision
+  /// @param confirmed_at when that revision was surely the newest
+  void Hear(const store::Entry& entry, Time confirmed_at);
+
  private:
   void Read();
   void Watch();
   void Take(const store::Entry& entry);
+  void Apply(const store::Entry& entry);
 
   const store::AsyncStore& m_store;
   std::string m_key;
   RulesParser m_parse;
   std::function<void()> m_changed;
   RulesPtr m_rules;
+  store::Entry m_latest;    ///< The last value that could be read.
   Revision m_revision = 0;  ///< Of the key's value that was last looked at.
   Time m_confirmed_at;
   Time m_read_at;
--- /dev/null
+++ b/include/buckthornmux/detail/entry/store_gauge.h
@@ -0,0 +1,43 @@
+/// How a host finds the store: whether its calls are answered.
+/// Pure: told of calls and times, makes none.
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <set>
+
+#include "buckthornmux/detail/core/time.h"
+#include "buckthornmux/detail/store/async_store.h"
+
+namespace buckthornmux::entry {
+
+/// What became of the calls to the store since the last good answer.
+struct StoreGauge {
+  Time answered;                  ///< Start of the latest call answered well.
+  std::multiset<Time> open;       ///< Starts of calls without an answer yet.
+  std::optional<Time> first_bad;  ///< Start of the first call that failed...
+  Time last_bad;                  ///< ...and of the last one, since `answered`.
+};
+
+/// @brief A call left.
+void CallBegan(StoreGauge& gauge, Time began);
+
+/// @brief A call that began then has ended.
+/// @param good false for no answer and for a store that turns this host away
+void CallEnded(StoreGauge& gauge, Time began, bool good);
+
+/// @brief Since when the store does not serve this host.
+/// @return start of the first call since the last good one that failed or has
+///   no answer for longer than a slow store takes; nothing while all is well
+[[nodiscard]] std::optional<Time> TroubleSince(const StoreGauge& gauge,
+                                               Time now);
+
+/// @brief Wraps a store's calls so that they are counted.
+/// Watches are left out: they wait by design.
+/// @param gauge outlives the calls
+/// @param clock time of the calls
+[[nodiscard]] store::AsyncStore WithGauge(const store::AsyncStore& store,
+                                          StoreGauge& gauge,
+                                          std::function<Time()> clock);
+
+}  // namespace buckthornmux::entry
--- a/include/buckthornmux/detail/member/ownership.h
+++ b/include/buckthornmux/detail/member/ownership.h
@@ -83,6 +83,21 @@
 struct Released {
   std::string range;
 };
+/// Another process has read this owner record from the store.
+struct OwnerHeard {
+  OwnerRecord record;
+};
+/// This process can't reach the store while others can: it has stopped to serve
+/// the range and lets anyone claim it, without a word in the record.
+struct Abandoned {
+  std::string range;
+};
+/// The owner of that epoch has abandoned the range and asks this process to
+/// claim it.
+struct Offered {
+  std::string range;
+  Epoch epoch = 0;
+};
 /// This process shuts down or is not well: hand over everything.
 struct Leave {};
 /// This process takes part again after it had left.
@@ -91,7 +106,8 @@
 struct Tick {};
 
 using Event = std::variant<RangesWanted, StoreView, Registered, LeaseRenewed,
-                           ClaimAnswered, Released, Leave, Return, Tick>;
+                           ClaimAnswered, Released, OwnerHeard, Abandoned,
+                           Offered, Leave, Return, Tick>;
 
 // ---- Actions --------------------------------------------------------------
 
@@ -154,6 +170,8 @@
   Time claim_at;                     ///< No further claim before this time,
   std::optional<Time> view_after;    ///< nor before a view read since then.
   std::optional<Time> ownerless;     ///< Since when no registered owner.
+  Epoch abandoned = 0;  ///< The owner of this epoch serves the range no more.
+  Epoch offered = 0;    ///< ...and has asked this process to claim it.
 };
 
 /// All that ownership decides from.
--- a/include/buckthornmux/detail/peer/messages.h
+++ b/include/buckthornmux/detail/peer/messages.h
@@ -69,7 +69,8 @@
     std::variant<Hello, Ping, Pong, CallSubmit, CallCancel, CallQuery, CallGone,
                  CallReply, home::ToShard, home::FromShard, NotTaken,
                  ConfigText, ConfigWanted, entry::CellCall, entry::CellReply,
-                 entry::AdviceAsk, entry::AdviceReply>;
+                 entry::AdviceAsk, entry::AdviceReply, entry::StoreNewsAsk,
+                 entry::StoreNews, entry::RangeOffer>;
 
 /// State of one shard in a heartbeat.
 struct ShardBeat {
--- a/src/entry/callers.cc
+++ b/src/entry/callers.cc
@@ -21,6 +21,8 @@
 constexpr Millis kLongestWait{2500};
 /// A call waits so long for an owner: a lost one is replaced within its lease.
 constexpr Millis kOwnerWait{1500};
+/// A call that an owner has not taken is handed on again after this.
+constexpr Millis kHandAgain{100};
 constexpr Millis kAnswerMargin{150};  ///< For the answer's way back.
 /// When to come back: a new owner serves within about this time.
 constexpr Millis kOwnerReturn{1000};
@@ -98,14 +100,12 @@
 
 Callers::Callers(boost::asio::io_context& io, const std::string& address,
                  CallerCodec codec, const RulesReader& rules, Millis key_trust,
-                 runtime::Metrics& metrics, Forward forward,
-                 OwnerExpected owner_expected)
+                 runtime::Metrics& metrics, CallerLinks links)
     : m_codec(std::move(codec)),
       m_rules(rules),
       m_key_trust(key_trust * kTrustPercent / 100),
       m_metrics(metrics),
-      m_forward(std::move(forward)),
-      m_owner_expected(std::move(owner_expected)) {
+      m_links(std::move(links)) {
   net::HttpServerOptions options;
   options.address = address;
   options.kept_headers = {"Host", m_codec.key_header, m_codec.deadline_header};
@@ -211,14 +211,14 @@
   const Time now = Now();
   const std::uint64_t number = m_next++;
   call.call = number;
-  const Millis wait = m_owner_expected() ? kOwnerWait : Millis(0);
-  m_open.emplace(number, OpenCall{std::move(call),
-                                  {},
-                                  false,
-                                  now,
-                                  now + patience,
-                                  now + std::min(wait, patience),
-                                  respond});
+  const Millis wait = m_links.owner_expected() ? kOwnerWait : Millis(0);
+  OpenCall open;
+  open.call = std::move(call);
+  open.began = now;
+  open.deadline = now + patience;
+  open.owner_by = now + std::min(wait, patience);
+  open.respond = respond;
+  m_open.emplace(number, std::move(open));
   TryHand(number, now);
 }
 
@@ -226,43 +226,45 @@
 void Callers::TryHand(std::uint64_t number, Time now) {
   OpenCall& open = m_open.at(number);
   HostId to;
+  const Handed handed = m_links.forward(open.call, to);
   // The answer may come, and end the call, before the hand-over returns.
-  const bool was_sent = std::exchange(open.sent, true);
-  const Handed handed = m_forward(open.call, to);
   const auto found = m_open.find(number);
   if (found == m_open.end()) {
     return;
   }
-  if (handed == Handed::kSent) {
+  if (handed != Handed::kSent) {
+    found->second.waits_for = handed == Handed::kNoOwner
+                                  ? ErrorKind::kOwnerUnknown
+                                  : ErrorKind::kPeerUnreachable;
+    if (now >= found->second.owner_by) {
+      GiveUp(number);
+    }
+  } else if (found->second.hand_at <= now) {  // Else refused meanwhile.
     found->second.sent_to = to;
-    return;
-  }
-  found->second.sent = was_sent;
-  if (now >= found->second.owner_by) {
-    const ErrorKind kind = handed == Handed::kNoOwner
-                               ? ErrorKind::kOwnerUnknown
-                               : ErrorKind::kPeerUnreachable;
-    GiveUp(number, kind, AnswerFor(kind).name);
   }
 }
 
-void Callers::GiveUp(std::uint64_t number, ErrorKind kind,
-                     std::string_view why) {
+/// Ends a call that nobody has taken by its time.
+void Callers::GiveUp(std::uint64_t number) {
   const auto found = m_open.find(number);
   const OpenCall open = std::move(found->second);
   m_open.erase(found);
+  const bool unanswered = !open.sent_to.empty();
   // A submit or cancel that was handed on may have been taken: "not run" would
   // be untrue.
   const bool changes = open.call.kind == CallKind::kSubmit ||
                        open.call.kind == CallKind::kCancel;
-  Answer(open,
-         Refusal(kind, open.sent && changes ? kGatewayTimeout : kUnavailable),
-         why);
+  const bool unknown = changes && (open.doubtful || unanswered);
+  const ErrorKind kind =
+      unanswered ? ErrorKind::kOutcomeUnknown : open.waits_for;
+  Answer(open, Refusal(kind, unknown ? kGatewayTimeout : kUnavailable),
+         unanswered ? "owner silent" : AnswerFor(kind).name);
 }
 
 void Callers::Answer(const OpenCall& open, net::HttpResponse response,
                      std::string_view why) {
   const Time now = Now();
+  response.close = response.close || m_links.others_fare_better();
   const bool good = response.status / 100 == 2;
   const CallKind kind = open.call.kind;
   if (kind == CallKind::kSubmit) {
@@ -291,8 +293,11 @@
                          reply.error == ErrorKind::kNotReady;
   const bool unanswered =
       reply.end == CallEnd::kRefused || reply.end == CallEnd::kUnknown;
-  if (unanswered && not_owner) {
-    found->second.sent_to.clear();  // Waits for the next owner.
+  // An owner that can't store is about to be replaced, if anybody can.
+  const bool to_be_replaced =
+      reply.error == ErrorKind::kStoreUnavailable && m_links.owner_expected();
+  if (unanswered && (not_owner || to_be_replaced)) {
+    WaitForOwner(found->second, reply);
     return;
   }
   const OpenCall open = std::move(found->second);
@@ -329,11 +334,24 @@
   Answer(open, std::move(response), why);
 }
 
+/// The next owner is to take the call.
+void Callers::WaitForOwner(OpenCall& open, const CellReply& reply) {
+  const Time now = Now();
+  open.sent_to.clear();
+  open.hand_at = now + kHandAgain;
+  open.waits_for = reply.error;
+  if (reply.end == CallEnd::kUnknown) {  // Its owner let go of it.
+    open.doubtful = true;
+    open.owner_by = std::min(open.deadline, now + kOwnerWait);
+  }
+}
+
 void Callers::HostLost(const HostId& host) {
   const Time now = Now();
   for (auto& [number, open] : m_open) {
     if (open.sent_to == host) {
       open.sent_to.clear();
+      open.doubtful = true;
       open.owner_by = std::min(open.deadline, now + kOwnerWait);
     }
   }
@@ -343,14 +361,15 @@
   std::vector<std::uint64_t> overdue;
   std::vector<std::uint64_t> waiting;
   for (const auto& [number, open] : m_open) {
-    if (now >= open.deadline) {
+    const bool waits = open.sent_to.empty();
+    if (now >= open.deadline || (waits && now >= open.owner_by)) {
       overdue.push_back(number);
-    } else if (open.sent_to.empty()) {
+    } else if (waits && now >= open.hand_at) {
       waiting.push_back(number);
     }
   }
   for (const std::uint64_t number : overdue) {
-    GiveUp(number, ErrorKind::kOutcomeUnknown, "owner silent");
+    GiveUp(number);
   }
   for (const std::uint64_t number : waiting) {
     TryHand(number, now);
--- a/src/entry/cell_host.cc
+++ b/src/entry/cell_host.cc
@@ -179,9 +179,9 @@
 void CellHost::Call(const HostId& from, const CellCall& call) {
   CellReply reply;
   reply.call = call.call;
-  if (!Serving() || m_released) {
-    reply.end =
-        call.kind == CallKind::kSubmit ? CallEnd::kRefused : CallEnd::kUnknown;
+  // Without a registration another host may own the cell by now.
+  if (!Serving() || m_released || !m_lease_held) {
+    reply.end = CallEnd::kRefused;
     reply.error = m_owner ? ErrorKind::kNotReady : ErrorKind::kOwnerUnknown;
     reply.message = "this host does not serve the cell now";
     m_events.reply(from, reply);
--- a/src/entry/host.cc
+++ b/src/entry/host.cc
@@ -7,7 +7,9 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
+#include <map>
 #include <memory>
+#include <set>
 #include <utility>
 
 #include "buckthornmux/detail/entry/callers.h"
@@ -19,6 +21,8 @@
 #include "buckthornmux/detail/entry/settings_file.h"
 #include "buckthornmux/detail/entry/slowness.h"
 #include "buckthornmux/detail/entry/status_server.h"
+#include "buckthornmux/detail/entry/store_gauge.h"
+#include "buckthornmux/detail/entry/store_relay.h"
 #include "buckthornmux/detail/entry/target_reader.h"
 #include "buckthornmux/detail/net/http_server.h"
 #include "buckthornmux/detail/peer/peer_links.h"
@@ -98,7 +102,7 @@
         m_timer(m_io),
         m_log(STDOUT_FILENO),
         m_client(m_io, ClientOptions()),
-        m_store(platform::MakeKvStore(m_client, m_settings.store_address, {})),
+        m_store(MakeStore()),
         m_rules(m_store, std::string(platform::kRulesKey), platform::ParseRules,
                 [this] { m_cell.SetRules(m_rules.Current()); }),
         m_targets(m_store, std::string(platform::kTargetsPrefix),
@@ -108,13 +112,9 @@
                   MembershipHandlers()),
         m_cell(m_io, m_settings, m_store, m_client, m_metrics,
                MakeTargetCalls(), CellHandlers()),
-        m_callers(
-            m_io, m_settings.callers_address, MakeCallerCodec(), m_rules,
-            m_settings.bounds.key_trust, m_metrics,
-            [this](const CellCall& call, HostId& to) {
-              return Forward(call, to);
-            },
-            [this] { return m_members.LeaseHeld(); }),
+        m_relay(m_rules, m_gauge, RelayLinks()),
+        m_callers(m_io, m_settings.callers_address, MakeCallerCodec(), m_rules,
+                  m_settings.bounds.key_trust, m_metrics, CallersLinks()),
         m_peers(m_io, PeerOptions(), PeerHandlers()) {
     runtime::SetLogSink([this](std::string_view line) { m_log.Append(line); });
     m_readiness =
@@ -163,6 +163,48 @@
             [this] { TakeView(); }};
   }
 
+  store::AsyncStore MakeStore() {
+    return WithGauge(
+        platform::MakeKvStore(m_client, m_settings.store_address, {}), m_gauge,
+        Now);
+  }
+
+  CallerLinks CallersLinks() {
+    return {
+        [this](const CellCall& call, HostId& to) { return Forward(call, to); },
+        [this] { return m_relay.OwnerExpected(Now()); },
+        [this] { return m_relay.OthersFareBetter(Now()); }};
+  }
+
+  StoreRelayLinks RelayLinks() {
+    return {
+        [this] {
+          return std::vector<HostId>(m_links_up.begin(), m_links_up.end());
+        },
+        [this](const HostId& to, const StoreNewsAsk& ask) { SendTo(to, ask); },
+        [this](const HostId& to, const StoreNews& news) { SendTo(to, news); },
+        [this] { return m_members.RegisteredOwner(std::string(kRange)); },
+        [this](const auto& record) { m_members.HearOwner(record); },
+        [this] { return !m_leaving && !m_resting; },
+        [this](const HostId& to) { HandOverTo(to); }};
+  }
+
+  /// The store serves that host and not this one: it should own the cell.
+  void HandOverTo(const HostId& to) {
+    if (!m_cell.Owning()) {
+      return;
+    }
+    const std::string range(kRange);
+    const Epoch epoch = m_members.OwnedEpoch(range);
+    LogLine("range_abandoned", Level::kWarning)
+        .With("range", range)
+        .With("epoch", epoch)
+        .With("to", to)
+        .With("reason", "the store serves that host and not this one");
+    m_members.Abandon(range);
+    SendTo(to, RangeOffer{range, epoch});
+  }
+
   CellHostEvents CellHandlers() {
     return {[this](const HostId& to, const CellReply& reply) {
               if (to == m_settings.host) {
@@ -228,6 +270,12 @@
       AskAdviser(from, *ask);
     } else if (const auto* advice = std::get_if<AdviceReply>(&message)) {
       m_cell.AdviceAnswered(*advice);
+    } else if (const auto* wanted = std::get_if<StoreNewsAsk>(&message)) {
+      m_relay.Take(from, *wanted, Now());
+    } else if (const auto* news = std::get_if<StoreNews>(&message)) {
+      m_relay.Take(from, *news, Now());
+    } else if (const auto* offer = std::get_if<RangeOffer>(&message)) {
+      m_members.TakeOffer(offer->range, offer->epoch);
     } else {
       LogLine("message_unexpected", Level::kWarning)
           .With("from", from)
@@ -236,9 +284,21 @@
   }
 
   void TakeView() {
-    std::vector<peer::PeerAddress> peers;
+    std::map<HostId, std::string> addresses;
     for (const member::Member& known : m_members.Members()) {
-      peers.push_back({known.id, known.peer_address});
+      addresses[known.id] = known.peer_address;
+    }
+    // A host that the store turns away loses its registration; as long as it
+    // can be reached it is answered.
+    for (const auto& [host, address] : m_peer_addresses) {
+      if (m_links_up.contains(host)) {
+        addresses.emplace(host, address);
+      }
+    }
+    m_peer_addresses = std::move(addresses);
+    std::vector<peer::PeerAddress> peers;
+    for (const auto& [host, address] : m_peer_addresses) {
+      peers.push_back({host, address});
     }
     m_peers.SetPeers(peers);
     SetLanes();
@@ -298,7 +358,9 @@
   }
 
   [[nodiscard]] bool Ready() const {
-    if (m_leaving || !m_callers.RulesTrusted(Now())) {
+    const Time now = Now();
+    if (m_leaving || !m_callers.RulesTrusted(now) ||
+        m_relay.OthersFareBetter(now)) {
       return false;
     }
     const HostId owner = m_members.OwnerOf(std::string(kRange));
@@ -338,13 +400,13 @@
     }
     auto& settings = std::get<HostSettings>(outcome);
     if (settings.store_address != m_settings.store_address) {
-      m_store = platform::MakeKvStore(m_client, settings.store_address, {});
+      m_settings.store_address = settings.store_address;
+      m_store = MakeStore();
     }
     LogLine("settings_read")
         .With("cause", cause)
         .With("store", settings.store_address)
         .With("adviser", settings.adviser_address);
-    m_settings.store_address = settings.store_address;
     m_settings.adviser_address = settings.adviser_address;
   }
 
@@ -431,6 +493,7 @@
   void Tick() {
     const Time now = Now();
     MindSlowness(now);
+    m_relay.Tick(now);
     m_rules.Tick(now);
     m_targets.Tick(now);
     m_members.Tick(now);
@@ -456,16 +519,19 @@
   LogBuffer m_log;
   runtime::Metrics m_metrics;
   net::HttpClient m_client;
+  StoreGauge m_gauge;
   store::AsyncStore m_store;
   RulesReader m_rules;
   TargetReader m_targets;
   Membership m_members;
   CellHost m_cell;
+  StoreRelay m_relay;
   Callers m_callers;
   peer::PeerLinks m_peers;
   std::unique_ptr<net::HttpServer> m_readiness;
   std::unique_ptr<net::HttpServer> m_metrics_server;
   std::set<HostId> m_links_up;
+  std::map<HostId, std::string> m_peer_addresses;  ///< Of linked hosts.
   SlownessGauge m_slowness;
   Time m_tick_due = Now();
   bool m_resting = false;  ///< Handed over because this host is slow.
--- a/src/entry/membership.cc
+++ b/src/entry/membership.cc
@@ -27,6 +27,8 @@
 constexpr Millis kMoveInterval{1000};
 constexpr Millis kClaimRetry{150};
 constexpr std::size_t kIncarnationBytes = 8;
+/// An owner that another host told of is believed for so long.
+constexpr Millis kHeardFor{2000};
 constexpr std::string_view kStatePrefix = store::kStatePrefix;
 
 member::OwnershipOptions OwnershipBounds() {
@@ -409,10 +411,11 @@
       }));
 }
 
-HostId Membership::OwnerOf(const std::string& range) const {
+std::optional<member::OwnerRecord> Membership::RegisteredOwner(
+    const std::string& range) const {
   const auto found = m_ownership.ranges.find(range);
   if (found == m_ownership.ranges.end()) {
-    return {};
+    return std::nullopt;
   }
   const member::OwnerRecord& record = found->second.record;
   const bool registered =
@@ -420,7 +423,40 @@
         return known.id == record.owner &&
                known.incarnation == record.incarnation;
       });
-  return registered ? record.owner : HostId();
+  return registered ? std::optional(record) : std::nullopt;
+}
+
+Epoch Membership::OwnedEpoch(const std::string& range) const {
+  const auto found = m_ownership.ranges.find(range);
+  const bool owned = found != m_ownership.ranges.end() &&
+                     found->second.standing == member::Standing::kOwned;
+  return owned ? found->second.record.epoch : 0;
+}
+
+HostId Membership::OwnerOf(const std::string& range) const {
+  const auto found = m_ownership.ranges.find(range);
+  const bool heard =
+      found != m_ownership.ranges.end() && m_heard.range == range &&
+      m_heard == found->second.record && Now() - m_heard_at <= kHeardFor;
+  if (heard) {
+    return m_heard.owner;
+  }
+  const auto record = RegisteredOwner(range);
+  return record ? record->owner : HostId();
+}
+
+void Membership::Abandon(const std::string& range) {
+  Decide(member::Abandoned{range});
+}
+
+void Membership::TakeOffer(const std::string& range, Epoch epoch) {
+  Decide(member::Offered{range, epoch});
+}
+
+void Membership::HearOwner(const member::OwnerRecord& record) {
+  m_heard = record;
+  m_heard_at = Now();
+  Decide(member::OwnerHeard{record});
 }
 
 }  // namespace buckthornmux::entry
--- a/src/entry/rules_reader.cc
+++ b/src/entry/rules_reader.cc
@@ -86,12 +86,26 @@
   });
 }
 
+void RulesReader::Hear(const store::Entry& entry, Time confirmed_at) {
+  if (entry.revision > m_latest.revision && !entry.value.empty()) {
+    Apply(entry);
+  }
+  // An older revision at the other host says nothing about the one here.
+  if (m_rules && entry.revision == m_latest.revision) {
+    m_confirmed_at = std::max(m_confirmed_at, confirmed_at);
+  }
+}
+
 void RulesReader::Take(const store::Entry& entry) {
   if (entry.revision <= m_revision && m_rules) {
     m_revision = std::max(m_revision, entry.revision);
     return;
   }
   m_revision = std::max(m_revision, entry.revision);
+  Apply(entry);
+}
+
+void RulesReader::Apply(const store::Entry& entry) {
   auto outcome = Capture([&] { return m_parse(entry.value); });
   if (const auto* error = std::get_if<Error>(&outcome)) {
     LogLine("rules_unreadable", Level::kError)
@@ -100,6 +114,7 @@
         .With("where", error->where);
     return;
   }
+  m_latest = entry;
   auto rules = std::make_shared<const cell::Rules>(
       std::move(std::get<cell::Rules>(outcome)));
   if (m_rules && rules->version <= m_rules->version) {
--- /dev/null
+++ b/src/entry/store_gauge.cc
@@ -0,0 +1,86 @@
+#include "buckthornmux/detail/entry/store_gauge.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace buckthornmux::entry {
+namespace {
+
+/// A store sixty times slower than usual still answers within this.
+constexpr Millis kSlowAnswer{350};
+/// One refusal may be chance; two of them this far apart are not.
+constexpr Millis kRefusedFor{100};
+
+/// Counts one kind of call; `good` tells from its outcome whether it was
+/// served.
+template <class T>
+store::Reply<T> Counted(StoreGauge& gauge, const std::function<Time()>& clock,
+                        store::Reply<T> reply) {
+  const Time began = clock();
+  CallBegan(gauge, began);
+  return [&gauge, began, reply = std::move(reply)](Outcome<T> outcome) {
+    CallEnded(gauge, began, !std::holds_alternative<Error>(outcome));
+    reply(std::move(outcome));
+  };
+}
+
+}  // namespace
+
+void CallBegan(StoreGauge& gauge, Time began) { gauge.open.insert(began); }
+
+void CallEnded(StoreGauge& gauge, Time began, bool good) {
+  if (const auto found = gauge.open.find(began); found != gauge.open.end()) {
+    gauge.open.erase(found);
+  }
+  if (!good && began > gauge.answered) {
+    gauge.first_bad = std::min(gauge.first_bad.value_or(began), began);
+    gauge.last_bad = std::max(gauge.last_bad, began);
+  } else if (good && began > gauge.answered) {
+    gauge.answered = began;
+    if (gauge.first_bad && gauge.last_bad <= began) {
+      gauge.first_bad.reset();
+    } else if (gauge.first_bad) {
+      gauge.first_bad = gauge.last_bad;
+    }
+  }
+}
+
+std::optional<Time> TroubleSince(const StoreGauge& gauge, Time now) {
+  std::optional<Time> since;
+  const auto waiting = gauge.open.upper_bound(gauge.answered);
+  if (waiting != gauge.open.end() && now - *waiting > kSlowAnswer) {
+    since = *waiting;
+  }
+  if (gauge.first_bad && gauge.last_bad - *gauge.first_bad >= kRefusedFor) {
+    since = std::min(since.value_or(*gauge.first_bad), *gauge.first_bad);
+  }
+  return since;
+}
+
+store::AsyncStore WithGauge(const store::AsyncStore& store, StoreGauge& gauge,
+                            std::function<Time()> clock) {
+  store::AsyncStore counted = store;
+  counted.get = [&gauge, clock, call = store.get](std::string key,
+                                                  const auto& reply) {
+    call(std::move(key), Counted(gauge, clock, reply));
+  };
+  counted.list = [&gauge, clock, call = store.list](
+                     std::string prefix, std::string after, const auto& reply) {
+    call(std::move(prefix), std::move(after), Counted(gauge, clock, reply));
+  };
+  counted.commit = [&gauge, clock, call = store.commit](
+                       store::Transaction transaction, const auto& reply) {
+    call(std::move(transaction), Counted(gauge, clock, reply));
+  };
+  counted.grant_lease = [&gauge, clock, call = store.grant_lease](
+                            Millis ttl, const auto& reply) {
+    call(ttl, Counted(gauge, clock, reply));
+  };
+  counted.renew_lease = [&gauge, clock, call = store.renew_lease](
+                            store::LeaseId lease, const auto& reply) {
+    call(lease, Counted(gauge, clock, reply));
+  };
+  return counted;
+}
+
+}  // namespace buckthornmux::entry
--- a/src/member/ownership.cc
+++ b/src/member/ownership.cc
@@ -113,7 +113,8 @@
 
 void NoteOwnerless(const OwnershipState& state, RangeState& range, Time now) {
   const OwnerRecord& record = range.record;
-  if (!record.owner.empty() &&
+  const bool abandoned = record.epoch > 0 && record.epoch == range.abandoned;
+  if (!record.owner.empty() && !abandoned &&
       IsRegistered(state, record.owner, record.incarnation)) {
     range.ownerless.reset();
   } else if (!range.ownerless) {
@@ -121,6 +122,10 @@
   }
 }
 
+bool IsOffered(const RangeState& range) {
+  return range.record.epoch > 0 && range.record.epoch == range.offered;
+}
+
 bool TakeoverDue(const OwnershipState& state, const RangeState& range,
                  Time now) {
   if (!range.ownerless) {
@@ -129,7 +134,7 @@
   const bool was_released =
       range.record.owner.empty() && range.record.epoch > 0;
   const bool was_ours = range.record.owner == state.self.id;
-  return was_released || was_ours ||
+  return was_released || was_ours || IsOffered(range) ||
          now - *range.ownerless >= state.options.takeover_delay;
 }
 
@@ -143,7 +148,7 @@
     return;
   }
   const bool was_ours = range.record.owner == state.self.id;
-  if (wanted->second != state.self.id && !was_ours) {
+  if (wanted->second != state.self.id && !was_ours && !IsOffered(range)) {
     return;
   }
   SendRecord(range,
@@ -302,6 +307,41 @@
   }
 }
 
+void Handle(OwnershipState& state, const OwnerHeard& event, Time now,
+            Actions& actions) {
+  const auto found = state.ranges.find(event.record.range);
+  if (found != state.ranges.end() &&
+      event.record.revision > found->second.record.revision) {
+    Learn(state, found->first, found->second, event.record, now, actions);
+    NoteOwnerless(state, found->second, now);
+  }
+}
+
+void Handle(OwnershipState& state, const Abandoned& event, Time now,
+            Actions& actions) {
+  const auto found = state.ranges.find(event.range);
+  if (found == state.ranges.end() ||
+      found->second.standing != Standing::kOwned) {
+    return;
+  }
+  RangeState& range = found->second;
+  Drop(event.range, range, actions);
+  range.abandoned = range.record.epoch;
+  range.view_after = now;  // Claimed anew only if nobody else has meanwhile.
+  NoteOwnerless(state, range, now);
+}
+
+void Handle(OwnershipState& state, const Offered& event, Time now,
+            Actions& /*actions*/) {
+  const auto found = state.ranges.find(event.range);
+  if (found != state.ranges.end()) {
+    RangeState& range = found->second;
+    range.abandoned = std::max(range.abandoned, event.epoch);
+    range.offered = std::max(range.offered, event.epoch);
+    NoteOwnerless(state, range, now);
+  }
+}
+
 void Handle(OwnershipState& state, const Leave& /*event*/, Time /*now*/,
             Actions& actions) {
   state.self.leaving = true;
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -196,6 +196,7 @@
     response.retry_after =
         ParseRetryAfter(parser.get()[http::field::retry_after]);
     reusable = parser.get().keep_alive();
+    response.close = !reusable;
     co_return response;
   }
 
--- a/src/peer/messages.cc
+++ b/src/peer/messages.cc
@@ -14,6 +14,9 @@
 namespace cell {
 using buckthornmux::serialize;
 }
+namespace member {
+using buckthornmux::serialize;
+}
 namespace entry {
 using buckthornmux::serialize;
 }
--- a/tests/unit-entry-callers.cc
+++ b/tests/unit-entry-callers.cc
@@ -33,6 +33,7 @@
   runtime::Metrics metrics;
   Handed handed = Handed::kSent;
   bool owner_expected = true;
+  bool others_better = false;
   std::vector<entry::CellCall> taken;
   entry::Callers callers{
       io,
@@ -42,14 +43,14 @@
       rules,
       Millis(5000),
       metrics,
-      [this](const entry::CellCall& call, HostId& to) {
-        to = "owner";
-        if (handed == Handed::kSent) {
-          taken.push_back(call);
-        }
-        return handed;
-      },
-      [this] { return owner_expected; }};
+      {[this](const entry::CellCall& call, HostId& to) {
+         to = "owner";
+         if (handed == Handed::kSent) {
+           taken.push_back(call);
+         }
+         return handed;
+       },
+       [this] { return owner_expected; }, [this] { return others_better; }}};
   net::HttpClient client{io, {}};
 
   Fixture() {
@@ -83,6 +84,15 @@
     return *response;
   }
 
+  /// The owner that was called last says no.
+  void Decline(CallEnd end, ErrorKind error) {
+    entry::CellReply reply;
+    reply.call = taken.back().call;
+    reply.end = end;
+    reply.error = error;
+    callers.Reply(reply);
+  }
+
   void Accept() {
     if (!taken.empty()) {
       entry::CellReply reply;
@@ -102,6 +112,10 @@
   CPPUNIT_TEST(CallWaitsForTheNextOwner);
   CPPUNIT_TEST(LostCallIsHandedToTheNextOwner);
   CPPUNIT_TEST(SilentOwnerIsNotCalledNotRun);
+  CPPUNIT_TEST(OwnerWithoutTheStoreIsWaitedOut);
+  CPPUNIT_TEST(StoreAwayForAllIsRefusedAtOnce);
+  CPPUNIT_TEST(CallThatAnOwnerLetGoOfIsNotCalledNotRun);
+  CPPUNIT_TEST(CallersAreSentToHostsThatFareBetter);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -177,6 +191,55 @@
     CPPUNIT_ASSERT(submit.body.find("unknown") != std::string::npos);
     CPPUNIT_ASSERT_EQUAL(503, f.Send("GET", kJob, "k1", "", late).status);
   }
+
+  // Its owner can't store, but somebody else can: the next owner takes it.
+  void OwnerWithoutTheStoreIsWaitedOut() {
+    Fixture f;
+    const auto answer =
+        f.Send("POST", kJob, "k1", R"({"steps":[{"count":1}]})", [&f] {
+          if (f.taken.size() == 1) {
+            f.Decline(CallEnd::kRefused, ErrorKind::kStoreUnavailable);
+            f.callers.Tick(entry::Now() + Millis(200));
+          } else {
+            f.Accept();
+          }
+        });
+    CPPUNIT_ASSERT_EQUAL(200, answer.status);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, f.taken.size());
+  }
+
+  void StoreAwayForAllIsRefusedAtOnce() {
+    Fixture f;
+    f.owner_expected = false;
+    const auto answer = f.Send(
+        "POST", kJob, "k1", R"({"steps":[{"count":1}]})",
+        [&f] { f.Decline(CallEnd::kRefused, ErrorKind::kStoreUnavailable); });
+    CPPUNIT_ASSERT_EQUAL(503, answer.status);
+    CPPUNIT_ASSERT(answer.body.find(R"("ran":"no")") != std::string::npos);
+    CPPUNIT_ASSERT(answer.retry_after > Millis(0));
+  }
+
+  // A write may have left before the owner lost the cell.
+  void CallThatAnOwnerLetGoOfIsNotCalledNotRun() {
+    Fixture f;
+    const auto answer =
+        f.Send("POST", kJob, "k1", R"({"steps":[{"count":1}]})", [&f] {
+          f.Decline(CallEnd::kUnknown, ErrorKind::kOwnerStale);
+          f.handed = Handed::kNoOwner;
+          f.callers.Tick(entry::Now() + Millis(1600));
+        });
+    CPPUNIT_ASSERT_EQUAL(504, answer.status);
+    CPPUNIT_ASSERT(answer.body.find("unknown") != std::string::npos);
+  }
+
+  void CallersAreSentToHostsThatFareBetter() {
+    Fixture f;
+    f.others_better = true;
+    const auto answer = f.Send("POST", kJob, "k1", R"({"steps":[{"count":1}]})",
+                               [&f] { f.Accept(); });
+    CPPUNIT_ASSERT_EQUAL(200, answer.status);
+    CPPUNIT_ASSERT(answer.close);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EntryCallersTest);
--- a/tests/unit-ownership.cc
+++ b/tests/unit-ownership.cc
@@ -72,6 +72,10 @@
   CPPUNIT_TEST(LeaseEndsButRangesStay);
   CPPUNIT_TEST(NewIncarnationClaimsAnew);
   CPPUNIT_TEST(LateViewIsIgnored);
+  CPPUNIT_TEST(HeardRecordDeposesAnOwner);
+  CPPUNIT_TEST(AbandonedRangeIsClaimedAnewOnlyAfterAView);
+  CPPUNIT_TEST(OfferedRangeIsClaimedAtOnce);
+  CPPUNIT_TEST(OfferOfAFormerOwnerChangesNothing);
   CPPUNIT_TEST(LeaverReleasesAll);
   CPPUNIT_TEST(LeaverThatReturnsClaimsAgain);
   CPPUNIT_TEST(RangeMovesToNewcomer);
@@ -165,6 +169,80 @@
         Only<Lost>(Apply(state, View(now, {newer}), now)).size());
   }
 
+  // The store turns this owner away; a peer has read who owns the range now.
+  void HeardRecordDeposesAnOwner() {
+    auto state = MakeOwner();
+    const OwnerRecord next{.range = "shard/1",
+                           .owner = "b",
+                           .incarnation = "b-1",
+                           .epoch = 2,
+                           .revision = 20};
+    const auto actions = Apply(state, OwnerHeard{next}, kStart + Millis(900));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Only<Lost>(actions).size());
+    OwnerRecord old = next;
+    old.owner = "a";
+    old.revision = 10;
+    CPPUNIT_ASSERT(Apply(state, OwnerHeard{old}, kStart + Millis(901)).empty());
+    CPPUNIT_ASSERT_EQUAL(std::string("b"),
+                         state.ranges.at("shard/1").record.owner);
+  }
+
+  void AbandonedRangeIsClaimedAnewOnlyAfterAView() {
+    auto state = MakeOwner();
+    const OwnerRecord mine = state.ranges.at("shard/1").record;
+    const Time now = kStart + Millis(1000);
+    const auto actions = Apply(state, Abandoned{"shard/1"}, now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Only<Lost>(actions).size());
+    CPPUNIT_ASSERT(Only<Claim>(actions).empty());
+    CPPUNIT_ASSERT(
+        Only<Claim>(Apply(state, Tick{}, now + Millis(100))).empty());
+    const auto claims = Only<Claim>(
+        Apply(state, View(now + Millis(200), {mine}), now + Millis(200)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, claims.size());
+    CPPUNIT_ASSERT_EQUAL(Epoch{2}, claims[0].record.epoch);
+  }
+
+  // Its owner is still registered, and another member would be wanted.
+  void OfferedRangeIsClaimedAtOnce() {
+    for (const char* offered_to : {"a", "c"}) {
+      auto state = MakeOwnership(MakeMember(offered_to, "east"), {});
+      (void)Apply(state, RangesWanted{{{.name = "shard/1"}}}, kStart);
+      (void)Apply(state, LeaseRenewed{kStart}, kStart);
+      const OwnerRecord record{.range = "shard/1",
+                               .owner = "b",
+                               .incarnation = "b-1",
+                               .epoch = 4,
+                               .revision = 10};
+      const std::vector<Member> members{MakeMember("a", "east"),
+                                        MakeMember("b", "east"),
+                                        MakeMember("c", "east")};
+      (void)Apply(state, View(kStart, {record}, members), kStart);
+      const auto claims =
+          Only<Claim>(Apply(state, Offered{"shard/1", 4}, kStart + Millis(5)));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, claims.size());
+      CPPUNIT_ASSERT_EQUAL(Epoch{5}, claims[0].record.epoch);
+      CPPUNIT_ASSERT_EQUAL(Revision{10}, claims[0].record.revision);
+    }
+  }
+
+  void OfferOfAFormerOwnerChangesNothing() {
+    auto state = MakeReady();
+    const OwnerRecord record{.range = "shard/1",
+                             .owner = "b",
+                             .incarnation = "b-1",
+                             .epoch = 5,
+                             .revision = 10};
+    (void)Apply(state,
+                View(kStart, {record},
+                     {MakeMember("a", "east"), MakeMember("b", "east")}),
+                kStart);
+    CPPUNIT_ASSERT(
+        Only<Claim>(Apply(state, Offered{"shard/1", 4}, kStart + Millis(5)))
+            .empty());
+    CPPUNIT_ASSERT(
+        Only<Claim>(Apply(state, Tick{}, kStart + Millis(100))).empty());
+  }
+
   void LeaverReleasesAll() {
     auto state = MakeOwner();
     const Time now = kStart + Millis(700);
--- /dev/null
+++ b/tests/unit-store-relay.cc
@@ -0,0 +1,196 @@
+// A host that the store does not serve: when it knows, whom it asks, what it
+// believes and when it hands the cell over.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "buckthornmux/detail/entry/store_gauge.h"
+#include "buckthornmux/detail/entry/store_relay.h"
+#include "mock_async_store.h"
+
+namespace buckthornmux::tests {
+namespace {
+
+using entry::StoreGauge;
+using entry::StoreNews;
+
+constexpr Time kStart{Millis(1'000'000)};
+
+Result<cell::Rules> ParseVersion(std::string_view text) {
+  cell::Rules rules;
+  rules.version = static_cast<std::uint64_t>(std::stoi(std::string(text)));
+  return rules;
+}
+
+/// Last good call at kStart, then one that is not answered.
+StoreGauge SilentSince(Time began) {
+  StoreGauge gauge;
+  entry::CallBegan(gauge, kStart);
+  entry::CallEnded(gauge, kStart, true);
+  entry::CallBegan(gauge, began);
+  return gauge;
+}
+
+/// A relay whose peers "b" and "c" are played by the test.
+struct Fixture {
+  MockAsyncStore store;
+  store::AsyncStore calls = store.Calls();
+  entry::RulesReader rules{calls, "rules", ParseVersion, [] {}};
+  StoreGauge gauge = SilentSince(kStart + Millis(100));
+  std::vector<std::pair<HostId, entry::StoreNewsAsk>> asked;
+  std::vector<StoreNews> told;
+  std::vector<member::OwnerRecord> heard;
+  std::vector<HostId> served;
+  entry::StoreRelay relay{
+      rules,
+      gauge,
+      {[] {
+         return std::vector<HostId>{"b", "c"};
+       },
+       [this](const HostId& to, const auto& ask) {
+         asked.emplace_back(to, ask);
+       },
+       [this](const HostId&, const auto& news) { told.push_back(news); },
+       [] { return std::optional<member::OwnerRecord>(); },
+       [this](const auto& record) { heard.push_back(record); },
+       [] { return true; },
+       [this](const HostId& to) { served.push_back(to); }}};
+
+  /// News of a host that the store has served `age` ago.
+  StoreNews News(Millis age) {
+    StoreNews news;
+    news.ask = asked.back().second.ask;
+    news.served_age = age;
+    news.may_own = true;
+    news.rules_revision = 7;
+    news.rules_age = age;
+    news.rules_text = "3";
+    news.owner = {.range = "cell/0", .owner = "c", .epoch = 2, .revision = 9};
+    return news;
+  }
+};
+
+class StoreRelayTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(StoreRelayTest);
+  CPPUNIT_TEST(SlowStoreIsNoTrouble);
+  CPPUNIT_TEST(SilentStoreIsTroubleSinceItsFirstCall);
+  CPPUNIT_TEST(OneRefusalIsNoTrouble);
+  CPPUNIT_TEST(LostAnswersAmongGoodOnesAreNoTrouble);
+  CPPUNIT_TEST(NothingIsAskedWhileAllIsWell);
+  CPPUNIT_TEST(KeysAreGoodAtTheAgeThatAPeerTells);
+  CPPUNIT_TEST(OlderRulesOfAPeerConfirmNothing);
+  CPPUNIT_TEST(StoreAwayForAllHandsNothingOver);
+  CPPUNIT_TEST(CellGoesWhereTheStoreServes);
+  CPPUNIT_TEST(PeerWithoutTheRulesIsToldThem);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void SlowStoreIsNoTrouble() {
+    const StoreGauge gauge = SilentSince(kStart + Millis(100));
+    CPPUNIT_ASSERT(!entry::TroubleSince(gauge, kStart + Millis(400)));
+  }
+
+  void SilentStoreIsTroubleSinceItsFirstCall() {
+    StoreGauge gauge = SilentSince(kStart + Millis(100));
+    entry::CallBegan(gauge, kStart + Millis(300));
+    const auto since = entry::TroubleSince(gauge, kStart + Millis(500));
+    CPPUNIT_ASSERT(since == kStart + Millis(100));
+    entry::CallEnded(gauge, kStart + Millis(100), false);
+    CPPUNIT_ASSERT(
+        entry::TroubleSince(gauge, kStart + Millis(900)).has_value());
+    entry::CallEnded(gauge, kStart + Millis(300), true);
+    CPPUNIT_ASSERT(!entry::TroubleSince(gauge, kStart + Millis(900)));
+  }
+
+  void OneRefusalIsNoTrouble() {
+    StoreGauge gauge;
+    for (const Millis at : {Millis(0), Millis(50), Millis(120)}) {
+      CPPUNIT_ASSERT(!entry::TroubleSince(gauge, kStart + at));
+      entry::CallBegan(gauge, kStart + at);
+      entry::CallEnded(gauge, kStart + at, false);
+    }
+    CPPUNIT_ASSERT(entry::TroubleSince(gauge, kStart + Millis(121)) == kStart);
+  }
+
+  void LostAnswersAmongGoodOnesAreNoTrouble() {
+    StoreGauge gauge = SilentSince(kStart + Millis(100));
+    for (int i = 1; i < 10; ++i) {
+      const Time at = kStart + Millis(100 + 100 * i);
+      entry::CallBegan(gauge, at);
+      entry::CallEnded(gauge, at, true);
+    }
+    CPPUNIT_ASSERT(!entry::TroubleSince(gauge, kStart + Millis(1100)));
+  }
+
+  void NothingIsAskedWhileAllIsWell() {
+    Fixture f;
+    f.relay.Tick(kStart + Millis(200));
+    CPPUNIT_ASSERT(f.asked.empty());
+    CPPUNIT_ASSERT(f.relay.OwnerExpected(kStart + Millis(200)));
+    f.relay.Tick(kStart + Millis(500));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, f.asked.size());
+    CPPUNIT_ASSERT(!f.relay.OwnerExpected(kStart + Millis(500)));
+  }
+
+  // The age counts from before the question left: a slow answer is older.
+  void KeysAreGoodAtTheAgeThatAPeerTells() {
+    Fixture f;
+    const Time asked_at = kStart + Millis(500);
+    f.relay.Tick(asked_at);
+    f.relay.Take("c", f.News(Millis(40)), kStart + Millis(1400));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, f.rules.Current()->version);
+    CPPUNIT_ASSERT(f.rules.ConfirmedAt() == asked_at - Millis(40));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.heard.size());
+  }
+
+  void OlderRulesOfAPeerConfirmNothing() {
+    Fixture f;
+    f.store.Put("rules", "1");
+    f.store.revision = 19;
+    f.store.Put("rules", "9");
+    f.rules.Tick(kStart);
+    const Time confirmed = f.rules.ConfirmedAt();
+    f.relay.Tick(kStart + Millis(500));
+    f.relay.Take("c", f.News(Millis(0)), kStart + Millis(505));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, f.rules.Current()->version);
+    CPPUNIT_ASSERT(f.rules.ConfirmedAt() == confirmed);
+  }
+
+  // The peer was last served before this host's trouble began.
+  void StoreAwayForAllHandsNothingOver() {
+    Fixture f;
+    f.relay.Tick(kStart + Millis(500));
+    f.relay.Take("c", f.News(Millis(450)), kStart + Millis(505));
+    CPPUNIT_ASSERT(f.served.empty());
+    CPPUNIT_ASSERT(!f.relay.OthersFareBetter(kStart + Millis(505)));
+    CPPUNIT_ASSERT(!f.relay.OwnerExpected(kStart + Millis(505)));
+  }
+
+  void CellGoesWhereTheStoreServes() {
+    Fixture f;
+    f.relay.Tick(kStart + Millis(500));
+    f.relay.Take("c", f.News(Millis(100)), kStart + Millis(505));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.served.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("c"), f.served[0]);
+    CPPUNIT_ASSERT(f.relay.OwnerExpected(kStart + Millis(505)));
+    CPPUNIT_ASSERT(f.relay.OthersFareBetter(kStart + Millis(505)));
+    CPPUNIT_ASSERT(!f.relay.OthersFareBetter(kStart + Millis(2500)));
+    // An answer that comes twice counts once.
+    f.relay.Take("c", f.News(Millis(100)), kStart + Millis(510));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.served.size());
+  }
+
+  void PeerWithoutTheRulesIsToldThem() {
+    Fixture f;
+    f.store.Put("rules", "5");
+    f.rules.Tick(kStart);
+    f.relay.Take("b", entry::StoreNewsAsk{1, 0}, kStart + Millis(5));
+    f.relay.Take("b", entry::StoreNewsAsk{2, 1}, kStart + Millis(5));
+    CPPUNIT_ASSERT_EQUAL(std::string("5"), f.told.at(0).rules_text);
+    CPPUNIT_ASSERT(f.told.at(1).rules_text.empty());
+    CPPUNIT_ASSERT_EQUAL(Millis(5), f.told.at(0).served_age);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StoreRelayTest);
+
+}  // namespace
+}  // namespace buckthornmux::tests
