Room gathers for gangs on targets that they may use; late work yields

Room was kept only on targets with a valid ticket and only for the first gang, so that between two calls for advice others took it; and steps that were late already came first, which made the others late too. Ruled out: too few lanes (calls went out at once), broken estimates.

Change: room is reserved, by amount, on targets that the adviser has once allowed (that does not change while a step lasts); gangs ask about unknown targets first and for tickets once there is room; late work comes behind work that can still be in time. What lasts, and occurrences of recurring jobs, are ordered by their own time.

--- a/src/cell/advice.cc
+++ b/src/cell/advice.cc
@@ -45,94 +45,110 @@
   return lane == cell.lanes.end() ? nullptr : &*lane;
 }
 
-/// A target that could take tasks of the step, and how many.
+/// A target without a ticket that could take tasks of the step.
 struct Option {
   const Target* target;
-  std::uint32_t slots;
-  bool usable;  ///< Known to be allowed.
-  double left;  ///< Part of its processor that stays free.
+  std::uint32_t count;  ///< Tasks that it has room for now.
+  bool usable;          ///< Known to be allowed.
+  double left;          ///< Part of its processor that stays free.
 };
 
 /// What a step could be placed on.
 struct Prospects {
-  std::vector<Option> options;  ///< Without a ticket.
-  std::uint32_t ticketed = 0;   ///< Tasks that fit where there is a ticket.
+  std::vector<Option> options;
+  std::uint32_t ticketed = 0;  ///< Tasks that fit where there is a ticket.
+  std::uint32_t usable = 0;    ///< Tasks that fit where it is surely allowed.
+  /// Tasks that targets could hold if they were empty and as many allowed as
+  /// can be expected.
+  double possible = 0;
 };
 
-Prospects FindProspects(const Round& round, const StepRef& ref, const Job& job,
-                        const Step& step, const Queue& queue) {
-  const StepSpec& spec = job.spec.steps[ref.step];
-  const AdviceState& advice = step.advice;
+Prospects FindProspects(const Round& round, const Candidate& candidate,
+                        const Queue& queue, double good_rate) {
+  const StepSpec& spec = candidate.Spec();
+  const AdviceState& advice = candidate.step->advice;
   Prospects prospects;
-  std::vector<Option>& options = prospects.options;
   for (const Slot& slot : round.slots) {
     const Target& target = *slot.target;
-    if (!Suits(target, queue, spec)) {
+    const TargetId& id = target.entry.id;
+    if (!Suits(target, queue, spec) || advice.unusable.contains(id)) {
       continue;
     }
-    const std::uint32_t slots = SlotsOn(target, spec, ref);
-    if (slots == 0 || advice.unusable.contains(target.entry.id)) {
-      continue;
-    }
-    const auto ticket = advice.tickets.find(target.entry.id);
+    const bool usable = advice.usable.contains(id);
+    prospects.possible +=
+        SlotsOn(target, target.entry.capacity, spec, candidate.ref) *
+        (usable ? 1.0 : good_rate);
+    const Resources room = RoomFor(slot, candidate);
+    const std::uint32_t count = SlotsOn(target, room, spec, candidate.ref);
+    prospects.usable += usable ? count : 0;
+    const auto ticket = advice.tickets.find(id);
     if (ticket != advice.tickets.end() && ticket->second.until > round.now &&
         ticket->second.life == target.entry.life) {
-      prospects.ticketed += slots;
+      prospects.ticketed += count;
       continue;
     }
-    const double left = static_cast<double>(RoomOf(target).cpu_milli) /
+    const double left = static_cast<double>(room.cpu_milli) /
                         static_cast<double>(std::max<std::int64_t>(
                             1, target.entry.capacity.cpu_milli));
-    options.push_back(
-        {&target, slots, advice.usable.contains(target.entry.id), left});
+    prospects.options.push_back({&target, count, usable, left});
   }
-  // Gangs want much room in few places, single tasks fill the gaps.
-  std::ranges::sort(options, [&](const Option& a, const Option& b) {
-    if (a.usable != b.usable) {
-      return a.usable;
-    }
-    if (spec.gang && a.slots != b.slots) {
-      return a.slots > b.slots;
-    }
-    return spec.gang ? a.left > b.left : a.left < b.left;
-  });
   return prospects;
 }
 
-/// Names enough of the options that this many tasks can expect to be placed.
-std::vector<TargetId> ChooseNames(const std::vector<Option>& options,
-                                  std::uint32_t waiting, double spare,
-                                  double good_rate) {
+/// Names enough of the options, in their order, that so many tasks can expect
+/// to be placed.
+std::vector<TargetId> NameFor(const std::vector<Option>& options, double wanted,
+                              double good_rate) {
   std::vector<TargetId> names;
   double expected = 0;
-  const double wanted = waiting * spare;
   for (const Option& option : options) {
     if (expected >= wanted || names.size() >= kMostNamed) {
       break;
     }
     names.push_back(option.target->entry.id);
-    const std::uint32_t slots = std::min(option.slots, waiting);
-    expected += slots * (option.usable ? 1.0 : good_rate);
+    expected += option.count * (option.usable ? 1.0 : good_rate);
   }
   return names;
 }
 
-/// Whether a gang could be placed if the expected share of targets is usable.
-bool GangMayFit(const Prospects& prospects, std::uint32_t count,
-                double good_rate) {
-  double expected = prospects.ticketed;
-  for (const Option& option : prospects.options) {
-    expected += option.slots * (option.usable ? 1.0 : good_rate);
+/// For single tasks: targets with room, the fullest first, so that they fill
+/// the gaps.
+std::vector<TargetId> ChooseNames(std::vector<Option> options,
+                                  std::uint32_t waiting, double good_rate) {
+  std::erase_if(options, [&](const Option& o) { return o.count == 0; });
+  std::ranges::sort(options, [](const Option& a, const Option& b) {
+    return a.usable != b.usable ? a.usable : a.left < b.left;
+  });
+  for (Option& option : options) {
+    option.count = std::min(option.count, waiting);
   }
-  return expected >= count;
+  return NameFor(options, waiting * kSpareNames, good_rate);
 }
 
-/// Whether room is left for a gang besides those before it in line: a call for
-/// one that can't be placed blocks a lane for nothing.
-bool RoomIsLeft(const Round& round, const StepSpec& spec,
-                std::uint32_t waiting) {
-  return round.promised_cpu + waiting * ReservedBy(spec).cpu_milli <=
-         round.free_cpu;
+/// For gangs: where there is room for all of it, just enough of the targets
+/// that it may use; before that, targets about which nothing is known yet.
+std::vector<TargetId> ChooseGangNames(const Prospects& prospects,
+                                      std::uint32_t waiting,
+                                      double good_rate) {
+  std::vector<Option> options = prospects.options;
+  const bool room = prospects.usable >= waiting;
+  std::erase_if(options, [&](const Option& option) {
+    return option.usable ? option.count == 0 : room;
+  });
+  const bool unknown =
+      std::ranges::any_of(options, [](const auto& o) { return !o.usable; });
+  if ((!room && !unknown) || prospects.possible < waiting) {
+    return {};
+  }
+  std::ranges::sort(options, [](const Option& a, const Option& b) {
+    if (a.usable != b.usable) {
+      return a.usable;
+    }
+    return a.count != b.count ? a.count > b.count : a.left > b.left;
+  });
+  const double wanted = waiting - prospects.ticketed;
+  return NameFor(options, wanted * (room ? kSpareNames : kSpareGangNames),
+                 good_rate);
 }
 
 void DropOldTickets(AdviceState& advice, Time now) {
@@ -154,34 +170,35 @@
   }
 }
 
-void AskIfUseful(Round& round, const StepRef& ref, const Job& job, Step& step,
-                 const Queue& queue) {
+void AskIfUseful(Round& round, const Candidate& candidate, const Queue& queue) {
   Cell& cell = round.cell;
   const Time now = round.now;
-  AdviceState& advice = step.advice;
+  const StepRef& ref = candidate.ref;
+  const Step& step = *candidate.step;
+  AdviceState& advice = candidate.step->advice;
   if (advice.asking || now < advice.next_ask ||
       FreeLane(cell, queue.advice->decide, now) == nullptr) {
     return;
   }
   DropOldTickets(advice, now);
-  const StepSpec& spec = job.spec.steps[ref.step];
-  if (!TeamAllows(cell, job.spec.team, ReservedBy(spec))) {
+  const StepSpec& spec = candidate.Spec();
+  if (!TeamAllows(cell, candidate.job->spec.team, ReservedBy(spec))) {
     return;
   }
   const std::uint32_t waiting = spec.count - step.done - step.live;
   const double rate =
       std::max(kLeastGoodRate, cell.advice_stats[queue.name].good_rate);
-  const Prospects prospects = FindProspects(round, ref, job, step, queue);
+  const Prospects prospects = FindProspects(round, candidate, queue, rate);
   // A gang that its tickets have room for is held up by something else.
-  if (prospects.options.empty() ||
-      (spec.gang && (prospects.ticketed >= waiting ||
-                     !GangMayFit(prospects, waiting, rate) ||
-                     !RoomIsLeft(round, spec, waiting)))) {
+  if (spec.gang && prospects.ticketed >= waiting) {
+    return;
+  }
+  std::vector<TargetId> names =
+      spec.gang ? ChooseGangNames(prospects, waiting, rate)
+                : ChooseNames(prospects.options, waiting, rate);
+  if (names.empty()) {
     return;
   }
-  std::vector<TargetId> names = ChooseNames(
-      prospects.options, spec.gang ? waiting - prospects.ticketed : waiting,
-      spec.gang ? kSpareGangNames : kSpareNames, rate);
   const Millis time = CallTime(*queue.advice, names.size());
   AdviceLane* lane = FreeLane(cell, time, now);
   if (lane == nullptr) {
--- a/src/cell/round.cc
+++ b/src/cell/round.cc
@@ -43,7 +43,7 @@
 }
 
 Round BeginRound(Cell& cell, Actions& actions, Time now) {
-  Round round{cell, actions, now, {}, {}, false, 0, 0};
+  Round round{cell, actions, now, {}, {}, 0};
   for (auto& [id, target] : cell.targets) {
     const TargetHealth& health = target.health;
     const bool probing =
@@ -53,7 +53,6 @@
         now >= health.suspended_until && !probing) {
       round.by_id.emplace(id, round.slots.size());
       round.slots.push_back({&target});
-      round.free_cpu += RoomOf(target).cpu_milli;
     }
   }
   return round;
@@ -70,10 +69,17 @@
           std::ranges::count(target.entry.labels, step.label) > 0);
 }
 
-std::uint32_t SlotsOn(const Target& target, const StepSpec& spec,
-                      const StepRef& ref) {
+Resources RoomFor(const Slot& slot, const Candidate& candidate) {
+  Resources room = RoomOf(*slot.target);
+  if (!candidate.Urgent()) {
+    room -= slot.reserved;
+  }
+  return room;
+}
+
+std::uint32_t SlotsOn(const Target& target, const Resources& room,
+                      const StepSpec& spec, const StepRef& ref) {
   const Resources need = ReservedBy(spec);
-  const Resources room = RoomOf(target);
   std::int64_t slots = spec.count;
   const auto bound = [&](std::int64_t available, std::int64_t each) {
     if (each > 0) {
--- /dev/null
+++ b/src/cell/starts.cc
@@ -0,0 +1,83 @@
+// Where a task may start, and its start.
+#include "round.h"
+
+namespace buckthornmux::cell {
+namespace {
+
+/// Successes this recent make a target fit for a task's last attempt.
+constexpr Millis kProvenWithin{10'000};
+/// A last attempt waits so long for such a target: in a quiet cell there is
+/// none.
+constexpr Millis kProofWait{1500};
+/// Then so long for one that has not failed lately; after that it takes any.
+constexpr Millis kHealthyWait{4000};
+
+}  // namespace
+
+bool MayUse(const Round& round, const Candidate& candidate, const Queue& queue,
+            const Task& task, const Slot& slot) {
+  const Target& target = *slot.target;
+  const StepSpec& spec = candidate.Spec();
+  if (!Suits(target, queue, spec)) {
+    return false;
+  }
+  const bool last_attempt = task.Failures() + 1 >= queue.max_attempts;
+  const Millis waited = round.now - task.failed_at;
+  if (task.failed_runs.empty() || !last_attempt || spec.service ||
+      waited > kHealthyWait) {
+    return true;
+  }
+  const bool healthy =
+      task.failed_on != target.entry.id && target.health.failures_in_row == 0;
+  const bool proven = round.now - target.health.last_success <= kProvenWithin;
+  return healthy && (proven || waited > kProofWait);
+}
+
+void StartTask(Round& round, const Candidate& candidate, std::uint32_t index,
+               std::uint32_t number, Target& target) {
+  Job& job = *candidate.job;
+  Step& step = *candidate.step;
+  const StepSpec& spec = candidate.Spec();
+  Task& task = step.tasks[index];
+  const RunId id{
+      {job.spec.id, candidate.ref.occurrence, candidate.ref.step, index},
+      number};
+  Run run;
+  run.demand = ReservedBy(spec);
+  run.team = job.spec.team;
+  run.sent = round.now;
+  run.tries = 1;
+  run.in_flight = true;
+  run.priority = job.priority;
+  run.checkpoints = spec.checkpoints;
+  run.gang = spec.gang;
+  run.estimate = spec.estimate;
+  HoldRoom(round.cell, target, id, run);
+  task.phase = TaskPhase::kLive;
+  task.target = target.entry.id;
+  task.run = number;
+  task.next_run = number + 1;
+  ++step.live;
+  const auto ticket = step.advice.tickets.find(target.entry.id);
+  const std::string checkpoint = step.tasks[spec.gang ? 0 : index].checkpoint;
+  round.actions.emplace_back(SendStart{
+      target.entry.id, target.entry.life, id, job.spec.payload, checkpoint,
+      ticket == step.advice.tickets.end() ? std::string() : ticket->second.text,
+      DeadlineAt(round.cell, target, round.now)});
+  LeaseSent(round.cell, target.entry.id, round.now);
+  Note(round.actions, "task_start",
+       {{"job", job.spec.id},
+        {"task", TaskName(id.task)},
+        {"run", std::to_string(number)},
+        {"target", target.entry.id},
+        {"team", job.spec.team},
+        {"waited_ms", std::to_string((round.now - step.ready_at).count())},
+        {"slack_ms", std::to_string(candidate.slack.count())}});
+  if (!job.started) {
+    job.started = true;
+    job.phase = JobPhase::kRunning;
+    --round.cell.pending[job.spec.queue];
+  }
+}
+
+}  // namespace buckthornmux::cell
--- a/tests/load_patterns.h
+++ b/tests/load_patterns.h
@@ -68,6 +68,21 @@
                         AddBurst(world, queues.gangs, queues.gang_shape, 1.2,
                                  begin + Millis(6000), Millis(4000));
                       }});
+  patterns.push_back({"gangs_among_batches",
+                      "batches with time to spare leave room to gangs",
+                      [](World& world, const UserQueues& queues, Time begin) {
+                        AtLoad(world, queues, begin, 0.9);
+                        AddBurst(world, queues.batches, queues.batch_shape, 6,
+                                 begin + Millis(4000), Millis(10'000));
+                      }});
+  patterns.push_back(
+      {"overload", "what can't be in time any more yields to what can",
+       [](World& world, const UserQueues& queues, Time begin) {
+         AtLoad(world, queues, begin, 0.9);
+         world.At(begin + Millis(4000), [&world, queues, begin] {
+           AddUserLoad(world, queues, 0.9, begin + Millis(12'000));
+         });
+       }});
   patterns.push_back(
       {"hot_team", "one team's excess yields to the others",
        [](World& world, const UserQueues& queues, Time begin) {
