--- a/include/buckthornmux/detail/cell/state.h
+++ b/include/buckthornmux/detail/cell/state.h
@@ -207,8 +207,8 @@
 /// One host that can ask the adviser; it answers each host's calls in turn.
 struct AdviceLane {
   HostId host;
-  bool busy = false;
-  bool long_call = false;
+  int open = 0;     ///< Calls without an answer.
+  Time free_at;     ///< When the adviser should have answered all of them.
   Time not_before;  ///< After a failure.
 };
 
@@ -218,6 +218,7 @@
   HostId lane;
   Time sent;
   Time give_up;
+  Millis takes{0};  ///< The adviser's time for it.
   std::vector<TargetId> named;
 };
 
--- a/src/cell/advice.cc
+++ b/src/cell/advice.cc
@@ -10,6 +10,9 @@
 constexpr Millis kLongCall{150};
 /// ...and those longer than this leave one lane.
 constexpr Millis kMediumCall{30};
+/// Calls wait so long at the adviser at the most: about the way there and back.
+constexpr Millis kSentAhead{12};
+constexpr int kMostOpenInLane = 4;  ///< It lets 32 calls of a host wait.
 /// Most targets that one call may name.
 constexpr std::size_t kMostNamed = 100;
 constexpr double kGoodRateWeight = 0.1;  ///< Of one answer in the average.
@@ -25,25 +28,33 @@
          Millis(std::llround(rules.each_ms * static_cast<double>(named)));
 }
 
-/// A free lane for a call that takes this long; null where it has to wait.
+/// Lanes with a call of more than this length.
+std::ptrdiff_t LanesWith(const Cell& cell, Millis length) {
+  return std::ranges::count_if(cell.lanes, [&](const AdviceLane& lane) {
+    return std::ranges::any_of(cell.open_advice, [&](const auto& entry) {
+      return entry.second.lane == lane.host && entry.second.takes > length;
+    });
+  });
+}
+
+/// A lane that answers a call of this length soon; null where it has to wait.
+/// Calls are sent a little ahead, so that the adviser never waits for them.
 AdviceLane* FreeLane(Cell& cell, Millis time, Time now) {
   const auto count = static_cast<std::ptrdiff_t>(cell.lanes.size());
-  const auto of_length = [&](Millis length) {
-    return std::ranges::count_if(cell.lanes, [&](const AdviceLane& lane) {
-      return lane.busy && (length <= kMediumCall || lane.long_call);
-    });
-  };
-  if (time > kLongCall && count > 1 && of_length(kLongCall) >= count / 2) {
+  if (count > 1 &&
+      ((time > kLongCall && LanesWith(cell, kLongCall) >= count / 2) ||
+       (time > kMediumCall && LanesWith(cell, kMediumCall) >= count - 1))) {
     return nullptr;
   }
-  const auto busy = std::ranges::count(cell.lanes, true, &AdviceLane::busy);
-  if (time > kMediumCall && count > 1 && busy >= count - 1) {
-    return nullptr;
+  AdviceLane* best = nullptr;
+  for (AdviceLane& lane : cell.lanes) {
+    if (now >= lane.not_before && lane.open < kMostOpenInLane &&
+        lane.free_at <= now + kSentAhead &&
+        (best == nullptr || lane.free_at < best->free_at)) {
+      best = &lane;
+    }
   }
-  const auto lane = std::ranges::find_if(cell.lanes, [&](const auto& entry) {
-    return !entry.busy && now >= entry.not_before;
-  });
-  return lane == cell.lanes.end() ? nullptr : &*lane;
+  return best;
 }
 
 /// A target without a ticket that could take tasks of the step.
@@ -221,14 +232,14 @@
   if (lane == nullptr) {
     return;
   }
-  lane->busy = true;
-  lane->long_call = time > kLongCall;
+  lane->free_at = std::max(lane->free_at, now) + time;
+  ++lane->open;
   advice.asking = true;
   advice.ask = cell.next_ask++;
   const Millis timeout = time + cell.options.advice_timeout;
   cell.open_advice.emplace(
-      advice.ask,
-      OpenAdvice{ref, lane->host, now, now + timeout + Millis(100), names});
+      advice.ask, OpenAdvice{ref, lane->host, now, now + timeout + Millis(100),
+                             time, names});
   Note(round.actions, "advice_asked",
        {{"job", ref.job},
         {"step", std::to_string(ref.step)},
@@ -249,7 +260,9 @@
   cell.open_advice.erase(found);
   const auto lane = std::ranges::find(cell.lanes, open.lane, &AdviceLane::host);
   if (lane != cell.lanes.end()) {
-    lane->busy = false;
+    if (--lane->open == 0) {
+      lane->free_at = now;
+    }
     if (!answered) {
       lane->not_before = now + kLaneFailurePause;
     }
--- a/src/cell/plan.cc
+++ b/src/cell/plan.cc
@@ -221,8 +221,8 @@
     }
   }
   load.steps_waiting = cell.ready.size();
-  load.lanes_busy = static_cast<std::size_t>(
-      std::ranges::count(cell.lanes, true, &AdviceLane::busy));
+  load.lanes_busy = static_cast<std::size_t>(std::ranges::count_if(
+      cell.lanes, [](const AdviceLane& lane) { return lane.open > 0; }));
   return load;
 }
 
