An owner that nobody hears of is replaced at once

Ruled out: claim, reading and recovery (0.05 to 0.15 s together).

Change: a host whose call the owner leaves unanswered for 0.12 s asks it for a sign of life, then asks others whether they hear of it; where none does, it claims the cell. Epochs fence the former owner as in any takeover. An owner that pauses for over 0.15 s answers nothing from its state until it has read the store again: it may have been replaced meanwhile.

Tests: unit-owner-watch.

--- a/include/buckthornmux/detail/entry/callers.h
+++ b/include/buckthornmux/detail/entry/callers.h
@@ -74,6 +74,9 @@
   /// @brief Hands on what waits for an owner, ends what is past its deadline.
   void Tick(Time now);
 
+  /// @brief When the oldest call that a host has not answered was handed to it.
+  [[nodiscard]] std::optional<Time> WaitingSince(const HostId& host) const;
+
   /// @brief Whether keys may be trusted now.
   [[nodiscard]] bool RulesTrusted(Time now) const;
 
@@ -93,6 +96,7 @@
     Time deadline;
     Time owner_by;  ///< Refused where no owner took it by then.
     Time hand_at;   ///< Not handed on again before.
+    Time sent_at;   ///< To `sent_to`.
     ErrorKind waits_for = ErrorKind::kOwnerUnknown;  ///< Why nobody took it.
     net::Responder respond;
   };
--- a/include/buckthornmux/detail/entry/calls.h
+++ b/include/buckthornmux/detail/entry/calls.h
@@ -74,6 +74,18 @@
   Epoch epoch = 0;
 };
 
+/// Asks whether a host that the sender hears nothing of gives the receiver a
+/// sign of life.
+struct SignAsk {
+  std::uint64_t ask = 0;
+  HostId host;
+};
+
+struct SignReply {
+  std::uint64_t ask = 0;
+  bool alive = false;
+};
+
 struct AdviceReply {
   std::uint64_t ask = 0;
   Epoch epoch = 0;
--- a/include/buckthornmux/detail/entry/membership.h
+++ b/include/buckthornmux/detail/entry/membership.h
@@ -67,6 +67,10 @@
   [[nodiscard]] const std::vector<member::Member>& Members() const {
     return m_ownership.members;
   }
+  /// @brief When the reading of the last view began.
+  [[nodiscard]] Time ViewedAt() const {
+    return m_ownership.read_at.value_or(Time{});
+  }
   /// @brief Registered owner of a range; empty where none is known.
   [[nodiscard]] HostId OwnerOf(const std::string& range) const;
   /// @brief Epoch under which this host owns a range, one that it releases
--- a/include/buckthornmux/detail/peer/messages.h
+++ b/include/buckthornmux/detail/peer/messages.h
@@ -70,7 +70,8 @@
                  CallReply, home::ToShard, home::FromShard, NotTaken,
                  ConfigText, ConfigWanted, entry::CellCall, entry::CellReply,
                  entry::AdviceAsk, entry::AdviceReply, entry::StoreNewsAsk,
-                 entry::StoreNews, entry::RangeOffer>;
+                 entry::StoreNews, entry::RangeOffer, entry::SignAsk,
+                 entry::SignReply>;
 
 /// State of one shard in a heartbeat.
 struct ShardBeat {
--- a/include/buckthornmux/detail/peer/peer_links.h
+++ b/include/buckthornmux/detail/peer/peer_links.h
@@ -38,6 +38,8 @@
   /// not have arrived.
   std::function<void(const HostId& peer, bool up)> link;
   std::function<void(Heartbeat)> heartbeat;
+  /// The peer has answered a Ping; may be left out.
+  std::function<void(const HostId& peer)> sign;
 };
 
 /// @brief One outgoing connection per peer for what this host sends; what it
@@ -60,6 +62,10 @@
   ///   queue full
   bool Send(const HostId& peer, const Message& message);
 
+  /// @brief Asks a peer for a sign of life now, from any thread. Nothing is
+  ///   asked on a link that is down.
+  void Probe(const HostId& peer);
+
   /// @brief Sends a heartbeat to every peer, from any thread.
   void SendHeartbeat(const Heartbeat& heartbeat);
 
--- a/src/entry/callers.cc
+++ b/src/entry/callers.cc
@@ -241,6 +241,7 @@
     }
   } else if (found->second.hand_at <= now) {  // Else refused meanwhile.
     found->second.sent_to = to;
+    found->second.sent_at = now;
   }
 }
 
@@ -376,6 +377,16 @@
   }
 }
 
+std::optional<Time> Callers::WaitingSince(const HostId& host) const {
+  std::optional<Time> since;
+  for (const auto& [number, open] : m_open) {
+    if (open.sent_to == host && !host.empty()) {
+      since = std::min(since.value_or(open.sent_at), open.sent_at);
+    }
+  }
+  return since;
+}
+
 void Callers::Leave() { m_server->CloseAfterAnswers(); }
 
 void Callers::Stop() { m_server->Drain(); }
--- a/src/entry/cell_host.cc
+++ b/src/entry/cell_host.cc
@@ -19,7 +19,7 @@
 /// A start or stop without an answer by then is repeated; a healthy target
 /// answers in some milliseconds.
 constexpr Millis kOrderTimeout{150};
-constexpr Millis kReportWait{500};  ///< A report waits so long for an end.
+constexpr Millis kReportWait{500};   ///< A report waits so long for an end.
 constexpr Millis kReportSlack{150};  ///< Beyond the wait, for the way.
 constexpr Millis kReportRetry{200};
 /// While ends wait to be stored, a report would be answered at once.
--- a/src/entry/host.cc
+++ b/src/entry/host.cc
@@ -19,6 +19,7 @@
 #include "buckthornmux/detail/entry/clock.h"
 #include "buckthornmux/detail/entry/log_buffer.h"
 #include "buckthornmux/detail/entry/membership.h"
+#include "buckthornmux/detail/entry/owner_watch.h"
 #include "buckthornmux/detail/entry/rules_reader.h"
 #include "buckthornmux/detail/entry/settings_file.h"
 #include "buckthornmux/detail/entry/slowness.h"
@@ -59,6 +60,8 @@
 constexpr Millis kShutdownMargin{800};  ///< Before the kill.
 /// A release flushes the journal, which takes some milliseconds.
 constexpr Millis kReleaseWithin{100};
+/// Shorter than it takes others to find an owner gone.
+constexpr Millis kLongPause{150};
 /// A slow host stays out of ownership for at least this.
 constexpr Millis kRest{5000};
 constexpr Millis kLateLogEvery{1000};
@@ -119,6 +122,7 @@
         m_relay(m_rules, m_gauge, RelayLinks()),
         m_callers(m_io, m_settings.callers_address, MakeCallerCodec(), m_rules,
                   m_settings.bounds.key_trust, m_metrics, CallersLinks()),
+        m_owner_watch(OwnerWatchHandlers()),
         m_peers(m_io, PeerOptions(), PeerHandlers()) {
     runtime::SetLogSink([this](std::string_view line) { m_log.Append(line); });
     m_readiness =
@@ -288,7 +292,35 @@
               }
               SetLanes();
             },
-            [](const peer::Heartbeat&) {}};
+            [](const peer::Heartbeat&) {},
+            [this](const HostId& peer) { m_owner_watch.Sign(peer, Now()); }};
+  }
+
+  OwnerWatchLinks OwnerWatchHandlers() {
+    return {
+        [this] {
+          return std::vector<HostId>(m_links_up.begin(), m_links_up.end());
+        },
+        [this](const HostId& host) { m_peers.Probe(host); },
+        [this](const HostId& to, const SignAsk& ask) { SendTo(to, ask); },
+        [this](const HostId& to, const SignReply& reply) { SendTo(to, reply); },
+        [this](const HostId& owner) { ClaimFrom(owner); }};
+  }
+
+  /// Nobody hears of the owner: its cell is claimed before its registration
+  /// ends.
+  void ClaimFrom(const HostId& owner) {
+    const std::string range(kRange);
+    const auto record = m_members.RegisteredOwner(range);
+    if (!record || record->owner != owner || m_leaving || m_resting ||
+        !ServesNow(m_gauge, Now())) {
+      return;
+    }
+    LogLine("owner_gone", Level::kWarning)
+        .With("range", range)
+        .With("owner", owner)
+        .With("epoch", record->epoch);
+    m_members.TakeOffer(range, record->epoch);
   }
 
   void SendTo(const HostId& to, const peer::Message& message) {
@@ -300,7 +332,7 @@
   void TakeMessage(const HostId& from, const peer::Message& message) {
     m_metrics.Count(runtime::Counter::kPeerMessages);
     if (const auto* call = std::get_if<CellCall>(&message)) {
-      m_cell.Call(from, *call);
+      TakeCall(from, *call);
     } else if (const auto* reply = std::get_if<CellReply>(&message)) {
       m_callers.Reply(*reply);
     } else if (const auto* ask = std::get_if<AdviceAsk>(&message)) {
@@ -313,6 +345,10 @@
       m_relay.Take(from, *news, Now());
     } else if (const auto* offer = std::get_if<RangeOffer>(&message)) {
       m_members.TakeOffer(offer->range, offer->epoch);
+    } else if (const auto* question = std::get_if<SignAsk>(&message)) {
+      m_owner_watch.Take(from, *question, Now());
+    } else if (const auto* sign = std::get_if<SignReply>(&message)) {
+      m_owner_watch.Take(*sign, Now());
     } else {
       LogLine("message_unexpected", Level::kWarning)
           .With("from", from)
@@ -381,10 +417,34 @@
         });
   }
 
+  /// After a pause others may have taken the cell over: nothing is answered
+  /// from its state until the store has been read again.
+  [[nodiscard]] bool InDoubt(Time now) const {
+    return now - m_tick_due > kLongPause ||
+           m_members.ViewedAt() < m_paused_until;
+  }
+
+  void TakeCall(const HostId& from, const CellCall& call) {
+    if (!InDoubt(Now())) {
+      m_cell.Call(from, call);
+      return;
+    }
+    CellReply reply;
+    reply.call = call.call;
+    reply.end = CallEnd::kRefused;
+    reply.error = ErrorKind::kNotReady;
+    reply.message = "the owner has paused";
+    if (from == m_settings.host) {
+      m_callers.Reply(reply);
+    } else {
+      SendTo(from, reply);
+    }
+  }
+
   Handed Forward(const CellCall& call, HostId& to) {
     if (m_cell.Owning()) {
       to = m_settings.host;
-      m_cell.Call(m_settings.host, call);
+      TakeCall(to, call);
       return Handed::kSent;
     }
     to = m_members.OwnerOf(std::string(kRange));
@@ -494,6 +554,14 @@
     m_members.Unregister([this] { m_io.stop(); });
   }
 
+  void MindOwner(Time now) {
+    HostId owner = m_members.OwnerOf(std::string(kRange));
+    if (owner == m_settings.host) {
+      owner.clear();
+    }
+    m_owner_watch.Tick(owner, m_callers.WaitingSince(owner), now);
+  }
+
   /// A slow owner hands the cell over, if enough others are there, and takes
   /// part again once it is well.
   void MindSlowness(Time now) {
@@ -529,6 +597,12 @@
 
   void Tick() {
     const Time now = Now();
+    if (now - m_tick_due > kLongPause && m_cell.Owning()) {
+      LogLine("paused", Level::kWarning)
+          .With("for_ms", (now - m_tick_due).count());
+      m_paused_until = now;
+      m_members.Recheck();
+    }
     MindSlowness(now);
     MindRelease(now);
     m_relay.Tick(now);
@@ -537,6 +611,7 @@
     m_members.Tick(now);
     m_cell.Tick(now);
     m_callers.Tick(now);
+    MindOwner(now);
     WatchSettings(now);
     LeaveWhenDone(now);
     m_log.Flush();
@@ -565,6 +640,7 @@
   CellHost m_cell;
   StoreRelay m_relay;
   Callers m_callers;
+  OwnerWatch m_owner_watch;
   peer::PeerLinks m_peers;
   std::unique_ptr<net::HttpServer> m_readiness;
   std::unique_ptr<net::HttpServer> m_metrics_server;
@@ -572,6 +648,7 @@
   std::map<HostId, std::string> m_peer_addresses;  ///< Of linked hosts.
   SlownessGauge m_slowness;
   Time m_tick_due = Now();
+  Time m_paused_until;  ///< End of the last long pause.
   std::optional<Time> m_release_began;  ///< Of the cell, not ended yet.
   bool m_resting = false;  ///< Handed over because this host is slow.
   Time m_rest_until;
--- /dev/null
+++ b/src/entry/owner_watch.cc
@@ -0,0 +1,126 @@
+#include "buckthornmux/detail/entry/owner_watch.h"
+
+#include <algorithm>
+
+#include "buckthornmux/detail/runtime/log_line.h"
+
+namespace buckthornmux::entry {
+namespace {
+
+using runtime::LogLine;
+
+/// Calls are answered within some 20 ms.
+constexpr Millis kUnanswered{120};
+/// A probe is answered within some 5 ms; a host that pauses for longer than
+/// this stage and the next together is taken for gone.
+constexpr Millis kProbeTime{100};
+/// Others have the time of a probe, and of the way.
+constexpr Millis kAskTime{200};
+/// After a suspicion that was wrong.
+constexpr Millis kQuiet{500};
+/// Hosts asked at once.
+constexpr std::size_t kMostAsked = 4;
+
+}  // namespace
+
+bool OwnerWatch::SignSince(const HostId& host, Time since) const {
+  const auto found = m_signs.find(host);
+  return found != m_signs.end() && found->second >= since;
+}
+
+void OwnerWatch::Calm(Time quiet_until) {
+  m_stage = Stage::kCalm;
+  m_quiet_until = quiet_until;
+  m_open.clear();
+  m_answered = false;
+}
+
+void OwnerWatch::Tick(const HostId& owner, std::optional<Time> waiting_since,
+                      Time now) {
+  AnswerAsked(now);
+  if (owner != m_owner) {
+    m_owner = owner;
+    Calm(now);
+  }
+  if (m_owner.empty() || now < m_quiet_until) {
+    return;
+  }
+  const bool linked = std::ranges::count(m_links.peers(), m_owner) > 0;
+  if (m_stage == Stage::kCalm) {
+    if (!linked && !m_links.peers().empty()) {
+      AskOthers(now);
+    } else if (waiting_since && now - *waiting_since >= kUnanswered &&
+               !SignSince(m_owner, now - kUnanswered)) {
+      m_stage = Stage::kProbing;
+      m_since = now;
+      m_links.probe(m_owner);
+    }
+  } else if (SignSince(m_owner, m_since)) {
+    Calm(now);
+  } else if (m_stage == Stage::kProbing && now - m_since >= kProbeTime) {
+    AskOthers(now);
+  } else if (m_stage == Stage::kAsking && now - m_since >= kAskTime) {
+    // Without any answer it is this host that is cut off.
+    const bool gone = m_answered;
+    const HostId suspect = m_owner;
+    Calm(now + kQuiet);
+    if (gone) {
+      m_links.gone(suspect);
+    }
+  }
+}
+
+void OwnerWatch::AskOthers(Time now) {
+  m_stage = Stage::kAsking;
+  m_since = now;
+  for (const HostId& peer : m_links.peers()) {
+    if (peer != m_owner && m_open.size() < kMostAsked) {
+      const std::uint64_t ask = m_next_ask++;
+      m_open.insert(ask);
+      m_links.ask(peer, {ask, m_owner});
+    }
+  }
+  LogLine("owner_not_heard")
+      .With("owner", m_owner)
+      .With("asked", static_cast<std::uint64_t>(m_open.size()));
+}
+
+void OwnerWatch::Sign(const HostId& host, Time now) { m_signs[host] = now; }
+
+void OwnerWatch::Take(const HostId& from, const SignAsk& ask, Time now) {
+  const bool linked = std::ranges::count(m_links.peers(), ask.host) > 0;
+  if (!linked) {
+    m_links.tell(from, {ask.ask, false});
+    return;
+  }
+  m_links.probe(ask.host);
+  m_asked.push_back({from, ask, now});
+}
+
+/// Answers once there is a sign, or none in time.
+void OwnerWatch::AnswerAsked(Time now) {
+  std::erase_if(m_asked, [&](const Asked& asked) {
+    const bool alive = SignSince(asked.ask.host, asked.since);
+    if (!alive && now - asked.since < kProbeTime) {
+      return false;
+    }
+    m_links.tell(asked.from, {asked.ask.ask, alive});
+    return true;
+  });
+}
+
+void OwnerWatch::Take(const SignReply& reply, Time now) {
+  if (m_stage != Stage::kAsking || m_open.erase(reply.ask) == 0) {
+    return;
+  }
+  if (reply.alive) {
+    Calm(now + kQuiet);
+    return;
+  }
+  m_answered = true;
+  if (m_open.empty()) {
+    m_since = now - kAskTime;  // All have answered: the next tick decides.
+  }
+}
+
+}  // namespace buckthornmux::entry
--- a/src/peer/peer_links.cc
+++ b/src/peer/peer_links.cc
@@ -49,6 +49,7 @@
   asio::steady_timer wake;
   SocketPtr socket;  ///< Of the current connection; coroutines hold their own.
   SteadyClock::time_point last_pong;
+  bool ping_now = false;
 
   void CloseSocket() const {
     error_code ignored;
@@ -182,10 +183,13 @@
   }
 
   /// Reads Pongs until the connection breaks.
-  static asio::awaitable<void> WatchPongs(std::shared_ptr<Impl> /*self*/,
+  static asio::awaitable<void> WatchPongs(std::shared_ptr<Impl> self,
                                           LinkPtr link, SocketPtr socket) {
     while (co_await ReadFrame(*socket)) {
       link->last_pong = SteadyClock::now();
+      if (self->events.sign) {
+        self->events.sign(link->peer.host);
+      }
     }
     error_code ignored;
     socket->close(ignored);
@@ -213,7 +217,8 @@
       if (now - link->last_pong > options.silent_after) {
         co_return;
       }
-      if (now >= next_ping) {
+      if (now >= next_ping || link->ping_now) {
+        link->ping_now = false;
         next_ping = now + options.ping_every;
         if (!co_await WriteFrame(*link->socket, ping)) {
           co_return;
@@ -383,6 +388,17 @@
   return true;
 }
 
+void PeerLinks::Probe(const HostId& peer) {
+  asio::post(m_impl->io, [impl = m_impl, peer] {
+    const std::scoped_lock lock(impl->mutex);
+    const auto found = impl->links.find(peer);
+    if (found != impl->links.end()) {
+      found->second->ping_now = true;
+      found->second->wake.cancel();
+    }
+  });
+}
+
 void PeerLinks::SendHeartbeat(const Heartbeat& heartbeat) {
   asio::post(m_impl->io, [impl = m_impl, bytes = Encode(heartbeat)] {
     const std::scoped_lock lock(impl->mutex);
--- /dev/null
+++ b/tests/unit-owner-watch.cc
@@ -0,0 +1,148 @@
+// When an owner counts as gone: it leaves a call unanswered, gives no sign of
+// life, and nobody else hears of it either.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "buckthornmux/detail/entry/owner_watch.h"
+
+namespace buckthornmux::tests {
+namespace {
+
+using entry::SignAsk;
+using entry::SignReply;
+
+constexpr Time kStart{Millis(1'000'000)};
+constexpr Millis kTick{50};
+
+/// A host "a" whose owner is "o"; peers "b" and "c" are played by the test.
+struct Fixture {
+  std::vector<HostId> linked{"b", "c", "o"};
+  int probes = 0;
+  std::vector<std::pair<HostId, SignAsk>> asked;
+  std::vector<std::pair<HostId, SignReply>> told;
+  std::vector<HostId> gone;
+  Time now = kStart;
+  entry::OwnerWatch watch{
+      {[this] { return linked; }, [this](const HostId&) { ++probes; },
+       [this](const HostId& to, const SignAsk& ask) {
+         asked.emplace_back(to, ask);
+       },
+       [this](const HostId& to, const SignReply& reply) {
+         told.emplace_back(to, reply);
+       },
+       [this](const HostId& owner) { gone.push_back(owner); }}};
+
+  Fixture() { watch.Tick("o", std::nullopt, now); }
+
+  /// Lets time pass while a call waits for the owner since kStart.
+  void Pass(Millis span) {
+    for (const Time end = now + span; now < end;) {
+      now += kTick;
+      watch.Tick("o", kStart, now);
+    }
+  }
+  void AllHearNothing() {
+    for (const auto& [host, ask] : asked) {
+      watch.Take(SignReply{ask.ask, false}, now);
+    }
+  }
+};
+
+class OwnerWatchTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(OwnerWatchTest);
+  CPPUNIT_TEST(DeadOwnerIsFoundWithinHalfASecond);
+  CPPUNIT_TEST(SlowAnswerOfALiveOwnerAsksNobody);
+  CPPUNIT_TEST(OwnerThatAnotherHearsOfStays);
+  CPPUNIT_TEST(HostThatIsCutOffSuspectsNobody);
+  CPPUNIT_TEST(LostLinkAsksAtOnce);
+  CPPUNIT_TEST(NewOwnerIsNotSuspectedForTheOldOne);
+  CPPUNIT_TEST(AskedHostProbesBeforeItAnswers);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void DeadOwnerIsFoundWithinHalfASecond() {
+    Fixture f;
+    f.Pass(Millis(150));
+    CPPUNIT_ASSERT_EQUAL(1, f.probes);
+    f.Pass(Millis(100));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, f.asked.size());
+    f.Pass(Millis(100));
+    f.AllHearNothing();
+    f.Pass(kTick);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.gone.size());
+    CPPUNIT_ASSERT(f.now - kStart <= Millis(500));
+    f.Pass(Millis(300));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.gone.size());
+  }
+
+  // A slow store delays answers for longer than the watch waits.
+  void SlowAnswerOfALiveOwnerAsksNobody() {
+    Fixture f;
+    for (int i = 0; i < 40; ++i) {
+      const int before = f.probes;
+      f.Pass(kTick);
+      if (f.probes > before) {
+        f.watch.Sign("o", f.now + Millis(4));
+      }
+    }
+    CPPUNIT_ASSERT(f.probes > 0);
+    CPPUNIT_ASSERT(f.asked.empty());
+  }
+
+  void OwnerThatAnotherHearsOfStays() {
+    Fixture f;
+    f.Pass(Millis(300));
+    f.watch.Take(SignReply{f.asked.at(0).second.ask, false}, f.now);
+    f.watch.Take(SignReply{f.asked.at(1).second.ask, true}, f.now);
+    f.Pass(Millis(400));
+    CPPUNIT_ASSERT(f.gone.empty());
+  }
+
+  void HostThatIsCutOffSuspectsNobody() {
+    Fixture f;
+    f.linked.clear();
+    f.Pass(Millis(3000));
+    CPPUNIT_ASSERT(f.gone.empty());
+  }
+
+  // A killed process resets its connections.
+  void LostLinkAsksAtOnce() {
+    Fixture f;
+    f.linked = {"b", "c"};
+    f.Pass(kTick);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, f.asked.size());
+    f.AllHearNothing();
+    f.Pass(kTick);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.gone.size());
+  }
+
+  void NewOwnerIsNotSuspectedForTheOldOne() {
+    Fixture f;
+    f.Pass(Millis(300));
+    f.watch.Tick("c", std::nullopt, f.now);
+    f.AllHearNothing();
+    f.watch.Tick("c", std::nullopt, f.now + Millis(500));
+    CPPUNIT_ASSERT(f.gone.empty());
+  }
+
+  void AskedHostProbesBeforeItAnswers() {
+    Fixture f;
+    f.watch.Take("b", SignAsk{7, "o"}, f.now);
+    f.watch.Take("c", SignAsk{8, "x"}, f.now);
+    CPPUNIT_ASSERT_EQUAL(1, f.probes);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.told.size());
+    CPPUNIT_ASSERT(!f.told[0].second.alive);  // It has no link to "x".
+    f.watch.Sign("o", f.now + Millis(5));
+    f.watch.Tick("o", std::nullopt, f.now + Millis(10));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, f.told.size());
+    CPPUNIT_ASSERT(f.told[1].second.alive);
+    f.watch.Take("b", SignAsk{9, "o"}, f.now + Millis(20));
+    f.watch.Tick("o", std::nullopt, f.now + Millis(150));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, f.told.size());
+    CPPUNIT_ASSERT(!f.told[2].second.alive);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(OwnerWatchTest);
+
+}  // namespace
+}  // namespace buckthornmux::tests
