--- a/include/buckthornmux/detail/cell/state.h
+++ b/include/buckthornmux/detail/cell/state.h
@@ -261,6 +261,7 @@
   Rules rules;
   Epoch epoch = 0;
   Time claimed_at;
+  Time former_until;  ///< The former owner renews no lease after this.
   bool loaded = false;     ///< Stored jobs are in; work is taken.
   bool recovered = false;  ///< Nothing of a former owner can run unseen.
   bool store_well = true;  ///< The last write was answered in time.
--- a/include/buckthornmux/detail/entry/cell_host.h
+++ b/include/buckthornmux/detail/entry/cell_host.h
@@ -53,7 +53,8 @@
            runtime::Metrics& metrics, TargetCalls calls, CellHostEvents events);
 
   /// @brief Reads the records of the cell and then serves it.
-  void Open(const member::OwnerRecord& owner);
+  /// @param former_acts how much longer the former owner may renew leases
+  void Open(const member::OwnerRecord& owner, Millis former_acts);
   /// @brief Stops at once; nothing more is sent.
   void Close(std::string_view why);
   /// @brief Takes no new work; `done` once everything is stored.
--- a/spec/ownership.pml
+++ b/spec/ownership.pml
@@ -16,6 +16,10 @@
  * -DTARGET_NEITHER. With -DWAIT_FORMER an owner takes no report of the target
  * before the former owner has surely let go.
  *
+ * With -DSUSPECT a range is claimed at any time, from an owner that is alive and
+ * registered as well: entry/owner_watch.h may be wrong about it. Two hosts then
+ * believe that they own it; what holds at targets has to hold all the same.
+ *
  * Guards that can be taken out:
  *   NO_GUARD_EPOCH        the target accepts lower epochs (that is, neither)
  *   NO_GUARD_REPORT       an owner starts before the target has reported
@@ -119,7 +123,11 @@
     :: else
     fi
   }
+#ifndef SUSPECT
   assert(holders <= 1) /* one_lease_holder */
+#else
+  holders = 0
+#endif
 }
 
 inline Drop(h) {
@@ -177,7 +185,11 @@
   fi
 }
 
+#ifdef SUSPECT
+#define OWNER_GONE (owner != h)
+#else
 #define OWNER_GONE (owner == NOBODY || !owner_current || !registered[owner])
+#endif
 
 proctype Member(byte h) {
   do
--- a/src/cell/steps.cc
+++ b/src/cell/steps.cc
@@ -263,7 +263,7 @@
       cell.options.lease * cell.options.drift_per_mille / 1000 + Millis(300);
   const std::vector<TargetId> unreported = Unreported(cell);
   const bool all_reported = !cell.targets.empty() && unreported.empty();
-  if (!all_reported && now < cell.claimed_at + lapse) {
+  if (!all_reported && now < cell.former_until + lapse) {
     return;
   }
   cell.recovered = true;
--- a/src/entry/cell_host.cc
+++ b/src/entry/cell_host.cc
@@ -62,13 +62,14 @@
                         [this] { m_events.lost(); }}),
       m_pump_timer(io) {}
 
-void CellHost::Open(const member::OwnerRecord& owner) {
+void CellHost::Open(const member::OwnerRecord& owner, Millis former_acts) {
   Close("opened anew");
   m_owner = owner;
   m_cell = std::make_unique<cell::Cell>();
   m_cell->options = OptionsOf(m_settings.bounds);
   m_cell->epoch = owner.epoch;
   m_cell->claimed_at = Now();
+  m_cell->former_until = m_cell->claimed_at + former_acts;
   m_cell->wall_offset = WallOffset();
   m_metrics.Count(Counter::kRangesGained);
   m_journal.Open(owner);
--- a/src/entry/host.cc
+++ b/src/entry/host.cc
@@ -60,6 +60,9 @@
 constexpr Millis kShutdownMargin{800};  ///< Before the kill.
 /// A release flushes the journal, which takes some milliseconds.
 constexpr Millis kReleaseWithin{100};
+/// An owner reads who owns the cell this often at least, and a store call takes
+/// this long at the most.
+constexpr Millis kLearnsOfOwner{2700};
 /// Shorter than it takes others to find an owner gone.
 constexpr Millis kLongPause{150};
 /// A slow host stays out of ownership for at least this.
@@ -155,7 +158,7 @@
   MembershipEvents MembershipHandlers() {
     return {[this](const member::OwnerRecord& record) {
               m_targets.SetActive(true);
-              m_cell.Open(record);
+              m_cell.Open(record, FormerOwnerMayAct(record));
             },
             [this](const std::string& /*range*/) {
               m_targets.SetActive(false);
@@ -320,9 +323,17 @@
         .With("range", range)
         .With("owner", owner)
         .With("epoch", record->epoch);
+    m_suspected = record->epoch;
     m_members.TakeOffer(range, record->epoch);
   }
 
+  /// How much longer the former owner may renew leases of targets: one that was
+  /// only suspected does until it learns of the new owner.
+  [[nodiscard]] Millis FormerOwnerMayAct(
+      const member::OwnerRecord& gained) const {
+    return gained.epoch == m_suspected + 1 ? kLearnsOfOwner : Millis(0);
+  }
+
   void SendTo(const HostId& to, const peer::Message& message) {
     if (!m_peers.Send(to, message)) {
       LogLine("message_not_sent", Level::kWarning).With("to", to);
@@ -648,7 +659,8 @@
   std::map<HostId, std::string> m_peer_addresses;  ///< Of linked hosts.
   SlownessGauge m_slowness;
   Time m_tick_due = Now();
-  Time m_paused_until;  ///< End of the last long pause.
+  Epoch m_suspected = 0;  ///< Of the last owner that was claimed from.
+  Time m_paused_until;    ///< End of the last long pause.
   std::optional<Time> m_release_began;  ///< Of the cell, not ended yet.
   bool m_resting = false;  ///< Handed over because this host is slow.
   Time m_rest_until;
--- a/tests/standins/cell_world.cc
+++ b/tests/standins/cell_world.cc
@@ -37,6 +37,7 @@
   m_cell = std::make_unique<cell::Cell>();
   m_cell->epoch = epoch;
   m_cell->claimed_at = m_now;
+  m_cell->former_until = m_now;
   m_cell->wall_offset = 0;
   m_writing = false;
   std::vector<cell::RecordWrite> records;
