Old work waits only for targets that may run something, and no longer than before

Cause: after a takeover all work of the former owner's time waits until each target has told what runs there. Found on the way: a second takeover forgot unlisted targets of the first owner, whose runs may still go on, and each one began to count their leases anew.

Change: the stored list names the targets that may run something, with the time that this may still last; a target that leaves and is empty is not in it; nothing starts on a target before it is in it; times of targets that have not told are stored again every 0.5 s. Ruled out as evidence that a target is gone: a refused connection (a cut may refuse as well).

--- a/include/buckthornmux/detail/cell/state.h
+++ b/include/buckthornmux/detail/cell/state.h
@@ -93,6 +93,7 @@
   bool listed = true;  ///< Stands in the list of targets.
   Time unlisted_at;
   bool reported = false;  ///< Has answered under our epoch in this life.
+  bool recorded = false;  ///< A next owner is told to ask it; else no starts.
   bool removed = false;
   Time lease_until;  ///< What runs there has surely ended after this.
   Time last_answer;
@@ -254,6 +255,7 @@
 struct Batch {
   std::vector<RecordWrite> writes;
   std::vector<std::pair<JobId, std::uint64_t>> versions;
+  std::vector<TargetId> targets;  ///< Of the list of targets, if it is in it.
 };
 
 struct Cell {
@@ -261,7 +263,7 @@
   Rules rules;
   Epoch epoch = 0;
   Time claimed_at;
-  Time former_until;  ///< The former owner renews no lease after this.
+  Time former_until;       ///< The former owner renews no lease after this.
   bool loaded = false;     ///< Stored jobs are in; work is taken.
   bool recovered = false;  ///< Nothing of a former owner can run unseen.
   bool store_well = true;  ///< The last write was answered in time.
@@ -284,8 +286,11 @@
   std::int64_t backlog_cpu = 0;   ///< Waiting to start, thousandths of a core.
   std::int64_t capacity_cpu = 0;  ///< Of the targets that take work.
   std::int64_t free_cpu = 0;      ///< Of that, not held by runs.
-  std::set<TargetId> expected;    ///< Targets that a former owner knew.
-  bool targets_dirty = false;     ///< The stored list of targets is outdated.
+  /// Targets on which a former owner may have started tasks that are not seen
+  /// yet, and until when these may run.
+  std::map<TargetId, Time> expected;
+  Time expected_stored;        ///< When these times were last stored.
+  bool targets_dirty = false;  ///< The stored list of targets is outdated.
   bool plan_due = false;
   WallMillis wall_offset = 0;  ///< Wall clock minus `Time`, ms.
 };
--- a/src/cell/internal.h
+++ b/src/cell/internal.h
@@ -78,6 +78,9 @@
 /// Lets ends be acknowledged whose jobs are stored.
 void AdvanceAcks(Cell& cell, Target& target);
 
+/// How long what runs on a target may go on after its last renewal.
+[[nodiscard]] Millis LeaseLapse(const Options& options);
+
 /// Whether nothing that a former owner started can run unseen; ends recovery.
 void CheckRecovery(Cell& cell, Actions& actions, Time now);
 
--- a/src/cell/records.cc
+++ b/src/cell/records.cc
@@ -36,6 +36,13 @@
   TeamName team;
 };
 
+/// A target that a next owner has to ask, and for how long from its claim on
+/// what runs there may go on unseen.
+struct StoredTarget {
+  TargetId id;
+  Millis lasts{0};
+};
+
 struct StoredTask {
   bool done = false;
   std::uint32_t next_run = 1;
@@ -164,6 +171,46 @@
   cell.jobs.emplace(id, std::move(job));
 }
 
+/// Targets that a next owner has to ask. Nothing is ever started on one that
+/// leaves: once it is empty it stays so.
+std::vector<StoredTarget> TargetsToAsk(const Cell& cell, Time now) {
+  std::map<TargetId, Millis> lasts;
+  for (const auto& [id, until] : cell.expected) {
+    lasts[id] = std::max(Millis(0), until - now);
+  }
+  for (const auto& [id, target] : cell.targets) {
+    const bool left = target.entry.draining && target.runs.empty();
+    if (target.reported && left) {
+      lasts.erase(id);
+    } else if (target.reported) {
+      lasts[id] = LeaseLapse(cell.options);
+    } else if (!left) {
+      lasts.emplace(id, LeaseLapse(cell.options));
+    }
+  }
+  std::vector<StoredTarget> stored;
+  for (const auto& [id, time] : lasts) {
+    stored.push_back({id, time});
+  }
+  return stored;
+}
+
+/// Adds the list of targets to a batch.
+void WriteTargets(Cell& cell, Batch& batch, Time now) {
+  const std::vector<StoredTarget> stored = TargetsToAsk(cell, now);
+  for (const StoredTarget& target : stored) {
+    batch.targets.push_back(target.id);
+  }
+  batch.writes.push_back(
+      {std::string(kTargetsKey), EncodeBinary(stored), false});
+  cell.targets_dirty = false;
+  cell.expected_stored = now;
+  for (auto& [id, target] : cell.targets) {
+    target.recorded =
+        target.recorded && std::ranges::binary_search(batch.targets, id);
+  }
+}
+
 /// What one batch stores of jobs.
 struct Bundles {
   std::vector<StoredJob> jobs;
@@ -282,9 +329,11 @@
       found[JobId(key.substr(kProgressKey.size()))].progress =
           std::move(progress);
     } else if (key == kTargetsKey) {
-      BOOST_LEAF_AUTO(targets,
-                      DecodeBinary<std::vector<TargetId>>(record.value, key));
-      cell.expected.insert(targets.begin(), targets.end());
+      BOOST_LEAF_AUTO(
+          targets, DecodeBinary<std::vector<StoredTarget>>(record.value, key));
+      for (const StoredTarget& target : targets) {
+        cell.expected[target.id] = cell.former_until + target.lasts;
+      }
     }
   }
   for (auto& [id, loaded] : found) {
@@ -303,13 +352,7 @@
   }
   Batch batch;
   if (cell.targets_dirty) {
-    std::vector<TargetId> ids;
-    for (const auto& [id, target] : cell.targets) {
-      ids.push_back(id);
-    }
-    batch.writes.push_back(
-        {std::string(kTargetsKey), EncodeBinary(ids), false});
-    cell.targets_dirty = false;
+    WriteTargets(cell, batch, now);
   }
   // Unlike those of former owners: epochs rise.
   const std::string name =
@@ -351,6 +394,12 @@
       BeginDue(cell, actions, *job, now);
     }
   }
+  for (const TargetId& id : batch.targets) {
+    if (Target* target = FindTarget(cell, id)) {
+      cell.plan_due = cell.plan_due || !target->recorded;
+      target->recorded = true;
+    }
+  }
   for (auto& [id, target] : cell.targets) {
     AdvanceAcks(cell, target);
   }
--- a/src/cell/reports.cc
+++ b/src/cell/reports.cc
@@ -60,6 +60,9 @@
          {{"target", entry.id},
           {"remaining_ms", std::to_string(entry.remaining.count())}});
   }
+  if (entry.draining != target.entry.draining) {
+    cell.targets_dirty = true;  // What a next owner has to ask changes.
+  }
   const std::int64_t life = target.entry.life;
   target.entry = entry;
   target.entry.life = life;
@@ -324,6 +327,7 @@
       found->second.entry = entry;
       found->second.rack = RackOf(entry);
       found->second.last_answer = now;
+      found->second.recorded = cell.expected.contains(entry.id);
       cell.targets_dirty = true;
       Note(actions, "target_found",
            {{"target", entry.id},
--- a/src/cell/round.cc
+++ b/src/cell/round.cc
@@ -48,8 +48,8 @@
     const TargetHealth& health = target.health;
     const bool probing =
         health.failures_in_row >= kFailuresToProbe && !target.runs.empty();
-    if (target.reported && target.listed && !target.entry.draining &&
-        !target.silent && target.unknown_runs == 0 &&
+    if (target.reported && target.recorded && target.listed &&
+        !target.entry.draining && !target.silent && target.unknown_runs == 0 &&
         now >= health.suspended_until && !probing) {
       round.by_id.emplace(id, round.slots.size());
       round.slots.push_back({&target});
--- a/src/cell/round.h
+++ b/src/cell/round.h
@@ -22,8 +22,8 @@
   Job* job = nullptr;  ///< Of the step; a round adds and removes no jobs.
   Step* step = nullptr;
   int priority = 0;
-  bool excess = false;  ///< Beyond its team's share.
-  bool late = false;    ///< Can't end within its objective any more.
+  bool excess = false;    ///< Beyond its team's share.
+  bool late = false;      ///< Can't end within its objective any more.
   bool hopeless = false;  ///< No longer worth anything by its objective.
   Millis slack{0};        ///< Time left before it must start.
 
--- a/src/cell/runs.cc
+++ b/src/cell/runs.cc
@@ -122,6 +122,8 @@
     cell.usage[run.team].used -= run.demand;
     target.unknown_runs -= run.demand_unknown ? 1 : 0;
     target.runs.erase(found);
+    cell.targets_dirty =
+        cell.targets_dirty || (target.entry.draining && target.runs.empty());
   }
   Job* job = FindJob(cell, id.task.job);
   Task* task = job == nullptr ? nullptr : FindTask(*job, id.task);
@@ -288,13 +290,15 @@
   }
 }
 
+Millis LeaseLapse(const Options& options) {
+  return options.lease + options.lease * options.drift_per_mille / kPerMille +
+         options.stop_time;
+}
+
 void LeaseSent(Cell& cell, const TargetId& id, Time now) {
   if (Target* target = FindTarget(cell, id)) {
-    const Millis lease = cell.options.lease;
-    target->lease_until = std::max(
-        target->lease_until,
-        now + lease + lease * cell.options.drift_per_mille / kPerMille +
-            cell.options.stop_time);
+    target->lease_until =
+        std::max(target->lease_until, now + LeaseLapse(cell.options));
   }
 }
 
--- a/src/cell/steps.cc
+++ b/src/cell/steps.cc
@@ -9,6 +9,8 @@
 /// Runs that an unseen former owner may have started are numbered below this
 /// distance from the highest known.
 constexpr std::uint32_t kRunGap = 64;
+/// How often times of targets that have not told yet are stored.
+constexpr Millis kStoreExpectedEvery{500};
 
 Occurrence MakeOccurrence(const JobSpec& spec) {
   Occurrence occurrence;
@@ -138,15 +140,12 @@
 }
 
 /// Targets on which a former owner's runs may still be unseen.
-std::vector<TargetId> Unreported(const Cell& cell) {
+std::vector<TargetId> Unreported(const Cell& cell, Time now) {
   std::vector<TargetId> unreported;
-  for (const auto& [id, target] : cell.targets) {
-    if (!target.reported && !target.removed) {
-      unreported.push_back(id);
-    }
-  }
-  for (const TargetId& id : cell.expected) {
-    if (!cell.targets.contains(id)) {
+  for (const auto& [id, until] : cell.expected) {
+    const auto target = cell.targets.find(id);
+    const bool told = target != cell.targets.end() && target->second.reported;
+    if (!told && now < until) {
       unreported.push_back(id);
     }
   }
@@ -258,19 +257,28 @@
   if (cell.recovered || !cell.loaded) {
     return;
   }
-  const Millis lapse =
-      cell.options.lease +
-      cell.options.lease * cell.options.drift_per_mille / 1000 + Millis(300);
-  const std::vector<TargetId> unreported = Unreported(cell);
-  const bool all_reported = !cell.targets.empty() && unreported.empty();
-  if (!all_reported && now < cell.former_until + lapse) {
+  const std::vector<TargetId> unreported = Unreported(cell, now);
+  if (!unreported.empty()) {
+    // A next owner is to wait no longer than this one would.
+    if (now - cell.expected_stored >= kStoreExpectedEvery) {
+      cell.targets_dirty = true;
+    }
     return;
   }
   cell.recovered = true;
+  std::vector<TargetId> lapsed;
+  for (const auto& [id, until] : cell.expected) {
+    const auto target = cell.targets.find(id);
+    if (target == cell.targets.end() || !target->second.reported) {
+      lapsed.push_back(id);
+    }
+  }
+  cell.targets_dirty = cell.targets_dirty || !lapsed.empty();
+  cell.expected.clear();
   Note(actions, "recovery_done",
        {{"epoch", std::to_string(cell.epoch)},
-        {"unreported", std::to_string(unreported.size())},
-        {"first", unreported.empty() ? std::string() : unreported.front()},
+        {"unreported", std::to_string(lapsed.size())},
+        {"first", lapsed.empty() ? std::string() : lapsed.front()},
         {"after_ms", std::to_string((now - cell.claimed_at).count())}});
   for (auto& [id, job] : cell.jobs) {
     if (!job.adopted || job.Ended()) {
--- a/tests/unit-load.cc
+++ b/tests/unit-load.cc
@@ -24,16 +24,15 @@
   std::string breach;
 };
 
-Outcome PlayByName(const std::string& name) {
+Outcome PlayByName(const std::string& name, std::uint64_t seeds = 2) {
   const auto patterns = LoadPatterns();
   const auto pattern = std::ranges::find(patterns, name, &LoadPattern::name);
   CPPUNIT_ASSERT(pattern != patterns.end());
-  constexpr std::uint64_t kSeeds = 2;
   Outcome outcome;
   double urgent = 0;
   double batches = 0;
   double gangs = 0;
-  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
     World world(UserWorld(seed));
     PlayPattern(world, *pattern);
     urgent += world.CountOf("urgent").InTimeShare();
@@ -44,9 +43,10 @@
       outcome.breach = world.Breaches().front();
     }
   }
-  outcome.urgent = urgent / kSeeds;
-  outcome.batches = batches / kSeeds;
-  outcome.gangs = gangs / kSeeds;
+  const auto count = static_cast<double>(seeds);
+  outcome.urgent = urgent / count;
+  outcome.batches = batches / count;
+  outcome.gangs = gangs / count;
   return outcome;
 }
 
@@ -185,7 +185,8 @@
   // Batches on slow targets went on there for up to 47 s: they are moved.
   void SlowTargets() {
     Demand("slow_targets", kTroubleTarget);
-    const Outcome outcome = PlayByName("slow_targets");
+    // Two seeds have 103 batches: one late one would decide.
+    const Outcome outcome = PlayByName("slow_targets", 8);
     CPPUNIT_ASSERT_MESSAGE("batches in time " + std::to_string(outcome.batches),
                            outcome.batches >= kLoadTarget);
   }
