The host's process in parts: wiring, calls, the cell's owner, lifecycle

host.cc had grown to 690 lines with hand-overs, suspicion and the relay. The class keeps its members; its functions stand by subject in four files, declared in one private header. Ruled out: classes of their own, since nearly every function needs the members of three others.

--- /dev/null
+++ b/src/entry/host_calls.cc
@@ -0,0 +1,153 @@
+// Calls of callers, messages of other hosts, and whom this host can reach.
+#include <utility>
+#include <vector>
+
+#include "host_process.h"
+#include "platform/adviser.h"
+
+namespace buckthornmux::entry {
+namespace {
+
+using runtime::LogLine;
+using Level = runtime::LogLine::Level;
+
+}  // namespace
+
+void Host::SendTo(const HostId& to, const peer::Message& message) {
+  if (!m_peers.Send(to, message)) {
+    LogLine("message_not_sent", Level::kWarning).With("to", to);
+  }
+}
+
+void Host::TakeMessage(const HostId& from, const peer::Message& message) {
+  m_metrics.Count(runtime::Counter::kPeerMessages);
+  if (const auto* call = std::get_if<CellCall>(&message)) {
+    TakeCall(from, *call);
+  } else if (const auto* reply = std::get_if<CellReply>(&message)) {
+    m_callers.Reply(*reply);
+  } else if (const auto* ask = std::get_if<AdviceAsk>(&message)) {
+    AskAdviser(from, *ask);
+  } else if (const auto* advice = std::get_if<AdviceReply>(&message)) {
+    m_cell.AdviceAnswered(*advice);
+  } else if (const auto* wanted = std::get_if<StoreNewsAsk>(&message)) {
+    m_relay.Take(from, *wanted, Now());
+  } else if (const auto* news = std::get_if<StoreNews>(&message)) {
+    m_relay.Take(from, *news, Now());
+  } else if (const auto* offer = std::get_if<RangeOffer>(&message)) {
+    m_members.TakeOffer(offer->range, offer->epoch);
+  } else if (const auto* question = std::get_if<SignAsk>(&message)) {
+    m_owner_watch.Take(from, *question, Now());
+  } else if (const auto* sign = std::get_if<SignReply>(&message)) {
+    m_owner_watch.Take(*sign, Now());
+  } else {
+    LogLine("message_unexpected", Level::kWarning)
+        .With("from", from)
+        .With("kind", static_cast<std::uint64_t>(message.index()));
+  }
+}
+
+void Host::TakeView() {
+  std::map<HostId, std::string> addresses;
+  for (const member::Member& known : m_members.Members()) {
+    addresses[known.id] = known.peer_address;
+  }
+  // A host that the store turns away loses its registration; as long as it
+  // can be reached it is answered.
+  for (const auto& [host, address] : m_peer_addresses) {
+    if (m_links_up.contains(host)) {
+      addresses.emplace(host, address);
+    }
+  }
+  m_peer_addresses = std::move(addresses);
+  std::vector<peer::PeerAddress> peers;
+  for (const auto& [host, address] : m_peer_addresses) {
+    peers.push_back({host, address});
+  }
+  m_peers.SetPeers(peers);
+  SetLanes();
+}
+
+void Host::SetLanes() {
+  std::vector<HostId> lanes{m_settings.host};
+  for (const member::Member& known : m_members.Members()) {
+    if (known.id != m_settings.host && m_links_up.contains(known.id)) {
+      lanes.push_back(known.id);
+    }
+  }
+  m_cell.SetLanes(lanes);
+}
+
+void Host::AskAdviser(const HostId& owner, const AdviceAsk& ask) {
+  m_client.Call(
+      m_settings.adviser_address, platform::AdviceCall(ask.step, ask.targets),
+      ask.timeout, [this, owner, id = ask.ask, epoch = ask.epoch](auto got) {
+        AdviceReply reply{id, epoch, false, {}};
+        const auto* response = std::get_if<net::HttpResponse>(&got);
+        if (response != nullptr && response->status == 200) {
+          auto tickets =
+              Capture([&] { return platform::ParseAdvice(response->body); });
+          if (auto* good = std::get_if<std::vector<cell::Ticket>>(&tickets)) {
+            reply.answered = true;
+            reply.tickets = std::move(*good);
+          }
+        }
+        if (!reply.answered) {
+          LogLine("advice_failed", Level::kWarning)
+              .With("ask", id)
+              .With("status", static_cast<std::int64_t>(
+                                  response == nullptr ? 0 : response->status));
+        }
+        if (owner == m_settings.host) {
+          m_cell.AdviceAnswered(reply);
+        } else {
+          SendTo(owner, reply);
+        }
+      });
+}
+
+bool Host::InDoubt(Time now) const {
+  return now - m_tick_due > kLongPause || m_members.ViewedAt() < m_paused_until;
+}
+
+void Host::TakeCall(const HostId& from, const CellCall& call) {
+  if (!InDoubt(Now())) {
+    m_cell.Call(from, call);
+    return;
+  }
+  CellReply reply;
+  reply.call = call.call;
+  reply.end = CallEnd::kRefused;
+  reply.error = ErrorKind::kNotReady;
+  reply.message = "the owner has paused";
+  if (from == m_settings.host) {
+    m_callers.Reply(reply);
+  } else {
+    SendTo(from, reply);
+  }
+}
+
+Handed Host::Forward(const CellCall& call, HostId& to) {
+  if (m_cell.Owning()) {
+    to = m_settings.host;
+    TakeCall(to, call);
+    return Handed::kSent;
+  }
+  to = m_members.OwnerOf(std::string(kRange));
+  if (to.empty() || to == m_settings.host) {
+    return Handed::kNoOwner;
+  }
+  return m_peers.Send(to, call) ? Handed::kSent : Handed::kUnreachable;
+}
+
+bool Host::Ready() const {
+  const Time now = Now();
+  if (m_leaving || !m_callers.RulesTrusted(now) ||
+      m_relay.OthersFareBetter(now)) {
+    return false;
+  }
+  const HostId owner = m_members.OwnerOf(std::string(kRange));
+  return owner.empty() || owner == m_settings.host ||
+         m_links_up.contains(owner);
+}
+
+}  // namespace buckthornmux::entry
--- /dev/null
+++ b/src/entry/host_ownership.cc
@@ -0,0 +1,120 @@
+// Who owns the cell: handing it over, taking it from an owner that is gone.
+#include <algorithm>
+
+#include "host_process.h"
+
+namespace buckthornmux::entry {
+namespace {
+
+using runtime::LogLine;
+using Level = runtime::LogLine::Level;
+
+/// A release flushes the journal, which takes some milliseconds.
+constexpr Millis kReleaseWithin{100};
+/// An owner reads who owns the cell this often at least, and a store call takes
+/// this long at the most.
+constexpr Millis kLearnsOfOwner{2700};
+/// A slow host stays out of ownership for at least this.
+constexpr Millis kRest{5000};
+constexpr Millis kLateLogEvery{1000};
+/// Other hosts that must be there to take over from a slow one.
+constexpr std::size_t kLeastOthers = 2;
+
+}  // namespace
+
+bool Host::HandOverTo(const HostId& to, std::string_view why) {
+  const std::string range(kRange);
+  const Epoch epoch = m_members.OwnedEpoch(range);
+  if (epoch == 0 || to.empty()) {
+    return false;
+  }
+  LogLine("range_handed_over", Level::kWarning)
+      .With("range", range)
+      .With("epoch", epoch)
+      .With("to", to)
+      .With("reason", why);
+  m_release_began.reset();
+  m_members.Abandon(range);
+  SendTo(to, RangeOffer{range, epoch});
+  return true;
+}
+
+bool Host::HandOver(std::string_view why) {
+  return ServesNow(m_gauge, Now()) && HandOverTo(Successor(), why);
+}
+
+void Host::MindRelease(Time now) {
+  if (m_release_began && now - *m_release_began > kReleaseWithin &&
+      !HandOver("release takes long")) {
+    m_release_began = now;
+  }
+}
+
+HostId Host::Successor() const {
+  const auto found = std::ranges::find_if(
+      m_members.Members(), [this](const member::Member& known) {
+        return known.id != m_settings.host && !known.leaving &&
+               m_links_up.contains(known.id);
+      });
+  return found == m_members.Members().end() ? HostId() : found->id;
+}
+
+void Host::ClaimFrom(const HostId& owner) {
+  const std::string range(kRange);
+  const auto record = m_members.RegisteredOwner(range);
+  if (!record || record->owner != owner || m_leaving || m_resting ||
+      !ServesNow(m_gauge, Now())) {
+    return;
+  }
+  LogLine("owner_gone", Level::kWarning)
+      .With("range", range)
+      .With("owner", owner)
+      .With("epoch", record->epoch);
+  m_suspected = record->epoch;
+  m_members.TakeOffer(range, record->epoch);
+}
+
+Millis Host::FormerOwnerMayAct(const member::OwnerRecord& gained) const {
+  return gained.epoch == m_suspected + 1 ? kLearnsOfOwner : Millis(0);
+}
+
+void Host::MindOwner(Time now) {
+  HostId owner = m_members.OwnerOf(std::string(kRange));
+  if (owner == m_settings.host) {
+    owner.clear();
+  }
+  m_owner_watch.Tick(owner, m_callers.WaitingSince(owner), now);
+}
+
+void Host::MindSlowness(Time now) {
+  m_slowness.Add(now - m_tick_due);
+  if (!m_slowness.Well() && now >= m_late_logged + kLateLogEvery) {
+    m_late_logged = now;
+    LogLine("loop_late", Level::kWarning)
+        .With("host", m_settings.host)
+        .With("ticks_late_ms", m_slowness.Late().count())
+        .With("open_calls", static_cast<std::uint64_t>(m_callers.Open()));
+  }
+  if (m_leaving || m_cell.Owning() == m_resting) {
+    return;
+  }
+  if (m_resting) {
+    if (m_slowness.Well() && now >= m_rest_until) {
+      m_resting = false;
+      LogLine("takes_part_again").With("host", m_settings.host);
+      m_members.Return();
+    }
+    return;
+  }
+  if (!m_slowness.Slow() || m_members.OthersActive() < kLeastOthers) {
+    return;
+  }
+  m_resting = true;
+  m_rest_until = now + kRest;
+  LogLine("hands_over_when_slow", Level::kWarning)
+      .With("host", m_settings.host)
+      .With("ticks_late_ms", m_slowness.Late().count());
+  m_members.Leave();
+}
+
+}  // namespace buckthornmux::entry
