A silent target's lease is not counted anew by the next owner

Change: the stored list gives what is left of a silent target's lease and is stored again every 0.5 s while one lapses. Ruled out: dropping it at once (it may be cut off and go on). Test: SilentTargetIsWaitedForOnlyOnce.

--- a/src/cell/records.cc
+++ b/src/cell/records.cc
@@ -182,6 +182,9 @@
     const bool left = target.entry.draining && target.runs.empty();
     if (target.reported && left) {
       lasts.erase(id);
+    } else if (target.reported && target.silent) {
+      // Its lease is not renewed any more.
+      lasts[id] = std::max(Millis(0), target.lease_until - now);
     } else if (target.reported) {
       lasts[id] = LeaseLapse(cell.options);
     } else if (!left) {
@@ -189,6 +192,7 @@
     }
   }
   std::vector<StoredTarget> stored;
+  stored.reserve(lasts.size());
   for (const auto& [id, time] : lasts) {
     stored.push_back({id, time});
   }
--- a/src/cell/steps.cc
+++ b/src/cell/steps.cc
@@ -9,8 +9,6 @@
 /// Runs that an unseen former owner may have started are numbered below this
 /// distance from the highest known.
 constexpr std::uint32_t kRunGap = 64;
-/// How often times of targets that have not told yet are stored.
-constexpr Millis kStoreExpectedEvery{500};
 
 Occurrence MakeOccurrence(const JobSpec& spec) {
   Occurrence occurrence;
@@ -259,10 +257,6 @@
   }
   const std::vector<TargetId> unreported = Unreported(cell, now);
   if (!unreported.empty()) {
-    // A next owner is to wait no longer than this one would.
-    if (now - cell.expected_stored >= kStoreExpectedEvery) {
-      cell.targets_dirty = true;
-    }
     return;
   }
   cell.recovered = true;
--- a/src/cell/tick.cc
+++ b/src/cell/tick.cc
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "internal.h"
 
 namespace buckthornmux::cell {
@@ -27,6 +29,19 @@
   }
 }
 
+/// A next owner is to wait no longer than this one would for what runs unseen.
+void StoreLapsing(Cell& cell, Time now) {
+  constexpr Millis kEvery{500};
+  const bool lapsing =
+      !cell.recovered ||
+      std::ranges::any_of(cell.targets, [&](const auto& entry) {
+        return entry.second.silent && entry.second.lease_until > now;
+      });
+  if (lapsing && now - cell.expected_stored >= kEvery) {
+    cell.targets_dirty = true;
+  }
+}
+
 }  // namespace
 
 void StartService(Cell& cell, Actions& actions, Time now) {
@@ -58,6 +73,7 @@
   ExpireAdvice(cell, actions, now);
   ForgetOld(cell, now);
   CheckRecovery(cell, actions, now);
+  StoreLapsing(cell, now);
 }
 
 }  // namespace buckthornmux::cell
--- a/tests/unit-cell.cc
+++ b/tests/unit-cell.cc
@@ -106,6 +106,7 @@
   CPPUNIT_TEST(StoreLossRefusesWhatNoWriteHasLeftFor);
   CPPUNIT_TEST(UnlistedTargetsAreRememberedOverTakeovers);
   CPPUNIT_TEST(NextOwnerWaitsNoLongerThanTheFormerOne);
+  CPPUNIT_TEST(SilentTargetIsWaitedForOnlyOnce);
   CPPUNIT_TEST(EmptyLeavingTargetDelaysNoTakeover);
   CPPUNIT_TEST(NothingStartsWhereANextOwnerWouldNotAsk);
   CPPUNIT_TEST_SUITE_END();
@@ -529,6 +530,30 @@
     CPPUNIT_ASSERT(third.recovered);
   }
 
+  // On ppl-coop trouble-1 a target was taken away with what ran there; 3.6 s
+  // later its owner was replaced, and the next one waited for its whole lease.
+  void SilentTargetIsWaitedForOnlyOnce() {
+    const Time now{Millis(1'000'000)};
+    const Time later = now + Millis(3000);
+    const std::vector<cell::TargetEntry> entries{PlainTarget("t1"),
+                                                 PlainTarget("t2")};
+    cell::Cell first = MakeCell({}, entries, now);
+    ReportNothing(first, "t1", now);
+    ReportNothing(first, "t2", now);
+    cell::LeaseSent(first, "t2", now);
+    (void)StoreNow(first, now);
+    cell::Actions actions;
+    cell::ReportFailed(first, actions, "t2", cell::OrderOutcome::kUnknown,
+                       now + Millis(1600));
+    cell::Tick(first, actions, later);
+    cell::Cell second = MakeCell(StoreNow(first, later).writes, entries, later);
+    ReportNothing(second, "t1", later);
+    cell::Tick(second, actions, later + Millis(1000));
+    CPPUNIT_ASSERT(!second.recovered);
+    cell::Tick(second, actions, now + second.options.lease + Millis(1000));
+    CPPUNIT_ASSERT(second.recovered);
+  }
+
   // On a day of lost owners old work waited for 1.9 s for targets that had
   // emptied themselves, left, and were still listed.
   void EmptyLeavingTargetDelaysNoTakeover() {
