Room gathers for four gangs at once

Cause: in overloads gangs were in time in 6 of 10 cases while batches, which have three times their length to spare, always were: two gangs at a time may keep room, and batches filled the rest.

--- a/src/cell/gangs.cc
+++ b/src/cell/gangs.cc
@@ -9,7 +9,7 @@
 
 /// Gangs for which all room is kept that becomes free. More would leave too
 /// much of the cell idle.
-constexpr int kMostGathering = 2;
+constexpr int kMostGathering = 4;
 
 /// Where some tasks of a gang could be placed.
 struct Place {
