Dead connections to the owner are renewed; records bounded in bytes; new owners settle first

A host that hears nothing of an owner whom others hear of gives up its own connection at once, so that waiting calls go out on a new one instead of after 0.9 s. One record of new jobs holds 400 kB at the most (100 jobs of the largest kind would be 1.4 MB of the megabyte that a record may have). Slowness is not judged in an owner's first second, in which it reads. Ruled out for the first: a shorter silence bound for all links (each ping is a wake-up on both sides). Tests: ProbeBringsASignAndReconnectANewLink, OwnerThatAnotherHearsOfStays, RecordsStayBelowWhatTheStoreTakes. Takeover tests stand in unit-takeover.

--- a/include/buckthornmux/detail/entry/owner_watch.h
+++ b/include/buckthornmux/detail/entry/owner_watch.h
@@ -21,6 +21,8 @@
   std::function<void(const HostId& to, const SignReply& reply)> tell;
   /// Nobody who was asked hears of the owner.
   std::function<void(const HostId& owner)> gone;
+  /// Others hear of the owner: it is this host's connection that is dead.
+  std::function<void(const HostId& owner)> reconnect;
 };
 
 /// @brief Suspects an owner that leaves a call unanswered, and asks others.
--- a/include/buckthornmux/detail/peer/peer_links.h
+++ b/include/buckthornmux/detail/peer/peer_links.h
@@ -66,6 +66,10 @@
   ///   asked on a link that is down.
   void Probe(const HostId& peer);
 
+  /// @brief Gives up a connection that went silent and opens a new one, from
+  ///   any thread.
+  void Reconnect(const HostId& peer);
+
   /// @brief Sends a heartbeat to every peer, from any thread.
   void SendHeartbeat(const Heartbeat& heartbeat);
 
--- a/src/cell/records.cc
+++ b/src/cell/records.cc
@@ -18,8 +18,10 @@
 constexpr std::string_view kEndedKey = "ended/";
 constexpr std::string_view kProgressKey = "progress/";
 constexpr std::string_view kTargetsKey = "targets";
-/// New jobs in one record: some kilobytes each, of a megabyte that it may hold.
+/// New jobs in one record, and what they may take of the megabyte that a record
+/// may hold.
 constexpr std::size_t kMostBundled = 100;
+constexpr std::size_t kMostBundleBytes = 400'000;
 
 /// One of a record below kJobsKey; stored when the job is taken, erased when
 /// all jobs of the record have ended.
@@ -218,6 +220,7 @@
 /// What one batch stores of jobs.
 struct Bundles {
   std::vector<StoredJob> jobs;
+  std::size_t job_bytes = 0;  ///< Of `jobs`, about.
   std::vector<StoredEnd> ends;
   std::string jobs_key;
   std::string ended_key;
@@ -260,6 +263,8 @@
     job.stored_in = bundles.jobs_key;
     ++cell.bundles[job.stored_in];
     bundles.jobs.push_back({job.spec, job.arrived_wall});
+    bundles.job_bytes +=
+        job.spec.payload.size() + job.spec.steps.size() * sizeof(StepSpec);
   }
   if (job.version > 1) {
     batch.writes.push_back(
@@ -276,6 +281,7 @@
   constexpr std::size_t kWritesOfOneJob = 2;
   constexpr std::size_t kOwnBundles = 2;
   while (!line.empty() && bundles.jobs.size() < kMostBundled &&
+         bundles.job_bytes < kMostBundleBytes &&
          batch.writes.size() + kWritesOfOneJob + kOwnBundles <= max_writes) {
     Job* job = FindJob(cell, line.front());
     line.pop_front();
--- a/src/entry/host.cc
+++ b/src/entry/host.cc
@@ -107,6 +107,7 @@
 
 MembershipEvents Host::MembershipHandlers() {
   return {[this](const member::OwnerRecord& record) {
+            m_gained_at = Now();
             m_targets.SetActive(true);
             m_cell.Open(record, FormerOwnerMayAct(record));
           },
@@ -213,7 +214,8 @@
       [this](const HostId& host) { m_peers.Probe(host); },
       [this](const HostId& to, const SignAsk& ask) { SendTo(to, ask); },
       [this](const HostId& to, const SignReply& reply) { SendTo(to, reply); },
-      [this](const HostId& owner) { ClaimFrom(owner); }};
+      [this](const HostId& owner) { ClaimFrom(owner); },
+      [this](const HostId& owner) { m_peers.Reconnect(owner); }};
 }
 
 void Host::Tick() {
--- a/src/entry/host_ownership.cc
+++ b/src/entry/host_ownership.cc
@@ -14,6 +14,8 @@
 /// An owner reads who owns the cell this often at least, and a store call takes
 /// this long at the most.
 constexpr Millis kLearnsOfOwner{2700};
+/// A new owner has much to read at first, which is not slowness.
+constexpr Millis kSettles{1000};
 /// A slow host stays out of ownership for at least this.
 constexpr Millis kRest{5000};
 constexpr Millis kLateLogEvery{1000};
@@ -106,7 +108,8 @@
     }
     return;
   }
-  if (!m_slowness.Slow() || m_members.OthersActive() < kLeastOthers) {
+  if (!m_slowness.Slow() || now - m_gained_at < kSettles ||
+      m_members.OthersActive() < kLeastOthers) {
     return;
   }
   m_resting = true;
--- a/src/entry/host_process.h
+++ b/src/entry/host_process.h
@@ -137,6 +137,7 @@
   std::map<HostId, std::string> m_peer_addresses;  ///< Of linked hosts.
   SlownessGauge m_slowness;
   Time m_tick_due = Now();
+  Time m_gained_at;       ///< When this host last became the owner.
   Epoch m_suspected = 0;  ///< Of the last owner that was claimed from.
   Time m_paused_until;    ///< End of the last long pause.
   std::optional<Time> m_release_began;  ///< Of the cell, not ended yet.
--- a/src/entry/owner_watch.cc
+++ b/src/entry/owner_watch.cc
@@ -114,6 +114,7 @@
     return;
   }
   if (reply.alive) {
+    m_links.reconnect(m_owner);
     Calm(now + kQuiet);
     return;
   }
--- a/src/peer/peer_links.cc
+++ b/src/peer/peer_links.cc
@@ -399,6 +399,17 @@
   });
 }
 
+void PeerLinks::Reconnect(const HostId& peer) {
+  asio::post(m_impl->io, [impl = m_impl, peer] {
+    const std::scoped_lock lock(impl->mutex);
+    const auto found = impl->links.find(peer);
+    if (found != impl->links.end()) {
+      found->second->CloseSocket();
+      found->second->wake.cancel();
+    }
+  });
+}
+
 void PeerLinks::SendHeartbeat(const Heartbeat& heartbeat) {
   asio::post(m_impl->io, [impl = m_impl, bytes = Encode(heartbeat)] {
     const std::scoped_lock lock(impl->mutex);
--- a/tests/unit-cell.cc
+++ b/tests/unit-cell.cc
@@ -2,85 +2,19 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "cell_loads.h"
+#include "plain_cell.h"
 
 namespace buckthornmux::tests {
 namespace {
 
 using cell::JobPhase;
 
-cell::Queue PlainQueue(const std::string& name, int priority = 0) {
-  return {.name = name,
-          .service = "service",
-          .priority = priority,
-          .max_attempts = 4,
-          .stretch = 2,
-          .target_runtime = Millis(1000)};
-}
-
-cell::StepSpec PlainStep(std::uint32_t count, std::int64_t cpu, int run_ms) {
-  cell::StepSpec step;
-  step.count = count;
-  step.demand.cpu_milli = cpu;
-  step.demand.memory_mb = 100;
-  step.estimate = Millis(run_ms);
-  return step;
-}
-
-cell::JobSpec PlainJob(const std::string& id, std::uint32_t tasks = 1,
-                       int run_ms = 500) {
-  cell::JobSpec spec;
-  spec.id = id;
-  spec.queue = "plain";
-  spec.team = "team-0";
-  spec.steps.push_back(PlainStep(tasks, 1000, run_ms));
-  return spec;
-}
-
 void NoBreaches(const World& world) {
   CPPUNIT_ASSERT_MESSAGE(
       world.Breaches().empty() ? "" : world.Breaches().front(),
       world.Breaches().empty());
 }
 
-/// A cell that has read these records and sees these targets.
-cell::Cell MakeCell(std::span<const cell::RecordWrite> records,
-                    std::span<const cell::TargetEntry> entries, Time now) {
-  cell::Cell owned;
-  cell::Actions actions;
-  owned.claimed_at = now;
-  owned.former_until = now;
-  cell::Rules rules;
-  rules.queues = {PlainQueue("plain")};
-  cell::SetRules(owned, actions, rules, now);
-  CPPUNIT_ASSERT(!std::holds_alternative<Error>(
-      Capture([&] { return cell::LoadRecords(owned, records, now); })));
-  cell::SetTargets(owned, actions, entries, now);
-  cell::StartService(owned, actions, now);
-  return owned;
-}
-
-cell::TargetEntry PlainTarget(const std::string& id, bool draining = false) {
-  cell::TargetEntry entry;
-  entry.id = id;
-  entry.service = "service";
-  entry.draining = draining;
-  entry.life = 1;
-  entry.capacity = {0, 16'000, 32'768, 0};
-  return entry;
-}
-
-void ReportNothing(cell::Cell& owned, const std::string& id, Time now) {
-  cell::Actions actions;
-  cell::Reported(owned, actions, id, {.life = 1, .clock_ms = 5}, now, now);
-}
-
-/// What the cell would store now.
-cell::Batch StoreNow(cell::Cell& owned, Time now) {
-  auto batch = cell::TakeBatch(owned, 29, now);
-  CPPUNIT_ASSERT(batch.has_value());
-  return *batch;
-}
-
 class CellTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(CellTest);
   CPPUNIT_TEST(JobRunsAndCompletes);
@@ -104,11 +38,6 @@
   CPPUNIT_TEST(StuckTaskMovesElsewhere);
   CPPUNIT_TEST(OwnersReplacedUnderLoad);
   CPPUNIT_TEST(StoreLossRefusesWhatNoWriteHasLeftFor);
-  CPPUNIT_TEST(UnlistedTargetsAreRememberedOverTakeovers);
-  CPPUNIT_TEST(NextOwnerWaitsNoLongerThanTheFormerOne);
-  CPPUNIT_TEST(SilentTargetIsWaitedForOnlyOnce);
-  CPPUNIT_TEST(EmptyLeavingTargetDelaysNoTakeover);
-  CPPUNIT_TEST(NothingStartsWhereANextOwnerWouldNotAsk);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -487,111 +416,6 @@
     CPPUNIT_ASSERT(refused);
     CPPUNIT_ASSERT(!world.State().jobs.contains("j1"));
   }
-
-  // A target of a former owner is cut off, and so is not listed; the next owner
-  // is replaced in turn before it knows what runs there.
-  void UnlistedTargetsAreRememberedOverTakeovers() {
-    const Time now{Millis(1'000'000)};
-    const std::vector<cell::TargetEntry> both{PlainTarget("t1"),
-                                              PlainTarget("t2")};
-    const std::vector<cell::TargetEntry> one{PlainTarget("t1")};
-    cell::Cell first = MakeCell({}, both, now);
-    const cell::Batch stored = StoreNow(first, now);
-    cell::Cell second = MakeCell(stored.writes, one, now);
-    ReportNothing(second, "t1", now);
-    CPPUNIT_ASSERT(!second.recovered);
-    const cell::Batch again = StoreNow(second, now);
-    cell::Cell third = MakeCell(again.writes, one, now);
-    ReportNothing(third, "t1", now);
-    CPPUNIT_ASSERT(!third.recovered);
-    cell::Actions actions;
-    cell::Tick(third, actions, now + third.options.lease + Millis(1000));
-    CPPUNIT_ASSERT(third.recovered);
-  }
-
-  // Owners came and went for 3 s, and each began to count anew.
-  void NextOwnerWaitsNoLongerThanTheFormerOne() {
-    const Time now{Millis(1'000'000)};
-    const Time later = now + Millis(3000);
-    const std::vector<cell::TargetEntry> both{PlainTarget("t1"),
-                                              PlainTarget("t2")};
-    const std::vector<cell::TargetEntry> one{PlainTarget("t1")};
-    cell::Cell first = MakeCell({}, both, now);
-    cell::Cell second = MakeCell(StoreNow(first, now).writes, one, now);
-    ReportNothing(second, "t1", now);
-    (void)StoreNow(second, now);
-    cell::Actions actions;
-    cell::Tick(second, actions, later);
-    cell::Cell third = MakeCell(StoreNow(second, later).writes, one, later);
-    ReportNothing(third, "t1", later);
-    cell::Tick(third, actions, later + Millis(1000));
-    CPPUNIT_ASSERT(!third.recovered);
-    cell::Tick(third, actions, now + third.options.lease + Millis(1000));
-    CPPUNIT_ASSERT(third.recovered);
-  }
-
-  // On ppl-coop trouble-1 a target was taken away with what ran there; 3.6 s
-  // later its owner was replaced, and the next one waited for its whole lease.
-  void SilentTargetIsWaitedForOnlyOnce() {
-    const Time now{Millis(1'000'000)};
-    const Time later = now + Millis(3000);
-    const std::vector<cell::TargetEntry> entries{PlainTarget("t1"),
-                                                 PlainTarget("t2")};
-    cell::Cell first = MakeCell({}, entries, now);
-    ReportNothing(first, "t1", now);
-    ReportNothing(first, "t2", now);
-    cell::LeaseSent(first, "t2", now);
-    (void)StoreNow(first, now);
-    cell::Actions actions;
-    cell::ReportFailed(first, actions, "t2", cell::OrderOutcome::kUnknown,
-                       now + Millis(1600));
-    cell::Tick(first, actions, later);
-    cell::Cell second = MakeCell(StoreNow(first, later).writes, entries, later);
-    ReportNothing(second, "t1", later);
-    cell::Tick(second, actions, later + Millis(1000));
-    CPPUNIT_ASSERT(!second.recovered);
-    cell::Tick(second, actions, now + second.options.lease + Millis(1000));
-    CPPUNIT_ASSERT(second.recovered);
-  }
-
-  // On a day of lost owners old work waited for 1.9 s for targets that had
-  // emptied themselves, left, and were still listed.
-  void EmptyLeavingTargetDelaysNoTakeover() {
-    const Time now{Millis(1'000'000)};
-    const std::vector<cell::TargetEntry> entries{PlainTarget("t1"),
-                                                 PlainTarget("t2", true)};
-    cell::Cell first = MakeCell({}, entries, now);
-    ReportNothing(first, "t1", now);
-    ReportNothing(first, "t2", now);
-    const cell::Batch stored = StoreNow(first, now);
-    cell::Cell second = MakeCell(stored.writes, entries, now);
-    CPPUNIT_ASSERT(!second.recovered);
-    ReportNothing(second, "t1", now);
-    CPPUNIT_ASSERT(second.recovered);
-  }
-
-  void NothingStartsWhereANextOwnerWouldNotAsk() {
-    const Time now{Millis(1'000'000)};
-    const std::vector<cell::TargetEntry> entries{PlainTarget("t1")};
-    cell::Cell owned = MakeCell({}, entries, now);
-    ReportNothing(owned, "t1", now);
-    cell::Actions actions;
-    cell::Submit(owned, actions, 1, PlainJob("j1"), now);
-    // The job is stored first, the list of targets after it.
-    owned.targets_dirty = false;
-    cell::BatchStored(owned, actions, StoreNow(owned, now), now);
-    const auto starts = [&owned, now] {
-      cell::Actions planned;
-      cell::Plan(owned, planned, now);
-      return std::ranges::count_if(planned, [](const auto& action) {
-        return std::holds_alternative<cell::SendStart>(action);
-      });
-    };
-    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{0}, starts());
-    owned.targets_dirty = true;
-    cell::BatchStored(owned, actions, StoreNow(owned, now), now);
-    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{1}, starts());
-  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CellTest);
--- a/tests/unit-owner-watch.cc
+++ b/tests/unit-owner-watch.cc
@@ -20,6 +20,7 @@
   std::vector<std::pair<HostId, SignAsk>> asked;
   std::vector<std::pair<HostId, SignReply>> told;
   std::vector<HostId> gone;
+  int reconnects = 0;
   Time now = kStart;
   entry::OwnerWatch watch{
       {[this] { return linked; }, [this](const HostId&) { ++probes; },
@@ -29,7 +30,8 @@
        [this](const HostId& to, const SignReply& reply) {
          told.emplace_back(to, reply);
        },
-       [this](const HostId& owner) { gone.push_back(owner); }}};
+       [this](const HostId& owner) { gone.push_back(owner); },
+       [this](const HostId&) { ++reconnects; }}};
 
   Fixture() { watch.Tick("o", std::nullopt, now); }
 
@@ -93,6 +95,8 @@
     f.Pass(Millis(300));
     f.watch.Take(SignReply{f.asked.at(0).second.ask, false}, f.now);
     f.watch.Take(SignReply{f.asked.at(1).second.ask, true}, f.now);
+    // The connection went silent: a new one may work.
+    CPPUNIT_ASSERT_EQUAL(1, f.reconnects);
     f.Pass(Millis(400));
     CPPUNIT_ASSERT(f.gone.empty());
   }
--- a/tests/unit-peer.cc
+++ b/tests/unit-peer.cc
@@ -66,6 +66,7 @@
   CPPUNIT_TEST(RefusesForeignBytes);
   CPPUNIT_TEST(SendsBothWays);
   CPPUNIT_TEST(SilentLinkGoesDown);
+  CPPUNIT_TEST(ProbeBringsASignAndReconnectANewLink);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -138,6 +139,35 @@
       return inbox.links.size() >= 2 && inbox.links[0] && !inbox.links[1];
     }));
   }
+
+  void ProbeBringsASignAndReconnectANewLink() {
+    Inbox inbox;
+    Inbox other;
+    int signs = 0;
+    IoThread io;
+    const std::string address = FreeAddress();
+    // Pings of their own are far apart.
+    PeerEvents events = inbox.Events();
+    events.sign = [&](const HostId&) { inbox.Note([&] { ++signs; }); };
+    PeerLinks a(io.io,
+                {.self = "a",
+                 .listen = FreeAddress(),
+                 .ping_every = Millis(60'000),
+                 .silent_after = Millis(120'000),
+                 .reconnect_pause = Millis(10)},
+                events);
+    const PeerLinks b(io.io, {.self = "b", .listen = address}, other.Events());
+    const std::vector<PeerAddress> peers{{"b", address}};
+    a.SetPeers(peers);
+    CPPUNIT_ASSERT(inbox.WaitFor([&] { return inbox.links.size() == 1; }));
+    CPPUNIT_ASSERT(inbox.WaitFor([&] { return signs == 1; }));  // At the start.
+    a.Probe("b");
+    CPPUNIT_ASSERT(inbox.WaitFor([&] { return signs == 2; }));
+    a.Reconnect("b");
+    CPPUNIT_ASSERT(inbox.WaitFor([&] {
+      return inbox.links.size() == 3 && !inbox.links[1] && inbox.links[2];
+    }));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PeerTest);
--- /dev/null
+++ b/tests/unit-takeover.cc
@@ -0,0 +1,200 @@
+// What an owner stores and what its next one knows: jobs, ends, and targets
+// that may run something.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+#include "buckthornmux/detail/cell/cell.h"
+#include "plain_cell.h"
+
+namespace buckthornmux::tests {
+namespace {
+
+/// A cell that has read these records and sees these targets.
+cell::Cell MakeCell(std::span<const cell::RecordWrite> records,
+                    std::span<const cell::TargetEntry> entries, Time now) {
+  cell::Cell owned;
+  cell::Actions actions;
+  owned.claimed_at = now;
+  owned.former_until = now;
+  cell::Rules rules;
+  rules.queues = {PlainQueue("plain")};
+  cell::SetRules(owned, actions, rules, now);
+  CPPUNIT_ASSERT(!std::holds_alternative<Error>(
+      Capture([&] { return cell::LoadRecords(owned, records, now); })));
+  cell::SetTargets(owned, actions, entries, now);
+  cell::StartService(owned, actions, now);
+  return owned;
+}
+
+cell::TargetEntry PlainTarget(const std::string& id, bool draining = false) {
+  cell::TargetEntry entry;
+  entry.id = id;
+  entry.service = "service";
+  entry.draining = draining;
+  entry.life = 1;
+  entry.capacity = {0, 16'000, 32'768, 0};
+  return entry;
+}
+
+void ReportNothing(cell::Cell& owned, const std::string& id, Time now) {
+  cell::Actions actions;
+  cell::Reported(owned, actions, id, {.life = 1, .clock_ms = 5}, now, now);
+}
+
+/// What the cell would store now.
+cell::Batch StoreNow(cell::Cell& owned, Time now) {
+  auto batch = cell::TakeBatch(owned, 29, now);
+  CPPUNIT_ASSERT(batch.has_value());
+  return *batch;
+}
+
+class TakeoverTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(TakeoverTest);
+  CPPUNIT_TEST(UnlistedTargetsAreRememberedOverTakeovers);
+  CPPUNIT_TEST(NextOwnerWaitsNoLongerThanTheFormerOne);
+  CPPUNIT_TEST(SilentTargetIsWaitedForOnlyOnce);
+  CPPUNIT_TEST(EmptyLeavingTargetDelaysNoTakeover);
+  CPPUNIT_TEST(NothingStartsWhereANextOwnerWouldNotAsk);
+  CPPUNIT_TEST(RecordsStayBelowWhatTheStoreTakes);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // A target of a former owner is cut off, and so is not listed; the next owner
+  // is replaced in turn before it knows what runs there.
+  void UnlistedTargetsAreRememberedOverTakeovers() {
+    const Time now{Millis(1'000'000)};
+    const std::vector<cell::TargetEntry> both{PlainTarget("t1"),
+                                              PlainTarget("t2")};
+    const std::vector<cell::TargetEntry> one{PlainTarget("t1")};
+    cell::Cell first = MakeCell({}, both, now);
+    const cell::Batch stored = StoreNow(first, now);
+    cell::Cell second = MakeCell(stored.writes, one, now);
+    ReportNothing(second, "t1", now);
+    CPPUNIT_ASSERT(!second.recovered);
+    const cell::Batch again = StoreNow(second, now);
+    cell::Cell third = MakeCell(again.writes, one, now);
+    ReportNothing(third, "t1", now);
+    CPPUNIT_ASSERT(!third.recovered);
+    cell::Actions actions;
+    cell::Tick(third, actions, now + third.options.lease + Millis(1000));
+    CPPUNIT_ASSERT(third.recovered);
+  }
+
+  // Owners came and went for 3 s, and each began to count anew.
+  void NextOwnerWaitsNoLongerThanTheFormerOne() {
+    const Time now{Millis(1'000'000)};
+    const Time later = now + Millis(3000);
+    const std::vector<cell::TargetEntry> both{PlainTarget("t1"),
+                                              PlainTarget("t2")};
+    const std::vector<cell::TargetEntry> one{PlainTarget("t1")};
+    cell::Cell first = MakeCell({}, both, now);
+    cell::Cell second = MakeCell(StoreNow(first, now).writes, one, now);
+    ReportNothing(second, "t1", now);
+    (void)StoreNow(second, now);
+    cell::Actions actions;
+    cell::Tick(second, actions, later);
+    cell::Cell third = MakeCell(StoreNow(second, later).writes, one, later);
+    ReportNothing(third, "t1", later);
+    cell::Tick(third, actions, later + Millis(1000));
+    CPPUNIT_ASSERT(!third.recovered);
+    cell::Tick(third, actions, now + third.options.lease + Millis(1000));
+    CPPUNIT_ASSERT(third.recovered);
+  }
+
+  // On ppl-coop trouble-1 a target was taken away with what ran there; 3.6 s
+  // later its owner was replaced, and the next one waited for its whole lease.
+  void SilentTargetIsWaitedForOnlyOnce() {
+    const Time now{Millis(1'000'000)};
+    const Time later = now + Millis(3000);
+    const std::vector<cell::TargetEntry> entries{PlainTarget("t1"),
+                                                 PlainTarget("t2")};
+    cell::Cell first = MakeCell({}, entries, now);
+    ReportNothing(first, "t1", now);
+    ReportNothing(first, "t2", now);
+    cell::LeaseSent(first, "t2", now);
+    (void)StoreNow(first, now);
+    cell::Actions actions;
+    cell::ReportFailed(first, actions, "t2", cell::OrderOutcome::kUnknown,
+                       now + Millis(1600));
+    cell::Tick(first, actions, later);
+    cell::Cell second = MakeCell(StoreNow(first, later).writes, entries, later);
+    ReportNothing(second, "t1", later);
+    cell::Tick(second, actions, later + Millis(1000));
+    CPPUNIT_ASSERT(!second.recovered);
+    cell::Tick(second, actions, now + second.options.lease + Millis(1000));
+    CPPUNIT_ASSERT(second.recovered);
+  }
+
+  // On a day of lost owners old work waited for 1.9 s for targets that had
+  // emptied themselves, left, and were still listed.
+  void EmptyLeavingTargetDelaysNoTakeover() {
+    const Time now{Millis(1'000'000)};
+    const std::vector<cell::TargetEntry> entries{PlainTarget("t1"),
+                                                 PlainTarget("t2", true)};
+    cell::Cell first = MakeCell({}, entries, now);
+    ReportNothing(first, "t1", now);
+    ReportNothing(first, "t2", now);
+    const cell::Batch stored = StoreNow(first, now);
+    cell::Cell second = MakeCell(stored.writes, entries, now);
+    CPPUNIT_ASSERT(!second.recovered);
+    ReportNothing(second, "t1", now);
+    CPPUNIT_ASSERT(second.recovered);
+  }
+
+  void NothingStartsWhereANextOwnerWouldNotAsk() {
+    const Time now{Millis(1'000'000)};
+    const std::vector<cell::TargetEntry> entries{PlainTarget("t1")};
+    cell::Cell owned = MakeCell({}, entries, now);
+    ReportNothing(owned, "t1", now);
+    cell::Actions actions;
+    cell::Submit(owned, actions, 1, PlainJob("j1"), now);
+    // The job is stored first, the list of targets after it.
+    owned.targets_dirty = false;
+    cell::BatchStored(owned, actions, StoreNow(owned, now), now);
+    const auto starts = [&owned, now] {
+      cell::Actions planned;
+      cell::Plan(owned, planned, now);
+      return std::ranges::count_if(planned, [](const auto& action) {
+        return std::holds_alternative<cell::SendStart>(action);
+      });
+    };
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{0}, starts());
+    owned.targets_dirty = true;
+    cell::BatchStored(owned, actions, StoreNow(owned, now), now);
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{1}, starts());
+  }
+
+  // Large jobs handed in while a write is under way share a record.
+  void RecordsStayBelowWhatTheStoreTakes() {
+    const Time now{Millis(1'000'000)};
+    cell::Cell owned = MakeCell({}, {}, now);
+    cell::Actions actions;
+    constexpr std::size_t kJobs = 150;
+    for (std::size_t i = 0; i < kJobs; ++i) {
+      cell::JobSpec spec = PlainJob("j" + std::to_string(i));
+      spec.payload = std::string(4000, 'x');
+      spec.steps.resize(64, spec.steps[0]);
+      cell::Submit(owned, actions, i, spec, now);
+    }
+    constexpr std::size_t kMostBytes = 1 << 20;
+    std::size_t stored = 0;
+    std::vector<cell::RecordWrite> records;
+    while (auto batch = cell::TakeBatch(owned, 29, now)) {
+      CPPUNIT_ASSERT(batch->writes.size() <= 29);
+      for (const cell::RecordWrite& write : batch->writes) {
+        CPPUNIT_ASSERT(write.value.size() < kMostBytes);
+        records.push_back(write);
+      }
+      stored += batch->versions.size();
+      cell::BatchStored(owned, actions, *batch, now);
+    }
+    CPPUNIT_ASSERT_EQUAL(kJobs, stored);
+    CPPUNIT_ASSERT_EQUAL(kJobs, MakeCell(records, {}, now).jobs.size());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TakeoverTest);
+
+}  // namespace
+}  // namespace buckthornmux::tests
