A former owner's late no is not the answer to a call that was handed on again

Found by reading the change: a call whose first owner's link was reset is handed to the next owner; the first one's refusal may still come on its own connection and was passed to the caller although the next owner had taken the job, a refusal that would be untrue. Hand-overs are numbered, and a no counts only for the last one. Ruled out: dropping all late answers (an acceptance is true whoever gave it). LateNoOfAFormerOwnerIsNotTheAnswer fails without the check.

--- a/include/buckthornmux/detail/entry/calls.h
+++ b/include/buckthornmux/detail/entry/calls.h
@@ -15,7 +15,8 @@
 
 /// A caller's call on its way to the cell's owner.
 struct CellCall {
-  std::uint64_t call = 0;  ///< Names it at the sender.
+  std::uint64_t call = 0;     ///< Names it at the sender.
+  std::uint32_t attempt = 0;  ///< Of handing it on; echoed.
   CallKind kind = CallKind::kQuery;
   cell::QueueName queue;
   TeamName team;
@@ -36,6 +37,7 @@
 /// The owner's answer.
 struct CellReply {
   std::uint64_t call = 0;
+  std::uint32_t attempt = 0;
   CallEnd end = CallEnd::kUnknown;
   cell::JobPhase phase = cell::JobPhase::kQueued;
   std::uint32_t pending = 0;
--- a/include/buckthornmux/detail/entry/cell_host.h
+++ b/include/buckthornmux/detail/entry/cell_host.h
@@ -85,6 +85,7 @@
   struct OpenCall {
     HostId from;
     std::uint64_t call = 0;
+    std::uint32_t attempt = 0;
   };
 
   void Loaded(std::vector<cell::RecordWrite> records);
--- a/src/entry/callers.cc
+++ b/src/entry/callers.cc
@@ -225,6 +225,7 @@
 /// Hands a call on; where nobody takes it, it waits until `owner_by`.
 void Callers::TryHand(std::uint64_t number, Time now) {
   OpenCall& open = m_open.at(number);
+  ++open.call.attempt;
   HostId to;
   const Handed handed = m_links.forward(open.call, to);
   // The answer may come, and end the call, before the hand-over returns.
@@ -294,6 +295,11 @@
                          reply.error == ErrorKind::kNotReady;
   const bool unanswered =
       reply.end == CallEnd::kRefused || reply.end == CallEnd::kUnknown;
+  // A former owner's no says nothing about what the next one has taken.
+  const bool negative = unanswered || reply.end == CallEnd::kNoSuchJob;
+  if (negative && reply.attempt != found->second.call.attempt) {
+    return;
+  }
   // An owner that can't store is about to be replaced, if anybody can.
   const bool to_be_replaced =
       reply.error == ErrorKind::kStoreUnavailable && m_links.owner_expected();
--- a/src/entry/cell_host.cc
+++ b/src/entry/cell_host.cc
@@ -94,6 +94,7 @@
   for (const auto& [id, open] : std::exchange(m_open_calls, {})) {
     CellReply reply;
     reply.call = open.call;
+    reply.attempt = open.attempt;
     reply.error = ErrorKind::kOwnerStale;
     reply.message = "the owner changed meanwhile";
     m_events.reply(open.from, reply);
@@ -181,6 +182,7 @@
 void CellHost::Call(const HostId& from, const CellCall& call) {
   CellReply reply;
   reply.call = call.call;
+  reply.attempt = call.attempt;
   // Without a registration another host may own the cell by now.
   if (!Serving() || m_released || !m_lease_held) {
     reply.end = CallEnd::kRefused;
@@ -203,7 +205,7 @@
     return;
   }
   const cell::CallId id = m_next_call++;
-  m_open_calls.emplace(id, OpenCall{from, call.call});
+  m_open_calls.emplace(id, OpenCall{from, call.call, call.attempt});
   cell::Actions actions;
   if (call.kind == CallKind::kSubmit) {
     cell::Submit(*m_cell, actions, id, call.spec, Now());
@@ -220,6 +222,7 @@
     return;
   }
   reply.call = found->second.call;
+  reply.attempt = found->second.attempt;
   const HostId to = found->second.from;
   m_open_calls.erase(found);
   m_events.reply(to, std::move(reply));
--- a/src/entry/host_calls.cc
+++ b/src/entry/host_calls.cc
@@ -116,6 +116,7 @@
   }
   CellReply reply;
   reply.call = call.call;
+  reply.attempt = call.attempt;
   reply.end = CallEnd::kRefused;
   reply.error = ErrorKind::kNotReady;
   reply.message = "the owner has paused";
--- a/tests/unit-entry-callers.cc
+++ b/tests/unit-entry-callers.cc
@@ -88,6 +88,7 @@
   void Decline(CallEnd end, ErrorKind error) {
     entry::CellReply reply;
     reply.call = taken.back().call;
+    reply.attempt = taken.back().attempt;
     reply.end = end;
     reply.error = error;
     callers.Reply(reply);
@@ -97,6 +98,7 @@
     if (!taken.empty()) {
       entry::CellReply reply;
       reply.call = taken.back().call;
+      reply.attempt = taken.back().attempt;
       reply.end = CallEnd::kAccepted;
       callers.Reply(reply);
     }
@@ -116,6 +118,7 @@
   CPPUNIT_TEST(StoreAwayForAllIsRefusedAtOnce);
   CPPUNIT_TEST(CallThatAnOwnerLetGoOfIsNotCalledNotRun);
   CPPUNIT_TEST(CallersAreSentToHostsThatFareBetter);
+  CPPUNIT_TEST(LateNoOfAFormerOwnerIsNotTheAnswer);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -232,6 +235,30 @@
     CPPUNIT_ASSERT(answer.body.find("unknown") != std::string::npos);
   }
 
+  // The link to the first owner was reset; its answer comes on the other one
+  // when the next owner has taken the job.
+  void LateNoOfAFormerOwnerIsNotTheAnswer() {
+    Fixture f;
+    const auto answer =
+        f.Send("POST", kJob, "k1", R"({"steps":[{"count":1}]})", [&f] {
+          f.callers.HostLost("owner");
+          f.callers.Tick(entry::Now());
+          CPPUNIT_ASSERT_EQUAL(std::size_t{2}, f.taken.size());
+          for (const ErrorKind error :
+               {ErrorKind::kTeamLimit, ErrorKind::kNotReady}) {
+            entry::CellReply late;
+            late.call = f.taken[0].call;
+            late.attempt = f.taken[0].attempt;
+            late.end = CallEnd::kRefused;
+            late.error = error;
+            f.callers.Reply(late);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.callers.Open());
+          }
+          f.Accept();
+        });
+    CPPUNIT_ASSERT_EQUAL(200, answer.status);
+  }
+
   void CallersAreSentToHostsThatFareBetter() {
     Fixture f;
     f.others_better = true;
