A gang that wants one rack runs on several where none is large enough

Found by reading the change: a gang whose tasks are slower on more than one rack was only ever placed on one, also where no rack could hold it even when empty, and then never ran. It takes one rack where one is large enough, and gathers room there; else several. Ruled out: waiting for a larger rack (there is none). GangLargerThanAnyRackRunsOnSeveral fails on the code before; GangThatWantsOneRackGetsOne passes on both.

--- a/src/cell/gangs.cc
+++ b/src/cell/gangs.cc
@@ -1,6 +1,8 @@
 // Gangs: all tasks of a step at once or none, and the room they wait for.
 #include <algorithm>
 #include <map>
+#include <string>
+#include <utility>
 
 #include "round.h"
 
@@ -25,38 +27,64 @@
   return total;
 }
 
+/// Takes places in turn, the largest first, until all tasks have one.
+std::vector<Target*> Fill(std::vector<Place> places, std::size_t wanted) {
+  std::ranges::sort(places, std::ranges::greater{}, &Place::count);
+  std::vector<Target*> chosen;
+  for (const Place& place : places) {
+    for (std::uint32_t i = 0; i < place.count && chosen.size() < wanted; ++i) {
+      chosen.push_back(place.slot->target);
+    }
+  }
+  return chosen;
+}
+
+/// Keeps the places of one rack: of those that could hold the whole gang, the
+/// one with the most room. Where no rack is large enough for it, a gang that
+/// wants one rack is slower on several, and has no other choice.
+void KeepOneRack(std::vector<Place>& places, const Candidate& candidate) {
+  const StepSpec& spec = candidate.Spec();
+  const std::size_t wanted = candidate.step->tasks.size();
+  struct Rack {
+    std::uint32_t possible = 0;
+    std::uint32_t free = 0;
+  };
+  std::map<std::string, Rack> racks;
+  for (const Place& place : places) {
+    const Target& target = *place.slot->target;
+    Rack& rack = racks[target.rack];
+    rack.possible +=
+        SlotsOn(target, target.entry.capacity, spec, candidate.ref);
+    rack.free += place.count;
+  }
+  const auto best = std::ranges::max_element(racks, {}, [&](const auto& entry) {
+    const Rack& rack = entry.second;
+    return std::pair(rack.possible >= wanted, rack.free);
+  });
+  if (best != racks.end() && best->second.possible >= wanted) {
+    std::erase_if(places, [&](const Place& place) {
+      return place.slot->target->rack != best->first;
+    });
+  }
+}
+
 /// Targets for all tasks of a gang, or nothing.
 std::vector<Target*> ChooseForGang(Round& round, const Candidate& candidate,
                                    const Queue& queue) {
   const StepSpec& spec = candidate.Spec();
   const std::size_t wanted = candidate.step->tasks.size();
-  std::map<std::string, std::vector<Place>> racks;
+  std::vector<Place> places;
   ForEachAllowed(round, queue, *candidate.step, [&](Slot& slot) {
-    if (!MayUse(round, candidate, queue, candidate.step->tasks[0], slot)) {
-      return;
-    }
-    const std::uint32_t count =
-        SlotsOn(*slot.target, RoomFor(slot, candidate), spec, candidate.ref);
-    if (count > 0) {
-      racks[spec.same_rack ? slot.target->rack : std::string()].push_back(
-          {&slot, count});
+    if (MayUse(round, candidate, queue, candidate.step->tasks[0], slot)) {
+      places.push_back({&slot, SlotsOn(*slot.target, RoomFor(slot, candidate),
+                                       spec, candidate.ref)});
     }
   });
-  for (auto& [rack, places] : racks) {
-    if (Total(places) < wanted) {
-      continue;
-    }
-    std::ranges::sort(places, std::ranges::greater{}, &Place::count);
-    std::vector<Target*> chosen;
-    for (const Place& place : places) {
-      for (std::uint32_t i = 0; i < place.count && chosen.size() < wanted;
-           ++i) {
-        chosen.push_back(place.slot->target);
-      }
-    }
-    return chosen;
+  if (spec.same_rack) {
+    KeepOneRack(places, candidate);
   }
-  return {};
+  return Total(places) < wanted ? std::vector<Target*>()
+                                : Fill(std::move(places), wanted);
 }
 
 Resources Times(const Resources& one, std::size_t count) {
@@ -113,6 +141,9 @@
         SlotsOn(target, RoomFor(slot, candidate), spec, candidate.ref);
     places.push_back({&slot, count});
   }
+  if (spec.same_rack) {
+    KeepOneRack(places, candidate);
+  }
   const auto wanted = static_cast<std::uint32_t>(candidate.step->tasks.size());
   const bool covered = Total(places) >= wanted;
   if (possible < wanted ||
--- a/tests/unit-cell.cc
+++ b/tests/unit-cell.cc
@@ -31,6 +31,8 @@
   CPPUNIT_TEST(GangAsksForFurtherTargetsAtOnce);
   CPPUNIT_TEST(RoomGathersForAGang);
   CPPUNIT_TEST(LateWorkYieldsToWorkInTime);
+  CPPUNIT_TEST(GangThatWantsOneRackGetsOne);
+  CPPUNIT_TEST(GangLargerThanAnyRackRunsOnSeveral);
   CPPUNIT_TEST(RecurringJobRunsWhenDue);
   CPPUNIT_TEST(AntiAffinityHolds);
   CPPUNIT_TEST(LostAnswersStartNothingTwice);
@@ -262,6 +264,50 @@
     NoBreaches(world);
   }
 
+  static cell::JobSpec RackGang(std::uint32_t tasks) {
+    cell::JobSpec gang = PlainJob("g", tasks, 500);
+    gang.steps[0].gang = true;
+    gang.steps[0].same_rack = true;
+    gang.steps[0].demand.cpu_milli = 15'000;
+    return gang;
+  }
+
+  // Four racks of two targets, all free again.
+  void GangThatWantsOneRackGetsOne() {
+    WorldOptions options;
+    options.targets = 8;
+    options.rack = 2;
+    World world(options);
+    world.SetRules({PlainQueue("plain")});
+    cell::JobSpec filler = PlainJob("f", 8, 3000);
+    filler.steps[0].demand.cpu_milli = 14'000;
+    world.Submit(filler);
+    world.RunUntil(world.NowTime() + Millis(3600));
+    world.Submit(RackGang(2));
+    world.RunUntil(world.NowTime() + Millis(100));
+    std::set<std::string> racks;
+    for (const auto& [id, target] : world.State().targets) {
+      if (!target.runs.empty()) {
+        racks.insert(target.rack);
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, racks.size());
+    world.RunUntil(world.NowTime() + Millis(1500));
+    CPPUNIT_ASSERT(world.PhaseOf("g") == JobPhase::kCompleted);
+  }
+
+  void GangLargerThanAnyRackRunsOnSeveral() {
+    WorldOptions options;
+    options.targets = 8;
+    options.rack = 2;
+    World world(options);
+    world.SetRules({PlainQueue("plain")});
+    world.Submit(RackGang(5));
+    world.RunUntil(world.NowTime() + Millis(2000));
+    CPPUNIT_ASSERT(world.PhaseOf("g") == JobPhase::kCompleted);
+    NoBreaches(world);
+  }
+
   // Three seconds of work for each of 12 jobs on room for 4: those that came
   // first wait until they are late; the last ones can be in time.
   void LateWorkYieldsToWorkInTime() {
