An offer of the cell that nobody takes goes to another host

Found by reading the change: an owner that has let go of the cell stays registered, so that nobody but the host that it asked claims it; were that host killed in the same instant, the cell would stand without an owner until the former one ends its registration (3.5 s for a leaving host) or rests no more (5 s). Ruled out: writing the record without an owner as well (a host that the store turns away can't).

--- a/include/buckthornmux/detail/entry/membership.h
+++ b/include/buckthornmux/detail/entry/membership.h
@@ -73,6 +73,8 @@
   }
   /// @brief Registered owner of a range; empty where none is known.
   [[nodiscard]] HostId OwnerOf(const std::string& range) const;
+  /// @brief Epoch of the last owner that this host has read or heard of.
+  [[nodiscard]] Epoch KnownEpoch(const std::string& range) const;
   /// @brief Epoch under which this host owns a range, one that it releases
   ///   included; 0 where it does not.
   [[nodiscard]] Epoch OwnedEpoch(const std::string& range) const;
--- a/src/entry/host.cc
+++ b/src/entry/host.cc
@@ -228,6 +228,7 @@
   }
   MindSlowness(now);
   MindRelease(now);
+  MindOffer(now);
   m_relay.Tick(now);
   m_rules.Tick(now);
   m_targets.Tick(now);
--- a/src/entry/host_ownership.cc
+++ b/src/entry/host_ownership.cc
@@ -1,5 +1,5 @@
 // Who owns the cell: handing it over, taking it from an owner that is gone.
-#include <algorithm>
+#include <string>
 
 #include "host_process.h"
 
@@ -37,12 +37,30 @@
       .With("reason", why);
   m_release_began.reset();
   m_members.Abandon(range);
+  m_offer = OpenOffer{epoch, to, Now() + kOfferFor};
   SendTo(to, RangeOffer{range, epoch});
   return true;
 }
 
 bool Host::HandOver(std::string_view why) {
-  return ServesNow(m_gauge, Now()) && HandOverTo(Successor(), why);
+  const std::vector<HostId> successors = Successors();
+  return ServesNow(m_gauge, Now()) && !successors.empty() &&
+         HandOverTo(successors.front(), why);
+}
+
+void Host::MindOffer(Time now) {
+  if (!m_offer) {
+    return;
+  }
+  const std::string range(kRange);
+  if (const auto to =
+          NextOffer(m_offer, m_members.KnownEpoch(range), Successors(), now)) {
+    LogLine("range_offered_again", Level::kWarning)
+        .With("range", range)
+        .With("epoch", m_offer->epoch)
+        .With("to", *to);
+    SendTo(*to, RangeOffer{range, m_offer->epoch});
+  }
 }
 
 void Host::MindRelease(Time now) {
@@ -52,13 +70,15 @@
   }
 }
 
-HostId Host::Successor() const {
-  const auto found = std::ranges::find_if(
-      m_members.Members(), [this](const member::Member& known) {
-        return known.id != m_settings.host && !known.leaving &&
-               m_links_up.contains(known.id);
-      });
-  return found == m_members.Members().end() ? HostId() : found->id;
+std::vector<HostId> Host::Successors() const {
+  std::vector<HostId> hosts;
+  for (const member::Member& known : m_members.Members()) {
+    if (known.id != m_settings.host && !known.leaving &&
+        m_links_up.contains(known.id)) {
+      hosts.push_back(known.id);
+    }
+  }
+  return hosts;
 }
 
 void Host::ClaimFrom(const HostId& owner) {
--- a/src/entry/host_process.h
+++ b/src/entry/host_process.h
@@ -12,12 +12,14 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "buckthornmux/detail/entry/callers.h"
 #include "buckthornmux/detail/entry/cell_host.h"
 #include "buckthornmux/detail/entry/clock.h"
 #include "buckthornmux/detail/entry/log_buffer.h"
 #include "buckthornmux/detail/entry/membership.h"
+#include "buckthornmux/detail/entry/open_offer.h"
 #include "buckthornmux/detail/entry/owner_watch.h"
 #include "buckthornmux/detail/entry/rules_reader.h"
 #include "buckthornmux/detail/entry/settings.h"
@@ -88,8 +90,10 @@
   bool HandOver(std::string_view why);
   /// A release that takes long, because this host is slow, is cut short.
   void MindRelease(Time now);
-  /// A host that can take the cell over; empty where there is none.
-  [[nodiscard]] HostId Successor() const;
+  /// An offer that is not taken goes to another host.
+  void MindOffer(Time now);
+  /// Hosts that can take the cell over.
+  [[nodiscard]] std::vector<HostId> Successors() const;
   /// Nobody hears of the owner: its cell is claimed before its registration
   /// ends.
   void ClaimFrom(const HostId& owner);
@@ -140,6 +144,7 @@
   Time m_gained_at;       ///< When this host last became the owner.
   Epoch m_suspected = 0;  ///< Of the last owner that was claimed from.
   Time m_paused_until;    ///< End of the last long pause.
+  std::optional<OpenOffer> m_offer;
   std::optional<Time> m_release_began;  ///< Of the cell, not ended yet.
   bool m_resting = false;  ///< Handed over because this host is slow.
   Time m_rest_until;
--- a/src/entry/membership.cc
+++ b/src/entry/membership.cc
@@ -426,6 +426,11 @@
   return registered ? std::optional(record) : std::nullopt;
 }
 
+Epoch Membership::KnownEpoch(const std::string& range) const {
+  const auto found = m_ownership.ranges.find(range);
+  return found == m_ownership.ranges.end() ? 0 : found->second.record.epoch;
+}
+
 Epoch Membership::OwnedEpoch(const std::string& range) const {
   const auto found = m_ownership.ranges.find(range);
   const bool owned = found != m_ownership.ranges.end() &&
--- a/tests/unit-owner-watch.cc
+++ b/tests/unit-owner-watch.cc
@@ -2,6 +2,7 @@
 // life, and nobody else hears of it either.
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "buckthornmux/detail/entry/open_offer.h"
 #include "buckthornmux/detail/entry/owner_watch.h"
 
 namespace buckthornmux::tests {
@@ -58,6 +59,7 @@
   CPPUNIT_TEST(LostLinkAsksAtOnce);
   CPPUNIT_TEST(NewOwnerIsNotSuspectedForTheOldOne);
   CPPUNIT_TEST(AskedHostProbesBeforeItAnswers);
+  CPPUNIT_TEST(OfferThatIsNotTakenGoesToAnotherHost);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -144,6 +146,23 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{3}, f.told.size());
     CPPUNIT_ASSERT(!f.told[2].second.alive);
   }
+
+  // The host that was asked was killed at that moment; the former owner stays
+  // registered, so that nobody else would claim the cell.
+  void OfferThatIsNotTakenGoesToAnotherHost() {
+    const std::vector<HostId> hosts{"b", "c"};
+    std::optional<entry::OpenOffer> offer{
+        {.epoch = 4, .to = "b", .again_at = kStart + entry::kOfferFor}};
+    CPPUNIT_ASSERT(!entry::NextOffer(offer, 4, hosts, kStart));
+    Time now = kStart + entry::kOfferFor;
+    CPPUNIT_ASSERT(entry::NextOffer(offer, 4, hosts, now) == HostId("c"));
+    CPPUNIT_ASSERT(!entry::NextOffer(offer, 4, hosts, now + kTick));
+    now += entry::kOfferFor;
+    CPPUNIT_ASSERT(!entry::NextOffer(offer, 4, {}, now));
+    CPPUNIT_ASSERT(entry::NextOffer(offer, 4, hosts, now) == HostId("b"));
+    CPPUNIT_ASSERT(!entry::NextOffer(offer, 5, hosts, now + Millis(5000)));
+    CPPUNIT_ASSERT(!offer.has_value());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(OwnerWatchTest);
