Read-through: the field's terms for rejected hosts, liveness and checks

Names and comments that spoke in pictures ('turned away', 'fare better', 'sign of life', 'news') say what happens: the store rejects a host, serves others; a liveness query; a store query and status. Check... for what Tick checks.

--- a/include/buckthornmux/detail/entry/callers.h
+++ b/include/buckthornmux/detail/entry/callers.h
@@ -51,9 +51,9 @@
   std::function<Handed(const CellCall& call, HostId& to)> forward;
   /// Whether a lost owner is about to be replaced.
   std::function<bool()> owner_expected;
-  /// Whether callers fare better at other hosts: they are served, and their
-  /// connections closed.
-  std::function<bool()> others_fare_better;
+  /// Whether the store rejects this host and serves others: answers then close
+  /// their connections, so that callers move there.
+  std::function<bool()> store_serves_others;
 };
 
 /// @brief Serves callers. Each request gets one answer, at its deadline at the
--- a/include/buckthornmux/detail/entry/calls.h
+++ b/include/buckthornmux/detail/entry/calls.h
@@ -54,13 +54,13 @@
   Millis timeout{0};
 };
 
-/// A host that the store does not serve asks another one what it has read.
-struct StoreNewsAsk {
+/// A host that the store rejects asks another one what it has read there.
+struct StoreQuery {
   std::uint64_t ask = 0;
   Revision rules_known = 0;  ///< Revision of the configuration that it has.
 };
 
-struct StoreNews {
+struct StoreStatus {
   std::uint64_t ask = 0;
   Millis served_age{0};  ///< Since the start of the last call answered well.
   bool may_own = false;  ///< Would take the cell over.
@@ -76,14 +76,14 @@
   Epoch epoch = 0;
 };
 
-/// Asks whether a host that the sender hears nothing of gives the receiver a
-/// sign of life.
-struct SignAsk {
+/// Asks whether a host that leaves the sender's pings unanswered answers those
+/// of the receiver.
+struct LivenessQuery {
   std::uint64_t ask = 0;
   HostId host;
 };
 
-struct SignReply {
+struct LivenessReply {
   std::uint64_t ask = 0;
   bool alive = false;
 };
--- a/include/buckthornmux/detail/entry/owner_watch.h
+++ b/include/buckthornmux/detail/entry/owner_watch.h
@@ -15,10 +15,10 @@
 struct OwnerWatchLinks {
   /// Hosts with a link that is up.
   std::function<std::vector<HostId>()> peers;
-  /// Asks a host for a sign of life; it comes through OwnerWatch::Sign.
+  /// Pings a host; its answer comes through OwnerWatch::Alive.
   std::function<void(const HostId& host)> probe;
-  std::function<void(const HostId& to, const SignAsk& ask)> ask;
-  std::function<void(const HostId& to, const SignReply& reply)> tell;
+  std::function<void(const HostId& to, const LivenessQuery& ask)> ask;
+  std::function<void(const HostId& to, const LivenessReply& reply)> tell;
   /// Nobody who was asked hears of the owner.
   std::function<void(const HostId& owner)> gone;
   /// Others hear of the owner: it is this host's connection that is dead.
@@ -40,27 +40,27 @@
   /// @param waiting_since when the oldest unanswered call was handed to it
   void Tick(const HostId& owner, std::optional<Time> waiting_since, Time now);
 
-  /// @brief A host has given a sign of life.
-  void Sign(const HostId& host, Time now);
+  /// @brief A host has answered a ping.
+  void Alive(const HostId& host, Time now);
 
-  void Take(const HostId& from, const SignAsk& ask, Time now);
-  void Take(const SignReply& reply, Time now);
+  void Take(const HostId& from, const LivenessQuery& ask, Time now);
+  void Take(const LivenessReply& reply, Time now);
 
  private:
   enum class Stage : std::uint8_t { kCalm, kProbing, kAsking };
-  /// A question of another host that waits for a sign.
+  /// A query of another host that waits for a ping to be answered.
   struct Asked {
     HostId from;
-    SignAsk ask;
+    LivenessQuery ask;
     Time since;
   };
-  [[nodiscard]] bool SignSince(const HostId& host, Time since) const;
+  [[nodiscard]] bool AliveSince(const HostId& host, Time since) const;
   void AskOthers(Time now);
   void AnswerAsked(Time now);
   void Calm(Time quiet_until);
 
   OwnerWatchLinks m_links;
-  std::map<HostId, Time> m_signs;
+  std::map<HostId, Time> m_last_alive;
   HostId m_owner;
   Stage m_stage = Stage::kCalm;
   Time m_since;  ///< Of the stage.
--- a/include/buckthornmux/detail/entry/store_gauge.h
+++ b/include/buckthornmux/detail/entry/store_gauge.h
@@ -23,7 +23,7 @@
 void CallBegan(StoreGauge& gauge, Time began);
 
 /// @brief A call that began then has ended.
-/// @param good false for no answer and for a store that turns this host away
+/// @param good false for no answer and for a store that rejects this host
 void CallEnded(StoreGauge& gauge, Time began, bool good);
 
 /// @brief Since when the store does not serve this host.
--- a/include/buckthornmux/detail/entry/store_relay.h
+++ b/include/buckthornmux/detail/entry/store_relay.h
@@ -1,4 +1,4 @@
-/// Lets a host that the store does not serve go on by what other hosts read.
+/// Lets a host that the store rejects go on by what other hosts read.
 #pragma once
 
 #include <functional>
@@ -16,8 +16,8 @@
 struct StoreRelayLinks {
   /// Hosts that can be spoken to.
   std::function<std::vector<HostId>()> peers;
-  std::function<void(const HostId& to, const StoreNewsAsk& ask)> ask;
-  std::function<void(const HostId& to, const StoreNews& news)> tell;
+  std::function<void(const HostId& to, const StoreQuery& ask)> ask;
+  std::function<void(const HostId& to, const StoreStatus& status)> tell;
   /// The owner as this host has read it; nothing where none is registered.
   std::function<std::optional<member::OwnerRecord>()> owner;
   std::function<void(const member::OwnerRecord& record)> owner_heard;
@@ -40,15 +40,15 @@
              StoreRelayLinks links);
 
   void Tick(Time now);
-  void Take(const HostId& from, const StoreNewsAsk& ask, Time now);
-  void Take(const HostId& from, const StoreNews& news, Time now);
+  void Take(const HostId& from, const StoreQuery& query, Time now);
+  void Take(const HostId& from, const StoreStatus& status, Time now);
 
   /// @brief Whether a lost owner is about to be replaced: somebody reaches the
   ///   store.
   [[nodiscard]] bool OwnerExpected(Time now) const;
 
-  /// @brief Whether callers fare better at other hosts, which the store serves.
-  [[nodiscard]] bool OthersFareBetter(Time now) const;
+  /// @brief Whether the store rejects this host and serves others.
+  [[nodiscard]] bool StoreServesOthers(Time now) const;
 
  private:
   RulesReader& m_rules;
--- a/include/buckthornmux/detail/peer/peer_links.h
+++ b/include/buckthornmux/detail/peer/peer_links.h
@@ -39,7 +39,7 @@
   std::function<void(const HostId& peer, bool up)> link;
   std::function<void(Heartbeat)> heartbeat;
   /// The peer has answered a Ping; may be left out.
-  std::function<void(const HostId& peer)> sign;
+  std::function<void(const HostId& peer)> pong;
 };
 
 /// @brief One outgoing connection per peer for what this host sends; what it
@@ -62,7 +62,7 @@
   ///   queue full
   bool Send(const HostId& peer, const Message& message);
 
-  /// @brief Asks a peer for a sign of life now, from any thread. Nothing is
+  /// @brief Asks a peer to answer a ping now, from any thread. Nothing is
   ///   asked on a link that is down.
   void Probe(const HostId& peer);
 
--- a/src/cell/plan.cc
+++ b/src/cell/plan.cc
@@ -5,11 +5,11 @@
 namespace buckthornmux::cell {
 namespace {
 
-/// Share of its objective past which a late job yields to those in time.
+/// Times its objective: a job that ends later is worth nothing any more.
 constexpr int kHopelessFactor = 3;
-/// Estimates are off by about a fifth: a step counts as late once it lacks so
-/// much of its estimated time, one part in...
-constexpr int kLateMargin = 5;
+/// Estimates are off by one part in five: a step is late once it lacks that
+/// much of its estimated time.
+constexpr int kEstimateError = 5;
 /// Steps looked at in one round: what comes later finds no room anyway.
 constexpr std::size_t kMostPlanned = 150;
 
@@ -69,7 +69,7 @@
     return candidate;
   }
   candidate.slack = began + job.objective - now - chain;
-  candidate.late = candidate.slack < -chain / kLateMargin;
+  candidate.late = candidate.slack < -chain / kEstimateError;
   candidate.hopeless = now + chain > began + kHopelessFactor * job.objective;
   return candidate;
 }
--- a/src/entry/callers.cc
+++ b/src/entry/callers.cc
@@ -266,7 +266,7 @@
 void Callers::Answer(const OpenCall& open, net::HttpResponse response,
                      std::string_view why) {
   const Time now = Now();
-  response.close = response.close || m_links.others_fare_better();
+  response.close = response.close || m_links.store_serves_others();
   const bool good = response.status / 100 == 2;
   const CallKind kind = open.call.kind;
   if (kind == CallKind::kSubmit) {
--- a/src/entry/host.cc
+++ b/src/entry/host.cc
@@ -138,22 +138,23 @@
   return {
       [this](const CellCall& call, HostId& to) { return Forward(call, to); },
       [this] { return m_relay.OwnerExpected(Now()); },
-      [this] { return m_relay.OthersFareBetter(Now()); }};
+      [this] { return m_relay.StoreServesOthers(Now()); }};
 }
 
 StoreRelayLinks Host::RelayLinks() {
-  return {
-      [this] {
-        return std::vector<HostId>(m_links_up.begin(), m_links_up.end());
-      },
-      [this](const HostId& to, const StoreNewsAsk& ask) { SendTo(to, ask); },
-      [this](const HostId& to, const StoreNews& news) { SendTo(to, news); },
-      [this] { return m_members.RegisteredOwner(std::string(kRange)); },
-      [this](const auto& record) { m_members.HearOwner(record); },
-      [this] { return !m_leaving && !m_resting; },
-      [this](const HostId& to) {
-        HandOverTo(to, "the store serves that host and not this one");
-      }};
+  return {[this] {
+            return std::vector<HostId>(m_links_up.begin(), m_links_up.end());
+          },
+          [this](const HostId& to, const StoreQuery& ask) { SendTo(to, ask); },
+          [this](const HostId& to, const StoreStatus& status) {
+            SendTo(to, status);
+          },
+          [this] { return m_members.RegisteredOwner(std::string(kRange)); },
+          [this](const auto& record) { m_members.HearOwner(record); },
+          [this] { return !m_leaving && !m_resting; },
+          [this](const HostId& to) {
+            HandOverTo(to, "the store serves that host and not this one");
+          }};
 }
 
 CellHostEvents Host::CellHandlers() {
@@ -203,7 +204,7 @@
             SetLanes();
           },
           [](const peer::Heartbeat&) {},
-          [this](const HostId& peer) { m_owner_watch.Sign(peer, Now()); }};
+          [this](const HostId& peer) { m_owner_watch.Alive(peer, Now()); }};
 }
 
 OwnerWatchLinks Host::OwnerWatchHandlers() {
@@ -212,8 +213,10 @@
         return std::vector<HostId>(m_links_up.begin(), m_links_up.end());
       },
       [this](const HostId& host) { m_peers.Probe(host); },
-      [this](const HostId& to, const SignAsk& ask) { SendTo(to, ask); },
-      [this](const HostId& to, const SignReply& reply) { SendTo(to, reply); },
+      [this](const HostId& to, const LivenessQuery& ask) { SendTo(to, ask); },
+      [this](const HostId& to, const LivenessReply& reply) {
+        SendTo(to, reply);
+      },
       [this](const HostId& owner) { ClaimFrom(owner); },
       [this](const HostId& owner) { m_peers.Reconnect(owner); }};
 }
@@ -226,16 +229,16 @@
     m_paused_until = now;
     m_members.Recheck();
   }
-  MindSlowness(now);
-  MindRelease(now);
-  MindOffer(now);
+  CheckSlowness(now);
+  CheckRelease(now);
+  CheckOffer(now);
   m_relay.Tick(now);
   m_rules.Tick(now);
   m_targets.Tick(now);
   m_members.Tick(now);
   m_cell.Tick(now);
   m_callers.Tick(now);
-  MindOwner(now);
+  CheckOwner(now);
   WatchSettings(now);
   LeaveWhenDone(now);
   m_log.Flush();
--- a/src/entry/host_calls.cc
+++ b/src/entry/host_calls.cc
@@ -29,16 +29,16 @@
     AskAdviser(from, *ask);
   } else if (const auto* advice = std::get_if<AdviceReply>(&message)) {
     m_cell.AdviceAnswered(*advice);
-  } else if (const auto* wanted = std::get_if<StoreNewsAsk>(&message)) {
+  } else if (const auto* wanted = std::get_if<StoreQuery>(&message)) {
     m_relay.Take(from, *wanted, Now());
-  } else if (const auto* news = std::get_if<StoreNews>(&message)) {
-    m_relay.Take(from, *news, Now());
+  } else if (const auto* status = std::get_if<StoreStatus>(&message)) {
+    m_relay.Take(from, *status, Now());
   } else if (const auto* offer = std::get_if<RangeOffer>(&message)) {
     m_members.TakeOffer(offer->range, offer->epoch);
-  } else if (const auto* question = std::get_if<SignAsk>(&message)) {
+  } else if (const auto* question = std::get_if<LivenessQuery>(&message)) {
     m_owner_watch.Take(from, *question, Now());
-  } else if (const auto* sign = std::get_if<SignReply>(&message)) {
-    m_owner_watch.Take(*sign, Now());
+  } else if (const auto* liveness = std::get_if<LivenessReply>(&message)) {
+    m_owner_watch.Take(*liveness, Now());
   } else {
     LogLine("message_unexpected", Level::kWarning)
         .With("from", from)
@@ -51,7 +51,7 @@
   for (const member::Member& known : m_members.Members()) {
     addresses[known.id] = known.peer_address;
   }
-  // A host that the store turns away loses its registration; as long as it
+  // A host that the store rejects loses its registration; as long as it
   // can be reached it is answered.
   for (const auto& [host, address] : m_peer_addresses) {
     if (m_links_up.contains(host)) {
@@ -143,7 +143,7 @@
 bool Host::Ready() const {
   const Time now = Now();
   if (m_leaving || !m_callers.RulesTrusted(now) ||
-      m_relay.OthersFareBetter(now)) {
+      m_relay.StoreServesOthers(now)) {
     return false;
   }
   const HostId owner = m_members.OwnerOf(std::string(kRange));
--- a/src/entry/host_ownership.cc
+++ b/src/entry/host_ownership.cc
@@ -48,7 +48,7 @@
          HandOverTo(successors.front(), why);
 }
 
-void Host::MindOffer(Time now) {
+void Host::CheckOffer(Time now) {
   if (!m_offer) {
     return;
   }
@@ -63,7 +63,7 @@
   }
 }
 
-void Host::MindRelease(Time now) {
+void Host::CheckRelease(Time now) {
   if (m_release_began && now - *m_release_began > kReleaseWithin &&
       !HandOver("release takes long")) {
     m_release_began = now;
@@ -88,7 +88,7 @@
       !ServesNow(m_gauge, Now())) {
     return;
   }
-  LogLine("owner_gone", Level::kWarning)
+  LogLine("owner_dead", Level::kWarning)
       .With("range", range)
       .With("owner", owner)
       .With("epoch", record->epoch);
@@ -100,7 +100,7 @@
   return gained.epoch == m_suspected + 1 ? kLearnsOfOwner : Millis(0);
 }
 
-void Host::MindOwner(Time now) {
+void Host::CheckOwner(Time now) {
   HostId owner = m_members.OwnerOf(std::string(kRange));
   if (owner == m_settings.host) {
     owner.clear();
@@ -108,7 +108,7 @@
   m_owner_watch.Tick(owner, m_callers.WaitingSince(owner), now);
 }
 
-void Host::MindSlowness(Time now) {
+void Host::CheckSlowness(Time now) {
   m_slowness.Add(now - m_tick_due);
   if (!m_slowness.Well() && now >= m_late_logged + kLateLogEvery) {
     m_late_logged = now;
--- a/src/entry/host_process.h
+++ b/src/entry/host_process.h
@@ -89,9 +89,9 @@
   /// The same, to any host that can take the cell over.
   bool HandOver(std::string_view why);
   /// A release that takes long, because this host is slow, is cut short.
-  void MindRelease(Time now);
+  void CheckRelease(Time now);
   /// An offer that is not taken goes to another host.
-  void MindOffer(Time now);
+  void CheckOffer(Time now);
   /// Hosts that can take the cell over.
   [[nodiscard]] std::vector<HostId> Successors() const;
   /// Nobody hears of the owner: its cell is claimed before its registration
@@ -101,10 +101,10 @@
   /// only suspected does until it learns of the new owner.
   [[nodiscard]] Millis FormerOwnerMayAct(
       const member::OwnerRecord& gained) const;
-  void MindOwner(Time now);
+  void CheckOwner(Time now);
   /// A slow owner hands the cell over, if enough others are there, and takes
   /// part again once it is well.
-  void MindSlowness(Time now);
+  void CheckSlowness(Time now);
 
   // Signals, settings, shutdown: host_lifecycle.cc.
   void AwaitSignal();
--- a/src/entry/owner_watch.cc
+++ b/src/entry/owner_watch.cc
@@ -23,9 +23,9 @@
 
 }  // namespace
 
-bool OwnerWatch::SignSince(const HostId& host, Time since) const {
-  const auto found = m_signs.find(host);
-  return found != m_signs.end() && found->second >= since;
+bool OwnerWatch::AliveSince(const HostId& host, Time since) const {
+  const auto found = m_last_alive.find(host);
+  return found != m_last_alive.end() && found->second >= since;
 }
 
 void OwnerWatch::Calm(Time quiet_until) {
@@ -50,12 +50,12 @@
     if (!linked && !m_links.peers().empty()) {
       AskOthers(now);
     } else if (waiting_since && now - *waiting_since >= kUnanswered &&
-               !SignSince(m_owner, now - kUnanswered)) {
+               !AliveSince(m_owner, now - kUnanswered)) {
       m_stage = Stage::kProbing;
       m_since = now;
       m_links.probe(m_owner);
     }
-  } else if (SignSince(m_owner, m_since)) {
+  } else if (AliveSince(m_owner, m_since)) {
     Calm(now);
   } else if (m_stage == Stage::kProbing && now - m_since >= kProbeTime) {
     AskOthers(now);
@@ -80,14 +80,16 @@
       m_links.ask(peer, {ask, m_owner});
     }
   }
-  LogLine("owner_not_heard")
+  LogLine("owner_suspected")
       .With("owner", m_owner)
       .With("asked", static_cast<std::uint64_t>(m_open.size()));
 }
 
-void OwnerWatch::Sign(const HostId& host, Time now) { m_signs[host] = now; }
+void OwnerWatch::Alive(const HostId& host, Time now) {
+  m_last_alive[host] = now;
+}
 
-void OwnerWatch::Take(const HostId& from, const SignAsk& ask, Time now) {
+void OwnerWatch::Take(const HostId& from, const LivenessQuery& ask, Time now) {
   const bool linked = std::ranges::count(m_links.peers(), ask.host) > 0;
   if (!linked) {
     m_links.tell(from, {ask.ask, false});
@@ -97,10 +99,10 @@
   m_asked.push_back({from, ask, now});
 }
 
-/// Answers once there is a sign, or none in time.
+/// Answers once the ping was answered, or was not in time.
 void OwnerWatch::AnswerAsked(Time now) {
   std::erase_if(m_asked, [&](const Asked& asked) {
-    const bool alive = SignSince(asked.ask.host, asked.since);
+    const bool alive = AliveSince(asked.ask.host, asked.since);
     if (!alive && now - asked.since < kProbeTime) {
       return false;
     }
@@ -109,7 +111,7 @@
   });
 }
 
-void OwnerWatch::Take(const SignReply& reply, Time now) {
+void OwnerWatch::Take(const LivenessReply& reply, Time now) {
   if (m_stage != Stage::kAsking || m_open.erase(reply.ask) == 0) {
     return;
   }
--- a/src/entry/store_relay.cc
+++ b/src/entry/store_relay.cc
@@ -11,9 +11,9 @@
 using runtime::LogLine;
 using Level = runtime::LogLine::Level;
 
-/// Between two rounds of questions: news are that much older at the most.
+/// Between two rounds of queries: what is read elsewhere is that much older.
 constexpr Millis kAskEvery{150};
-/// Hosts asked in one round: one of them may be turned away as well.
+/// Hosts asked in one round: the store may reject one of them as well.
 constexpr std::size_t kAskedAtOnce = 3;
 /// Questions without an answer for longer are forgotten.
 constexpr Millis kAskKept{2000};
@@ -51,55 +51,55 @@
   }
 }
 
-void StoreRelay::Take(const HostId& from, const StoreNewsAsk& ask, Time now) {
-  StoreNews news;
-  news.ask = ask.ask;
-  news.served_age = now - m_gauge.answered;
-  news.may_own = m_links.may_own();
-  news.rules_revision = m_rules.Latest().revision;
-  news.rules_age = now - m_rules.ConfirmedAt();
-  if (news.rules_revision > ask.rules_known) {
-    news.rules_text = m_rules.Latest().value;
+void StoreRelay::Take(const HostId& from, const StoreQuery& query, Time now) {
+  StoreStatus status;
+  status.ask = query.ask;
+  status.served_age = now - m_gauge.answered;
+  status.may_own = m_links.may_own();
+  status.rules_revision = m_rules.Latest().revision;
+  status.rules_age = now - m_rules.ConfirmedAt();
+  if (status.rules_revision > query.rules_known) {
+    status.rules_text = m_rules.Latest().value;
   }
   if (const auto owner = m_links.owner()) {
-    news.owner = *owner;
+    status.owner = *owner;
   }
-  m_links.tell(from, news);
+  m_links.tell(from, status);
 }
 
-void StoreRelay::Take(const HostId& from, const StoreNews& news, Time now) {
-  const auto asked = m_asks.find(news.ask);
+void StoreRelay::Take(const HostId& from, const StoreStatus& status, Time now) {
+  const auto asked = m_asks.find(status.ask);
   if (asked == m_asks.end()) {
     return;
   }
   const Time asked_at = asked->second;
   m_asks.erase(asked);
-  m_rules.Hear({{}, news.rules_text, news.rules_revision},
-               asked_at - news.rules_age);
-  const bool first = !OthersFareBetter(now);
-  m_others_served = std::max(m_others_served, asked_at - news.served_age);
-  if (!OthersFareBetter(now)) {
+  m_rules.Hear({{}, status.rules_text, status.rules_revision},
+               asked_at - status.rules_age);
+  const bool first = !StoreServesOthers(now);
+  m_others_served = std::max(m_others_served, asked_at - status.served_age);
+  if (!StoreServesOthers(now)) {
     return;
   }
   if (first) {
     LogLine("store_serves_others")
         .With("told_by", from)
-        .With("served_age_ms", news.served_age.count())
+        .With("served_age_ms", status.served_age.count())
         .With("rules_age_ms", (now - m_rules.ConfirmedAt()).count());
   }
-  if (!news.owner.range.empty()) {
-    m_links.owner_heard(news.owner);
+  if (!status.owner.range.empty()) {
+    m_links.owner_heard(status.owner);
   }
-  if (news.may_own) {
+  if (status.may_own) {
     m_links.served_there(from);
   }
 }
 
 bool StoreRelay::OwnerExpected(Time now) const {
-  return !m_trouble || OthersFareBetter(now);
+  return !m_trouble || StoreServesOthers(now);
 }
 
-bool StoreRelay::OthersFareBetter(Time now) const {
+bool StoreRelay::StoreServesOthers(Time now) const {
   return m_trouble && m_others_served > *m_trouble &&
          now - m_others_served <= kServedFor;
 }
--- a/src/peer/peer_links.cc
+++ b/src/peer/peer_links.cc
@@ -187,8 +187,8 @@
                                           LinkPtr link, SocketPtr socket) {
     while (co_await ReadFrame(*socket)) {
       link->last_pong = SteadyClock::now();
-      if (self->events.sign) {
-        self->events.sign(link->peer.host);
+      if (self->events.pong) {
+        self->events.pong(link->peer.host);
       }
     }
     error_code ignored;
--- a/tests/unit-entry-callers.cc
+++ b/tests/unit-entry-callers.cc
@@ -33,7 +33,7 @@
   runtime::Metrics metrics;
   Handed handed = Handed::kSent;
   bool owner_expected = true;
-  bool others_better = false;
+  bool serves_others = false;
   std::vector<entry::CellCall> taken;
   entry::Callers callers{
       io,
@@ -50,7 +50,7 @@
          }
          return handed;
        },
-       [this] { return owner_expected; }, [this] { return others_better; }}};
+       [this] { return owner_expected; }, [this] { return serves_others; }}};
   net::HttpClient client{io, {}};
 
   Fixture() {
@@ -117,7 +117,7 @@
   CPPUNIT_TEST(OwnerWithoutTheStoreIsWaitedOut);
   CPPUNIT_TEST(StoreAwayForAllIsRefusedAtOnce);
   CPPUNIT_TEST(CallThatAnOwnerLetGoOfIsNotCalledNotRun);
-  CPPUNIT_TEST(CallersAreSentToHostsThatFareBetter);
+  CPPUNIT_TEST(CallersMoveToHostsThatTheStoreServes);
   CPPUNIT_TEST(LateNoOfAFormerOwnerIsNotTheAnswer);
   CPPUNIT_TEST_SUITE_END();
 
@@ -259,9 +259,9 @@
     CPPUNIT_ASSERT_EQUAL(200, answer.status);
   }
 
-  void CallersAreSentToHostsThatFareBetter() {
+  void CallersMoveToHostsThatTheStoreServes() {
     Fixture f;
-    f.others_better = true;
+    f.serves_others = true;
     const auto answer = f.Send("POST", kJob, "k1", R"({"steps":[{"count":1}]})",
                                [&f] { f.Accept(); });
     CPPUNIT_ASSERT_EQUAL(200, answer.status);
--- a/tests/unit-owner-watch.cc
+++ b/tests/unit-owner-watch.cc
@@ -1,5 +1,5 @@
-// When an owner counts as gone: it leaves a call unanswered, gives no sign of
-// life, and nobody else hears of it either.
+// When an owner counts as gone: it leaves a call unanswered, answers no
+// ping, and those of other hosts neither.
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "buckthornmux/detail/entry/open_offer.h"
@@ -8,8 +8,8 @@
 namespace buckthornmux::tests {
 namespace {
 
-using entry::SignAsk;
-using entry::SignReply;
+using entry::LivenessQuery;
+using entry::LivenessReply;
 
 constexpr Time kStart{Millis(1'000'000)};
 constexpr Millis kTick{50};
@@ -18,17 +18,17 @@
 struct Fixture {
   std::vector<HostId> linked{"b", "c", "o"};
   int probes = 0;
-  std::vector<std::pair<HostId, SignAsk>> asked;
-  std::vector<std::pair<HostId, SignReply>> told;
+  std::vector<std::pair<HostId, LivenessQuery>> asked;
+  std::vector<std::pair<HostId, LivenessReply>> told;
   std::vector<HostId> gone;
   int reconnects = 0;
   Time now = kStart;
   entry::OwnerWatch watch{
       {[this] { return linked; }, [this](const HostId&) { ++probes; },
-       [this](const HostId& to, const SignAsk& ask) {
+       [this](const HostId& to, const LivenessQuery& ask) {
          asked.emplace_back(to, ask);
        },
-       [this](const HostId& to, const SignReply& reply) {
+       [this](const HostId& to, const LivenessReply& reply) {
          told.emplace_back(to, reply);
        },
        [this](const HostId& owner) { gone.push_back(owner); },
@@ -45,7 +45,7 @@
   }
   void AllHearNothing() {
     for (const auto& [host, ask] : asked) {
-      watch.Take(SignReply{ask.ask, false}, now);
+      watch.Take(LivenessReply{ask.ask, false}, now);
     }
   }
 };
@@ -85,7 +85,7 @@
       const int before = f.probes;
       f.Pass(kTick);
       if (f.probes > before) {
-        f.watch.Sign("o", f.now + Millis(4));
+        f.watch.Alive("o", f.now + Millis(4));
       }
     }
     CPPUNIT_ASSERT(f.probes > 0);
@@ -95,8 +95,8 @@
   void OwnerThatAnotherHearsOfStays() {
     Fixture f;
     f.Pass(Millis(300));
-    f.watch.Take(SignReply{f.asked.at(0).second.ask, false}, f.now);
-    f.watch.Take(SignReply{f.asked.at(1).second.ask, true}, f.now);
+    f.watch.Take(LivenessReply{f.asked.at(0).second.ask, false}, f.now);
+    f.watch.Take(LivenessReply{f.asked.at(1).second.ask, true}, f.now);
     // The connection went silent: a new one may work.
     CPPUNIT_ASSERT_EQUAL(1, f.reconnects);
     f.Pass(Millis(400));
@@ -132,16 +132,16 @@
 
   void AskedHostProbesBeforeItAnswers() {
     Fixture f;
-    f.watch.Take("b", SignAsk{7, "o"}, f.now);
-    f.watch.Take("c", SignAsk{8, "x"}, f.now);
+    f.watch.Take("b", LivenessQuery{7, "o"}, f.now);
+    f.watch.Take("c", LivenessQuery{8, "x"}, f.now);
     CPPUNIT_ASSERT_EQUAL(1, f.probes);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.told.size());
     CPPUNIT_ASSERT(!f.told[0].second.alive);  // It has no link to "x".
-    f.watch.Sign("o", f.now + Millis(5));
+    f.watch.Alive("o", f.now + Millis(5));
     f.watch.Tick("o", std::nullopt, f.now + Millis(10));
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, f.told.size());
     CPPUNIT_ASSERT(f.told[1].second.alive);
-    f.watch.Take("b", SignAsk{9, "o"}, f.now + Millis(20));
+    f.watch.Take("b", LivenessQuery{9, "o"}, f.now + Millis(20));
     f.watch.Tick("o", std::nullopt, f.now + Millis(150));
     CPPUNIT_ASSERT_EQUAL(std::size_t{3}, f.told.size());
     CPPUNIT_ASSERT(!f.told[2].second.alive);
--- a/tests/unit-ownership.cc
+++ b/tests/unit-ownership.cc
@@ -169,7 +169,7 @@
         Only<Lost>(Apply(state, View(now, {newer}), now)).size());
   }
 
-  // The store turns this owner away; a peer has read who owns the range now.
+  // The store rejects this owner; a peer has read who owns the range now.
   void HeardRecordDeposesAnOwner() {
     auto state = MakeOwner();
     const OwnerRecord next{.range = "shard/1",
--- a/tests/unit-peer.cc
+++ b/tests/unit-peer.cc
@@ -148,7 +148,7 @@
     const std::string address = FreeAddress();
     // Pings of their own are far apart.
     PeerEvents events = inbox.Events();
-    events.sign = [&](const HostId&) { inbox.Note([&] { ++signs; }); };
+    events.pong = [&](const HostId&) { inbox.Note([&] { ++signs; }); };
     PeerLinks a(io.io,
                 {.self = "a",
                  .listen = FreeAddress(),
--- a/tests/unit-store-relay.cc
+++ b/tests/unit-store-relay.cc
@@ -10,7 +10,7 @@
 namespace {
 
 using entry::StoreGauge;
-using entry::StoreNews;
+using entry::StoreStatus;
 
 constexpr Time kStart{Millis(1'000'000)};
 
@@ -35,8 +35,8 @@
   store::AsyncStore calls = store.Calls();
   entry::RulesReader rules{calls, "rules", ParseVersion, [] {}};
   StoreGauge gauge = SilentSince(kStart + Millis(100));
-  std::vector<std::pair<HostId, entry::StoreNewsAsk>> asked;
-  std::vector<StoreNews> told;
+  std::vector<std::pair<HostId, entry::StoreQuery>> asked;
+  std::vector<StoreStatus> told;
   std::vector<member::OwnerRecord> heard;
   std::vector<HostId> served;
   entry::StoreRelay relay{
@@ -48,23 +48,23 @@
        [this](const HostId& to, const auto& ask) {
          asked.emplace_back(to, ask);
        },
-       [this](const HostId&, const auto& news) { told.push_back(news); },
+       [this](const HostId&, const auto& status) { told.push_back(status); },
        [] { return std::optional<member::OwnerRecord>(); },
        [this](const auto& record) { heard.push_back(record); },
        [] { return true; },
        [this](const HostId& to) { served.push_back(to); }}};
 
-  /// News of a host that the store has served `age` ago.
-  StoreNews News(Millis age) {
-    StoreNews news;
-    news.ask = asked.back().second.ask;
-    news.served_age = age;
-    news.may_own = true;
-    news.rules_revision = 7;
-    news.rules_age = age;
-    news.rules_text = "3";
-    news.owner = {.range = "cell/0", .owner = "c", .epoch = 2, .revision = 9};
-    return news;
+  /// Status of a host that the store has served `age` ago.
+  StoreStatus Status(Millis age) {
+    StoreStatus status;
+    status.ask = asked.back().second.ask;
+    status.served_age = age;
+    status.may_own = true;
+    status.rules_revision = 7;
+    status.rules_age = age;
+    status.rules_text = "3";
+    status.owner = {.range = "cell/0", .owner = "c", .epoch = 2, .revision = 9};
+    return status;
   }
 };
 
@@ -135,7 +135,7 @@
     Fixture f;
     const Time asked_at = kStart + Millis(500);
     f.relay.Tick(asked_at);
-    f.relay.Take("c", f.News(Millis(40)), kStart + Millis(1400));
+    f.relay.Take("c", f.Status(Millis(40)), kStart + Millis(1400));
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, f.rules.Current()->version);
     CPPUNIT_ASSERT(f.rules.ConfirmedAt() == asked_at - Millis(40));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.heard.size());
@@ -149,7 +149,7 @@
     f.rules.Tick(kStart);
     const Time confirmed = f.rules.ConfirmedAt();
     f.relay.Tick(kStart + Millis(500));
-    f.relay.Take("c", f.News(Millis(0)), kStart + Millis(505));
+    f.relay.Take("c", f.Status(Millis(0)), kStart + Millis(505));
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, f.rules.Current()->version);
     CPPUNIT_ASSERT(f.rules.ConfirmedAt() == confirmed);
   }
@@ -158,23 +158,23 @@
   void StoreAwayForAllHandsNothingOver() {
     Fixture f;
     f.relay.Tick(kStart + Millis(500));
-    f.relay.Take("c", f.News(Millis(450)), kStart + Millis(505));
+    f.relay.Take("c", f.Status(Millis(450)), kStart + Millis(505));
     CPPUNIT_ASSERT(f.served.empty());
-    CPPUNIT_ASSERT(!f.relay.OthersFareBetter(kStart + Millis(505)));
+    CPPUNIT_ASSERT(!f.relay.StoreServesOthers(kStart + Millis(505)));
     CPPUNIT_ASSERT(!f.relay.OwnerExpected(kStart + Millis(505)));
   }
 
   void CellGoesWhereTheStoreServes() {
     Fixture f;
     f.relay.Tick(kStart + Millis(500));
-    f.relay.Take("c", f.News(Millis(100)), kStart + Millis(505));
+    f.relay.Take("c", f.Status(Millis(100)), kStart + Millis(505));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.served.size());
     CPPUNIT_ASSERT_EQUAL(std::string("c"), f.served[0]);
     CPPUNIT_ASSERT(f.relay.OwnerExpected(kStart + Millis(505)));
-    CPPUNIT_ASSERT(f.relay.OthersFareBetter(kStart + Millis(505)));
-    CPPUNIT_ASSERT(!f.relay.OthersFareBetter(kStart + Millis(2500)));
+    CPPUNIT_ASSERT(f.relay.StoreServesOthers(kStart + Millis(505)));
+    CPPUNIT_ASSERT(!f.relay.StoreServesOthers(kStart + Millis(2500)));
     // An answer that comes twice counts once.
-    f.relay.Take("c", f.News(Millis(100)), kStart + Millis(510));
+    f.relay.Take("c", f.Status(Millis(100)), kStart + Millis(510));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.served.size());
   }
 
@@ -182,8 +182,8 @@
     Fixture f;
     f.store.Put("rules", "5");
     f.rules.Tick(kStart);
-    f.relay.Take("b", entry::StoreNewsAsk{1, 0}, kStart + Millis(5));
-    f.relay.Take("b", entry::StoreNewsAsk{2, 1}, kStart + Millis(5));
+    f.relay.Take("b", entry::StoreQuery{1, 0}, kStart + Millis(5));
+    f.relay.Take("b", entry::StoreQuery{2, 1}, kStart + Millis(5));
     CPPUNIT_ASSERT_EQUAL(std::string("5"), f.told.at(0).rules_text);
     CPPUNIT_ASSERT(f.told.at(1).rules_text.empty());
     CPPUNIT_ASSERT_EQUAL(Millis(5), f.told.at(0).served_age);
