Checker: a copy that reached no host is not a refusal

Traced in the kept logs: the callers' stand-in sends some requests twice; one copy was done on its first try, the other one met only the killed host in all its five tries (three entries in turn, tries 0.1 s and requests 33 ms apart), so that the stand-in itself logged 'no' for it, with an empty result: no host had answered it. Ruled out: a refusal by a host (the line has no answer's body; host-2 logged the start, and none a refusal). Tests: CopyThatReachedNoHostIsNoRefusal, FindsRunOfWhatWasNeverSent. No product code changed.

--- a/tests/unit-callers.cc
+++ b/tests/unit-callers.cc
@@ -31,6 +31,7 @@
   CPPUNIT_TEST_SUITE(CallersTest);
   CPPUNIT_TEST(TruthfulRefusalIsTriedAgainLater);
   CPPUNIT_TEST(NonIdempotentIsNotRepeatedAfterABreak);
+  CPPUNIT_TEST(CopyThatReachedNoHostIsNoRefusal);
   CPPUNIT_TEST(AcceptedJobIsPolledToItsEnd);
   CPPUNIT_TEST(RunsThroughABalancerWithADeadBackEnd);
   CPPUNIT_TEST_SUITE_END();
@@ -68,6 +69,26 @@
     CPPUNIT_ASSERT_EQUAL(std::string("unknown"), idempotent.line.ran);
   }
 
+  // The whole-path run with a killed host: one of two copies met only that host
+  // and was logged as refused, while the other one ran.
+  void CopyThatReachedNoHostIsNoRefusal() {
+    PlannedRequest request;
+    request.line.ran = "no";
+    request.tries = kTries;
+    CPPUNIT_ASSERT(Break(request, ErrorKind::kPeerUnreachable).kind ==
+                   Kind::kFinished);
+    CPPUNIT_ASSERT_EQUAL(std::string("unsent"), request.line.ran);
+    PlannedRequest refused;
+    refused.line.ran = "no";
+    CPPUNIT_ASSERT(
+        Take(refused, 503, R"({"ran":"no","retry_after_ms":200})").kind ==
+        Kind::kTryAgain);
+    refused.tries = kTries;
+    CPPUNIT_ASSERT(Break(refused, ErrorKind::kPeerUnreachable).kind ==
+                   Kind::kFinished);
+    CPPUNIT_ASSERT_EQUAL(std::string("no"), refused.line.ran);
+  }
+
   void AcceptedJobIsPolledToItsEnd() {
     PlannedRequest request;
     request.line.patient = true;
--- a/tests/unit-verify.cc
+++ b/tests/unit-verify.cc
@@ -58,6 +58,7 @@
   CPPUNIT_TEST(GoodLogsPass);
   CPPUNIT_TEST(FindsSecondRun);
   CPPUNIT_TEST(FindsRunAfterNo);
+  CPPUNIT_TEST(FindsRunOfWhatWasNeverSent);
   CPPUNIT_TEST(FindsOverlap);
   CPPUNIT_TEST(FindsOverCommitment);
   CPPUNIT_TEST(FindsTeamOverItsLimit);
@@ -83,6 +84,17 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), Broken(evidence));
   }
 
+  void FindsRunOfWhatWasNeverSent() {
+    Evidence evidence = Base();
+    evidence.caller_lines = {Answer("error", "unsent")};
+    CPPUNIT_ASSERT_EQUAL(std::string("not_run_is_true "), Broken(evidence));
+    // Its other copy was sent, and ran.
+    evidence.caller_lines.push_back(Answer("done", "yes"));
+    CPPUNIT_ASSERT_EQUAL(std::string(), Broken(evidence));
+    evidence.caller_lines.push_back(Answer("error", "no"));
+    CPPUNIT_ASSERT_EQUAL(std::string("not_run_is_true "), Broken(evidence));
+  }
+
   void FindsRunAfterNo() {
     Evidence evidence = Base();
     evidence.caller_lines = {Answer("error", "no")};
