A store that is slow for everybody is not taken for one that rejects this host

Cause: a host whose call has waited for 0.35 s asks others whether the store serves them, and hands the cell over where one of them had a call answered that began later. With a store that is slow for all, a call that began 40 ms later and was answered a little sooner was enough.

Change: hosts tell how long their last answered call took. Neither a host's own wait nor another's success counts before a call has taken twice as long as calls take there. A store that refuses with an error is noticed as before.

Tests, failing first: CellStaysWhereTheStoreIsAsSlowForOthers, StoreThatWasSlowBeforeMayBeSlowAgain.

--- a/include/buckthornmux/detail/entry/calls.h
+++ b/include/buckthornmux/detail/entry/calls.h
@@ -62,8 +62,9 @@
 
 struct StoreStatus {
   std::uint64_t ask = 0;
-  Millis served_age{0};  ///< Since the start of the last call answered well.
-  bool may_own = false;  ///< Would take the cell over.
+  Millis served_age{0};   ///< Since the start of the last call answered well.
+  Millis answer_time{0};  ///< That call took.
+  bool may_own = false;   ///< Would take the cell over.
   Revision rules_revision = 0;
   Millis rules_age{0};        ///< Since this revision was surely the newest.
   std::string rules_text;     ///< Where the asking host has an older one.
--- a/include/buckthornmux/detail/entry/store_gauge.h
+++ b/include/buckthornmux/detail/entry/store_gauge.h
@@ -17,18 +17,25 @@
   std::multiset<Time> open;       ///< Starts of calls without an answer yet.
   std::optional<Time> first_bad;  ///< Start of the first call that failed...
   Time last_bad;                  ///< ...and of the last one, since `answered`.
+  Millis answer_time{0};          ///< Of the call that began at `answered`.
 };
 
 /// @brief A call left.
 void CallBegan(StoreGauge& gauge, Time began);
 
-/// @brief A call that began then has ended.
+/// @brief A call has ended.
+/// @param began when it left
+/// @param now when it ended
 /// @param good false for no answer and for a store that rejects this host
-void CallEnded(StoreGauge& gauge, Time began, bool good);
+void CallEnded(StoreGauge& gauge, Time began, Time now, bool good);
+
+/// @brief How long a call may take, given how long calls took elsewhere or
+///   before: a store that is slow for everybody rejects nobody.
+[[nodiscard]] Millis LongestAnswer(Millis answer_time);
 
 /// @brief Since when the store does not serve this host.
 /// @return start of the first call since the last good one that failed or has
-///   no answer for longer than a slow store takes; nothing while all is well
+///   no answer for longer than LongestAnswer; nothing while all is well
 [[nodiscard]] std::optional<Time> TroubleSince(const StoreGauge& gauge,
                                                Time now);
 
--- a/src/entry/store_gauge.cc
+++ b/src/entry/store_gauge.cc
@@ -8,6 +8,8 @@
 
 /// A store sixty times slower than usual still answers within this.
 constexpr Millis kSlowAnswer{350};
+/// Answers of a slow store vary by about a third.
+constexpr int kAnswerSpread = 2;
 /// One refusal may be chance; two of them this far apart are not.
 constexpr Millis kRefusedFor{100};
 
@@ -18,8 +20,8 @@
                         store::Reply<T> reply) {
   const Time began = clock();
   CallBegan(gauge, began);
-  return [&gauge, began, reply = std::move(reply)](Outcome<T> outcome) {
-    CallEnded(gauge, began, !std::holds_alternative<Error>(outcome));
+  return [&gauge, clock, began, reply = std::move(reply)](Outcome<T> outcome) {
+    CallEnded(gauge, began, clock(), !std::holds_alternative<Error>(outcome));
     reply(std::move(outcome));
   };
 }
@@ -28,7 +30,11 @@
 
 void CallBegan(StoreGauge& gauge, Time began) { gauge.open.insert(began); }
 
-void CallEnded(StoreGauge& gauge, Time began, bool good) {
+Millis LongestAnswer(Millis answer_time) {
+  return std::max(kSlowAnswer, answer_time * kAnswerSpread);
+}
+
+void CallEnded(StoreGauge& gauge, Time began, Time now, bool good) {
   if (const auto found = gauge.open.find(began); found != gauge.open.end()) {
     gauge.open.erase(found);
   }
@@ -37,6 +43,7 @@
     gauge.last_bad = std::max(gauge.last_bad, began);
   } else if (good && began > gauge.answered) {
     gauge.answered = began;
+    gauge.answer_time = now - began;
     if (gauge.first_bad && gauge.last_bad <= began) {
       gauge.first_bad.reset();
     } else if (gauge.first_bad) {
@@ -48,7 +55,8 @@
 std::optional<Time> TroubleSince(const StoreGauge& gauge, Time now) {
   std::optional<Time> since;
   const auto waiting = gauge.open.upper_bound(gauge.answered);
-  if (waiting != gauge.open.end() && now - *waiting > kSlowAnswer) {
+  if (waiting != gauge.open.end() &&
+      now - *waiting > LongestAnswer(gauge.answer_time)) {
     since = *waiting;
   }
   if (gauge.first_bad && gauge.last_bad - *gauge.first_bad >= kRefusedFor) {
--- a/src/entry/store_relay.cc
+++ b/src/entry/store_relay.cc
@@ -55,6 +55,7 @@
   StoreStatus status;
   status.ask = query.ask;
   status.served_age = now - m_gauge.answered;
+  status.answer_time = m_gauge.answer_time;
   status.may_own = m_links.may_own();
   status.rules_revision = m_rules.Latest().revision;
   status.rules_age = now - m_rules.ConfirmedAt();
@@ -77,6 +78,12 @@
   m_rules.Hear({{}, status.rules_text, status.rules_revision},
                asked_at - status.rules_age);
   const bool first = !StoreServesOthers(now);
+  // A call that was sent later and answered sooner shows little where the
+  // store is as slow there.
+  if (m_trouble && !m_gauge.first_bad &&
+      now - *m_trouble <= LongestAnswer(status.answer_time)) {
+    return;
+  }
   m_others_served = std::max(m_others_served, asked_at - status.served_age);
   if (!StoreServesOthers(now)) {
     return;
--- a/tests/unit-store-relay.cc
+++ b/tests/unit-store-relay.cc
@@ -24,7 +24,7 @@
 StoreGauge SilentSince(Time began) {
   StoreGauge gauge;
   entry::CallBegan(gauge, kStart);
-  entry::CallEnded(gauge, kStart, true);
+  entry::CallEnded(gauge, kStart, kStart + Millis(4), true);
   entry::CallBegan(gauge, began);
   return gauge;
 }
@@ -72,6 +72,7 @@
   CPPUNIT_TEST_SUITE(StoreRelayTest);
   CPPUNIT_TEST(SlowStoreIsNoTrouble);
   CPPUNIT_TEST(SilentStoreIsTroubleSinceItsFirstCall);
+  CPPUNIT_TEST(StoreThatWasSlowBeforeMayBeSlowAgain);
   CPPUNIT_TEST(OneRefusalIsNoTrouble);
   CPPUNIT_TEST(LostAnswersAmongGoodOnesAreNoTrouble);
   CPPUNIT_TEST(NothingIsAskedWhileAllIsWell);
@@ -79,6 +80,7 @@
   CPPUNIT_TEST(OlderRulesOfAPeerConfirmNothing);
   CPPUNIT_TEST(StoreAwayForAllHandsNothingOver);
   CPPUNIT_TEST(CellGoesWhereTheStoreServes);
+  CPPUNIT_TEST(CellStaysWhereTheStoreIsAsSlowForOthers);
   CPPUNIT_TEST(PeerWithoutTheRulesIsToldThem);
   CPPUNIT_TEST_SUITE_END();
 
@@ -93,19 +95,29 @@
     entry::CallBegan(gauge, kStart + Millis(300));
     const auto since = entry::TroubleSince(gauge, kStart + Millis(500));
     CPPUNIT_ASSERT(since == kStart + Millis(100));
-    entry::CallEnded(gauge, kStart + Millis(100), false);
+    entry::CallEnded(gauge, kStart + Millis(100), kStart + Millis(800), false);
     CPPUNIT_ASSERT(
         entry::TroubleSince(gauge, kStart + Millis(900)).has_value());
-    entry::CallEnded(gauge, kStart + Millis(300), true);
+    entry::CallEnded(gauge, kStart + Millis(300), kStart + Millis(900), true);
     CPPUNIT_ASSERT(!entry::TroubleSince(gauge, kStart + Millis(900)));
   }
 
+  void StoreThatWasSlowBeforeMayBeSlowAgain() {
+    StoreGauge gauge;
+    entry::CallBegan(gauge, kStart);
+    entry::CallEnded(gauge, kStart, kStart + Millis(340), true);
+    entry::CallBegan(gauge, kStart + Millis(400));
+    CPPUNIT_ASSERT(!entry::TroubleSince(gauge, kStart + Millis(1080)));
+    CPPUNIT_ASSERT(entry::TroubleSince(gauge, kStart + Millis(1081)) ==
+                   kStart + Millis(400));
+  }
+
   void OneRefusalIsNoTrouble() {
     StoreGauge gauge;
     for (const Millis at : {Millis(0), Millis(50), Millis(120)}) {
       CPPUNIT_ASSERT(!entry::TroubleSince(gauge, kStart + at));
       entry::CallBegan(gauge, kStart + at);
-      entry::CallEnded(gauge, kStart + at, false);
+      entry::CallEnded(gauge, kStart + at, kStart + at, false);
     }
     CPPUNIT_ASSERT(entry::TroubleSince(gauge, kStart + Millis(121)) == kStart);
   }
@@ -115,7 +127,7 @@
     for (int i = 1; i < 10; ++i) {
       const Time at = kStart + Millis(100 + 100 * i);
       entry::CallBegan(gauge, at);
-      entry::CallEnded(gauge, at, true);
+      entry::CallEnded(gauge, at, at + Millis(4), true);
     }
     CPPUNIT_ASSERT(!entry::TroubleSince(gauge, kStart + Millis(1100)));
   }
@@ -178,6 +190,23 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.served.size());
   }
 
+  // Every call takes some 360 ms: the peer's began 40 ms later than this host's
+  // and was answered a little sooner.
+  void CellStaysWhereTheStoreIsAsSlowForOthers() {
+    Fixture f;
+    f.relay.Tick(kStart + Millis(460));
+    StoreStatus status = f.Status(Millis(320));
+    status.answer_time = Millis(310);
+    f.relay.Take("c", status, kStart + Millis(462));
+    CPPUNIT_ASSERT(f.served.empty());
+    CPPUNIT_ASSERT(!f.relay.StoreServesOthers(kStart + Millis(462)));
+    // Still nothing after twice that time: now the store rejects this host.
+    f.relay.Tick(kStart + Millis(760));
+    status.ask = f.asked.back().second.ask;
+    f.relay.Take("c", status, kStart + Millis(762));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.served.size());
+  }
+
   void PeerWithoutTheRulesIsToldThem() {
     Fixture f;
     f.store.Put("rules", "5");
@@ -187,6 +216,7 @@
     CPPUNIT_ASSERT_EQUAL(std::string("5"), f.told.at(0).rules_text);
     CPPUNIT_ASSERT(f.told.at(1).rules_text.empty());
     CPPUNIT_ASSERT_EQUAL(Millis(5), f.told.at(0).served_age);
+    CPPUNIT_ASSERT_EQUAL(Millis(4), f.told.at(0).answer_time);
   }
 };
 
