--- a/src/entry/journal_writer.cc
+++ b/src/entry/journal_writer.cc
@@ -107,6 +107,7 @@
 void JournalWriter::Write(cell::Batch batch, Time now) {
   m_batch = std::move(batch);
   ++m_sequence;
+  m_in_flight = 0;  // Answers of former batches are not counted.
   m_began = now;
   Send();
 }
--- a/tests/mock_async_store.h
+++ b/tests/mock_async_store.h
@@ -15,10 +15,12 @@
 /// What happens to one commit.
 enum class CommitFate : std::uint8_t {
   kAnswered,
-  kLostAfter,   ///< Done, and not answered.
-  kLostBefore,  ///< Neither done nor answered.
-  kDelayed,     ///< Not answered; done when `RunDelayed` is called.
-  kRefused,     ///< 503.
+  kLostAfter,     ///< Done, and not answered.
+  kLostBefore,    ///< Neither done nor answered.
+  kDelayed,       ///< Not answered; done when `RunDelayed` is called.
+  kRefused,       ///< 503.
+  kSilentAfter,   ///< Done; the call is still waiting for its answer.
+  kSilentBefore,  ///< Not done; the call is still waiting for its answer.
 };
 
 class MockAsyncStore {
@@ -117,6 +119,11 @@
       case CommitFate::kRefused:
         reply(Error{ErrorKind::kStoreUnavailable, "503", {}});
         break;
+      case CommitFate::kSilentAfter:
+        (void)Apply(transaction);
+        break;
+      case CommitFate::kSilentBefore:
+        break;
     }
   }
 
--- a/tests/unit-journal-writer.cc
+++ b/tests/unit-journal-writer.cc
@@ -54,6 +54,7 @@
   CPPUNIT_TEST(LostWriteIsRepeated);
   CPPUNIT_TEST(LateWriteTakesNoEffectAfterALaterOne);
   CPPUNIT_TEST(RefusedWriteIsRepeated);
+  CPPUNIT_TEST(SendsOfFormerBatchesDelayNoLaterOne);
   CPPUNIT_TEST(NewOwnerEndsIt);
   CPPUNIT_TEST(ErasuresAreWritten);
   CPPUNIT_TEST_SUITE_END();
@@ -135,6 +136,23 @@
     CPPUNIT_ASSERT(!f.writer.WaitingSince().has_value());
   }
 
+  // Load pattern: answers are lost for seconds, and no call has timed out yet.
+  void SendsOfFormerBatchesDelayNoLaterOne() {
+    Fixture f;
+    f.Open();
+    for (int i = 1; i <= 4; ++i) {
+      f.store.fates = {CommitFate::kSilentAfter};
+      f.writer.Write(BatchOf("job/1", std::to_string(i)), entry::Now());
+      f.Settle();
+      CPPUNIT_ASSERT_EQUAL(i, f.stored);
+    }
+    f.store.fates = {CommitFate::kSilentBefore};
+    f.writer.Write(BatchOf("job/1", "last"), entry::Now());
+    f.Settle();
+    CPPUNIT_ASSERT_EQUAL(5, f.stored);
+    CPPUNIT_ASSERT_EQUAL(std::string("last"), f.Value("job/1"));
+  }
+
   void NewOwnerEndsIt() {
     Fixture f;
     f.Open();
