Times that allow for a former owner are replaced once every target has reported

Cause: an owner claimed from a suspected one stores, for each target, its lease and 2.7 s more, in which the suspected owner may renew leases. When all targets had reported, the list was stored anew only if one of them had not; else the long times stayed, and the owner after it counted them from its own claim.

Ruled out: ticks without a lease (starts of new work went on).

Change: the list of targets is stored again when recovery is done, one write for each takeover. TimesOfAFormerOwnerAreReplacedOnceAllHaveReported fails on the code before.

--- a/src/cell/steps.cc
+++ b/src/cell/steps.cc
@@ -267,7 +267,7 @@
       lapsed.push_back(id);
     }
   }
-  cell.targets_dirty = cell.targets_dirty || !lapsed.empty();
+  cell.targets_dirty = true;  // What was stored allows for a former owner.
   cell.expected.clear();
   Note(actions, "recovery_done",
        {{"epoch", std::to_string(cell.epoch)},
--- a/tests/unit-takeover.cc
+++ b/tests/unit-takeover.cc
@@ -54,6 +54,7 @@
   CPPUNIT_TEST(UnlistedTargetsAreRememberedOverTakeovers);
   CPPUNIT_TEST(NextOwnerWaitsNoLongerThanTheFormerOne);
   CPPUNIT_TEST(SilentTargetIsWaitedForOnlyOnce);
+  CPPUNIT_TEST(TimesOfAFormerOwnerAreReplacedOnceAllHaveReported);
   CPPUNIT_TEST(EmptyLeavingTargetDelaysNoTakeover);
   CPPUNIT_TEST(NothingStartsWhereANextOwnerWouldNotAsk);
   CPPUNIT_TEST(RecordsStayBelowWhatTheStoreTakes);
@@ -126,6 +127,29 @@
     CPPUNIT_ASSERT(second.recovered);
   }
 
+  // An owner that was only suspected may renew leases for 2.7 s longer. The
+  // next one stored that time; all targets reported at once, and the time
+  // stayed stored, so that the owner after it waited 8.2 s for a target that
+  // had left.
+  void TimesOfAFormerOwnerAreReplacedOnceAllHaveReported() {
+    const Time now{Millis(1'000'000)};
+    const std::vector<cell::TargetEntry> entries{PlainTarget("t1")};
+    cell::Cell first = MakeCell({}, entries, now);
+    cell::Cell second = MakeCell(StoreNow(first, now).writes, entries, now);
+    second.expected["t1"] += Millis(2700);
+    cell::Batch stored = StoreNow(second, now);
+    ReportNothing(second, "t1", now);
+    CPPUNIT_ASSERT(second.recovered);
+    if (const auto again = cell::TakeBatch(second, 29, now)) {
+      stored = *again;
+    }
+    const Time later = now + Millis(3000);
+    cell::Cell third = MakeCell(stored.writes, {}, later);
+    cell::Actions actions;
+    cell::Tick(third, actions, later + third.options.lease + Millis(1000));
+    CPPUNIT_ASSERT(third.recovered);
+  }
+
   // On a day of lost owners old work waited for 1.9 s for targets that had
   // emptied themselves, left, and were still listed.
   void EmptyLeavingTargetDelaysNoTakeover() {
