Gangs in a full cell use all but two of the adviser's lanes

Cause: calls over 150 ms took half of the lanes at the most, so that gangs, whose calls take 0.6 s, waited for 3.2 s in the mean before they could ask for the first time.

Change: long calls leave two lanes, or half where there are few.

Test, failing first (3 calls open instead of 4): GangsInAFullCellUseTheAdvisersTime.

--- a/src/cell/advice.cc
+++ b/src/cell/advice.cc
@@ -6,8 +6,10 @@
 namespace buckthornmux::cell {
 namespace {
 
-/// Calls longer than this leave half of the lanes to shorter ones...
+/// Calls longer than this leave two lanes to shorter ones, or half of them
+/// where there are few...
 constexpr Millis kLongCall{150};
+constexpr std::ptrdiff_t kLanesForShorter = 2;
 /// ...and those longer than this leave one lane.
 constexpr Millis kMediumCall{30};
 /// Calls wait so long at the adviser at the most: about the way there and back.
@@ -41,8 +43,10 @@
 /// Calls are sent a little ahead, so that the adviser never waits for them.
 AdviceLane* FreeLane(Cell& cell, Millis time, Time now) {
   const auto count = static_cast<std::ptrdiff_t>(cell.lanes.size());
+  const std::ptrdiff_t long_lanes =
+      std::max(count / 2, count - kLanesForShorter);
   if (count > 1 &&
-      ((time > kLongCall && LanesWith(cell, kLongCall) >= count / 2) ||
+      ((time > kLongCall && LanesWith(cell, kLongCall) >= long_lanes) ||
        (time > kMediumCall && LanesWith(cell, kMediumCall) >= count - 1))) {
     return nullptr;
   }
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -57,6 +57,7 @@
   double good_share = 0.5;  ///< Of targets, as the adviser sees it.
   std::map<std::string, double> good_shares;  ///< By queue.
   double estimate_spread = 0;  ///< Of true run times around estimates, log.
+  double declared_spread = 0;  ///< Of estimates around true run times, log.
   Millis link{2};              ///< One way.
   Millis store{6};             ///< A write.
 };
@@ -92,6 +93,10 @@
   /// @brief True run times lie around estimates with this spread, log.
   void SetEstimateSpread(double spread) { m_options.estimate_spread = spread; }
 
+  /// @brief Jobs handed in from now on declare estimates that lie around the
+  ///   true run times with this spread, log. Objectives count true times.
+  void SetDeclaredSpread(double spread) { m_options.declared_spread = spread; }
+
   [[nodiscard]] cell::Cell& State() { return *m_cell; }
   [[nodiscard]] SimTarget& Target(int index) {
     return m_targets[static_cast<std::size_t>(index)];
--- a/tests/load_patterns.h
+++ b/tests/load_patterns.h
@@ -85,6 +85,24 @@
            AddUserLoad(world, queues, 0.9, begin + Millis(12'000));
          });
        }});
+  patterns.push_back(
+      {"full_cell", "gangs get their part of a cell that is full for long",
+       [](World& world, const UserQueues& queues, Time begin) {
+         world.SetDeclaredSpread(0.9);
+         AtLoad(world, queues, begin, 1.0);
+         world.At(begin + Millis(2000), [&world, queues, begin] {
+           AddUserLoad(world, queues, 0.8, begin + Millis(7000));
+         });
+         AddBurst(world, queues.urgent, queues.urgent_shape, 100,
+                  begin + Millis(4000), Millis(6000));
+         AddBurst(world, queues.gangs, queues.gang_shape, 2.2,
+                  begin + Millis(13'000), Millis(5000));
+         SetFaults(
+             world, 0, 9, begin + Millis(6000), begin + Millis(13'000),
+             [](auto& faults, bool on) { faults.slowdown = on ? 6.5 : 1; });
+         SetFaults(world, 9, 5, begin + Millis(8000), begin + Millis(13'000),
+                   [](auto& faults, bool on) { faults.stuck = on; });
+       }});
   patterns.push_back(
       {"hot_team", "one team's excess yields to the others",
        [](World& world, const UserQueues& queues, Time begin) {
--- a/tests/standins/cell_world.cc
+++ b/tests/standins/cell_world.cc
@@ -100,6 +100,14 @@
 
 void World::Submit(cell::JobSpec spec) {
   m_checker.HandedIn(spec, m_now);
+  if (m_options.declared_spread > 0) {
+    std::lognormal_distribution<double> off(0, m_options.declared_spread);
+    for (cell::StepSpec& step : spec.steps) {
+      step.estimate = Millis(
+          std::max(1L, std::lround(static_cast<double>(step.estimate.count()) *
+                                   std::clamp(off(m_random), 0.1, 10.0))));
+    }
+  }
   const cell::CallId call = m_next_call++;
   m_calls[call] = spec.id;
   cell::Actions actions;
--- a/tests/unit-load.cc
+++ b/tests/unit-load.cc
@@ -87,6 +87,7 @@
   CPPUNIT_TEST(GangsBesideAHotTeam);
   CPPUNIT_TEST(Overload);
   CPPUNIT_TEST(SlowStore);
+  CPPUNIT_TEST(GangsInAFullCellUseTheAdvisersTime);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -182,6 +183,29 @@
     }
   }
 
+  // Pattern full_cell, whose gangs waited for 3 s until they could ask: three
+  // of six lanes took no call as long as theirs. Urgent work still finds a
+  // lane.
+  void GangsInAFullCellUseTheAdvisersTime() {
+    World world(UserWorld(1));
+    const UserQueues queues = MakeUserQueues();
+    world.SetRules({queues.gangs, queues.batches, queues.urgent});
+    world.RunUntil(world.NowTime() + Millis(500));
+    std::mt19937_64 random(1);
+    constexpr int kGangs = 12;
+    for (int i = 0; i < kGangs; ++i) {
+      world.Submit(DrawJob(random, queues.gang_shape, "gangs", "team-0"));
+    }
+    world.RunUntil(world.NowTime() + Millis(100));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, world.State().open_advice.size());
+    cell::JobSpec urgent =
+        DrawJob(random, queues.urgent_shape, "urgent", "team-1");
+    const std::string id = urgent.id;
+    world.Submit(std::move(urgent));
+    world.RunUntil(world.NowTime() + Millis(100));
+    CPPUNIT_ASSERT(world.PhaseOf(id) == cell::JobPhase::kRunning);
+  }
+
   // Batches on slow targets went on there for up to 47 s: they are moved.
   void SlowTargets() {
     Demand("slow_targets", kTroubleTarget);
