A caller's last try gets its answer, or is refused at once where no time is left

Cause: a call waits for 0.15 s less than its caller does, for the answer's way back. A refused caller that comes back with less than that left had 1 ms, and was answered "owner silent" at the next tick, while the owner's answer was 5 to 10 ms away.

Ruled out: an owner that was busy (other calls took 5 ms in the same moment).

Change: the margin is a fourth of the time left at the most. With less than 20 ms left a call is refused before it is handed on, as not run.

Tests, both failing first: LastTryWithLittleTimeGetsItsAnswer, CallWithoutTimeIsRefusedAtOnce.

--- a/src/entry/callers.cc
+++ b/src/entry/callers.cc
@@ -23,7 +23,10 @@
 constexpr Millis kOwnerWait{1500};
 /// A call that an owner has not taken is handed on again after this.
 constexpr Millis kHandAgain{100};
-constexpr Millis kAnswerMargin{150};  ///< For the answer's way back.
+constexpr Millis kAnswerMargin{150};  ///< For the answer's way back...
+constexpr int kMostMarginPart = 4;    ///< ...and no more than a fourth.
+/// The way to the owner and back, a write, and the rounds that both wait for.
+constexpr Millis kLeastTime{20};
 /// When to come back: a new owner serves within about this time.
 constexpr Millis kOwnerReturn{1000};
 constexpr Millis kStoreReturn{2000};
@@ -59,14 +62,20 @@
   return "unknown";
 }
 
-Millis PatienceOf(std::string_view text) {
+/// How long a caller still waits, as its header says.
+Millis TimeLeft(std::string_view text) {
   std::int64_t millis = 0;
   const auto [end, error] =
       std::from_chars(text.data(), text.data() + text.size(), millis);
-  const Millis given = error == std::errc() && end != text.data()
-                           ? Millis(millis)
-                           : kDefaultPatience;
-  return std::clamp(given - kAnswerMargin, Millis(1), kLongestWait);
+  return error == std::errc() && end != text.data() ? Millis(millis)
+                                                    : kDefaultPatience;
+}
+
+/// How long a call may wait here: a caller's last try has little time, and its
+/// answer is there within some milliseconds.
+Millis PatienceOf(Millis left) {
+  const Millis margin = std::min(kAnswerMargin, left / kMostMarginPart);
+  return std::clamp(left - margin, Millis(1), kLongestWait);
 }
 
 std::string_view WithoutPort(std::string_view host) {
@@ -176,8 +185,7 @@
   call.queue = route->queue->name;
   call.team = team == nullptr ? TeamName() : team->name;
   call.job = std::string(route->rest);
-  const Millis patience =
-      PatienceOf(request.HeaderValue(m_codec.deadline_header));
+  const Millis left = TimeLeft(request.HeaderValue(m_codec.deadline_header));
   if (call.job.empty() && request.method == "GET") {
     call.kind = CallKind::kPending;
   } else if (!m_codec.is_job_id(call.job)) {
@@ -203,7 +211,10 @@
   } else {
     return refuse(ErrorKind::kNotFound, 405);
   }
-  Hand(std::move(call), patience, respond);
+  if (left < kLeastTime) {
+    return refuse(ErrorKind::kDeadlineUnmeetable, kUnavailable);
+  }
+  Hand(std::move(call), PatienceOf(left), respond);
 }
 
 void Callers::Hand(CellCall call, Millis patience,
--- a/tests/unit-entry-callers.cc
+++ b/tests/unit-entry-callers.cc
@@ -61,12 +61,15 @@
   /// Sends a call; `while_waiting` runs once it has arrived.
   net::HttpResponse Send(const std::string& method, std::string_view path,
                          const std::string& key, const std::string& body,
-                         const std::function<void()>& while_waiting = {}) {
+                         const std::function<void()>& while_waiting = {},
+                         int deadline_ms = 3000) {
     net::HttpRequest request;
     request.method = method;
     request.target = std::string(path);
     request.body = body;
-    request.headers = {{"Host", "h"}, {"X-Key", key}};
+    request.headers = {{"Host", "h"},
+                       {"X-Key", key},
+                       {"X-Deadline-Ms", std::to_string(deadline_ms)}};
     std::optional<Outcome<net::HttpResponse>> answer;
     client.Call("127.0.0.1:" + std::to_string(callers.Port()), request,
                 Millis(2000),
@@ -119,6 +122,8 @@
   CPPUNIT_TEST(CallThatAnOwnerLetGoOfIsNotCalledNotRun);
   CPPUNIT_TEST(CallersMoveToHostsThatTheStoreServes);
   CPPUNIT_TEST(LateNoOfAFormerOwnerIsNotTheAnswer);
+  CPPUNIT_TEST(LastTryWithLittleTimeGetsItsAnswer);
+  CPPUNIT_TEST(CallWithoutTimeIsRefusedAtOnce);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -267,6 +272,31 @@
     CPPUNIT_ASSERT_EQUAL(200, answer.status);
     CPPUNIT_ASSERT(answer.close);
   }
+
+  // Load pattern: a hot team's callers come back until their time is over. Jobs
+  // that the owner took within 10 ms were answered 504 after 5 ms.
+  void LastTryWithLittleTimeGetsItsAnswer() {
+    Fixture f;
+    int waited = 0;
+    const auto answer = f.Send(
+        "POST", kJob, "k1", R"({"steps":[{"count":1}]})",
+        [&] {
+          f.callers.Tick(entry::Now());
+          if (++waited == 6) {
+            f.Accept();
+          }
+        },
+        120);
+    CPPUNIT_ASSERT_EQUAL(200, answer.status);
+  }
+
+  void CallWithoutTimeIsRefusedAtOnce() {
+    Fixture f;
+    const auto answer =
+        f.Send("POST", kJob, "k1", R"({"steps":[{"count":1}]})", {}, 10);
+    CPPUNIT_ASSERT_EQUAL(503, answer.status);
+    CPPUNIT_ASSERT(f.taken.empty());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EntryCallersTest);
