The load line tells for which targets old work waits

Cause: after a takeover all work of the former owner's time waits until each target that may run something has reported or its lease is surely over. The log said so only at the end (recovery_done); why a request stood still in the meantime could not be told.

Change: cell_load names the count, the last target and the time left. Not solved here; ruled out as evidence that a target is gone: a missing entry or a refused connection, since a target that is cut off shows both.

No decision changed; unit-cell and unit-takeover pass.

--- a/include/buckthornmux/detail/cell/cell.h
+++ b/include/buckthornmux/detail/cell/cell.h
@@ -89,8 +89,13 @@
   std::size_t steps_waiting = 0;
   std::size_t steps_without_ticket = 0;
   std::size_t lanes_busy = 0;  ///< Hosts that ask the adviser just now.
+  /// Targets for which work of a former owner's time waits, the one that may
+  /// run something for longest, and for how long that is.
+  std::size_t unreported = 0;
+  TargetId unreported_last;
+  Millis unreported_for{0};
 };
-[[nodiscard]] Load LoadOf(const Cell& cell);
+[[nodiscard]] Load LoadOf(const Cell& cell, Time now);
 
 /// @brief Time a good answer may take, as the queue's rules define it.
 [[nodiscard]] Millis ObjectiveOf(const Queue& queue, const JobSpec& spec);
--- a/src/cell/internal.h
+++ b/src/cell/internal.h
@@ -81,6 +81,9 @@
 /// How long what runs on a target may go on after its last renewal.
 [[nodiscard]] Millis LeaseLapse(const Options& options);
 
+/// @brief Targets on which a former owner's runs may still be unseen.
+[[nodiscard]] std::vector<TargetId> Unreported(const Cell& cell, Time now);
+
 /// Whether nothing that a former owner started can run unseen; ends recovery.
 void CheckRecovery(Cell& cell, Actions& actions, Time now);
 
--- a/src/cell/plan.cc
+++ b/src/cell/plan.cc
@@ -205,9 +205,17 @@
 
 }  // namespace
 
-Load LoadOf(const Cell& cell) {
+Load LoadOf(const Cell& cell, Time now) {
   Load load;
   AddTargets(cell, load);
+  for (const TargetId& id : Unreported(cell, now)) {
+    ++load.unreported;
+    if (const Millis left = cell.expected.at(id) - now;
+        left > load.unreported_for) {
+      load.unreported_last = id;
+      load.unreported_for = left;
+    }
+  }
   for (const StepRef& ref : cell.ready) {
     const Job& job = *FindJob(cell, ref.job);
     const Step& step = *FindStep(job, ref.occurrence, ref.step);
--- a/src/cell/steps.cc
+++ b/src/cell/steps.cc
@@ -137,7 +137,8 @@
   }
 }
 
-/// Targets on which a former owner's runs may still be unseen.
+}  // namespace
+
 std::vector<TargetId> Unreported(const Cell& cell, Time now) {
   std::vector<TargetId> unreported;
   for (const auto& [id, until] : cell.expected) {
@@ -150,8 +151,6 @@
   return unreported;
 }
 
-}  // namespace
-
 std::string_view EndName(RunEnd end) {
   switch (end) {
     case RunEnd::kDone:
--- a/src/entry/cell_host.cc
+++ b/src/entry/cell_host.cc
@@ -429,7 +429,7 @@
 
 /// How full the cell is: what single decisions are to be read against.
 void CellHost::LogLoad() const {
-  const cell::Load load = cell::LoadOf(*m_cell);
+  const cell::Load load = cell::LoadOf(*m_cell, Now());
   LogLine("cell_load")
       .With("epoch", m_cell->epoch)
       .With("targets", static_cast<std::uint64_t>(load.targets))
@@ -442,7 +442,10 @@
       .With("steps_without_ticket",
             static_cast<std::uint64_t>(load.steps_without_ticket))
       .With("lanes_busy", static_cast<std::uint64_t>(load.lanes_busy))
-      .With("unstored_jobs", static_cast<std::uint64_t>(m_cell->writes.count));
+      .With("unstored_jobs", static_cast<std::uint64_t>(m_cell->writes.count))
+      .With("unreported_targets", static_cast<std::uint64_t>(load.unreported))
+      .With("unreported_last", load.unreported_last)
+      .With("unreported_ms", load.unreported_for.count());
 }
 
 void CellHost::Tick(Time now) {
