A job that no write has left for is refused before its caller gives up

Seen by callers: while a write took seconds (store that loses answers, or is away), submits that waited behind it were held for 2.5 s and answered 504, unknown, although the owner knew that nothing of them had left.

Cause: only the host that the caller is connected to counted the caller's time; at its end it can't tell whether the owner has stored the job.

Change: the call says how long its sender waits; the owner refuses an unsent job 0.11 s before the last of its callers gives up, as not run. A job that is part of a write under way is not refused. Ruled out: refusing at once whenever a write is under way (a healthy write takes 4 ms).

--- a/include/buckthornmux/detail/cell/cell.h
+++ b/include/buckthornmux/detail/cell/cell.h
@@ -126,7 +126,10 @@
 void SetLanes(Cell& cell, std::span<const HostId> hosts);
 
 /// @brief A job is handed in. Answered once it is stored, or refused at once.
-void Submit(Cell& cell, Actions& actions, CallId call, JobSpec spec, Time now);
+/// @param answer_by no caller waits for the answer after this: a job that no
+///   write has left for by then is refused
+void Submit(Cell& cell, Actions& actions, CallId call, JobSpec spec, Time now,
+            Time answer_by = Time::max());
 
 /// @brief A job is cancelled. Answered once that is stored.
 void Cancel(Cell& cell, Actions& actions, CallId call, std::string_view job,
--- a/include/buckthornmux/detail/cell/state.h
+++ b/include/buckthornmux/detail/cell/state.h
@@ -180,6 +180,7 @@
   bool urgent_write = false;     ///< Of these, one that a caller waits for.
   bool adopted = false;  ///< Taken over: a former owner may have started tasks.
   std::vector<CallId> submit_calls;
+  Time answer_by = Time::max();  ///< The last of these calls gives up then.
   std::vector<CallId> cancel_calls;
   Time ended_at;
   bool forget = false;  ///< Its records are being erased.
--- a/include/buckthornmux/detail/entry/calls.h
+++ b/include/buckthornmux/detail/entry/calls.h
@@ -22,6 +22,7 @@
   TeamName team;
   std::string job;
   cell::JobSpec spec;  ///< Of a submit.
+  Millis patience{0};  ///< The sender gives up after this.
 };
 
 enum class CallEnd : std::uint8_t {
--- a/src/cell/internal.h
+++ b/src/cell/internal.h
@@ -81,6 +81,10 @@
 /// How long what runs on a target may go on after its last renewal.
 [[nodiscard]] Millis LeaseLapse(const Options& options);
 
+/// Refuses new jobs whose callers are about to give up and for which no write
+/// has left yet.
+void RefuseOverdue(Cell& cell, Actions& actions, Time now);
+
 /// @brief Targets on which a former owner's runs may still be unseen.
 [[nodiscard]] std::vector<TargetId> Unreported(const Cell& cell, Time now);
 
--- a/src/cell/jobs.cc
+++ b/src/cell/jobs.cc
@@ -58,22 +58,21 @@
   return std::nullopt;
 }
 
-/// Jobs that no write has left for yet can be refused truthfully.
-void RefuseUnsent(Cell& cell, Actions& actions) {
-  std::vector<JobId> unsent;
-  for (const auto& [id, job] : cell.jobs) {
-    if (job.durable == 0 && job.stored_in.empty() && !job.Ended()) {
-      unsent.push_back(id);
-    }
-  }
-  for (const JobId& id : unsent) {
+/// Whether no write has left for a new job yet: it can be refused truthfully.
+bool IsUnsent(const Job& job) {
+  return job.durable == 0 && job.stored_in.empty() && !job.Ended();
+}
+
+void RefuseUnsent(Cell& cell, Actions& actions, std::span<const JobId> jobs,
+                  std::string_view reason) {
+  for (const JobId& id : jobs) {
     const Job job = std::move(*FindJob(cell, id));
     cell.jobs.erase(id);
     cell.writes.count -= job.unstored ? 1 : 0;
     --cell.pending[job.spec.queue];
     for (const CallId call : job.submit_calls) {
       Refuse(actions, call, job.spec, ErrorKind::kStoreUnavailable,
-             "writes are not answered");
+             std::string(reason));
     }
   }
 }
@@ -246,7 +245,8 @@
   return found == cell.pending.end() ? 0 : found->second;
 }
 
-void Submit(Cell& cell, Actions& actions, CallId call, JobSpec spec, Time now) {
+void Submit(Cell& cell, Actions& actions, CallId call, JobSpec spec, Time now,
+            Time answer_by) {
   if (Job* known = FindJob(cell, spec.id)) {
     if (known->spec.team != spec.team) {
       Refuse(actions, call, spec, ErrorKind::kDuplicateRequest,
@@ -255,6 +255,7 @@
       actions.emplace_back(AnswerSubmit{call, std::nullopt});
     } else {
       known->submit_calls.push_back(call);
+      known->answer_by = std::max(known->answer_by, answer_by);
     }
     return;
   }
@@ -276,12 +277,24 @@
   job.arrived = now;
   job.arrived_wall = ToMs(now) + cell.wall_offset;
   job.submit_calls.push_back(call);
+  job.answer_by = answer_by;
   job.spec = std::move(spec);
   ++cell.pending[job.spec.queue];
   Job& kept = cell.jobs.emplace(job.spec.id, std::move(job)).first->second;
   Touch(cell, kept, true, now);
 }
 
+void RefuseOverdue(Cell& cell, Actions& actions, Time now) {
+  std::vector<JobId> overdue;
+  for (const JobId& id : cell.writes.urgent) {
+    const Job* job = FindJob(cell, id);
+    if (job != nullptr && IsUnsent(*job) && now >= job->answer_by) {
+      overdue.push_back(id);
+    }
+  }
+  RefuseUnsent(cell, actions, overdue, "no write has begun in time");
+}
+
 void Cancel(Cell& cell, Actions& actions, CallId call, std::string_view id,
             std::string_view team, Time now) {
   Job* job = FindJob(cell, id);
@@ -366,9 +379,16 @@
   Note(actions, well ? "store_regained" : "store_lost",
        {{"by", "journal"},
         {"unstored_jobs", std::to_string(cell.writes.count)}});
-  if (!well) {
-    RefuseUnsent(cell, actions);
+  if (well) {
+    return;
+  }
+  std::vector<JobId> unsent;
+  for (const auto& [id, job] : cell.jobs) {
+    if (IsUnsent(job)) {
+      unsent.push_back(id);
+    }
   }
+  RefuseUnsent(cell, actions, unsent, "writes are not answered");
 }
 
 }  // namespace buckthornmux::cell
--- a/src/cell/tick.cc
+++ b/src/cell/tick.cc
@@ -70,6 +70,7 @@
       BeginDue(cell, actions, job, now);
     }
   }
+  RefuseOverdue(cell, actions, now);
   ExpireAdvice(cell, actions, now);
   ForgetOld(cell, now);
   CheckRecovery(cell, actions, now);
--- a/src/entry/callers.cc
+++ b/src/entry/callers.cc
@@ -237,6 +237,7 @@
 void Callers::TryHand(std::uint64_t number, Time now) {
   OpenCall& open = m_open.at(number);
   ++open.call.attempt;
+  open.call.patience = open.deadline - now;
   HostId to;
   const Handed handed = m_links.forward(open.call, to);
   // The answer may come, and end the call, before the hand-over returns.
--- a/src/entry/cell_host.cc
+++ b/src/entry/cell_host.cc
@@ -27,6 +27,8 @@
 constexpr Millis kLoadLogEvery{1000};
 /// A write that waits longer shows that the store is not well.
 constexpr Millis kStoreUnwellAfter{500};
+/// Two ticks, one here and one at the sender, and the way.
+constexpr Millis kAnswerAhead{110};
 /// Most of a target's lease: an owner is found and its state read within it.
 constexpr Millis kLongestLease{5000};
 
@@ -39,6 +41,12 @@
   return options;
 }
 
+/// A refusal is to be there before the sender gives up, whose caller would else
+/// be told that the outcome is unknown.
+Time AnswerBy(const CellCall& call) {
+  return Now() + std::max(call.patience / 2, call.patience - kAnswerAhead);
+}
+
 void Log(const cell::Decision& decision) {
   LogLine line(decision.event);
   for (const auto& [key, value] : decision.fields) {
@@ -208,7 +216,7 @@
   m_open_calls.emplace(id, OpenCall{from, call.call, call.attempt});
   cell::Actions actions;
   if (call.kind == CallKind::kSubmit) {
-    cell::Submit(*m_cell, actions, id, call.spec, Now());
+    cell::Submit(*m_cell, actions, id, call.spec, Now(), AnswerBy(call));
   } else {
     cell::Cancel(*m_cell, actions, id, call.job, call.team, Now());
   }
