Registrations, renewals and claims are sent again while the store loses answers

Seen by callers: an owner that was lost while the store lost answers was replaced after 1.7 to 2.2 s instead of 0.1 to 0.5 s; calls found no owner for that long (503, and 504 for those that the lost owner had been given).

Cause: a claim, a registration and the lease for it waited for their time-outs, 0.6 to 0.7 s each, before they were tried again; renewals went every 0.3 s, three at the most, so that hosts lost their registration as well. All calls to the store shared eight connections, of which three wait in watches and each lost call keeps one.

Ruled out: the suspicion (0.25 s), reading the records (0.05 s).

Change: a conditional write is repeated after 0.1 s, eight times at the most. All copies share their conditions, so that one takes effect; a copy that finds its own value knows that a former one did. Leases are asked for and renewed again after 0.1 s, or twice what the store last took. The store has connections of its own, 24 at the most. A host's lease now counts from when it was asked for, not from the answer.

--- a/include/buckthornmux/detail/entry/membership.h
+++ b/include/buckthornmux/detail/entry/membership.h
@@ -2,10 +2,12 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
 
+#include "buckthornmux/detail/entry/repeated_commit.h"
 #include "buckthornmux/detail/member/ownership.h"
 #include "buckthornmux/detail/store/async_store.h"
 
@@ -91,6 +93,7 @@
  private:
   void Decide(const member::Event& event);
   void Register();
+  void AskForLease(Revision expected);
   void WriteMember(store::LeaseId lease, Revision expected, Time sent_at);
   void UpdateRecord(std::function<void()> then);
   void Renew();
@@ -110,7 +113,18 @@
   store::LeaseId m_lease = store::kNoLease;
   Revision m_member_revision = store::kAbsent;
   bool m_registering = false;
-  int m_renewals = 0;  ///< That are not answered yet.
+  RepeatedCommit m_member_write;
+  /// Revision under which the member record is to be written, while the lease
+  /// for it is being asked for.
+  std::optional<Revision> m_lease_for;
+  std::uint64_t m_lease_round = 0;  ///< Answers to former ones are ignored.
+  Time m_lease_asked_at;
+  int m_lease_asks = 0;      ///< That are not answered yet.
+  int m_renewals = 0;        ///< That are not answered yet.
+  Time m_renew_sent;         ///< The last renewal...
+  Time m_renewed;            ///< ...and the last one that was answered well,
+  Millis m_renewal_time{0};  ///< ...which took so long.
+  std::map<std::string, RepeatedCommit> m_claims;  ///< By range.
   bool m_reading = false;
   bool m_read_again = false;
   bool m_watching = false;
--- a/src/entry/host.cc
+++ b/src/entry/host.cc
@@ -27,11 +27,14 @@
 constexpr Millis kPeerPing{300};
 constexpr Millis kPeerSilent{900};
 constexpr std::size_t kConnectionsPerPeer = 8;
+/// Three watches and the calls of a store that loses answers, each of which
+/// keeps its connection until it has timed out.
+constexpr std::size_t kStoreConnections = 24;
 constexpr Millis kConnectTimeout{400};
 
-net::HttpClientOptions ClientOptions() {
+net::HttpClientOptions ClientOptions(std::size_t connections) {
   net::HttpClientOptions options;
-  options.max_connections_per_peer = kConnectionsPerPeer;
+  options.max_connections_per_peer = connections;
   options.connect_timeout = kConnectTimeout;
   return options;
 }
@@ -66,7 +69,8 @@
       m_signals(m_io, SIGTERM, SIGINT, SIGHUP),
       m_timer(m_io),
       m_log(STDOUT_FILENO),
-      m_client(m_io, ClientOptions()),
+      m_client(m_io, ClientOptions(kConnectionsPerPeer)),
+      m_store_client(m_io, ClientOptions(kStoreConnections)),
       m_store(MakeStore()),
       m_rules(m_store, std::string(platform::kRulesKey), platform::ParseRules,
               [this] { m_cell.SetRules(m_rules.Current()); }),
@@ -130,8 +134,8 @@
 
 store::AsyncStore Host::MakeStore() {
   return WithGauge(
-      platform::MakeKvStore(m_client, m_settings.store_address, {}), m_gauge,
-      Now);
+      platform::MakeKvStore(m_store_client, m_settings.store_address, {}),
+      m_gauge, Now);
 }
 
 CallerLinks Host::CallersLinks() {
--- a/src/entry/host_process.h
+++ b/src/entry/host_process.h
@@ -124,7 +124,8 @@
   boost::asio::steady_timer m_timer;
   LogBuffer m_log;
   runtime::Metrics m_metrics;
-  net::HttpClient m_client;
+  net::HttpClient m_client;  ///< To targets and the adviser.
+  net::HttpClient m_store_client;
   StoreGauge m_gauge;
   store::AsyncStore m_store;
   RulesReader m_rules;
--- a/src/entry/membership.cc
+++ b/src/entry/membership.cc
@@ -18,8 +18,12 @@
 /// that a killed owner's cell stays without one.
 constexpr Millis kLease{1200};
 constexpr Millis kRenewEvery{300};
-/// Renewals don't wait for each other: a slow store answers late, but in time.
-constexpr int kMostRenewals = 3;
+/// Renewals don't wait for each other: a slow store answers late, but in time,
+/// and one that loses answers has to be asked more often.
+constexpr int kMostRenewals = 6;
+/// A call without an answer is repeated after this; a healthy store takes 4 ms.
+constexpr Millis kRepeatAfter{100};
+constexpr int kMostLeaseAsks = 6;
 constexpr Millis kRetry{100};       ///< After a store call that failed.
 constexpr Millis kViewEvery{2000};  ///< At least; changes are watched.
 constexpr Millis kWatchWait{10'000};
@@ -67,7 +71,8 @@
       m_self(std::move(self)),
       m_ranges(std::move(ranges)),
       m_events(std::move(events)),
-      m_ownership(member::MakeOwnership(m_self, OwnershipBounds())) {}
+      m_ownership(member::MakeOwnership(m_self, OwnershipBounds())),
+      m_member_write(m_store) {}
 
 void Membership::Start() {
   Decide(member::RangesWanted{m_ranges});
@@ -82,10 +87,22 @@
   if (m_lease == store::kNoLease && !m_registering && now >= m_register_at) {
     Register();
   }
+  // Sooner where the last renewal should have been answered long since.
+  const bool unanswered =
+      m_renew_sent > m_renewed &&
+      now - m_renew_sent >= std::max(kRepeatAfter, 2 * m_renewal_time);
   if (m_lease != store::kNoLease && m_renewals < kMostRenewals &&
-      now >= m_renew_at) {
+      (now >= m_renew_at || unanswered)) {
     Renew();
   }
+  if (m_lease_for && m_lease_asks < kMostLeaseAsks &&
+      now - m_lease_asked_at >= kRepeatAfter) {
+    AskForLease(*m_lease_for);
+  }
+  m_member_write.Tick(now);
+  for (auto& [range, claim] : m_claims) {
+    claim.Tick(now);
+  }
   if (!m_reading && now >= m_read_at) {
     ReadOwners();
   }
@@ -146,13 +163,33 @@
     }
     const auto& entry = std::get<std::optional<store::Entry>>(found);
     const Revision expected = entry ? entry->revision : store::kAbsent;
-    m_store.grant_lease(kLease, [this, expected](auto granted) {
-      if (const auto* error = std::get_if<Error>(&granted)) {
+    m_lease_for = expected;
+    ++m_lease_round;
+    m_lease_asks = 0;
+    AskForLease(expected);
+  });
+}
+
+/// Asks again while no answer comes; the first lease is taken, and others run
+/// out by themselves.
+void Membership::AskForLease(Revision expected) {
+  m_lease_asked_at = Now();
+  ++m_lease_asks;
+  m_store.grant_lease(kLease, [this, expected, round = m_lease_round,
+                               sent_at = m_lease_asked_at](auto granted) {
+    if (!m_lease_for || round != m_lease_round) {
+      return;  // Another one was answered.
+    }
+    --m_lease_asks;
+    if (const auto* error = std::get_if<Error>(&granted)) {
+      if (m_lease_asks == 0) {
+        m_lease_for.reset();
         RegisterFailed(*error, "lease");
-        return;
       }
-      WriteMember(std::get<store::LeaseGrant>(granted).lease, expected, Now());
-    });
+      return;
+    }
+    m_lease_for.reset();
+    WriteMember(std::get<store::LeaseGrant>(granted).lease, expected, sent_at);
   });
 }
 
@@ -163,7 +200,7 @@
   write.conditions.push_back({MemberKey(m_self.id), expected});
   write.writes.push_back(
       {MemberKey(m_self.id), member::EncodeMember(m_self), lease});
-  m_store.commit(std::move(write), [this, lease, sent_at](auto outcome) {
+  m_member_write.Start(std::move(write), [this, lease, sent_at](auto outcome) {
     if (const auto* error = std::get_if<Error>(&outcome)) {
       RegisterFailed(*error, "register");
       return;
@@ -176,6 +213,8 @@
     }
     m_registering = false;
     m_lease = lease;
+    m_renewed = sent_at;
+    m_renew_sent = sent_at;
     m_member_revision = end.revision;
     m_renew_at = sent_at + kRenewEvery;
     if (!m_store_well) {
@@ -193,6 +232,7 @@
 void Membership::Renew() {
   ++m_renewals;
   const Time sent_at = Now();
+  m_renew_sent = sent_at;
   m_renew_at = sent_at + kRenewEvery;
   m_store.renew_lease(m_lease, [this, sent_at, lease = m_lease](auto outcome) {
     --m_renewals;
@@ -217,6 +257,8 @@
         m_store_well = true;
         LogLine("store_regained").With("by", "membership");
       }
+      m_renewed = std::max(m_renewed, sent_at);
+      m_renewal_time = Now() - sent_at;
       Decide(member::LeaseRenewed{sent_at});
     }
   });
@@ -384,7 +426,9 @@
   write.conditions.push_back({key, record.revision});
   write.writes.push_back(
       {key, member::EncodeOwnerRecord(record), store::kNoLease});
-  m_store.commit(std::move(write), [this, record](auto outcome) {
+  RepeatedCommit& claim =
+      m_claims.try_emplace(record.range, m_store).first->second;
+  claim.Start(std::move(write), [this, record](auto outcome) {
     using End = member::ClaimAnswered::End;
     member::ClaimAnswered answer{record, End::kUnknown, 0};
     if (const auto* error = std::get_if<Error>(&outcome)) {
--- /dev/null
+++ b/src/entry/repeated_commit.cc
@@ -0,0 +1,81 @@
+#include "buckthornmux/detail/entry/repeated_commit.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "buckthornmux/detail/entry/clock.h"
+
+namespace buckthornmux::entry {
+namespace {
+
+/// A healthy store answers in 4 ms.
+constexpr Millis kRepeatAfter{100};
+/// Of two lost copies in three, one of eight still arrives in 96 of 100 cases.
+constexpr int kMostSends = 8;
+
+}  // namespace
+
+void RepeatedCommit::Start(store::Transaction transaction,
+                           store::Reply<store::TransactionEnd> done) {
+  ++m_round;
+  m_active = true;
+  m_transaction = std::move(transaction);
+  m_done = std::move(done);
+  m_sends = 0;
+  m_open = 0;
+  m_doubtful = false;
+  Send();
+}
+
+void RepeatedCommit::Send() {
+  m_sent = Now();
+  ++m_sends;
+  ++m_open;
+  m_store.commit(m_transaction, [this, round = m_round](auto outcome) {
+    if (m_active && round == m_round) {
+      Take(std::move(outcome));
+    }
+  });
+}
+
+/// The revision at which a former copy was written; nothing where none was.
+std::optional<Revision> RepeatedCommit::AppliedBefore(
+    const store::TransactionEnd& end) const {
+  for (const store::ItemWrite& write : m_transaction.writes) {
+    const auto there =
+        std::ranges::find(end.current, write.key, &store::Entry::key);
+    if (there != end.current.end() && there->value == write.value) {
+      return there->revision;
+    }
+  }
+  return std::nullopt;
+}
+
+void RepeatedCommit::Take(Outcome<store::TransactionEnd> outcome) {
+  --m_open;
+  if (const auto* error = std::get_if<Error>(&outcome)) {
+    m_doubtful = m_doubtful || error->kind != ErrorKind::kStoreUnavailable;
+    if (m_open > 0) {
+      return;
+    }
+    if (m_doubtful) {
+      outcome = Error{ErrorKind::kStoreUnknown, error->message, {}};
+    }
+  } else if (auto& end = std::get<store::TransactionEnd>(outcome);
+             end.kind == store::TransactionEnd::Kind::kConditionFailed) {
+    if (const auto revision = AppliedBefore(end)) {
+      end = {store::TransactionEnd::Kind::kApplied, *revision, {}};
+    }
+  }
+  m_active = false;
+  const auto done = std::exchange(m_done, nullptr);
+  done(std::move(outcome));
+}
+
+void RepeatedCommit::Tick(Time now) {
+  if (m_active && m_sends < kMostSends && now - m_sent >= kRepeatAfter) {
+    Send();
+  }
+}
+
+}  // namespace buckthornmux::entry
--- a/tests/mock_async_store.h
+++ b/tests/mock_async_store.h
@@ -34,6 +34,23 @@
     calls.commit = [this](store::Transaction transaction, const auto& reply) {
       Commit(std::move(transaction), reply);
     };
+    calls.grant_lease = [this](Millis ttl, const auto& reply) {
+      ++lease_calls;
+      if (lost_lease_calls > 0) {
+        --lost_lease_calls;
+        return;
+      }
+      reply(store::LeaseGrant{next_lease++, ttl});
+    };
+    calls.renew_lease = [this](store::LeaseId, const auto& reply) {
+      ++lease_calls;
+      if (lost_lease_calls > 0) {
+        --lost_lease_calls;
+        return;
+      }
+      reply(true);
+    };
+    calls.end_lease = [](store::LeaseId, const auto& reply) { reply(true); };
     return calls;
   }
 
@@ -53,6 +70,9 @@
   std::deque<CommitFate> fates;  ///< Of the next commits; then kAnswered.
   std::vector<store::Transaction> delayed;
   bool away = false;  ///< Reads are not answered well.
+  store::LeaseId next_lease = 1;
+  int lost_lease_calls = 0;  ///< So many grants and renewals have no answer.
+  int lease_calls = 0;
   int commits = 0;
   int reads = 0;
   std::size_t page = 500;
