A former owner that lives tells the next one where something may still run

Seen by callers: when the store was away and all registrations ran out, jobs taken before it stood still for another 5.5 s after its return, since the next owner waited for one target that had left during the outage.

Cause: what a next owner knows of targets is what the former one stored. While the store is away nothing can be stored, and the next owner counts the leases anew from its claim. The former owner knows better, and is alive in this case.

Ruled out as evidence that a target is gone: a missing entry, a refused connection.

Change: a host that closes its cell keeps which targets hold runs, and until when these may go on, and sends that to the owner right after it (or uses it, if that is itself). It has stopped ordering by then, and the next owner's epoch fences it where it is heard. An owner that is not the next one ignores it; times only get shorter.

Tests: FormerOwnerTellsWhereNothingRuns, FormerOwnerTellsHowLongOthersMayRun (both use the new function; without it the first one's cell stays unrecovered, as it asserts).

--- a/include/buckthornmux/detail/cell/cell.h
+++ b/include/buckthornmux/detail/cell/cell.h
@@ -115,6 +115,18 @@
 /// @brief Ends loading: from now on work is taken.
 void StartService(Cell& cell, Actions& actions, Time now);
 
+/// @brief Where something may run that this owner or one before it started, and
+///   for how long; for the next owner. This one starts and renews nothing more.
+[[nodiscard]] std::string EncodeLeft(const Cell& cell, Time now);
+
+/// @brief Takes what the former owner has told: old work waits for no other
+///   targets, and no longer.
+/// @param left as EncodeLeft gave it
+/// @param age since then
+/// @return how many targets old work still waits for; errors: kMalformed
+Result<std::size_t> TakeLeft(Cell& cell, Actions& actions,
+                             std::string_view left, Millis age, Time now);
+
 /// @brief Puts a configuration in force.
 void SetRules(Cell& cell, Actions& actions, Rules rules, Time now);
 
--- a/include/buckthornmux/detail/entry/calls.h
+++ b/include/buckthornmux/detail/entry/calls.h
@@ -78,6 +78,15 @@
   Epoch epoch = 0;
 };
 
+/// The former owner, which acts no more, tells the next one where something may
+/// still run.
+struct CellLeft {
+  std::string range;
+  Epoch epoch = 0;      ///< Of the former owner.
+  std::string targets;  ///< As cell::EncodeLeft gives them.
+  Millis age{0};        ///< Since the former owner last acted.
+};
+
 /// Asks whether a host that leaves the sender's pings unanswered answers those
 /// of the receiver.
 struct LivenessQuery {
--- a/include/buckthornmux/detail/entry/cell_host.h
+++ b/include/buckthornmux/detail/entry/cell_host.h
@@ -66,6 +66,15 @@
   /// @brief Whether calls are answered from the cell's state.
   [[nodiscard]] bool Serving() const { return m_cell && m_cell->loaded; }
 
+  /// @brief What this host knew of the targets when it last closed the cell,
+  /// for
+  ///   the next owner; nothing where it was told on or is outdated.
+  [[nodiscard]] const std::optional<CellLeft>& Left() const { return m_left; }
+  void ForgetLeft() { m_left.reset(); }
+  [[nodiscard]] Time LeftAt() const { return m_left_at; }
+  /// @brief Takes what the former owner of the cell has told.
+  void TakeLeft(const CellLeft& left);
+
   void SetRules(const RulesPtr& rules);
   void SetTargets(std::span<const cell::TargetEntry> entries);
   void SetLanes(std::span<const HostId> hosts);
@@ -89,6 +98,7 @@
   };
 
   void Loaded(std::vector<cell::RecordWrite> records);
+  void UseLeft();
   void Stored(const cell::Batch& batch);
   void Act(cell::Actions actions);
   void Proceed();
@@ -120,6 +130,10 @@
   std::map<cell::CallId, OpenCall> m_open_calls;
   cell::CallId m_next_call = 1;
   std::function<void()> m_released;
+  std::optional<CellLeft> m_left;  ///< By this host, as an owner.
+  Time m_left_at;
+  std::optional<CellLeft> m_told;  ///< By the former owner.
+  Time m_told_at;
   Time m_tick_at;
   Time m_load_logged;
   boost::asio::steady_timer m_pump_timer;
--- a/include/buckthornmux/detail/peer/messages.h
+++ b/include/buckthornmux/detail/peer/messages.h
@@ -71,7 +71,7 @@
                  ConfigText, ConfigWanted, entry::CellCall, entry::CellReply,
                  entry::AdviceAsk, entry::AdviceReply, entry::StoreQuery,
                  entry::StoreStatus, entry::RangeOffer, entry::LivenessQuery,
-                 entry::LivenessReply>;
+                 entry::LivenessReply, entry::CellLeft>;
 
 /// State of one shard in a heartbeat.
 struct ShardBeat {
--- a/src/cell/records.cc
+++ b/src/cell/records.cc
@@ -311,6 +311,48 @@
 
 }  // namespace
 
+std::string EncodeLeft(const Cell& cell, Time now) {
+  std::map<TargetId, Time> until;
+  for (const TargetId& id : Unreported(cell, now)) {
+    until[id] = cell.expected.at(id);
+  }
+  for (const auto& [id, target] : cell.targets) {
+    if (!target.runs.empty()) {
+      until[id] = std::max(until[id], target.lease_until);
+    }
+  }
+  std::vector<StoredTarget> left;
+  for (const auto& [id, time] : until) {
+    left.push_back({id, std::max(Millis(0), time - now)});
+  }
+  return EncodeBinary(left);
+}
+
+Result<std::size_t> TakeLeft(Cell& cell, Actions& actions,
+                             std::string_view left, Millis age, Time now) {
+  BOOST_LEAF_AUTO(targets, DecodeBinary<std::vector<StoredTarget>>(
+                               left, "targets left by the former owner"));
+  std::map<TargetId, Time> until;
+  for (const StoredTarget& target : targets) {
+    until[target.id] = now + target.lasts - age;
+  }
+  const std::size_t before = cell.expected.size();
+  std::erase_if(cell.expected, [&](const auto& entry) {
+    return !until.contains(entry.first);
+  });
+  for (auto& [id, time] : cell.expected) {
+    time = std::min(time, until.at(id));
+  }
+  cell.targets_dirty = true;
+  Note(actions, "former_owner_told",
+       {{"epoch", std::to_string(cell.epoch)},
+        {"expected", std::to_string(before)},
+        {"left", std::to_string(cell.expected.size())},
+        {"age_ms", std::to_string(age.count())}});
+  CheckRecovery(cell, actions, now);
+  return cell.expected.size();
+}
+
 Result<std::size_t> LoadRecords(Cell& cell,
                                 std::span<const RecordWrite> records,
                                 Time now) {
--- a/src/entry/cell_host.cc
+++ b/src/entry/cell_host.cc
@@ -94,6 +94,11 @@
       .With("reason", why)
       .With("open_calls", static_cast<std::uint64_t>(m_open_calls.size()));
   m_metrics.Count(Counter::kRangesLost);
+  if (Serving()) {
+    m_left_at = Now();
+    m_left = CellLeft{m_owner->range, m_owner->epoch,
+                      cell::EncodeLeft(*m_cell, m_left_at), Millis(0)};
+  }
   m_journal.Close();
   m_owner.reset();
   m_cell.reset();
@@ -147,6 +152,35 @@
   cell::SetLanes(*m_cell, m_lanes);
   cell::StartService(*m_cell, actions, now);
   Act(std::move(actions));
+  UseLeft();
+  Proceed();
+}
+
+void CellHost::TakeLeft(const CellLeft& left) {
+  m_told = left;
+  m_told_at = Now();
+  UseLeft();
+}
+
+/// What the former owner told counts only for the owner right after it.
+void CellHost::UseLeft() {
+  if (!m_told || !Serving() || m_told->epoch + 1 != m_cell->epoch) {
+    return;
+  }
+  const CellLeft told = std::move(*m_told);
+  m_told.reset();
+  const Time now = Now();
+  cell::Actions actions;
+  const auto outcome = Capture([&] {
+    return cell::TakeLeft(*m_cell, actions, told.targets,
+                          told.age + (now - m_told_at), now);
+  });
+  if (const auto* error = std::get_if<Error>(&outcome)) {
+    LogLine("former_owner_unreadable", Level::kWarning)
+        .With("epoch", told.epoch)
+        .With("reason", error->message);
+  }
+  Act(std::move(actions));
   Proceed();
 }
 
--- a/src/entry/host.cc
+++ b/src/entry/host.cc
@@ -236,6 +236,7 @@
   CheckSlowness(now);
   CheckRelease(now);
   CheckOffer(now);
+  TellNextOwner(now);
   m_relay.Tick(now);
   m_rules.Tick(now);
   m_targets.Tick(now);
--- a/src/entry/host_calls.cc
+++ b/src/entry/host_calls.cc
@@ -39,6 +39,8 @@
     m_owner_watch.Take(from, *question, Now());
   } else if (const auto* liveness = std::get_if<LivenessReply>(&message)) {
     m_owner_watch.Take(*liveness, Now());
+  } else if (const auto* left = std::get_if<CellLeft>(&message)) {
+    m_cell.TakeLeft(*left);
   } else {
     LogLine("message_unexpected", Level::kWarning)
         .With("from", from)
--- a/src/entry/host_ownership.cc
+++ b/src/entry/host_ownership.cc
@@ -63,6 +63,29 @@
   }
 }
 
+void Host::TellNextOwner(Time now) {
+  if (!m_cell.Left()) {
+    return;
+  }
+  CellLeft left = *m_cell.Left();
+  const Epoch epoch = m_members.KnownEpoch(left.range);
+  if (epoch <= left.epoch) {
+    return;  // Nobody has it yet.
+  }
+  const HostId owner = m_members.OwnerOf(left.range);
+  const bool next = epoch == left.epoch + 1;
+  if (next && owner != m_settings.host && !m_links_up.contains(owner)) {
+    return;
+  }
+  m_cell.ForgetLeft();
+  left.age = now - m_cell.LeftAt();
+  if (next && owner == m_settings.host) {
+    m_cell.TakeLeft(left);
+  } else if (next) {
+    SendTo(owner, left);
+  }
+}
+
 void Host::CheckRelease(Time now) {
   if (m_release_began && now - *m_release_began > kReleaseWithin &&
       !HandOver("release takes long")) {
--- a/src/entry/host_process.h
+++ b/src/entry/host_process.h
@@ -92,6 +92,8 @@
   void CheckRelease(Time now);
   /// An offer that is not taken goes to another host.
   void CheckOffer(Time now);
+  /// The next owner is told where something may still run.
+  void TellNextOwner(Time now);
   /// Hosts that can take the cell over.
   [[nodiscard]] std::vector<HostId> Successors() const;
   /// Nobody hears of the owner: its cell is claimed before its registration
--- a/tests/unit-takeover.cc
+++ b/tests/unit-takeover.cc
@@ -55,6 +55,8 @@
   CPPUNIT_TEST(NextOwnerWaitsNoLongerThanTheFormerOne);
   CPPUNIT_TEST(SilentTargetIsWaitedForOnlyOnce);
   CPPUNIT_TEST(TimesOfAFormerOwnerAreReplacedOnceAllHaveReported);
+  CPPUNIT_TEST(FormerOwnerTellsWhereNothingRuns);
+  CPPUNIT_TEST(FormerOwnerTellsHowLongOthersMayRun);
   CPPUNIT_TEST(EmptyLeavingTargetDelaysNoTakeover);
   CPPUNIT_TEST(NothingStartsWhereANextOwnerWouldNotAsk);
   CPPUNIT_TEST(RecordsStayBelowWhatTheStoreTakes);
@@ -150,6 +152,55 @@
     CPPUNIT_ASSERT(third.recovered);
   }
 
+  // The store was away and all registrations ran out; a target left meanwhile,
+  // and the next owner waited for its whole lease.
+  void FormerOwnerTellsWhereNothingRuns() {
+    const Time now{Millis(1'000'000)};
+    const std::vector<cell::TargetEntry> both{PlainTarget("t1"),
+                                              PlainTarget("t2")};
+    cell::Cell first = MakeCell({}, both, now);
+    ReportNothing(first, "t1", now);
+    ReportNothing(first, "t2", now);
+    const cell::Batch stored = StoreNow(first, now);
+    const std::string left = cell::EncodeLeft(first, now + Millis(2000));
+    const std::vector<cell::TargetEntry> one{PlainTarget("t1")};
+    const Time later = now + Millis(3000);
+    cell::Cell second = MakeCell(stored.writes, one, later);
+    ReportNothing(second, "t1", later);
+    CPPUNIT_ASSERT(!second.recovered);
+    cell::Actions actions;
+    CPPUNIT_ASSERT(!std::holds_alternative<Error>(Capture([&] {
+      return cell::TakeLeft(second, actions, left, Millis(1000), later);
+    })));
+    CPPUNIT_ASSERT(second.recovered);
+  }
+
+  void FormerOwnerTellsHowLongOthersMayRun() {
+    const Time now{Millis(1'000'000)};
+    const std::vector<cell::TargetEntry> entries{PlainTarget("t1")};
+    cell::Cell first = MakeCell({}, entries, now);
+    ReportNothing(first, "t1", now);
+    cell::Actions actions;
+    const cell::Batch stored = StoreNow(first, now);
+    cell::BatchStored(first, actions, stored, now);
+    cell::Submit(first, actions, 1, PlainJob("j1"), now);
+    const cell::Batch job = StoreNow(first, now);
+    cell::BatchStored(first, actions, job, now);
+    cell::Plan(first, actions, now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, first.targets.at("t1").runs.size());
+    const std::string left = cell::EncodeLeft(first, now + Millis(2000));
+    const Time later = now + Millis(3000);
+    cell::Cell second = MakeCell(stored.writes, {}, later);
+    CPPUNIT_ASSERT(!std::holds_alternative<Error>(Capture([&] {
+      return cell::TakeLeft(second, actions, left, Millis(1000), later);
+    })));
+    const Time over = first.targets.at("t1").lease_until;
+    cell::Tick(second, actions, over - Millis(1));
+    CPPUNIT_ASSERT(!second.recovered);
+    cell::Tick(second, actions, over);
+    CPPUNIT_ASSERT(second.recovered);
+  }
+
   // On a day of lost owners old work waited for 1.9 s for targets that had
   // emptied themselves, left, and were still listed.
   void EmptyLeavingTargetDelaysNoTakeover() {
