SIGHUP before the settings are read does not end a host

Cause: the default action, until the loop's signal handlers stand. Ruled out: a signal that the handlers lost (the process had written no line yet). Change: SIGHUP is ignored from the first line on; the settings are read after it, so nothing is missed. What arrives while the program is still being loaded still ends it: the platform starts it again. No test of its own: the soak sends the signal in series.

--- a/src/entry/host.cc
+++ b/src/entry/host.cc
@@ -258,6 +258,8 @@
 
 Result<int> RunHost(const std::string& settings_path) {
   static_cast<void>(std::signal(SIGPIPE, SIG_IGN));
+  // The settings are read below: until then there is nothing to read again.
+  static_cast<void>(std::signal(SIGHUP, SIG_IGN));
   // Memory is dear on entry hosts: freed pages go back early.
   constexpr int kTrimAbove = 256 * 1024;
   mallopt(M_TRIM_THRESHOLD, kTrimAbove);
