--- a/scripts/lib/day.sh
+++ b/scripts/lib/day.sh
@@ -3,12 +3,15 @@
 
 DAY_HOST_PORT=$((PORT_BASE + 100))
 
+# Metrics have one port on each host: days side by side need other addresses.
+DAY_NETWORK=127.0.$((PORT_BASE / 1000 % 256))
+
 # write_settings N: the settings file of entry host N, as the platform writes it.
 write_settings() {
   local base=$((DAY_HOST_PORT + 10 * $1))
   cat >"$RUN_DIR/host-$1.conf" <<SETTINGS
 node=host-$1
-ip=127.0.0.$((10 + $1))
+ip=$DAY_NETWORK.$((10 + $1))
 zone=zone-$1
 listen.frontend=127.0.0.1:$base
 listen.readiness=127.0.0.1:$((base + 1))
--- a/tests/standins/day_command.cc
+++ b/tests/standins/day_command.cc
@@ -23,6 +23,12 @@
       cxxopts::value<int>()->default_value("0"))(
       "store-away-for-ms", "0: never",
       cxxopts::value<int>()->default_value("0"))(
+      "store-loses-at-ms", "from the start of the load",
+      cxxopts::value<int>()->default_value("0"))(
+      "store-loses-for-ms", "0: never",
+      cxxopts::value<int>()->default_value("0"))(
+      "store-losses", "share of writes that are not answered then",
+      cxxopts::value<double>()->default_value("0.5"))(
       "answers-lost", "share of starts done but not answered",
       cxxopts::value<double>()->default_value("0"));
   const auto given = options.parse(argc, argv);
@@ -35,6 +41,9 @@
   day.seed = given["seed"].as<std::uint64_t>();
   day.store_away_at = Millis(given["store-away-at-ms"].as<int>());
   day.store_away_for = Millis(given["store-away-for-ms"].as<int>());
+  day.store_loses_at = Millis(given["store-loses-at-ms"].as<int>());
+  day.store_loses_for = Millis(given["store-loses-for-ms"].as<int>());
+  day.store_losses = given["store-losses"].as<double>();
   day.answers_lost = given["answers-lost"].as<double>();
   boost::asio::io_context io(1);
   const PlatformDay played(io, day);
--- a/tests/standins/platform_day.cc
+++ b/tests/standins/platform_day.cc
@@ -200,13 +200,17 @@
     return;
   }
   json::array good;
+  // One target is always allowed, so that every step can run somewhere.
+  const std::string step = StringAt(*body, "step");
+  const TargetId& always =
+      m_targets[std::hash<std::string>{}(step) % m_targets.size()].entry.id;
   for (const auto& name : body->at("workers").as_array()) {
-    const std::string pair =
-        StringAt(*body, "step") + "/" + std::string(name.as_string());
+    const std::string pair = step + "/" + std::string(name.as_string());
     // Three in four: the widest gang of the day has to find room on a fleet
     // as small as this.
     constexpr std::size_t kOneIn = 4;
-    if (std::hash<std::string>{}(pair) % kOneIn != 0) {
+    if (name.as_string() == always ||
+        std::hash<std::string>{}(pair) % kOneIn != 0) {
       good.push_back(json::array{name, "ticket"});
     }
   }
@@ -324,6 +328,10 @@
                     since >= m_options.store_away_at &&
                     since < m_options.store_away_at + m_options.store_away_for;
   m_store.SetAway(away);
+  const bool loses =
+      since >= m_options.store_loses_at &&
+      since < m_options.store_loses_at + m_options.store_loses_for;
+  m_store.SetLosses(loses ? m_options.store_losses : 0);
   m_store.Tick(now);
   for (std::size_t i = 0; i < m_targets.size(); ++i) {
     for (const cell::TaskId& task : Advance(m_targets[i], now)) {
--- a/tests/standins/platform_day.h
+++ b/tests/standins/platform_day.h
@@ -29,6 +29,9 @@
   std::uint64_t seed = 1;
   Millis store_away_at{0};  ///< From the start of the load; 0: never.
   Millis store_away_for{0};
+  Millis store_loses_at{0};  ///< From the start of the load.
+  Millis store_loses_for{0};
+  double store_losses = 0;  ///< Share of writes that are not answered then.
   double answers_lost = 0;  ///< Share of starts done but not answered.
 };
 
--- a/tests/standins/platform_store.cc
+++ b/tests/standins/platform_store.cc
@@ -87,6 +87,31 @@
     respond(ErrorAnswerOf(503, "away"));
     return;
   }
+  if (!Lose(request, respond)) {
+    Serve(request, respond);
+  }
+}
+
+bool PlatformStore::Lose(const net::HttpRequest& request,
+                         const net::Responder& respond) {
+  const std::string_view target = request.target;
+  const bool write = target.starts_with("/buckthornmux/kv-txn") ||
+                     target.starts_with("/buckthornmux/kv-lease") ||
+                     target.starts_with(kKeep);
+  std::uniform_real_distribution<double> part(0, 1);
+  if (!write || m_lost_share <= 0 || part(m_random) >= m_lost_share) {
+    return false;
+  }
+  constexpr double kLongestDelay = 3000;
+  const bool at_once = part(m_random) < 0.5;
+  const Millis delay(
+      at_once ? 0 : static_cast<std::int64_t>(part(m_random) * kLongestDelay));
+  m_lost.push_back({SteadyNow() + delay, request, respond});
+  return true;
+}
+
+void PlatformStore::Serve(const net::HttpRequest& request,
+                          const net::Responder& respond) {
   const auto parsed = Capture([&] { return net::ParseTarget(request.target); });
   const auto* target = std::get_if<net::RequestTarget>(&parsed);
   if (target == nullptr) {
@@ -226,6 +251,13 @@
 
 void PlatformStore::Tick(Time now) {
   ExpireLeases(m_state, now);
+  constexpr Time kDone = Time::max();
+  for (Lost& lost : m_lost) {
+    if (now >= lost.due) {
+      lost.due = kDone;
+      Serve(lost.request, [](const net::HttpResponse&) {});
+    }
+  }
   WakeWatches(now);
 }
 
