Registration, reports and refusals in files of their own

Nothing was ruled out here, and no behaviour changed: unit-membership, unit-refusals, unit-cell and unit-cell-host pass.

--- a/include/buckthornmux/detail/entry/repeated_commit.h
+++ b/include/buckthornmux/detail/entry/repeated_commit.h
@@ -16,6 +16,10 @@
 /// that a former copy did. That needs values that no other write shares.
 class RepeatedCommit {
  public:
+  /// A call without an answer is repeated after this; a healthy store takes 4
+  /// ms.
+  static constexpr Millis kRepeatAfter{100};
+
   /// @param store outlives this object, which outlives its calls
   explicit RepeatedCommit(const store::AsyncStore& store) : m_store(store) {}
   RepeatedCommit(const RepeatedCommit&) = delete;
--- a/src/entry/cell_host.cc
+++ b/src/entry/cell_host.cc
@@ -19,11 +19,6 @@
 /// A start or stop without an answer by then is repeated; a healthy target
 /// answers in some milliseconds.
 constexpr Millis kOrderTimeout{150};
-constexpr Millis kReportWait{500};   ///< A report waits so long for an end.
-constexpr Millis kReportSlack{150};  ///< Beyond the wait, for the way.
-constexpr Millis kReportRetry{200};
-/// While ends wait to be stored, a report would be answered at once.
-constexpr Millis kUnackedPause{60};
 constexpr Millis kLoadLogEvery{1000};
 /// A write that waits longer shows that the store is not well.
 constexpr Millis kStoreUnwellAfter{500};
@@ -357,66 +352,6 @@
                 });
 }
 
-// ---- Reports ----------------------------------------------------------------
-
-void CellHost::Report(const TargetId& id, const cell::Target& target,
-                      Time now) {
-  ReportLoop& loop = m_reports[id];
-  const bool unacked = target.seen_end > target.acked_end;
-  if (loop.in_flight || now < loop.next) {
-    return;
-  }
-  loop.in_flight = true;
-  const cell::ReportCall call = cell::MakeReportCall(*m_cell, target, now);
-  if (call.deadline_ms > 0) {
-    cell::LeaseSent(*m_cell, id, now);
-  }
-  const bool first = !target.reported || !target.clock_known || unacked;
-  const Millis wait = first ? Millis(0) : kReportWait;
-  m_client.Call(
-      target.entry.address, m_calls.report(id, call, m_cell->epoch, wait),
-      wait + kReportSlack, [this, term = m_term, id, now](const auto& answer) {
-        if (term == m_term) {
-          ReportAnswered(id, now, answer);
-        }
-      });
-}
-
-void CellHost::ReportAnswered(const TargetId& id, Time sent_at,
-                              const Outcome<net::HttpResponse>& answer) {
-  const Time now = Now();
-  ReportLoop& loop = m_reports[id];
-  loop.in_flight = false;
-  loop.next = now;
-  cell::OrderOutcome outcome = m_calls.outcome(answer);
-  cell::Actions actions;
-  if (outcome == cell::OrderOutcome::kDone) {
-    auto report = Capture([&] {
-      return m_calls.parse_report(std::get<net::HttpResponse>(answer).body);
-    });
-    if (const auto* good = std::get_if<cell::TargetReport>(&report)) {
-      m_metrics.Count(Counter::kTasksEnded, good->ended.size());
-      cell::Reported(*m_cell, actions, id, *good, sent_at, now);
-    } else {
-      LogLine("report_unreadable", Level::kWarning)
-          .With("target", id)
-          .With("reason", std::get<Error>(report).message);
-      outcome = cell::OrderOutcome::kUnknown;
-    }
-  }
-  if (outcome != cell::OrderOutcome::kDone) {
-    loop.next = now + kReportRetry;
-    cell::ReportFailed(*m_cell, actions, id, outcome, now);
-  }
-  const auto target = m_cell->targets.find(id);
-  if (target != m_cell->targets.end() &&
-      target->second.seen_end > target->second.acked_end) {
-    loop.next = std::max(loop.next, now + kUnackedPause);
-  }
-  Act(std::move(actions));
-  Proceed();
-}
-
 // ---- Time -------------------------------------------------------------------
 
 void CellHost::WriteDue(Time now) {
--- a/src/entry/membership.cc
+++ b/src/entry/membership.cc
@@ -3,10 +3,10 @@
 #include <algorithm>
 #include <utility>
 
-#include "buckthornmux/detail/config/keys.h"
 #include "buckthornmux/detail/entry/clock.h"
 #include "buckthornmux/detail/member/records.h"
 #include "buckthornmux/detail/runtime/log_line.h"
+#include "membership_timing.h"
 
 namespace buckthornmux::entry {
 namespace {
@@ -14,23 +14,15 @@
 using runtime::LogLine;
 using Level = runtime::LogLine::Level;
 
-/// How long a host counts as there after its last renewal. Bounds the time
-/// that a killed owner's cell stays without one.
-constexpr Millis kLease{1200};
-constexpr Millis kRenewEvery{300};
 /// Renewals don't wait for each other: a slow store answers late, but in time,
 /// and one that loses answers has to be asked more often.
 constexpr int kMostRenewals = 6;
-/// A call without an answer is repeated after this; a healthy store takes 4 ms.
-constexpr Millis kRepeatAfter{100};
 constexpr int kMostLeaseAsks = 6;
-constexpr Millis kRetry{100};       ///< After a store call that failed.
 constexpr Millis kViewEvery{2000};  ///< At least; changes are watched.
 constexpr Millis kWatchWait{10'000};
 constexpr Millis kTakeoverDelay{30};
 constexpr Millis kMoveInterval{1000};
 constexpr Millis kClaimRetry{150};
-constexpr std::size_t kIncarnationBytes = 8;
 /// An owner that another host told of is believed for so long.
 constexpr Millis kHeardFor{2000};
 constexpr std::string_view kStatePrefix = store::kStatePrefix;
@@ -46,18 +38,6 @@
   return options;
 }
 
-std::string NewIncarnation() {
-  auto text = Capture([] { return config::RandomHex(kIncarnationBytes); });
-  if (auto* good = std::get_if<std::string>(&text)) {
-    return std::move(*good);
-  }
-  return std::to_string(WallOffset() + Now().time_since_epoch().count());
-}
-
-std::string MemberKey(const HostId& host) {
-  return std::string(store::kMembersPrefix) + host;
-}
-
 std::string OwnerKey(const std::string& range) {
   return std::string(store::kOwnersPrefix) + range;
 }
@@ -90,13 +70,14 @@
   // Sooner where the last renewal should have been answered long since.
   const bool unanswered =
       m_renew_sent > m_renewed &&
-      now - m_renew_sent >= std::max(kRepeatAfter, 2 * m_renewal_time);
+      now - m_renew_sent >=
+          std::max(RepeatedCommit::kRepeatAfter, 2 * m_renewal_time);
   if (m_lease != store::kNoLease && m_renewals < kMostRenewals &&
       (now >= m_renew_at || unanswered)) {
     Renew();
   }
   if (m_lease_for && m_lease_asks < kMostLeaseAsks &&
-      now - m_lease_asked_at >= kRepeatAfter) {
+      now - m_lease_asked_at >= RepeatedCommit::kRepeatAfter) {
     AskForLease(*m_lease_for);
   }
   m_member_write.Tick(now);
@@ -139,185 +120,12 @@
   }
 }
 
-// ---- Registration -----------------------------------------------------------
-
-void Membership::RegisterFailed(const Error& error, std::string_view call) {
-  if (m_store_well) {
-    m_store_well = false;
-    LogLine("store_lost", Level::kWarning)
-        .With("by", "membership")
-        .With("call", call)
-        .With("reason", error.message);
-  }
-  m_registering = false;
-  m_lease = store::kNoLease;
-  m_register_at = Now() + kRetry;
-}
-
-void Membership::Register() {
-  m_registering = true;
-  m_store.get(MemberKey(m_self.id), [this](auto found) {
-    if (const auto* error = std::get_if<Error>(&found)) {
-      RegisterFailed(*error, "get");
-      return;
-    }
-    const auto& entry = std::get<std::optional<store::Entry>>(found);
-    const Revision expected = entry ? entry->revision : store::kAbsent;
-    m_lease_for = expected;
-    ++m_lease_round;
-    m_lease_asks = 0;
-    AskForLease(expected);
-  });
-}
-
-/// Asks again while no answer comes; the first lease is taken, and others run
-/// out by themselves.
-void Membership::AskForLease(Revision expected) {
-  m_lease_asked_at = Now();
-  ++m_lease_asks;
-  m_store.grant_lease(kLease, [this, expected, round = m_lease_round,
-                               sent_at = m_lease_asked_at](auto granted) {
-    if (!m_lease_for || round != m_lease_round) {
-      return;  // Another one was answered.
-    }
-    --m_lease_asks;
-    if (const auto* error = std::get_if<Error>(&granted)) {
-      if (m_lease_asks == 0) {
-        m_lease_for.reset();
-        RegisterFailed(*error, "lease");
-      }
-      return;
-    }
-    m_lease_for.reset();
-    WriteMember(std::get<store::LeaseGrant>(granted).lease, expected, sent_at);
-  });
-}
-
-void Membership::WriteMember(store::LeaseId lease, Revision expected,
-                             Time sent_at) {
-  m_self.incarnation = NewIncarnation();
-  store::Transaction write;
-  write.conditions.push_back({MemberKey(m_self.id), expected});
-  write.writes.push_back(
-      {MemberKey(m_self.id), member::EncodeMember(m_self), lease});
-  m_member_write.Start(std::move(write), [this, lease, sent_at](auto outcome) {
-    if (const auto* error = std::get_if<Error>(&outcome)) {
-      RegisterFailed(*error, "register");
-      return;
-    }
-    const auto& end = std::get<store::TransactionEnd>(outcome);
-    if (end.kind != store::TransactionEnd::Kind::kApplied) {
-      RegisterFailed({ErrorKind::kStoreConflict, "registered meanwhile", {}},
-                     "register");
-      return;
-    }
-    m_registering = false;
-    m_lease = lease;
-    m_renewed = sent_at;
-    m_renew_sent = sent_at;
-    m_member_revision = end.revision;
-    m_renew_at = sent_at + kRenewEvery;
-    if (!m_store_well) {
-      m_store_well = true;
-      LogLine("store_regained").With("by", "membership");
-    }
-    LogLine("registered")
-        .With("host", m_self.id)
-        .With("incarnation", m_self.incarnation);
-    Decide(member::Registered{m_self.incarnation, sent_at});
-    ReadOwners();
-  });
-}
-
-void Membership::Renew() {
-  ++m_renewals;
-  const Time sent_at = Now();
-  m_renew_sent = sent_at;
-  m_renew_at = sent_at + kRenewEvery;
-  m_store.renew_lease(m_lease, [this, sent_at, lease = m_lease](auto outcome) {
-    --m_renewals;
-    if (lease != m_lease) {
-      return;  // Registered anew meanwhile.
-    }
-    if (const auto* error = std::get_if<Error>(&outcome)) {
-      m_renew_at = std::min(m_renew_at, Now() + kRetry);
-      if (m_store_well) {
-        m_store_well = false;
-        LogLine("store_lost", Level::kWarning)
-            .With("by", "membership")
-            .With("call", "renew")
-            .With("reason", error->message);
-      }
-    } else if (!std::get<bool>(outcome)) {
-      LogLine("lease_ended", Level::kWarning).With("host", m_self.id);
-      m_lease = store::kNoLease;
-      m_register_at = Now();
-    } else {
-      if (!m_store_well) {
-        m_store_well = true;
-        LogLine("store_regained").With("by", "membership");
-      }
-      m_renewed = std::max(m_renewed, sent_at);
-      m_renewal_time = Now() - sent_at;
-      Decide(member::LeaseRenewed{sent_at});
-    }
-  });
-}
-
-/// Others have to see that this host claims nothing before they divide what it
-/// hands over.
-void Membership::Leave() {
-  m_self.leaving = true;
-  UpdateRecord([this] { Decide(member::Leave{}); });
-}
-
-void Membership::Return() {
-  m_self.leaving = false;
-  UpdateRecord([this] { Decide(member::Return{}); });
-}
-
-void Membership::UpdateRecord(std::function<void()> then) {
-  if (m_lease == store::kNoLease) {
-    then();  // The next registration writes the record as it is now.
-    return;
-  }
-  store::Transaction write;
-  write.conditions.push_back({MemberKey(m_self.id), m_member_revision});
-  write.writes.push_back(
-      {MemberKey(m_self.id), member::EncodeMember(m_self), m_lease});
-  m_store.commit(std::move(write), [this,
-                                    then = std::move(then)](auto outcome) {
-    const auto* end = std::get_if<store::TransactionEnd>(&outcome);
-    if (end != nullptr && end->kind == store::TransactionEnd::Kind::kApplied) {
-      m_member_revision = end->revision;
-    } else {
-      LogLine("member_record_not_written", Level::kWarning)
-          .With("host", m_self.id)
-          .With("leaving", m_self.leaving ? "true" : "false");
-    }
-    then();
-  });
-}
+// ---- Ranges -----------------------------------------------------------------
 
 void Membership::Released(const std::string& range) {
   Decide(member::Released{range});
 }
 
-void Membership::Unregister(std::function<void()> done) {
-  m_unregistered = true;
-  if (m_lease == store::kNoLease) {
-    done();
-    return;
-  }
-  m_store.end_lease(m_lease, [done = std::move(done)](auto outcome) {
-    if (const auto* error = std::get_if<Error>(&outcome)) {
-      LogLine("lease_not_ended", Level::kWarning)
-          .With("reason", error->message);
-    }
-    done();
-  });
-}
-
 // ---- Views ------------------------------------------------------------------
 
 void Membership::Recheck() {
--- a/src/entry/repeated_commit.cc
+++ b/src/entry/repeated_commit.cc
@@ -8,8 +8,6 @@
 namespace buckthornmux::entry {
 namespace {
 
-/// A healthy store answers in 4 ms.
-constexpr Millis kRepeatAfter{100};
 /// Of two lost copies in three, one of eight still arrives in 96 of 100 cases.
 constexpr int kMostSends = 8;
 
--- /dev/null
+++ b/tests/unit-refusals.cc
@@ -0,0 +1,73 @@
+// New jobs that are refused as not run, since no write has left for them.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+#include "cell_world.h"
+#include "plain_cell.h"
+
+namespace buckthornmux::tests {
+namespace {
+
+std::size_t RefusalsIn(const cell::Actions& actions) {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(actions, [](const auto& action) {
+        const auto* answer = std::get_if<cell::AnswerSubmit>(&action);
+        return answer != nullptr && answer->error;
+      }));
+}
+
+class RefusalTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RefusalTest);
+  CPPUNIT_TEST(StoreLossRefusesWhatNoWriteHasLeftFor);
+  CPPUNIT_TEST(UnsentJobIsRefusedBeforeItsCallersGiveUp);
+  CPPUNIT_TEST(JobOfAWriteUnderWayIsNotRefused);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void StoreLossRefusesWhatNoWriteHasLeftFor() {
+    World world({});
+    world.SetRules({PlainQueue("plain")});
+    world.Submit(PlainJob("j1"));
+    cell::Actions actions;
+    cell::SetStoreWell(world.State(), actions, false);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, RefusalsIn(actions));
+    CPPUNIT_ASSERT(!world.State().jobs.contains("j1"));
+  }
+
+  // While a write took seconds, jobs behind it were held until their callers
+  // were told that the outcome is unknown.
+  void UnsentJobIsRefusedBeforeItsCallersGiveUp() {
+    World world({});
+    world.SetRules({PlainQueue("plain")});
+    cell::Cell& owned = world.State();
+    const Time now = world.NowTime();
+    cell::Actions actions;
+    cell::Submit(owned, actions, 1, PlainJob("j1"), now, now + Millis(400));
+    cell::Submit(owned, actions, 2, PlainJob("j1"), now, now + Millis(900));
+    cell::Tick(owned, actions, now + Millis(899));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, RefusalsIn(actions));
+    cell::Tick(owned, actions, now + Millis(900));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, RefusalsIn(actions));
+    CPPUNIT_ASSERT(!owned.jobs.contains("j1"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, owned.writes.count);
+  }
+
+  void JobOfAWriteUnderWayIsNotRefused() {
+    World world({});
+    world.SetRules({PlainQueue("plain")});
+    cell::Cell& owned = world.State();
+    const Time now = world.NowTime();
+    cell::Actions actions;
+    cell::Submit(owned, actions, 1, PlainJob("j1"), now, now + Millis(400));
+    CPPUNIT_ASSERT(cell::TakeBatch(owned, 29, now).has_value());
+    cell::Tick(owned, actions, now + Millis(900));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, RefusalsIn(actions));
+    CPPUNIT_ASSERT(owned.jobs.contains("j1"));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RefusalTest);
+
+}  // namespace
+}  // namespace buckthornmux::tests
