An owner that is paused within a tick notices it

Cause: an owner that pauses answers nothing from its state until it has read who owns the cell. It noticed pauses by a tick that came late; stopped in the middle of a tick, it set the time of the next one after the pause, and none seemed late.

Ruled out: a stale read of the store (the view was read after the answer).

Change: the length of each tick counts as well. A pause within the handling of a single call remains unnoticed for that call: some microseconds. PauseWithinATickIsNoticed fails without the check at the tick's end.

--- a/src/entry/host.cc
+++ b/src/entry/host.cc
@@ -227,13 +227,9 @@
 
 void Host::Tick() {
   const Time now = Now();
-  if (now - m_tick_due > kLongPause && m_cell.Owning()) {
-    LogLine("paused", Level::kWarning)
-        .With("for_ms", (now - m_tick_due).count());
-    m_paused_until = now;
-    m_members.Recheck();
-  }
-  CheckSlowness(now);
+  const Millis late = m_pauses.Late(now);
+  TakePause(m_pauses.TickBegan(now));
+  CheckSlowness(late, now);
   CheckRelease(now);
   CheckOffer(now);
   TellNextOwner(now);
@@ -247,7 +243,7 @@
   WatchSettings(now);
   LeaveWhenDone(now);
   m_log.Flush();
-  m_tick_due = Now() + kTickEvery;
+  TakePause(m_pauses.TickEnded(Now(), kTickEvery));
   m_timer.expires_after(kTickEvery);
   m_timer.async_wait([this](boost::system::error_code error) {
     if (!error) {
--- a/src/entry/host_calls.cc
+++ b/src/entry/host_calls.cc
@@ -108,7 +108,7 @@
 }
 
 bool Host::InDoubt(Time now) const {
-  return now - m_tick_due > kLongPause || m_members.ViewedAt() < m_paused_until;
+  return m_pauses.InDoubt(m_members.ViewedAt(), now);
 }
 
 void Host::TakeCall(const HostId& from, const CellCall& call) {
--- a/src/entry/host_ownership.cc
+++ b/src/entry/host_ownership.cc
@@ -131,8 +131,15 @@
   m_owner_watch.Tick(owner, m_callers.WaitingSince(owner), now);
 }
 
-void Host::CheckSlowness(Time now) {
-  m_slowness.Add(now - m_tick_due);
+void Host::TakePause(Millis pause) {
+  if (pause > Millis(0) && m_cell.Owning()) {
+    LogLine("paused", Level::kWarning).With("for_ms", pause.count());
+    m_members.Recheck();
+  }
+}
+
+void Host::CheckSlowness(Millis late, Time now) {
+  m_slowness.Add(late);
   if (!m_slowness.Well() && now >= m_late_logged + kLateLogEvery) {
     m_late_logged = now;
     LogLine("loop_late", Level::kWarning)
--- a/src/entry/host_process.h
+++ b/src/entry/host_process.h
@@ -21,6 +21,7 @@
 #include "buckthornmux/detail/entry/membership.h"
 #include "buckthornmux/detail/entry/open_offer.h"
 #include "buckthornmux/detail/entry/owner_watch.h"
+#include "buckthornmux/detail/entry/pause_watch.h"
 #include "buckthornmux/detail/entry/rules_reader.h"
 #include "buckthornmux/detail/entry/settings.h"
 #include "buckthornmux/detail/entry/slowness.h"
@@ -37,10 +38,6 @@
 /// is cut into more.
 inline constexpr std::string_view kRange = "cell/0";
 
-/// A pause of an owner beyond which another may have been taken for it: shorter
-/// than it takes others to find one gone.
-inline constexpr Millis kLongPause{150};
-
 /// How this host registers.
 [[nodiscard]] member::Member SelfOf(const HostSettings& settings);
 
@@ -106,7 +103,10 @@
   void CheckOwner(Time now);
   /// A slow owner hands the cell over, if enough others are there, and takes
   /// part again once it is well.
-  void CheckSlowness(Time now);
+  /// @param late how late this tick came
+  void CheckSlowness(Millis late, Time now);
+  /// An owner that paused reads who owns the cell now.
+  void TakePause(Millis pause);
 
   // Signals, settings, shutdown: host_lifecycle.cc.
   void AwaitSignal();
@@ -143,10 +143,9 @@
   std::set<HostId> m_links_up;
   std::map<HostId, std::string> m_peer_addresses;  ///< Of linked hosts.
   SlownessGauge m_slowness;
-  Time m_tick_due = Now();
+  PauseWatch m_pauses;
   Time m_gained_at;       ///< When this host last became the owner.
   Epoch m_suspected = 0;  ///< Of the last owner that was claimed from.
-  Time m_paused_until;    ///< End of the last long pause.
   std::optional<OpenOffer> m_offer;
   std::optional<Time> m_release_began;  ///< Of the cell, not ended yet.
   bool m_resting = false;  ///< Handed over because this host is slow.
--- a/tests/unit-entry.cc
+++ b/tests/unit-entry.cc
@@ -8,6 +8,7 @@
 #include "buckthornmux/detail/entry/callers.h"
 #include "buckthornmux/detail/entry/clock.h"
 #include "buckthornmux/detail/entry/log_buffer.h"
+#include "buckthornmux/detail/entry/pause_watch.h"
 #include "buckthornmux/detail/entry/rules_reader.h"
 #include "buckthornmux/detail/entry/slowness.h"
 #include "buckthornmux/detail/entry/target_reader.h"
@@ -35,6 +36,8 @@
   CPPUNIT_TEST(LogsAreBoundedAndNeverBlock);
   CPPUNIT_TEST(SlownessNeedsSeveralLateTicks);
   CPPUNIT_TEST(LastingSmallDelaysAreSlowness);
+  CPPUNIT_TEST(PauseBetweenTicksIsNoticed);
+  CPPUNIT_TEST(PauseWithinATickIsNoticed);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -188,6 +191,34 @@
     }
     CPPUNIT_ASSERT(gauge.Well());
   }
+
+  void PauseBetweenTicksIsNoticed() {
+    const Time start{Millis(1'000'000)};
+    entry::PauseWatch watch;
+    CPPUNIT_ASSERT(!watch.InDoubt(start, start));
+    CPPUNIT_ASSERT_EQUAL(Millis(0), watch.TickBegan(start));
+    CPPUNIT_ASSERT_EQUAL(Millis(0), watch.TickEnded(start, Millis(50)));
+    CPPUNIT_ASSERT(!watch.InDoubt(start, start + Millis(200)));
+    // Before the next tick has run, too.
+    const Time late = start + Millis(201);
+    CPPUNIT_ASSERT(watch.InDoubt(start, late));
+    CPPUNIT_ASSERT_EQUAL(Millis(151), watch.TickBegan(late));
+    CPPUNIT_ASSERT_EQUAL(Millis(0), watch.TickEnded(late, Millis(50)));
+    CPPUNIT_ASSERT(watch.InDoubt(start, late));
+    CPPUNIT_ASSERT(!watch.InDoubt(late, late));
+  }
+
+  // Soak, seed 227: an owner that was stopped in the middle of a tick told a
+  // caller of no such job, which the next owner had taken meanwhile.
+  void PauseWithinATickIsNoticed() {
+    const Time start{Millis(1'000'000)};
+    entry::PauseWatch watch;
+    (void)watch.TickBegan(start);
+    const Time end = start + Millis(1100);
+    CPPUNIT_ASSERT_EQUAL(Millis(1100), watch.TickEnded(end, Millis(50)));
+    CPPUNIT_ASSERT(watch.InDoubt(start, end));
+    CPPUNIT_ASSERT(!watch.InDoubt(end, end));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EntryTest);
