--- a/src/cell/records.cc
+++ b/src/cell/records.cc
@@ -322,6 +322,7 @@
     }
   }
   std::vector<StoredTarget> left;
+  left.reserve(until.size());
   for (const auto& [id, time] : until) {
     left.push_back({id, std::max(Millis(0), time - now)});
   }
