A job that is refused, and comes again, does not end the owner

Seen: nothing yet; found by reading the change. Refusing unsent jobs before their callers give up went through the line of writes, in which a job that was refused and handed in again stands twice; the second entry was looked up in vain and used.

Ruled out: the refusal when the store is lost, which goes through the jobs themselves. Change: an id without a job is passed over. JobThatComesAgainIsRefusedOnce ends with a segmentation fault on the code before.

--- a/src/cell/jobs.cc
+++ b/src/cell/jobs.cc
@@ -66,7 +66,11 @@
 void RefuseUnsent(Cell& cell, Actions& actions, std::span<const JobId> jobs,
                   std::string_view reason) {
   for (const JobId& id : jobs) {
-    const Job job = std::move(*FindJob(cell, id));
+    Job* found = FindJob(cell, id);
+    if (found == nullptr) {
+      continue;  // Named twice: refused before and handed in again meanwhile.
+    }
+    const Job job = std::move(*found);
     cell.jobs.erase(id);
     cell.writes.count -= job.unstored ? 1 : 0;
     --cell.pending[job.spec.queue];
--- a/tests/unit-refusals.cc
+++ b/tests/unit-refusals.cc
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(StoreLossRefusesWhatNoWriteHasLeftFor);
   CPPUNIT_TEST(UnsentJobIsRefusedBeforeItsCallersGiveUp);
   CPPUNIT_TEST(JobOfAWriteUnderWayIsNotRefused);
+  CPPUNIT_TEST(JobThatComesAgainIsRefusedOnce);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -65,6 +66,21 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, RefusalsIn(actions));
     CPPUNIT_ASSERT(owned.jobs.contains("j1"));
   }
+
+  // Its id stands in the line of writes twice.
+  void JobThatComesAgainIsRefusedOnce() {
+    World world({});
+    world.SetRules({PlainQueue("plain")});
+    cell::Cell& owned = world.State();
+    const Time now = world.NowTime();
+    cell::Actions actions;
+    cell::Submit(owned, actions, 1, PlainJob("j1"), now, now + Millis(400));
+    cell::Tick(owned, actions, now + Millis(400));
+    cell::Submit(owned, actions, 2, PlainJob("j1"), now, now + Millis(900));
+    cell::Tick(owned, actions, now + Millis(900));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, RefusalsIn(actions));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, owned.writes.count);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RefusalTest);
