Logs tell a busy owner from a slow one, and what a recovery reads

The logs could not tell the three hypotheses apart: a page that was not read left no line, a host that handed over for being slow did not say whether its machine was slower than before, an advice call that failed did not name its step.

Added: records_page_failed, pages and bytes in records_read, the time of a fixed piece of work in loop_late and hands_over_when_slow, the share of a core and the link in started, job, step and count of names in advice_failed, the age of the last sign of life in owner_suspected.

The settings' limits are read for it; no decision uses them yet.

--- a/include/buckthornmux/detail/entry/journal_writer.h
+++ b/include/buckthornmux/detail/entry/journal_writer.h
@@ -51,10 +51,18 @@
   /// @brief Most records that one batch may hold.
   [[nodiscard]] static std::size_t MostWrites();
 
+  /// What the reading of a range's records has taken so far.
+  struct Reading {
+    std::uint64_t pages = 0;     ///< Read well...
+    std::uint64_t bytes = 0;     ///< ...with this much in keys and values.
+    std::uint64_t failures = 0;  ///< Calls that brought no page.
+  };
+  [[nodiscard]] const Reading& LastReading() const { return m_reading; }
+
  private:
   void ReadHead();
   void ReadRecords(std::string after);
-  void RetryLoad();
+  void RetryLoad(const Error& error);
   void Send();
   void CheckHead();
   void Answered(const Outcome<store::TransactionEnd>& outcome);
@@ -67,6 +75,8 @@
   member::OwnerRecord m_owner;
   bool m_open = false;
   bool m_loading = false;
+  Reading m_reading;
+  Time m_asked;  ///< The last call of the reading left.
   std::optional<Time> m_load_again;
   std::vector<cell::RecordWrite> m_records;
   Revision m_head_revision = store::kAbsent;
--- a/include/buckthornmux/detail/entry/settings.h
+++ b/include/buckthornmux/detail/entry/settings.h
@@ -21,6 +21,13 @@
   double far_factor = 3;        ///< Slowdown away from the data.
 };
 
+/// What the machine gives this process, as the operators state it.
+struct HostCapacity {
+  double cores = 0;            ///< Share of the processor; 0: not stated.
+  double link_mbps = 0;        ///< Megabits a second; 0: not stated.
+  std::int64_t memory_mb = 0;  ///< 0: not stated.
+};
+
 /// Settings of one process. Addresses are "IP:port".
 struct HostSettings {
   HostId host;
@@ -33,6 +40,7 @@
   std::string store_address;
   std::string adviser_address;  ///< Empty: there is none.
   bool first_start = false;     ///< Of the whole system.
+  HostCapacity capacity;
   Bounds bounds;
 };
 
--- a/src/entry/cell_host.cc
+++ b/src/entry/cell_host.cc
@@ -142,6 +142,9 @@
       .With("epoch", m_owner->epoch)
       .With("records", static_cast<std::uint64_t>(records.size()))
       .With("jobs", static_cast<std::uint64_t>(std::get<std::size_t>(outcome)))
+      .With("pages", m_journal.LastReading().pages)
+      .With("bytes", m_journal.LastReading().bytes)
+      .With("failures", m_journal.LastReading().failures)
       .With("took_ms", (now - m_cell->claimed_at).count());
   cell::SetTargets(*m_cell, actions, m_entries, now);
   cell::SetLanes(*m_cell, m_lanes);
--- a/src/entry/host.cc
+++ b/src/entry/host.cc
@@ -99,6 +99,10 @@
       .With("data_centre", m_settings.data_centre)
       .With("callers", m_settings.callers_address)
       .With("store", m_settings.store_address)
+      .With("cores_milli",
+            static_cast<std::int64_t>(m_settings.capacity.cores * 1000))
+      .With("link_mbps",
+            static_cast<std::int64_t>(m_settings.capacity.link_mbps))
       .With("first_start", m_settings.first_start ? "true" : "false");
   AwaitSignal();
   m_members.Start();
@@ -229,6 +233,7 @@
   const Time now = Now();
   const Millis late = m_pauses.Late(now);
   TakePause(m_pauses.TickBegan(now));
+  MeasureSelf(now);
   CheckSlowness(late, now);
   CheckRelease(now);
   CheckOffer(now);
--- a/src/entry/host_calls.cc
+++ b/src/entry/host_calls.cc
@@ -82,7 +82,9 @@
 void Host::AskAdviser(const HostId& owner, const AdviceAsk& ask) {
   m_client.Call(
       m_settings.adviser_address, platform::AdviceCall(ask.step, ask.targets),
-      ask.timeout, [this, owner, id = ask.ask, epoch = ask.epoch](auto got) {
+      ask.timeout,
+      [this, owner, id = ask.ask, epoch = ask.epoch, step = ask.step,
+       named = ask.targets.size()](auto got) {
         AdviceReply reply{id, epoch, false, {}};
         const auto* response = std::get_if<net::HttpResponse>(&got);
         if (response != nullptr && response->status == 200) {
@@ -96,6 +98,9 @@
         if (!reply.answered) {
           LogLine("advice_failed", Level::kWarning)
               .With("ask", id)
+              .With("job", step.job)
+              .With("step", std::uint64_t{step.step})
+              .With("named", static_cast<std::uint64_t>(named))
               .With("status", static_cast<std::int64_t>(
                                   response == nullptr ? 0 : response->status));
         }
--- a/src/entry/host_ownership.cc
+++ b/src/entry/host_ownership.cc
@@ -19,6 +19,7 @@
 /// A slow host stays out of ownership for at least this.
 constexpr Millis kRest{5000};
 constexpr Millis kLateLogEvery{1000};
+constexpr Millis kMeasureEvery{250};
 /// Other hosts that must be there to take over from a slow one.
 constexpr std::size_t kLeastOthers = 2;
 
@@ -138,6 +139,14 @@
   }
 }
 
+void Host::MeasureSelf(Time now) {
+  if (now - m_measured_at < kMeasureEvery) {
+    return;
+  }
+  m_measured_at = now;
+  m_speed.Add(TimeWork());
+}
+
 void Host::CheckSlowness(Millis late, Time now) {
   m_slowness.Add(late);
   if (!m_slowness.Well() && now >= m_late_logged + kLateLogEvery) {
@@ -145,6 +154,8 @@
     LogLine("loop_late", Level::kWarning)
         .With("host", m_settings.host)
         .With("ticks_late_ms", m_slowness.Late().count())
+        .With("work_ns", m_speed.Typical().count())
+        .With("work_best_ns", m_speed.Best().count())
         .With("open_calls", static_cast<std::uint64_t>(m_callers.Open()));
   }
   if (m_leaving || m_cell.Owning() == m_resting) {
@@ -166,7 +177,9 @@
   m_rest_until = now + kRest;
   LogLine("hands_over_when_slow", Level::kWarning)
       .With("host", m_settings.host)
-      .With("ticks_late_ms", m_slowness.Late().count());
+      .With("ticks_late_ms", m_slowness.Late().count())
+      .With("work_ns", m_speed.Typical().count())
+      .With("work_best_ns", m_speed.Best().count());
   m_members.Leave();
 }
 
--- a/src/entry/host_process.h
+++ b/src/entry/host_process.h
@@ -25,6 +25,7 @@
 #include "buckthornmux/detail/entry/rules_reader.h"
 #include "buckthornmux/detail/entry/settings.h"
 #include "buckthornmux/detail/entry/slowness.h"
+#include "buckthornmux/detail/entry/speed_gauge.h"
 #include "buckthornmux/detail/entry/store_gauge.h"
 #include "buckthornmux/detail/entry/store_relay.h"
 #include "buckthornmux/detail/entry/target_reader.h"
@@ -105,6 +106,8 @@
   /// part again once it is well.
   /// @param late how late this tick came
   void CheckSlowness(Millis late, Time now);
+  /// Measures how fast this machine works.
+  void MeasureSelf(Time now);
   /// An owner that paused reads who owns the cell now.
   void TakePause(Millis pause);
 
@@ -143,6 +146,8 @@
   std::set<HostId> m_links_up;
   std::map<HostId, std::string> m_peer_addresses;  ///< Of linked hosts.
   SlownessGauge m_slowness;
+  SpeedGauge m_speed;
+  Time m_measured_at;
   PauseWatch m_pauses;
   Time m_gained_at;       ///< When this host last became the owner.
   Epoch m_suspected = 0;  ///< Of the last owner that was claimed from.
--- a/src/entry/journal_writer.cc
+++ b/src/entry/journal_writer.cc
@@ -42,6 +42,7 @@
   m_owner = owner;
   m_loading = true;
   m_sequence = 0;
+  m_reading = {};
   ReadHead();
 }
 
@@ -57,16 +58,28 @@
   m_send_again.reset();
 }
 
-void JournalWriter::RetryLoad() { m_load_again = Now() + kRetry; }
+void JournalWriter::RetryLoad(const Error& error) {
+  ++m_reading.failures;
+  LogLine("records_page_failed", Level::kWarning)
+      .With("range", m_owner.range)
+      .With("epoch", m_owner.epoch)
+      .With("pages", m_reading.pages)
+      .With("bytes", m_reading.bytes)
+      .With("failures", m_reading.failures)
+      .With("waited_ms", (Now() - m_asked).count())
+      .With("reason", error.message);
+  m_load_again = Now() + kRetry;
+}
 
 void JournalWriter::ReadHead() {
   m_records.clear();
+  m_asked = Now();
   m_store.get(Key(kHead), [this, round = m_round](auto outcome) {
     if (round != m_round) {
       return;
     }
-    if (std::holds_alternative<Error>(outcome)) {
-      RetryLoad();
+    if (const auto* error = std::get_if<Error>(&outcome)) {
+      RetryLoad(*error);
       return;
     }
     const auto& head = std::get<std::optional<store::Entry>>(outcome);
@@ -77,19 +90,22 @@
 
 void JournalWriter::ReadRecords(std::string after) {
   const std::string prefix = Key("");
+  m_asked = Now();
   m_store.list(
       prefix, std::move(after), [this, round = m_round, prefix](auto outcome) {
         if (round != m_round) {
           return;
         }
-        if (std::holds_alternative<Error>(outcome)) {
-          RetryLoad();
+        if (const auto* error = std::get_if<Error>(&outcome)) {
+          RetryLoad(*error);
           return;
         }
+        ++m_reading.pages;
         auto& page = std::get<store::ItemPage>(outcome);
         const std::string last =
             page.items.empty() ? "" : page.items.back().key;
         for (auto& item : page.items) {
+          m_reading.bytes += item.key.size() + item.value.size();
           m_records.push_back(
               {item.key.substr(prefix.size()), std::move(item.value), false});
         }
--- a/src/entry/owner_watch.cc
+++ b/src/entry/owner_watch.cc
@@ -80,8 +80,11 @@
       m_links.ask(peer, {ask, m_owner});
     }
   }
+  const auto alive = m_last_alive.find(m_owner);
   LogLine("owner_suspected")
       .With("owner", m_owner)
+      .With("alive_ms_ago",
+            alive == m_last_alive.end() ? -1 : (now - alive->second).count())
       .With("asked", static_cast<std::uint64_t>(m_open.size()));
 }
 
