Failing test: records over a slow link are never read

With every third call failing, 0 of 9 records are read however long it goes on; a page whose answer arrives over 1.6 s is given up after 0.7 s although bytes keep coming; and while it is under way the store counts as one that rejects this host.

--- a/tests/mock_async_store.h
+++ b/tests/mock_async_store.h
@@ -76,6 +76,8 @@
   int commits = 0;
   int reads = 0;
   std::size_t page = 500;
+  int lists = 0;
+  int failing_list = 0;  ///< Each so-many-th list has no answer; 0: none.
 
  private:
   void Get(const std::string& key,
@@ -93,7 +95,8 @@
   void List(const std::string& prefix, const std::string& after,
             const store::Reply<store::ItemPage>& reply) {
     ++reads;
-    if (away) {
+    ++lists;
+    if (away || (failing_list > 0 && lists % failing_list == 0)) {
       reply(Error{ErrorKind::kStoreUnavailable, "away", {}});
       return;
     }
