A recovery keeps the pages it has read and waits for one that is arriving

What callers saw: 503 not_ready for 30 s and more, and at the end no answer about jobs that the store holds.

Cause: two bounds made for small answers on fast links. A call of the store was given up 0.7 s after it left, although its answer was arriving: a page of 1 MB takes 0.8 s on 10 Mbit/s. The gauge of the store took the page under way for silence, too, and gave the cell to the next host, which began anew.

--- a/include/buckthornmux/detail/entry/journal_writer.h
+++ b/include/buckthornmux/detail/entry/journal_writer.h
@@ -61,7 +61,7 @@
 
  private:
   void ReadHead();
-  void ReadRecords(std::string after);
+  void ReadRecords();
   void RetryLoad(const Error& error);
   void Send();
   void CheckHead();
@@ -78,6 +78,8 @@
   Reading m_reading;
   Time m_asked;  ///< The last call of the reading left.
   std::optional<Time> m_load_again;
+  bool m_head_read = false;
+  std::string m_read_to;  ///< Last key that was read; empty: none yet.
   std::vector<cell::RecordWrite> m_records;
   Revision m_head_revision = store::kAbsent;
   std::uint64_t m_sequence = 0;  ///< Of the last batch that was begun.
--- a/include/buckthornmux/detail/net/http_types.h
+++ b/include/buckthornmux/detail/net/http_types.h
@@ -25,6 +25,9 @@
   std::string body;            ///< JSON, or empty.
   std::string authorization;   ///< "Bearer <key>", or empty.
   Time send_by = Time::max();  ///< To be sent: not after this time.
+  /// To be sent: once the answer arrives, the call goes on for so long after
+  /// each piece of it; 0: its timeout holds for all of it.
+  Millis stall_timeout{0};
   std::uint64_t connection =
       0;                        ///< Received: number of its connection, from 1.
   std::vector<Header> headers;  ///< Received: those the server keeps.
--- a/src/entry/journal_writer.cc
+++ b/src/entry/journal_writer.cc
@@ -43,6 +43,8 @@
   m_loading = true;
   m_sequence = 0;
   m_reading = {};
+  m_head_read = false;
+  m_read_to.clear();
   ReadHead();
 }
 
@@ -58,6 +60,8 @@
   m_send_again.reset();
 }
 
+/// Nobody else writes to the range since this host owns it, so that pages read
+/// before and after a failure fit together.
 void JournalWriter::RetryLoad(const Error& error) {
   ++m_reading.failures;
   LogLine("records_page_failed", Level::kWarning)
@@ -72,7 +76,6 @@
 }
 
 void JournalWriter::ReadHead() {
-  m_records.clear();
   m_asked = Now();
   m_store.get(Key(kHead), [this, round = m_round](auto outcome) {
     if (round != m_round) {
@@ -84,15 +87,16 @@
     }
     const auto& head = std::get<std::optional<store::Entry>>(outcome);
     m_head_revision = head ? head->revision : store::kAbsent;
-    ReadRecords({});
+    m_head_read = true;
+    ReadRecords();
   });
 }
 
-void JournalWriter::ReadRecords(std::string after) {
+void JournalWriter::ReadRecords() {
   const std::string prefix = Key("");
   m_asked = Now();
   m_store.list(
-      prefix, std::move(after), [this, round = m_round, prefix](auto outcome) {
+      prefix, m_read_to, [this, round = m_round, prefix](auto outcome) {
         if (round != m_round) {
           return;
         }
@@ -102,15 +106,16 @@
         }
         ++m_reading.pages;
         auto& page = std::get<store::ItemPage>(outcome);
-        const std::string last =
-            page.items.empty() ? "" : page.items.back().key;
+        if (!page.items.empty()) {
+          m_read_to = page.items.back().key;
+        }
         for (auto& item : page.items) {
           m_reading.bytes += item.key.size() + item.value.size();
           m_records.push_back(
               {item.key.substr(prefix.size()), std::move(item.value), false});
         }
-        if (page.more && !last.empty()) {
-          ReadRecords(last);
+        if (page.more && !page.items.empty()) {
+          ReadRecords();
           return;
         }
         m_loading = false;
@@ -235,7 +240,11 @@
 void JournalWriter::Tick(Time now) {
   if (m_load_again && now >= *m_load_again) {
     m_load_again.reset();
-    ReadHead();
+    if (m_head_read) {
+      ReadRecords();
+    } else {
+      ReadHead();
+    }
   }
   if (!m_batch) {
     return;
--- a/src/entry/store_gauge.cc
+++ b/src/entry/store_gauge.cc
@@ -13,6 +13,38 @@
 /// One refusal may be chance; two of them this far apart are not.
 constexpr Millis kRefusedFor{100};
 
+/// Takes in what became of a call.
+void NoteEnd(StoreGauge& gauge, Time began, Time now, bool good) {
+  if (!good && began > gauge.answered) {
+    gauge.first_bad = std::min(gauge.first_bad.value_or(began), began);
+    gauge.last_bad = std::max(gauge.last_bad, began);
+  } else if (good && began > gauge.answered) {
+    gauge.answered = began;
+    gauge.answer_time = now - began;
+    if (gauge.first_bad && gauge.last_bad <= began) {
+      gauge.first_bad.reset();
+    } else if (gauge.first_bad) {
+      gauge.first_bad = gauge.last_bad;
+    }
+  }
+}
+
+/// Counts the end of a call. While it is under way it tells nothing: a long
+/// answer takes its time on a slow link.
+template <class T>
+store::Reply<T> CountedAtEnd(StoreGauge& gauge,
+                             const std::function<Time()>& clock,
+                             store::Reply<T> reply) {
+  return [&gauge, clock, began = clock(),
+          reply = std::move(reply)](Outcome<T> outcome) {
+    // Its length tells how much there was to read; others tell of the store.
+    const Millis answer_time = gauge.answer_time;
+    NoteEnd(gauge, began, clock(), !std::holds_alternative<Error>(outcome));
+    gauge.answer_time = answer_time;
+    reply(std::move(outcome));
+  };
+}
+
 /// Counts one kind of call; `good` tells from its outcome whether it was
 /// served.
 template <class T>
@@ -38,18 +70,7 @@
   if (const auto found = gauge.open.find(began); found != gauge.open.end()) {
     gauge.open.erase(found);
   }
-  if (!good && began > gauge.answered) {
-    gauge.first_bad = std::min(gauge.first_bad.value_or(began), began);
-    gauge.last_bad = std::max(gauge.last_bad, began);
-  } else if (good && began > gauge.answered) {
-    gauge.answered = began;
-    gauge.answer_time = now - began;
-    if (gauge.first_bad && gauge.last_bad <= began) {
-      gauge.first_bad.reset();
-    } else if (gauge.first_bad) {
-      gauge.first_bad = gauge.last_bad;
-    }
-  }
+  NoteEnd(gauge, began, now, good);
 }
 
 std::optional<Time> TroubleSince(const StoreGauge& gauge, Time now) {
@@ -78,7 +99,8 @@
   };
   counted.list = [&gauge, clock, call = store.list](
                      std::string prefix, std::string after, const auto& reply) {
-    call(std::move(prefix), std::move(after), Counted(gauge, clock, reply));
+    call(std::move(prefix), std::move(after),
+         CountedAtEnd(gauge, clock, reply));
   };
   counted.commit = [&gauge, clock, call = store.commit](
                        store::Transaction transaction, const auto& reply) {
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -183,8 +183,16 @@
     beast::flat_buffer buffer;
     http::response_parser<http::string_body> parser;
     parser.body_limit(options.max_body_bytes);
-    co_await http::async_read(connection.stream, buffer, parser,
-                              asio::redirect_error(asio::use_awaitable, error));
+    const Millis stall = call.request.stall_timeout;
+    while (!error && !parser.is_done()) {
+      co_await http::async_read_some(
+          connection.stream, buffer, parser,
+          asio::redirect_error(asio::use_awaitable, error));
+      if (stall > Millis(0)) {
+        connection.stream.expires_at(
+            std::max(call.deadline, SteadyClock::now() + stall));
+      }
+    }
     if (error) {
       co_return Unknown("waiting for the answer: " + error.message());
     }
