Advice calls name at most as many targets as they may, and only real ones

Cause: where more targets had room than names had been chosen, the list of names was resized to the number of targets with room and so filled up with empty names: 262 in a call that may name 100. The adviser answered 400, and the step asked again for ever. Below 100 targets the two numbers can't differ that way, so that no small site showed it; and the stand-in adviser took any list.

The stand-in now refuses more than 100 names and unknown ones. unit-load WideStepsOfALargeCellGetAdvice: the step never ran before. Ruled out: a step with no allowed target, and lanes that were busy.

--- a/src/cell/advice.cc
+++ b/src/cell/advice.cc
@@ -152,9 +152,9 @@
       NameFor(options, waiting * kSpareNames, good_rate);
   const double most = static_cast<double>(rules.decide.count()) /
                       std::max(rules.each_ms, kLeastEachMs);
-  if (static_cast<double>(names.size()) > most) {
-    names.resize(std::max(with_room, static_cast<std::size_t>(most)));
-  }
+  const std::size_t longest =
+      std::max(with_room, static_cast<std::size_t>(most));
+  names.resize(std::min(names.size(), longest));
   return names;
 }
 
--- a/tests/standins/cell_world.cc
+++ b/tests/standins/cell_world.cc
@@ -13,6 +13,7 @@
 constexpr Millis kReportEvery{1000};
 constexpr Millis kOrderTimeout{300};
 constexpr std::size_t kMostWrites = 29;
+constexpr std::size_t kMostNamed = 100;  ///< In one call, by the adviser.
 
 }  // namespace
 
@@ -428,6 +429,21 @@
 
 void World::Ask(const cell::AskAdvice& ask) {
   ++m_advice_calls;
+  const bool understood =
+      ask.targets.size() <= kMostNamed &&
+      std::ranges::all_of(ask.targets, [this](const TargetId& id) {
+        return Find(id) != nullptr;
+      });
+  if (!understood) {
+    At(m_now + 2 * m_options.link, [this, id = ask.ask, life = m_life] {
+      if (life == m_life) {
+        cell::Actions actions;
+        cell::AdviceAnswered(*m_cell, actions, id, false, {}, m_now);
+        Act(std::move(actions));
+      }
+    });
+    return;
+  }
   const cell::Job& job = m_cell->jobs.at(ask.step.job);
   const auto queue =
       std::ranges::find(m_rules.queues, job.spec.queue, &cell::Queue::name);
--- a/tests/unit-load.cc
+++ b/tests/unit-load.cc
@@ -88,6 +88,7 @@
   CPPUNIT_TEST(Overload);
   CPPUNIT_TEST(SlowStore);
   CPPUNIT_TEST(GangsInAFullCellUseTheAdvisersTime);
+  CPPUNIT_TEST(WideStepsOfALargeCellGetAdvice);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -206,6 +207,29 @@
     CPPUNIT_ASSERT(world.PhaseOf(id) == cell::JobPhase::kRunning);
   }
 
+  // Issue 17: on rwk-sched-grown quiet-1 a step of 56 tasks asked 695 times for
+  // advice on 262 targets, most of them without a name, and never ran.
+  void WideStepsOfALargeCellGetAdvice() {
+    WorldOptions options = UserWorld(1);
+    options.targets = 350;
+    World world(options);
+    const UserQueues queues = MakeUserQueues();
+    world.SetRules({queues.gangs, queues.batches, queues.urgent});
+    world.RunUntil(world.NowTime() + Millis(500));
+    cell::JobSpec wide;
+    wide.id = "00000000000000aa";
+    wide.queue = "batches";
+    wide.team = "team-0";
+    wide.steps.resize(1);
+    wide.steps[0].count = 56;
+    wide.steps[0].demand = {0, 750, 1000, 0};
+    wide.steps[0].estimate = Millis(2000);
+    world.Submit(wide);
+    world.RunUntil(world.NowTime() + Millis(10'000));
+    CPPUNIT_ASSERT(world.PhaseOf(wide.id) == cell::JobPhase::kCompleted);
+    CPPUNIT_ASSERT(world.AdviceCalls() < 10);
+  }
+
   // Batches on slow targets went on there for up to 47 s: they are moved.
   void SlowTargets() {
     Demand("slow_targets", kTroubleTarget);
