--- a/bench/bench-cell.cc
+++ b/bench/bench-cell.cc
@@ -3,6 +3,7 @@
 //   bench-cell [TARGETS] [SHARE] [SECONDS]
 #include <cstdlib>
 #include <iostream>
+#include <numeric>
 #include <string>
 
 #include "../tests/cell_loads.h"
@@ -10,39 +11,22 @@
 namespace buckthornmux::tests {
 namespace {
 
-constexpr double kGrownTargets = 350;
-
 void Play(int targets, double share, int seconds) {
-  WorldOptions options = UserWorld(1);
-  options.targets = targets;
-  options.lanes = std::max(6, targets / 8);
-  options.rack = 12;
-  World world(options);
-  UserQueues queues = MakeUserQueues();
-  queues.gang_shape.width = 16;
-  queues.gang_shape.most_width = 80;
-  queues.gang_shape.run_ms = 6200;
-  queues.batch_shape.width = 25;
-  queues.batch_shape.most_width = 100;
-  queues.batch_shape.cpu_milli = 1700;
-  queues.batch_shape.run_ms = 2700;
-  queues.urgent_shape.width = 3;
-  queues.urgent_shape.cpu_milli = 2500;
-  queues.urgent_shape.run_ms = 640;
+  World world(GrownWorld(1, targets));
+  const UserQueues queues = MakeGrownQueues();
   world.SetRules({queues.gangs, queues.batches, queues.urgent});
   world.RunUntil(world.NowTime() + Millis(500));
-  const double scale = share * targets / kGrownTargets;
   const Time until = world.NowTime() + Millis(1000 * seconds);
-  world.AddLoad(MakeLoad(queues.gangs, queues.gang_shape, 4.28 * scale, 20),
-                until);
-  world.AddLoad(MakeLoad(queues.batches, queues.batch_shape, 8.96 * scale, 20),
-                until);
-  world.AddLoad(MakeLoad(queues.urgent, queues.urgent_shape, 125 * scale, 20),
-                until);
+  AddGrownLoad(world, queues, share * targets / kGrownTargets, until);
   world.RunUntil(until);
   std::cout << "targets " << targets << ", starts " << world.Starts()
             << ", steps waiting " << world.State().ready.size()
             << ", advice calls " << world.AdviceCalls() << '\n';
+  const auto& rounds = world.RoundTimes();
+  const auto spent =
+      std::accumulate(rounds.begin(), rounds.end(), std::clock_t{0});
+  std::cout << "rounds " << rounds.size() << ", processor seconds "
+            << static_cast<double>(spent) / CLOCKS_PER_SEC << '\n';
   for (const std::string queue : {"urgent", "batches", "gangs"}) {
     const SimCount count = world.CountOf(queue);
     std::cout << queue << ": " << count.handed_in << " jobs, in time "
--- a/tests/cell_loads.h
+++ b/tests/cell_loads.h
@@ -141,6 +141,42 @@
                 until);
 }
 
+inline constexpr double kGrownTargets = 350;
+/// Of a deployment of this many targets.
+inline constexpr double kGrownUrgentPerSecond = 125;
+inline constexpr int kGrownTeams = 20;
+
+/// @brief The three queues as they are in the users' grown deployments.
+inline UserQueues MakeGrownQueues() {
+  UserQueues queues = MakeUserQueues();
+  queues.gang_shape.width = 16;
+  queues.gang_shape.most_width = 80;
+  queues.gang_shape.run_ms = 6200;
+  queues.batch_shape.width = 25;
+  queues.batch_shape.most_width = 100;
+  queues.batch_shape.cpu_milli = 1700;
+  queues.batch_shape.run_ms = 2700;
+  queues.urgent_shape.width = 3;
+  queues.urgent_shape.cpu_milli = 2500;
+  queues.urgent_shape.run_ms = 640;
+  return queues;
+}
+
+/// @brief Draws the load of a grown deployment until `until`.
+/// @param scale of the load of `kGrownTargets` targets
+inline void AddGrownLoad(World& world, const UserQueues& queues, double scale,
+                         Time until) {
+  world.AddLoad(
+      MakeLoad(queues.gangs, queues.gang_shape, 4.28 * scale, kGrownTeams),
+      until);
+  world.AddLoad(
+      MakeLoad(queues.batches, queues.batch_shape, 8.96 * scale, kGrownTeams),
+      until);
+  world.AddLoad(MakeLoad(queues.urgent, queues.urgent_shape,
+                         kGrownUrgentPerSecond * scale, kGrownTeams),
+                until);
+}
+
 inline WorldOptions UserWorld(std::uint64_t seed) {
   WorldOptions options;
   options.seed = seed;
@@ -148,4 +184,13 @@
   return options;
 }
 
+inline WorldOptions GrownWorld(std::uint64_t seed, int targets) {
+  constexpr int kTargetsPerLane = 8;
+  WorldOptions options = UserWorld(seed);
+  options.targets = targets;
+  options.lanes = std::max(options.lanes, targets / kTargetsPerLane);
+  options.rack = 12;
+  return options;
+}
+
 }  // namespace buckthornmux::tests
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstdint>
+#include <ctime>
 #include <functional>
 #include <map>
 #include <memory>
@@ -60,6 +61,7 @@
   double declared_spread = 0;  ///< Of estimates around true run times, log.
   Millis link{2};              ///< One way.
   Millis store{6};             ///< A write.
+  Millis round{0};             ///< Least time between two rounds of planning.
 };
 
 /// @brief The world around one cell.
@@ -119,6 +121,10 @@
     return m_stops;
   }
   [[nodiscard]] int AdviceCalls() const { return m_advice_calls; }
+  /// @brief Processor time of each round of planning, in their order.
+  [[nodiscard]] const std::vector<std::clock_t>& RoundTimes() const {
+    return m_round_times;
+  }
   /// @brief Starts of one task that targets carried out.
   [[nodiscard]] int StartsOf(const cell::TaskId& task) const {
     return m_checker.StartsOf(task);
@@ -170,6 +176,8 @@
   std::map<std::string, Time> m_accepted;
   std::map<std::string, int> m_stops;
   int m_advice_calls = 0;
+  std::vector<std::clock_t> m_round_times;
+  Time m_next_round;
 };
 
 }  // namespace buckthornmux::tests
--- a/tests/standins/cell_world.cc
+++ b/tests/standins/cell_world.cc
@@ -159,9 +159,12 @@
 }
 
 void World::Step() {
-  if (m_cell->plan_due) {
+  if (m_cell->plan_due && m_now >= m_next_round) {
     cell::Actions actions;
+    const std::clock_t began = std::clock();
     cell::Plan(*m_cell, actions, m_now);
+    m_round_times.push_back(std::clock() - began);
+    m_next_round = m_now + m_options.round;
     Act(std::move(actions));
   }
   if (m_writing) {
