Rounds of planning walk targets only where it can lead to something

Cause, by perf of bench-cell at 350 targets: comparisons of names (12 of 100 of the run in memcmp, while 40 are the stand-ins' random numbers), searches in the steps' sets of names, SlotsOn. By reading: for each step that looked for a lane all open calls were compared with all lanes by name, and the table of names was built anew of single nodes in each round.

Now a round keeps, by service and label, the targets that suit, and the demands that none of them holds (room only falls within a round); by lane, its longest call; and a flat table of names. Single tasks look for advice only where a target with room could be named. Gangs reserve from their usable targets directly. An ended job finds its runs by their order at each target instead of walking all runs there; the targets are still walked, so late-adopted runs are found as before.

--- a/src/cell/advice.cc
+++ b/src/cell/advice.cc
@@ -31,23 +31,22 @@
 }
 
 /// Lanes with a call of more than this length.
-std::ptrdiff_t LanesWith(const Cell& cell, Millis length) {
-  return std::ranges::count_if(cell.lanes, [&](const AdviceLane& lane) {
-    return std::ranges::any_of(cell.open_advice, [&](const auto& entry) {
-      return entry.second.lane == lane.host && entry.second.takes > length;
-    });
-  });
+std::ptrdiff_t LanesWith(const Round& round, Millis length) {
+  return std::ranges::count_if(round.lane_takes,
+                               [&](Millis takes) { return takes > length; });
 }
 
 /// A lane that answers a call of this length soon; null where it has to wait.
 /// Calls are sent a little ahead, so that the adviser never waits for them.
-AdviceLane* FreeLane(Cell& cell, Millis time, Time now) {
+AdviceLane* FreeLane(Round& round, Millis time) {
+  Cell& cell = round.cell;
+  const Time now = round.now;
   const auto count = static_cast<std::ptrdiff_t>(cell.lanes.size());
   const std::ptrdiff_t long_lanes =
       std::max(count / 2, count - kLanesForShorter);
   if (count > 1 &&
-      ((time > kLongCall && LanesWith(cell, kLongCall) >= long_lanes) ||
-       (time > kMediumCall && LanesWith(cell, kMediumCall) >= count - 1))) {
+      ((time > kLongCall && LanesWith(round, kLongCall) >= long_lanes) ||
+       (time > kMediumCall && LanesWith(round, kMediumCall) >= count - 1))) {
     return nullptr;
   }
   AdviceLane* best = nullptr;
@@ -74,31 +73,76 @@
   std::vector<Option> options;
   std::uint32_t ticketed = 0;  ///< Tasks that fit where there is a ticket.
   std::uint32_t usable = 0;    ///< Tasks that fit where it is surely allowed.
-  /// Tasks that targets could hold if they were empty and as many allowed as
-  /// can be expected.
+  /// Tasks of a gang that targets could hold if they were empty and as many
+  /// allowed as can be expected.
   double possible = 0;
 };
 
-Prospects FindProspects(const Round& round, const Candidate& candidate,
+/// Finds ascending names among sorted ones in one walk.
+template <class Sorted>
+class Follower {
+ public:
+  explicit Follower(const Sorted& sorted)
+      : m_next(sorted.begin()), m_end(sorted.end()) {}
+
+  /// The entry of this name, which lies behind the last one asked for.
+  auto Find(const TargetId& id) {
+    while (m_next != m_end) {
+      const int order = NameOf(*m_next).compare(id);
+      if (order == 0) {
+        return m_next;
+      }
+      if (order > 0) {
+        break;
+      }
+      ++m_next;
+    }
+    return m_end;
+  }
+  bool Contains(const TargetId& id) { return Find(id) != m_end; }
+  [[nodiscard]] auto End() const { return m_end; }
+
+ private:
+  static const TargetId& NameOf(const TargetId& id) { return id; }
+  template <class Value>
+  static const TargetId& NameOf(const std::pair<const TargetId, Value>& e) {
+    return e.first;
+  }
+
+  typename Sorted::const_iterator m_next;
+  typename Sorted::const_iterator m_end;
+};
+
+Prospects FindProspects(Round& round, const Candidate& candidate,
                         const Queue& queue, double good_rate) {
   const StepSpec& spec = candidate.Spec();
   const AdviceState& advice = candidate.step->advice;
+  const Resources need = ReservedBy(spec);
   Prospects prospects;
-  for (const Slot& slot : round.slots) {
+  Follower unusables(advice.unusable);
+  Follower usables(advice.usable);
+  Follower tickets(advice.tickets);
+  const std::vector<std::uint32_t>& suited = Suited(round, queue, spec).places;
+  prospects.options.reserve(suited.size());
+  for (const std::uint32_t place : suited) {
+    const Slot& slot = round.slots[place];
     const Target& target = *slot.target;
     const TargetId& id = target.entry.id;
-    if (!Suits(target, queue, spec) || advice.unusable.contains(id)) {
+    if (unusables.Contains(id)) {
       continue;
     }
-    const bool usable = advice.usable.contains(id);
-    prospects.possible +=
-        SlotsOn(target, target.entry.capacity, spec, candidate.ref) *
-        (usable ? 1.0 : good_rate);
+    const bool usable = usables.Contains(id);
+    if (spec.gang) {
+      prospects.possible +=
+          SlotsOn(target, target.entry.capacity, spec, candidate.ref) *
+          (usable ? 1.0 : good_rate);
+    }
     const Resources room = RoomFor(slot, candidate);
-    const std::uint32_t count = SlotsOn(target, room, spec, candidate.ref);
+    const std::uint32_t count =
+        HoldsOne(room, need) ? SlotsOn(target, room, spec, candidate.ref) : 0;
     prospects.usable += usable ? count : 0;
-    const auto ticket = advice.tickets.find(id);
-    if (ticket != advice.tickets.end() && ticket->second.until > round.now &&
+    const auto ticket = tickets.Find(id);
+    if (ticket != tickets.End() && ticket->second.until > round.now &&
         ticket->second.life == target.entry.life) {
       prospects.ticketed += count;
       continue;
@@ -183,6 +227,32 @@
                  good_rate);
 }
 
+/// Whether asking can name a target with room: only then single tasks ask.
+bool AnyWorthAsking(Round& round, const Candidate& candidate,
+                    const Queue& queue) {
+  if (!AnyHasRoom(round, candidate, queue)) {
+    return false;
+  }
+  const StepSpec& spec = candidate.Spec();
+  const Resources need = ReservedBy(spec);
+  const AdviceState& advice = candidate.step->advice;
+  const auto worth = [&](std::uint32_t place) {
+    const Slot& slot = round.slots[place];
+    const Target& target = *slot.target;
+    const Resources room = RoomFor(slot, candidate);
+    if (!HoldsOne(room, need) ||
+        SlotsOn(target, room, spec, candidate.ref) == 0 ||
+        advice.unusable.contains(target.entry.id)) {
+      return false;
+    }
+    const auto ticket = advice.tickets.find(target.entry.id);
+    return ticket == advice.tickets.end() ||
+           ticket->second.until <= round.now ||
+           ticket->second.life != target.entry.life;
+  };
+  return std::ranges::any_of(Suited(round, queue, spec).places, worth);
+}
+
 void DropOldTickets(AdviceState& advice, Time now) {
   std::erase_if(advice.tickets,
                 [&](const auto& entry) { return entry.second.until <= now; });
@@ -209,7 +279,7 @@
   const Step& step = *candidate.step;
   AdviceState& advice = candidate.step->advice;
   if (advice.asking || now < advice.next_ask ||
-      FreeLane(cell, queue.advice->decide, now) == nullptr) {
+      FreeLane(round, queue.advice->decide) == nullptr) {
     return;
   }
   DropOldTickets(advice, now);
@@ -217,6 +287,9 @@
   if (!TeamAllows(cell, candidate.job->spec.team, ReservedBy(spec))) {
     return;
   }
+  if (!spec.gang && !AnyWorthAsking(round, candidate, queue)) {
+    return;
+  }
   const std::uint32_t waiting = spec.count - step.done - step.live;
   const double rate =
       std::max(kLeastGoodRate, cell.advice_stats[queue.name].good_rate);
@@ -232,12 +305,15 @@
     return;
   }
   const Millis time = CallTime(*queue.advice, names.size());
-  AdviceLane* lane = FreeLane(cell, time, now);
+  AdviceLane* lane = FreeLane(round, time);
   if (lane == nullptr) {
     return;
   }
   lane->free_at = std::max(lane->free_at, now) + time;
   ++lane->open;
+  Millis& takes = round.lane_takes[static_cast<std::size_t>(
+      std::distance(cell.lanes.data(), lane))];
+  takes = std::max(takes, time);
   advice.asking = true;
   advice.ask = cell.next_ask++;
   const Millis timeout = time + cell.options.advice_timeout;
--- a/src/cell/gangs.cc
+++ b/src/cell/gangs.cc
@@ -28,12 +28,12 @@
 }
 
 /// Takes places in turn, the largest first, until all tasks have one.
-std::vector<Target*> Fill(std::vector<Place> places, std::size_t wanted) {
+std::vector<Slot*> Fill(std::vector<Place> places, std::size_t wanted) {
   std::ranges::sort(places, std::ranges::greater{}, &Place::count);
-  std::vector<Target*> chosen;
+  std::vector<Slot*> chosen;
   for (const Place& place : places) {
     for (std::uint32_t i = 0; i < place.count && chosen.size() < wanted; ++i) {
-      chosen.push_back(place.slot->target);
+      chosen.push_back(place.slot);
     }
   }
   return chosen;
@@ -69,21 +69,21 @@
 }
 
 /// Targets for all tasks of a gang, or nothing.
-std::vector<Target*> ChooseForGang(Round& round, const Candidate& candidate,
-                                   const Queue& queue) {
+std::vector<Slot*> ChooseForGang(Round& round, const Candidate& candidate,
+                                 const Queue& queue) {
   const StepSpec& spec = candidate.Spec();
   const std::size_t wanted = candidate.step->tasks.size();
   std::vector<Place> places;
-  ForEachAllowed(round, queue, *candidate.step, [&](Slot& slot) {
-    if (MayUse(round, candidate, queue, candidate.step->tasks[0], slot)) {
-      places.push_back({&slot, SlotsOn(*slot.target, RoomFor(slot, candidate),
-                                       spec, candidate.ref)});
+  for (Slot* slot : AllowedSlots(round, candidate, queue)) {
+    if (MayUse(round, candidate, queue, candidate.step->tasks[0], *slot)) {
+      places.push_back({slot, SlotsOn(*slot->target, RoomFor(*slot, candidate),
+                                      spec, candidate.ref)});
     }
-  });
+  }
   if (spec.same_rack) {
     KeepOneRack(places, candidate);
   }
-  return Total(places) < wanted ? std::vector<Target*>()
+  return Total(places) < wanted ? std::vector<Slot*>()
                                 : Fill(std::move(places), wanted);
 }
 
@@ -106,7 +106,7 @@
   if (step.live > 0 || !TeamAllowsGang(round, candidate)) {
     return;
   }
-  const std::vector<Target*> chosen = ChooseForGang(round, candidate, queue);
+  const std::vector<Slot*> chosen = ChooseForGang(round, candidate, queue);
   if (chosen.empty()) {
     return;
   }
@@ -130,16 +130,24 @@
   const AdviceState& advice = candidate.step->advice;
   std::vector<Place> places;
   std::uint32_t possible = 0;
-  for (Slot& slot : round.slots) {
+  const auto take = [&](Slot& slot) {
     const Target& target = *slot.target;
-    if (!Suits(target, queue, spec) ||
-        (queue.advice && !advice.usable.contains(target.entry.id))) {
-      continue;
-    }
     possible += SlotsOn(target, target.entry.capacity, spec, candidate.ref);
     const std::uint32_t count =
         SlotsOn(target, RoomFor(slot, candidate), spec, candidate.ref);
     places.push_back({&slot, count});
+  };
+  if (queue.advice) {
+    for (const TargetId& id : advice.usable) {
+      Slot* slot = FindSlot(round, id);
+      if (slot != nullptr && Suits(*slot->target, queue, spec)) {
+        take(*slot);
+      }
+    }
+  } else {
+    for (const std::uint32_t place : Suited(round, queue, spec).places) {
+      take(round.slots[place]);
+    }
   }
   if (spec.same_rack) {
     KeepOneRack(places, candidate);
@@ -155,7 +163,7 @@
   std::uint32_t reserved = 0;
   for (const Place& place : places) {
     if (!covered) {
-      place.slot->reserved = RoomOf(*place.slot->target);
+      place.slot->reserved = place.slot->room;
     } else if (reserved < wanted) {
       const std::uint32_t count = std::min(place.count, wanted - reserved);
       place.slot->reserved += Times(ReservedBy(spec), count);
--- a/src/cell/jobs.cc
+++ b/src/cell/jobs.cc
@@ -118,12 +118,13 @@
 
 void StopAll(Cell& cell, Actions& actions, const Job& job, std::string_view why,
              Time now) {
+  const RunId first{{job.spec.id, 0, 0, 0}, 0};
   for (auto& [id, target] : cell.targets) {
     std::vector<RunId> runs;
-    for (const auto& [run_id, run] : target.runs) {
-      if (run_id.task.job == job.spec.id) {
-        runs.push_back(run_id);
-      }
+    for (auto run = target.runs.lower_bound(first);
+         run != target.runs.end() && run->first.task.job == job.spec.id;
+         ++run) {
+      runs.push_back(run->first);
     }
     for (const RunId& run : runs) {
       StopRun(cell, actions, target, run, why, now);
--- a/src/cell/plan.cc
+++ b/src/cell/plan.cc
@@ -103,25 +103,26 @@
   return score;
 }
 
-Target* BestTarget(Round& round, const Candidate& candidate, const Queue& queue,
-                   const Task& task) {
+Slot* BestSlot(const Round& round, const Candidate& candidate,
+               const Queue& queue, const Task& task,
+               const std::vector<Slot*>& allowed) {
   const StepSpec& spec = candidate.Spec();
-  Target* best = nullptr;
+  Slot* best = nullptr;
   double best_score = 0;
-  ForEachAllowed(round, queue, *candidate.step, [&](const Slot& slot) {
-    Target& target = *slot.target;
-    const Resources room = RoomFor(slot, candidate);
-    if (!ReservedBy(spec).FitsIn(room) ||
-        !MayUse(round, candidate, queue, task, slot) ||
+  const Resources need = ReservedBy(spec);
+  for (Slot* slot : allowed) {
+    const Target& target = *slot->target;
+    const Resources room = RoomFor(*slot, candidate);
+    if (!need.FitsIn(room) || !MayUse(round, candidate, queue, task, *slot) ||
         SlotsOn(target, room, spec, candidate.ref) == 0) {
-      return;
+      continue;
     }
-    const double score = Score(slot, room, spec, task, candidate);
+    const double score = Score(*slot, room, spec, task, candidate);
     if (best == nullptr || score < best_score) {
-      best = &target;
+      best = slot;
       best_score = score;
     }
-  });
+  }
   return best;
 }
 
@@ -129,6 +130,11 @@
                   const Queue& queue) {
   const StepSpec& spec = candidate.Spec();
   const Step& step = *candidate.step;
+  if (!TeamAllows(round.cell, candidate.job->spec.team, ReservedBy(spec)) ||
+      !AnyHasRoom(round, candidate, queue)) {
+    return;
+  }
+  const std::vector<Slot*> allowed = AllowedSlots(round, candidate, queue);
   for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
     const Task& task = step.tasks[i];
     if (task.phase != TaskPhase::kWaiting) {
@@ -137,14 +143,14 @@
     if (!TeamAllows(round.cell, candidate.job->spec.team, ReservedBy(spec))) {
       break;
     }
-    Target* target = BestTarget(round, candidate, queue, task);
-    if (target == nullptr) {
+    Slot* slot = BestSlot(round, candidate, queue, task, allowed);
+    if (slot == nullptr) {
       if (task.failed_runs.empty()) {
         break;  // The other untried tasks are alike.
       }
       continue;
     }
-    StartTask(round, candidate, i, task.next_run, *target);
+    StartTask(round, candidate, i, task.next_run, *slot);
   }
 }
 
--- a/src/cell/round.cc
+++ b/src/cell/round.cc
@@ -1,12 +1,49 @@
 #include "round.h"
 
 #include <algorithm>
+#include <bit>
+#include <functional>
 
 namespace buckthornmux::cell {
 namespace {
 
 /// Failures in a row after which a target gets one task at a time.
 constexpr int kFailuresToProbe = 2;
+/// Room in the table of names, so that few of them meet.
+constexpr std::size_t kTableSpread = 2;
+
+/// Where a name stands in the table, or the free place for it.
+std::size_t PlaceOf(const Round& round, std::string_view id) {
+  const std::size_t mask = round.by_id.size() - 1;
+  std::size_t place = std::hash<std::string_view>{}(id)&mask;
+  while (round.by_id[place] != 0 &&
+         round.slots[round.by_id[place] - 1].target->entry.id != id) {
+    place = (place + 1) & mask;
+  }
+  return place;
+}
+
+bool NeedsNoLess(const Resources& need, const Resources& other) {
+  return need.cpu_milli >= other.cpu_milli &&
+         need.memory_mb >= other.memory_mb &&
+         need.accelerators >= other.accelerators;
+}
+
+/// The longest call that each lane has open.
+std::vector<Millis> LaneTakes(const Cell& cell) {
+  std::map<std::string_view, Millis> by_host;
+  for (const auto& [ask, open] : cell.open_advice) {
+    Millis& longest = by_host[open.lane];
+    longest = std::max(longest, open.takes);
+  }
+  std::vector<Millis> takes;
+  takes.reserve(cell.lanes.size());
+  for (const AdviceLane& lane : cell.lanes) {
+    const auto found = by_host.find(lane.host);
+    takes.push_back(found == by_host.end() ? Millis(0) : found->second);
+  }
+  return takes;
+}
 
 }  // namespace
 
@@ -43,7 +80,8 @@
 }
 
 Round BeginRound(Cell& cell, Actions& actions, Time now) {
-  Round round{cell, actions, now, {}, {}, 0};
+  Round round{cell, actions, now, {}, {}, {}, LaneTakes(cell), 0};
+  round.slots.reserve(cell.targets.size());
   for (auto& [id, target] : cell.targets) {
     const TargetHealth& health = target.health;
     const bool probing =
@@ -51,16 +89,20 @@
     if (target.reported && target.recorded && target.listed &&
         !target.entry.draining && !target.silent && target.unknown_runs == 0 &&
         now >= health.suspended_until && !probing) {
-      round.by_id.emplace(id, round.slots.size());
-      round.slots.push_back({&target});
+      round.slots.push_back({&target, RoomOf(target), {}});
     }
   }
+  round.by_id.resize(std::bit_ceil(kTableSpread * (round.slots.size() + 1)));
+  for (std::size_t i = 0; i < round.slots.size(); ++i) {
+    round.by_id[PlaceOf(round, round.slots[i].target->entry.id)] =
+        static_cast<std::uint32_t>(i + 1);
+  }
   return round;
 }
 
 Slot* FindSlot(Round& round, const TargetId& id) {
-  const auto found = round.by_id.find(id);
-  return found == round.by_id.end() ? nullptr : &round.slots[found->second];
+  const std::uint32_t place = round.by_id[PlaceOf(round, id)];
+  return place == 0 ? nullptr : &round.slots[place - 1];
 }
 
 bool Suits(const Target& target, const Queue& queue, const StepSpec& step) {
@@ -69,8 +111,63 @@
           std::ranges::count(target.entry.labels, step.label) > 0);
 }
 
+SuitedTargets& Suited(Round& round, const Queue& queue, const StepSpec& step) {
+  const auto [found, added] = round.suited.try_emplace(
+      std::pair<std::string_view, std::string_view>(queue.service, step.label));
+  if (added) {
+    for (std::uint32_t i = 0; i < round.slots.size(); ++i) {
+      if (Suits(*round.slots[i].target, queue, step)) {
+        found->second.places.push_back(i);
+      }
+    }
+  }
+  return found->second;
+}
+
+bool AnyHasRoom(Round& round, const Candidate& candidate, const Queue& queue) {
+  const Resources need = ReservedBy(candidate.Spec());
+  SuitedTargets& suited = Suited(round, queue, candidate.Spec());
+  std::vector<Resources>& too_large =
+      candidate.Urgent() ? suited.too_large : suited.too_large_unless_urgent;
+  if (std::ranges::any_of(too_large, [&](const Resources& other) {
+        return NeedsNoLess(need, other);
+      })) {
+    return false;
+  }
+  const bool any = std::ranges::any_of(suited.places, [&](std::uint32_t place) {
+    return HoldsOne(RoomFor(round.slots[place], candidate), need);
+  });
+  if (!any) {
+    std::erase_if(too_large, [&](const Resources& other) {
+      return NeedsNoLess(other, need);
+    });
+    too_large.push_back(need);
+  }
+  return any;
+}
+
+std::vector<Slot*> AllowedSlots(Round& round, const Candidate& candidate,
+                                const Queue& queue) {
+  const StepSpec& spec = candidate.Spec();
+  std::vector<Slot*> allowed;
+  if (!queue.advice) {
+    for (const std::uint32_t place : Suited(round, queue, spec).places) {
+      allowed.push_back(&round.slots[place]);
+    }
+    return allowed;
+  }
+  for (const auto& [id, ticket] : candidate.step->advice.tickets) {
+    Slot* slot = ticket.until > round.now ? FindSlot(round, id) : nullptr;
+    if (slot != nullptr && slot->target->entry.life == ticket.life &&
+        Suits(*slot->target, queue, spec)) {
+      allowed.push_back(slot);
+    }
+  }
+  return allowed;
+}
+
 Resources RoomFor(const Slot& slot, const Candidate& candidate) {
-  Resources room = RoomOf(*slot.target);
+  Resources room = slot.room;
   if (!candidate.Urgent()) {
     room -= slot.reserved;
   }
@@ -82,11 +179,16 @@
   const Resources need = ReservedBy(spec);
   std::int64_t slots = spec.count;
   const auto bound = [&](std::int64_t available, std::int64_t each) {
-    if (each > 0) {
-      slots = std::min(slots, std::max<std::int64_t>(0, available) / each);
+    if (each > 0 && available < each) {
+      slots = 0;  // Most targets of a full cell: no division.
+    } else if (each > 0) {
+      slots = std::min(slots, available / each);
     }
   };
   bound(room.cpu_milli, need.cpu_milli);
+  if (slots == 0) {
+    return 0;
+  }
   bound(room.memory_mb, need.memory_mb);
   bound(room.accelerators, need.accelerators);
   if (spec.max_per_target > 0) {
--- a/src/cell/starts.cc
+++ b/src/cell/starts.cc
@@ -18,9 +18,6 @@
             const Task& task, const Slot& slot) {
   const Target& target = *slot.target;
   const StepSpec& spec = candidate.Spec();
-  if (!Suits(target, queue, spec)) {
-    return false;
-  }
   const bool last_attempt = task.Failures() + 1 >= queue.max_attempts;
   const Millis waited = round.now - task.failed_at;
   if (task.failed_runs.empty() || !last_attempt || spec.service ||
@@ -34,7 +31,8 @@
 }
 
 void StartTask(Round& round, const Candidate& candidate, std::uint32_t index,
-               std::uint32_t number, Target& target) {
+               std::uint32_t number, Slot& slot) {
+  Target& target = *slot.target;
   Job& job = *candidate.job;
   Step& step = *candidate.step;
   const StepSpec& spec = candidate.Spec();
@@ -53,6 +51,7 @@
   run.gang = spec.gang;
   run.estimate = spec.estimate;
   HoldRoom(round.cell, target, id, run);
+  slot.room -= run.demand;
   task.phase = TaskPhase::kLive;
   task.target = target.entry.id;
   task.run = number;
