A test of a record that must not be written anew

UnstoredEndKeepsItsSpecification: a job has ended, its end did not fit into the next batch, and the owner dies after that batch.

--- a/tests/unit-records.cc
+++ b/tests/unit-records.cc
@@ -174,6 +174,7 @@
   CPPUNIT_TEST(JobInTwoBundlesIsTakenOnce);
   CPPUNIT_TEST(AnyIdOutlivesItsOwner);
   CPPUNIT_TEST(RecordsOfEndedJobsLeaveNothingBehind);
+  CPPUNIT_TEST(UnstoredEndKeepsItsSpecification);
   CPPUNIT_TEST(CutRecordIsRefused);
   CPPUNIT_TEST(RandomDeathsLoseNothingThatIsStored);
   CPPUNIT_TEST(RandomOwnersLoseNothing);
@@ -317,6 +318,35 @@
         records, [](const auto& record) { return record.first != "targets"; }));
   }
 
+  // Large jobs come before an end, which so is not in the next batch; its owner
+  // dies after that batch.
+  void UnstoredEndKeepsItsSpecification() {
+    const Time now{Millis(1'000'000)};
+    Records records;
+    cell::Cell owned = OpenCell(records, 1, now);
+    cell::Actions actions;
+    for (const std::string id : {"j1", "j2"}) {
+      cell::JobSpec spec = PlainJob(id);
+      spec.payload = "payload of " + id;
+      cell::Submit(owned, actions, 1, std::move(spec), now);
+    }
+    StoreAll(owned, records, now);
+    for (int i = 0; i < 60; ++i) {
+      cell::JobSpec spec = PlainJob("large" + std::to_string(i));
+      spec.payload = std::string(20'000, static_cast<char>('!' + i));
+      cell::Submit(owned, actions, 1, std::move(spec), now);
+    }
+    CancelPlain(owned, "j1", now);
+    const auto batch = cell::TakeBatch(owned, kMostWrites, now);
+    CPPUNIT_ASSERT(batch.has_value());
+    StoreBatch(owned, records, *batch, now);
+    CPPUNIT_ASSERT(cell::PhaseOf(owned, "j1") == cell::JobPhase::kRunning);
+    const cell::Cell next = OpenCell(records, 2, now);
+    CPPUNIT_ASSERT(cell::PhaseOf(next, "j1") == cell::JobPhase::kQueued);
+    CPPUNIT_ASSERT_EQUAL(std::string("payload of j1"),
+                         next.jobs.at("j1").spec.payload);
+  }
+
   void CutRecordIsRefused() {
     const Time now{Millis(1'000'000)};
     Records records;
