--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -64,6 +64,11 @@
   Millis round{0};             ///< Least time between two rounds of planning.
 };
 
+struct BatchSize {
+  std::size_t writes = 0;
+  std::size_t bytes = 0;  ///< Of keys and values.
+};
+
 /// @brief The world around one cell.
 class World {
  public:
@@ -125,6 +130,14 @@
   [[nodiscard]] const std::vector<std::clock_t>& RoundTimes() const {
     return m_round_times;
   }
+  /// @brief What a next owner would read, by key.
+  [[nodiscard]] const std::map<std::string, std::string>& Records() const {
+    return m_records;
+  }
+  /// @brief The largest batch so far, by each measure.
+  [[nodiscard]] const BatchSize& LargestBatch() const {
+    return m_largest_batch;
+  }
   /// @brief Starts of one task that targets carried out.
   [[nodiscard]] int StartsOf(const cell::TaskId& task) const {
     return m_checker.StartsOf(task);
@@ -167,6 +180,7 @@
   std::vector<SimTarget> m_targets;
   std::map<HostId, Time> m_lane_free;
   std::map<std::string, std::string> m_records;
+  BatchSize m_largest_batch;
   bool m_writing = false;
   cell::Rules m_rules;
   standins::JobChecker m_checker;
