--- /dev/null
+++ b/tests/cell_size.h
@@ -0,0 +1,78 @@
+/// Processor time of a cell's decisions at the users' grown sizes, while urgent
+/// work bursts and gangs wait.
+#pragma once
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <ctime>
+#include <numeric>
+#include <string>
+#include <vector>
+
+#include "cell_loads.h"
+
+namespace buckthornmux::tests {
+
+inline constexpr Millis kRoundEvery{8};
+inline constexpr Millis kFillFor{2000};  ///< The cell fills and gangs gather.
+inline constexpr Millis kBurstFor{3000};
+inline constexpr double kBurst = 2.5;  ///< Urgent work, times the usual.
+inline constexpr int kWaitingGangs = 12;
+inline constexpr double kMillisPerSecond = 1000;
+inline constexpr double kPercentile = 0.99;
+
+/// What decisions took while they were measured.
+struct DecisionFigures {
+  double mean_ms = 0;
+  double p99_ms = 0;
+  double starts_per_second = 0;  ///< Of processor time on decisions.
+
+  [[nodiscard]] std::string Text() const {
+    return "mean " + std::to_string(mean_ms) + " ms, p99 " +
+           std::to_string(p99_ms) + " ms, " +
+           std::to_string(starts_per_second) + " starts a second";
+  }
+};
+
+inline DecisionFigures MeasureDecisions(int targets) {
+  WorldOptions options = GrownWorld(1, targets);
+  options.round = kRoundEvery;
+  World world(options);
+  const UserQueues queues = MakeGrownQueues();
+  world.SetRules({queues.gangs, queues.batches, queues.urgent});
+  world.RunUntil(world.NowTime() + Millis(500));
+  const double scale = targets / kGrownTargets;
+  const Time burst = world.NowTime() + kFillFor;
+  const Time until = burst + kBurstFor;
+  AddGrownLoad(world, queues, scale, until);
+  std::mt19937_64 random(1);
+  for (int i = 0; i < kWaitingGangs; ++i) {
+    world.Submit(DrawJob(random, queues.gang_shape, "gangs", "team-0"));
+  }
+  world.RunUntil(burst);
+  world.AddLoad(
+      MakeLoad(queues.urgent, queues.urgent_shape,
+               kGrownUrgentPerSecond * scale * (kBurst - 1), kGrownTeams),
+      until);
+  const std::size_t rounds_before = world.RoundTimes().size();
+  const int starts_before = world.Starts();
+  world.RunUntil(until);
+  CPPUNIT_ASSERT(world.Breaches().empty());
+  std::vector<std::clock_t> rounds(
+      world.RoundTimes().begin() + static_cast<std::ptrdiff_t>(rounds_before),
+      world.RoundTimes().end());
+  CPPUNIT_ASSERT(static_cast<int>(rounds.size()) > kBurstFor / kRoundEvery / 2);
+  std::ranges::sort(rounds);
+  const auto total = static_cast<double>(
+      std::accumulate(rounds.begin(), rounds.end(), std::clock_t{0}));
+  const auto count = static_cast<double>(rounds.size());
+  const auto p99 = rounds[static_cast<std::size_t>(kPercentile * count)];
+  const auto to_ms = [](double clocks) {
+    return kMillisPerSecond * clocks / CLOCKS_PER_SEC;
+  };
+  return {to_ms(total) / count, to_ms(static_cast<double>(p99)),
+          (world.Starts() - starts_before) * double{CLOCKS_PER_SEC} / total};
+}
+
+}  // namespace buckthornmux::tests
--- /dev/null
+++ b/tests/unit-cell-size-970.cc
@@ -0,0 +1,31 @@
+// Decisions at the size of two years on: 970 targets in one cell.
+#include "cell_size.h"
+
+namespace buckthornmux::tests {
+namespace {
+
+class LargeCellTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(LargeCellTest);
+  CPPUNIT_TEST(DecisionsAreQuickAt970Targets);
+  CPPUNIT_TEST(PlacementsAreManyAt970Targets);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void DecisionsAreQuickAt970Targets() {
+    const DecisionFigures figures = MeasureDecisions(970);
+    constexpr double kMostMs = 1;
+    CPPUNIT_ASSERT_MESSAGE(figures.Text(), figures.p99_ms <= kMostMs);
+  }
+
+  void PlacementsAreManyAt970Targets() {
+    const DecisionFigures figures = MeasureDecisions(970);
+    constexpr double kLeastStarts = 5000;
+    CPPUNIT_ASSERT_MESSAGE(figures.Text(),
+                           figures.starts_per_second >= kLeastStarts);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LargeCellTest);
+
+}  // namespace
+}  // namespace buckthornmux::tests
