An offer of a range that could not be taken at once is void

Found by review: a host that was offered the cell of a suspected owner kept the offer for as long as that owner's epoch lasted. Where it could not claim at once, because the store rejected it, it took the cell seconds later from an owner that served.

unit-fit-owner OfferThatCouldNotBeTakenIsVoidLater: failed with the expiry taken out, passes with it.

--- a/include/buckthornmux/detail/member/ownership.h
+++ b/include/buckthornmux/detail/member/ownership.h
@@ -154,6 +154,7 @@
   Millis max_view_age{3000};  ///< Older views are not acted upon.
   Millis move_interval{500};  ///< Between two handovers for balance.
   Millis claim_retry{500};    ///< After a claim without effect.
+  Millis offer_valid{2000};   ///< An offer that was not taken is void then.
   bool rebalance = true;      ///< Hand ranges over to their wanted owners.
 };
 
@@ -176,7 +177,8 @@
   std::optional<Time> view_after;    ///< nor before a view read since then.
   std::optional<Time> ownerless;     ///< Since when no registered owner.
   Epoch abandoned = 0;  ///< The owner of this epoch serves the range no more.
-  Epoch offered = 0;    ///< ...and has asked this process to claim it.
+  Epoch offered = 0;    ///< ...and this process was asked to claim it...
+  Time offered_at;      ///< ...at this time.
 };
 
 /// All that ownership decides from.
--- a/src/member/ownership.cc
+++ b/src/member/ownership.cc
@@ -206,10 +206,22 @@
   state.lease_until = std::max(state.lease_until, sent_at + safe);
 }
 
+/// An owner that was only suspected may serve on: an offer of its range that
+/// could not be taken at once is not taken later.
+void ExpireOffer(const OwnershipState& state, RangeState& range, Time now) {
+  if (IsOffered(range) && !range.claim &&
+      now - range.offered_at > state.options.offer_valid) {
+    range.offered = 0;
+    range.abandoned = 0;
+    NoteOwnerless(state, range, now);
+  }
+}
+
 /// What has become due, after each event.
 void Proceed(OwnershipState& state, Time now, Actions& actions) {
   SetLease(state, now, actions);
   for (auto& [name, range] : state.ranges) {
+    ExpireOffer(state, range, now);
     if (range.standing == Standing::kReleased) {
       WriteRelease(state, range, now, actions);
     } else if (range.standing == Standing::kNone && MayClaim(state, now)) {
@@ -344,6 +356,7 @@
     RangeState& range = found->second;
     range.abandoned = std::max(range.abandoned, event.epoch);
     range.offered = std::max(range.offered, event.epoch);
+    range.offered_at = now;
     NoteOwnerless(state, range, now);
   }
 }
