An owner that reads the cell may take a new link before others are asked

Found by review: a link is given up after 0.9 s of silence, and an owner without a link was asked about at once and declared dead by four hosts that had no link either, whatever patience an owner that reads is given. It now has 0.4 s to take a new link, which one that lives does at once; a host that is asked about it waits for an answer as well. An owner that is killed while it reads is replaced within 1.2 s, when its registration ends.

unit-fit-owner ReadingOwnerWhoseLinkBrokeMayReconnect: failed without the wait, passes with it; OwnerThatDiesWhileItReadsIsReplaced passes with both.

--- a/include/buckthornmux/detail/entry/owner_watch.h
+++ b/include/buckthornmux/detail/entry/owner_watch.h
@@ -71,6 +71,7 @@
   HostId m_owner;
   /// Until when an owner that has answered no call counts as reading the cell.
   Time m_recovers_until;
+  std::optional<Time> m_unlinked_since;  ///< Of the owner.
   Stage m_stage = Stage::kCalm;
   Time m_since;  ///< Of the stage.
   Time m_quiet_until;
--- a/src/entry/owner_watch.cc
+++ b/src/entry/owner_watch.cc
@@ -23,6 +23,9 @@
 constexpr int kRecoveringFactor = 5;
 /// Longer than a host of an eighth of a core on 10 Mbit/s takes for 1 MB.
 constexpr Millis kRecoversWithin{5000};
+/// A link to an owner that reads the cell may have been given up for silence;
+/// one that lives takes a new one at once.
+constexpr Millis kReconnects{400};
 /// Hosts asked at once.
 constexpr std::size_t kMostAsked = 4;
 
@@ -46,15 +49,21 @@
   if (owner != m_owner) {
     m_owner = owner;
     m_recovers_until = now + kRecoversWithin;
+    m_unlinked_since.reset();
     Calm(now);
   }
   if (m_owner.empty() || now < m_quiet_until) {
     return;
   }
   const bool linked = std::ranges::count(m_links.peers(), m_owner) > 0;
+  m_unlinked_since =
+      linked ? std::nullopt : std::optional(m_unlinked_since.value_or(now));
   if (m_stage == Stage::kCalm) {
+    const Millis reconnects = now < m_recovers_until ? kReconnects : Millis(0);
     if (!linked && !m_links.peers().empty()) {
-      AskOthers(now);
+      if (now - *m_unlinked_since >= reconnects) {
+        AskOthers(now);
+      }
     } else if (waiting_since &&
                now - *waiting_since >= Allowed(kUnanswered, now) &&
                !AliveSince(m_owner, now - Allowed(kUnanswered, now))) {
@@ -115,7 +124,8 @@
 
 void OwnerWatch::Take(const HostId& from, const LivenessQuery& ask, Time now) {
   const bool linked = std::ranges::count(m_links.peers(), ask.host) > 0;
-  if (!linked) {
+  const bool recovering = ask.host == m_owner && now < m_recovers_until;
+  if (!linked && !recovering) {
     m_links.tell(from, {ask.ask, false});
     return;
   }
