Review: an upper bound on answers that keep arriving, names, test split

A page that trickles ends after 10 s beyond its timeout; a host that was slow takes part again only when its ticks are in time as well; comments of offers and of the weight's source say what holds now.

--- a/include/buckthornmux/detail/entry/fitness.h
+++ b/include/buckthornmux/detail/entry/fitness.h
@@ -13,7 +13,7 @@
 [[nodiscard]] inline std::uint32_t WeightOf(const HostCapacity& capacity) {
   constexpr double kMilli = 1000;
   /// An owner of 350 targets moves about 24 Mbit/s for each core it uses.
-  constexpr double kMilliPerMbps = 50;
+  constexpr double kMilliPerMbps = 42;
   const double processor = capacity.cores * kMilli;
   const double link = capacity.link_mbps * kMilliPerMbps;
   const double weight = processor > 0 && link > 0 ? std::min(processor, link)
--- a/include/buckthornmux/detail/entry/open_offer.h
+++ b/include/buckthornmux/detail/entry/open_offer.h
@@ -9,9 +9,10 @@
 
 namespace buckthornmux::entry {
 
-/// Who was asked to claim a range that this host has let go of.
+/// Who was asked to claim a range, which this host has let go of or whose owner
+/// is gone.
 struct OpenOffer {
-  Epoch epoch = 0;  ///< Under which this host owned it.
+  Epoch epoch = 0;  ///< Of the former owner.
   HostId to;
   Time again_at;   ///< Offered to another host then.
   HostId suspect;  ///< An owner that is gone; empty: this host let go of it.
--- a/src/entry/host_ownership.cc
+++ b/src/entry/host_ownership.cc
@@ -24,7 +24,8 @@
 constexpr Millis kLateLogEvery{1000};
 constexpr Millis kMeasureEvery{250};
 /// A new owner keeps the cell for at least this, if it can at all: a move costs
-/// the reading of all records.
+/// the reading of all records. Longer than kLearnsOfOwner, so that the grace
+/// for a suspected owner is over before the cell moves on.
 constexpr Millis kLeastTerm{3000};
 /// An owner that has read nothing more for so long gives the cell away.
 constexpr Millis kReadingStalls{2500};
@@ -211,7 +212,7 @@
     return;
   }
   if (m_resting) {
-    if (!m_speed.Slowed() && now >= m_rest_until) {
+    if (m_slowness.Well() && !m_speed.Slowed() && now >= m_rest_until) {
       m_resting = false;
       LogLine("takes_part_again").With("host", m_settings.host);
       m_members.Return();
--- a/src/entry/host_process.h
+++ b/src/entry/host_process.h
@@ -157,7 +157,7 @@
   Time m_measured_at;
   PauseWatch m_pauses;
   Time m_gained_at;       ///< When this host last became the owner.
-  Epoch m_suspected = 0;  ///< Of the last owner that was claimed from.
+  Epoch m_suspected = 0;  ///< Of the last owner that somebody took for dead.
   std::optional<OpenOffer> m_offer;
   std::optional<Time> m_release_began;  ///< Of the cell, not ended yet.
   bool m_resting = false;  ///< Handed over because this host is slow.
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -31,6 +31,9 @@
 using tcp = asio::ip::tcp;
 using SteadyClock = std::chrono::steady_clock;
 
+/// An answer that keeps arriving is waited for so long beyond its timeout.
+constexpr std::chrono::seconds kLongestAnswer{10};
+
 struct Connection {
   explicit Connection(const asio::any_io_executor& executor)
       : stream(executor) {}
@@ -190,7 +193,8 @@
           asio::redirect_error(asio::use_awaitable, error));
       if (stall > Millis(0)) {
         connection.stream.expires_at(
-            std::max(call.deadline, SteadyClock::now() + stall));
+            std::clamp(SteadyClock::now() + stall, call.deadline,
+                       call.deadline + kLongestAnswer));
       }
     }
     if (error) {
--- a/tests/unit-cell-size-970.cc
+++ b/tests/unit-cell-size-970.cc
@@ -7,7 +7,6 @@
 class LargeCellTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(LargeCellTest);
   CPPUNIT_TEST(DecisionsAreQuickAt970Targets);
-  CPPUNIT_TEST(PlacementsAreManyAt970Targets);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -16,13 +15,6 @@
     constexpr double kMostMs = 1;
     CPPUNIT_ASSERT_MESSAGE(figures.Text(), figures.p99_ms <= kMostMs);
   }
-
-  void PlacementsAreManyAt970Targets() {
-    const DecisionFigures figures = MeasureDecisions(970);
-    constexpr double kLeastStarts = 5000;
-    CPPUNIT_ASSERT_MESSAGE(figures.Text(),
-                           figures.starts_per_second >= kLeastStarts);
-  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LargeCellTest);
--- a/tests/unit-cell-size.cc
+++ b/tests/unit-cell-size.cc
@@ -1,4 +1,5 @@
-// Rounds of planning at 350 targets fit the smallest owner, of 0.12 of a core.
+// Rounds of planning fit the smallest owner at 350 targets, of 0.12 of a core,
+// and place enough tasks at 970.
 #include "cell_size.h"
 
 namespace buckthornmux::tests {
@@ -9,6 +10,7 @@
 class CellSizeTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(CellSizeTest);
   CPPUNIT_TEST(RoundsFitTheSmallestOwnerAt350Targets);
+  CPPUNIT_TEST(PlacementsAreManyAt970Targets);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -18,6 +20,13 @@
         kSmallestOwner * static_cast<double>(kRoundEvery.count());
     CPPUNIT_ASSERT_MESSAGE(figures.Text(), figures.mean_ms <= kMostMs);
   }
+
+  void PlacementsAreManyAt970Targets() {
+    const DecisionFigures figures = MeasureDecisions(970);
+    constexpr double kLeastStarts = 5000;
+    CPPUNIT_ASSERT_MESSAGE(figures.Text(),
+                           figures.starts_per_second >= kLeastStarts);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CellSizeTest);
