A large write is not sent again while the first copy is on its way

Found by review, the same class as the recovery that never ended: a batch of 400 kB takes 0.45 s on 10 Mbit/s, and was sent again after 80 ms, up to three times at once, each with 0.7 s for everything. On such a link none of the copies would arrive, and nothing be stored any more.

unit-slow-link LargeWriteIsNotSentTwiceAtOnce: failed before, passes now.

--- a/include/buckthornmux/detail/entry/journal_writer.h
+++ b/include/buckthornmux/detail/entry/journal_writer.h
@@ -90,6 +90,7 @@
   std::uint64_t m_sequence = 0;  ///< Of the last batch that was begun.
   std::optional<cell::Batch> m_batch;
   Time m_began;
+  Millis m_check_after{0};  ///< An unanswered send is looked up after this.
   Time m_sent;
   int m_in_flight = 0;
   bool m_checking = false;
--- a/include/buckthornmux/detail/store/async_store.h
+++ b/include/buckthornmux/detail/store/async_store.h
@@ -11,6 +11,18 @@
 
 namespace buckthornmux::store {
 
+/// @brief Time that so many bytes may take on the slowest link of an entry
+/// host.
+[[nodiscard]] constexpr Millis TransferTime(std::size_t bytes) {
+  constexpr std::size_t kBytesPerMilli = 600;  ///< Half of 10 Mbit/s.
+  return Millis(bytes / kBytesPerMilli);
+}
+
+/// @brief Size of a value in a call: as text of base 64.
+[[nodiscard]] constexpr std::size_t EncodedSize(std::size_t bytes) {
+  return (bytes + 2) / 3 * 4;
+}
+
 /// One page of a list. Pages are no snapshot.
 struct ItemPage {
   std::vector<Entry> items;
--- a/src/entry/journal_writer.cc
+++ b/src/entry/journal_writer.cc
@@ -20,6 +20,15 @@
 constexpr Millis kCheckAfter{80};
 constexpr int kMostInFlight = 3;  ///< Sends of one batch.
 
+/// Of the store's records in a transaction, as they are sent.
+Millis TimeOnTheWay(const cell::Batch& batch) {
+  std::size_t bytes = 0;
+  for (const cell::RecordWrite& write : batch.writes) {
+    bytes += write.key.size() + store::EncodedSize(write.value.size());
+  }
+  return store::TransferTime(bytes);
+}
+
 std::string HeadValue(Epoch epoch, std::uint64_t sequence) {
   return std::to_string(epoch) + "/" + std::to_string(sequence);
 }
@@ -132,6 +141,7 @@
   ++m_sequence;
   m_in_flight = 0;  // Answers of former batches are not counted.
   m_began = now;
+  m_check_after = kCheckAfter + TimeOnTheWay(*m_batch);
   Send();
 }
 
@@ -253,7 +263,7 @@
   }
   if (m_send_again && now >= *m_send_again) {
     Send();
-  } else if (m_in_flight > 0 && now - m_sent >= kCheckAfter) {
+  } else if (m_in_flight > 0 && now - m_sent >= m_check_after) {
     m_sent = now;
     CheckHead();
   }
--- a/tests/unit-slow-link.cc
+++ b/tests/unit-slow-link.cc
@@ -90,6 +90,7 @@
   CPPUNIT_TEST(PageThatArrivesSlowlyIsTaken);
   CPPUNIT_TEST(PageThatStopsArrivingIsGivenUp);
   CPPUNIT_TEST(PageUnderWayIsNoSilenceOfTheStore);
+  CPPUNIT_TEST(LargeWriteIsNotSentTwiceAtOnce);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -141,6 +142,30 @@
     CPPUNIT_ASSERT(entry::Now() - began < Millis(1000));
   }
 
+  // A batch of 400 kB takes 0.45 s on 10 Mbit/s. Copies of it that leave before
+  // that share the link, and none of them arrives in time.
+  void LargeWriteIsNotSentTwiceAtOnce() {
+    const auto sends = [](std::size_t bytes) {
+      MockAsyncStore store;
+      const store::AsyncStore calls = store.Calls();
+      entry::JournalWriter writer(
+          calls, {[](auto) {}, [](const cell::Batch&) {}, [] {}});
+      store.Put("state/owners/cell/0", "owner");
+      writer.Open({"cell/0", "host-1", "life", 1, store.revision});
+      store.fates.assign(10, CommitFate::kSilentBefore);
+      cell::Batch batch;
+      batch.writes.push_back({"jobs/1", std::string(bytes, 'x'), false});
+      const Time began = entry::Now();
+      writer.Write(std::move(batch), began);
+      for (Millis passed{0}; passed <= Millis(450); passed += Millis(50)) {
+        writer.Tick(began + passed);
+      }
+      return store.commits;
+    };
+    CPPUNIT_ASSERT_EQUAL(1, sends(400'000));
+    CPPUNIT_ASSERT(sends(4000) > 1);
+  }
+
   // An owner that read a long page was taken for one that the store rejects,
   // and gave the cell away.
   void PageUnderWayIsNoSilenceOfTheStore() {
