--- a/tests/unit-fit-owner.cc
+++ b/tests/unit-fit-owner.cc
@@ -3,6 +3,9 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <optional>
+#include <set>
+#include <utility>
 
 #include "buckthornmux/detail/entry/fitness.h"
 #include "buckthornmux/detail/entry/owner_watch.h"
@@ -134,7 +137,7 @@
                   [&](const Member& known) { return known.id == owner; });
     const HostId next = member::OwnersInOrder("cell/0", members).front();
     for (int i = 0; i < 5; ++i) {
-      std::ranges::rotate(members, members.begin() + 7);
+      std::rotate(members.begin(), members.begin() + 7, members.end());
       CPPUNIT_ASSERT_EQUAL(next,
                            member::OwnersInOrder("cell/0", members).front());
     }
