--- a/tests/unit-load.cc
+++ b/tests/unit-load.cc
@@ -222,7 +222,8 @@
     wide.team = "team-0";
     wide.steps.resize(1);
     wide.steps[0].count = 56;
-    wide.steps[0].demand = {0, 750, 1000, 0};
+    // One on a target, so that more names are needed than a call may hold.
+    wide.steps[0].demand = {0, 9000, 1000, 0};
     wide.steps[0].estimate = Millis(2000);
     world.Submit(wide);
     world.RunUntil(world.NowTime() + Millis(10'000));
--- a/tests/unit-records.cc
+++ b/tests/unit-records.cc
@@ -112,26 +112,11 @@
   cell::Cancel(owned, actions, 2, id, "team-0", now);
 }
 
-/// The load of bench/bench-cell.cc on the users' grown site.
-void AddGrownLoad(World& world, Time until) {
-  constexpr int kTeams = 20;
-  UserQueues queues = MakeUserQueues();
-  queues.gang_shape.width = 16;
-  queues.gang_shape.most_width = 80;
-  queues.gang_shape.run_ms = 6200;
-  queues.batch_shape.width = 25;
-  queues.batch_shape.most_width = 100;
-  queues.batch_shape.cpu_milli = 1700;
-  queues.batch_shape.run_ms = 2700;
-  queues.urgent_shape.width = 3;
-  queues.urgent_shape.cpu_milli = 2500;
-  queues.urgent_shape.run_ms = 640;
+/// Puts the queues of the users' grown site in force and draws its load.
+void PlayGrownLoad(World& world, Time until) {
+  const UserQueues queues = MakeGrownQueues();
   world.SetRules({queues.gangs, queues.batches, queues.urgent});
-  world.AddLoad(MakeLoad(queues.gangs, queues.gang_shape, 4.28, kTeams), until);
-  world.AddLoad(MakeLoad(queues.batches, queues.batch_shape, 8.96, kTeams),
-                until);
-  world.AddLoad(MakeLoad(queues.urgent, queues.urgent_shape, 125, kTeams),
-                until);
+  AddGrownLoad(world, queues, 1, until);
 }
 
 /// What callers of a cell may rely on.
@@ -515,7 +500,7 @@
     options.rack = 12;
     World world(options);
     const Time until = world.NowTime() + Millis(40'000);
-    AddGrownLoad(world, until);
+    PlayGrownLoad(world, until);
     world.RunUntil(until);
     const std::size_t open = OpenJobs(world.State());
     const Records records = world.Records();
