Cell: log each run that is dropped with its target, and ignored reports

target_runs_gone had the number of runs only, so the log of a target that restarted didn't tell whether the runs were started by its former process or by the new one. run_dropped names each with its phase, the time of its order and whether a report has listed it; target_restarted names the former life; report_ignored names both lives. No decision changes.

--- a/src/cell/reports.cc
+++ b/src/cell/reports.cc
@@ -43,6 +43,7 @@
   if (target.entry.life != 0) {
     Note(actions, "target_restarted",
          {{"target", target.entry.id},
+          {"former_life", std::to_string(target.entry.life)},
           {"life", std::to_string(life)},
           {"seen_by", std::string(why)}});
     DropRuns(cell, actions, target, "target restarted");
@@ -356,7 +357,16 @@
 void Reported(Cell& cell, Actions& actions, const TargetId& id,
               const TargetReport& report, Time sent_at, Time now) {
   Target* target = FindTarget(cell, id);
-  if (target == nullptr || report.life < target->entry.life) {
+  if (target == nullptr) {
+    return;
+  }
+  if (report.life < target->entry.life) {
+    Note(actions, "report_ignored",
+         {{"target", id},
+          {"life", std::to_string(report.life)},
+          {"known_life", std::to_string(target->entry.life)},
+          {"running", std::to_string(report.running.size())},
+          {"ended", std::to_string(report.ended.size())}});
     return;
   }
   if (report.life > target->entry.life) {
--- a/src/cell/runs.cc
+++ b/src/cell/runs.cc
@@ -70,6 +70,35 @@
   actions.emplace_back(std::move(start));
 }
 
+std::string_view RunPhaseName(RunPhase phase) {
+  switch (phase) {
+    case RunPhase::kSent:
+      return "sent";
+    case RunPhase::kRunning:
+      return "running";
+    case RunPhase::kStopping:
+      return "stopping";
+  }
+  return "unknown";
+}
+
+/// Logs what is known of a run that is given up with its target.
+void NoteDroppedRun(Actions& actions, const Target& target, const RunId& id,
+                    std::string_view why) {
+  const Run& run = target.runs.at(id);
+  Note(actions, "run_dropped",
+       {{"job", id.task.job},
+        {"task", TaskName(id.task)},
+        {"run", std::to_string(id.number)},
+        {"target", target.entry.id},
+        {"life", std::to_string(target.entry.life)},
+        {"phase", std::string(RunPhaseName(run.phase))},
+        {"listed", run.listed ? "true" : "false"},
+        {"unsure", run.unsure || run.in_flight ? "true" : "false"},
+        {"sent_ms", std::to_string(ToMs(run.sent))},
+        {"reason", std::string(why)}});
+}
+
 }  // namespace
 
 std::string_view OutcomeName(OrderOutcome outcome) {
@@ -336,6 +365,7 @@
   }
   while (!target.runs.empty()) {
     const RunId id = target.runs.begin()->first;
+    NoteDroppedRun(actions, target, id, why);
     ReleaseRun(cell, target, id);
   }
 }
