Tests: targets of the cell's world restart, under their own id or another

The simulated targets had one life from start to end, so no test ran the code for a target that is known and restarts. They now crash and come back with a new life, clock and fence; the list may be late, the life's number may be lower (a wall clock set back).

--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -103,6 +103,19 @@
   ///   all its runs, and its entry expires `expiry` later.
   void TakeAway(int index, Millis notice, Millis expiry = Millis(4500));
 
+  /// @brief Crashes a target. It is up again under the same id after
+  ///   `down_for`, and the list shows its new life `list_after` later.
+  /// @param life names the new life; lower than the former one if the target's
+  ///   wall clock was set back meanwhile
+  void Restart(int index, Millis down_for, Millis list_after,
+               std::int64_t life);
+
+  /// @brief Crashes a target. It is up again under a new id after `down_for`.
+  ///   The list shows the new id `list_after` later, and the former id until
+  ///   `expiry` after the crash.
+  void Rename(int index, Millis down_for, Millis list_after,
+              Millis expiry = Millis(4500));
+
   /// @brief Sets the duration of writes from now on.
   void SetStoreTime(Millis time) { m_options.store = time; }
 
@@ -168,6 +181,10 @@
   cell::OrderOutcome Begin(SimTarget& target, const cell::SendStart& start);
   void Ask(const cell::AskAdvice& ask);
   void Report(SimTarget& target);
+  void FailReport(const TargetId& id, cell::OrderOutcome outcome,
+                  std::uint64_t life);
+  void AnswerReport(SimTarget& target, const cell::ReportCall& call,
+                    Time sent_at, std::uint64_t life);
   void AdvanceTargets();
   [[nodiscard]] Millis TrueTime(const cell::TaskId& task,
                                 const cell::StepSpec& spec) const;
@@ -176,7 +193,11 @@
   [[nodiscard]] bool Allows(const std::string& queue, const std::string& step,
                             const TargetId& target) const;
   [[nodiscard]] bool FitsNowhere(const cell::JobSpec& spec) const;
+  /// Returns null if the id is gone: its target has another id now.
   SimTarget* Find(const TargetId& id);
+  /// Returns the outcome of an order that didn't reach a process with the id;
+  /// kDone if it did.
+  [[nodiscard]] static cell::OrderOutcome Reaches(const SimTarget* target);
   void OpenCell(Epoch epoch);
   /// Passes the current list of targets to the cell.
   void ListTargets();
@@ -189,6 +210,8 @@
   std::uint64_t m_order = 0;
   std::priority_queue<Event> m_events;
   std::vector<SimTarget> m_targets;
+  /// Entries of former ids that haven't expired yet.
+  std::map<TargetId, cell::TargetEntry> m_former_entries;
   std::map<HostId, Time> m_lane_free;
   std::map<std::string, std::string> m_records;
   BatchSize m_largest_batch;
--- a/tests/standins/cell_world.cc
+++ b/tests/standins/cell_world.cc
@@ -11,7 +11,9 @@
 constexpr Millis kStep{5};
 constexpr Millis kTick{50};
 constexpr Millis kReportInterval{1000};
+constexpr Millis kReportRetryDelay{200};  ///< After a report that failed.
 constexpr Millis kOrderTimeout{300};
+constexpr Millis kOrderDelay{4000};  ///< Of orders that are executed late.
 constexpr std::size_t kMaxBatchWrites = 29;
 constexpr std::size_t kMaxNamedTargets = 100;  ///< Adviser's limit per call.
 
@@ -23,7 +25,7 @@
     SimTarget target;
     target.entry.id = "target-" + std::to_string(i);
     target.entry.service = "service";
-    target.entry.address = "127.0.0.1:1";
+    target.entry.address = "127.0.0.1:" + std::to_string(i + 1);
     target.entry.life = 1;
     target.entry.capacity = m_options.capacity;
     target.entry.labels = {i % 2 == 0 ? "a" : "b",
@@ -76,8 +78,12 @@
   for (const SimTarget& target : m_targets) {
     if (target.listed) {
       entries.push_back(target.entry);
+      entries.back().life = target.listed_life.value_or(target.entry.life);
     }
   }
+  for (const auto& [id, entry] : m_former_entries) {
+    entries.push_back(entry);
+  }
   cell::Actions actions;
   cell::SetTargets(*m_cell, actions, entries, m_now);
   Act(std::move(actions));
@@ -101,6 +107,61 @@
   });
 }
 
+void World::Restart(int index, Millis down_for, Millis list_after,
+                    std::int64_t life) {
+  SimTarget& target = Target(index);
+  standins::Crash(target);
+  target.listed_life = target.listed_life.value_or(target.entry.life);
+  At(m_now + down_for, [this, index, life] {
+    standins::Revive(Target(index), life, m_now.time_since_epoch().count());
+  });
+  At(m_now + down_for + list_after, [this, index, life] {
+    // A later restart is shown by its own event.
+    if (Target(index).entry.life == life) {
+      Target(index).listed_life.reset();
+    } else {
+      Target(index).listed_life = life;
+    }
+    ListTargets();
+  });
+}
+
+void World::Rename(int index, Millis down_for, Millis list_after,
+                   Millis expiry) {
+  SimTarget& target = Target(index);
+  standins::Crash(target);
+  const cell::TargetEntry former = target.entry;
+  m_former_entries[former.id] = former;
+  target.entry.id = former.id + "+";
+  target.listed = false;
+  At(m_now + down_for, [this, index, life = former.life + 1] {
+    standins::Revive(Target(index), life, m_now.time_since_epoch().count());
+  });
+  At(m_now + down_for + list_after, [this, index, id = target.entry.id] {
+    if (Target(index).entry.id == id) {
+      Target(index).listed = true;
+      Target(index).reporting = false;
+      ListTargets();
+      Report(Target(index));
+    }
+  });
+  At(m_now + expiry, [this, id = former.id] {
+    m_former_entries.erase(id);
+    ListTargets();
+  });
+}
+
+cell::OrderOutcome World::Reaches(const SimTarget* target) {
+  if (target == nullptr) {
+    return cell::OrderOutcome::kOtherLife;
+  }
+  if (target->faults.cut) {
+    return cell::OrderOutcome::kUnknown;
+  }
+  return target->faults.down ? cell::OrderOutcome::kNotSent
+                             : cell::OrderOutcome::kDone;
+}
+
 void World::SetRules(std::vector<cell::Queue> queues,
                      std::vector<cell::Team> teams) {
   ++m_rules.version;
@@ -268,24 +329,39 @@
 }
 
 void World::DeliverStart(const cell::SendStart& start) {
-  SimTarget* target = Find(start.target);
-  const bool late = Chance(target->faults.orders_late);
-  const bool lost = late || Chance(target->faults.answers_lost);
-  const Time arrives =
-      m_now + m_options.link + (late ? Millis(4000) : Millis(0));
+  const SimTarget* target = Find(start.target);
+  const bool late = target != nullptr && Chance(target->faults.orders_late);
+  const bool lost =
+      late || (target != nullptr && Chance(target->faults.answers_lost));
+  const Time arrives = m_now + m_options.link;
   const Epoch epoch = m_cell->epoch;
   const auto outcome =
       std::make_shared<cell::OrderOutcome>(cell::OrderOutcome::kUnknown);
-  At(arrives, [this, id = start.target, start, epoch, outcome] {
-    SimTarget& there = *Find(id);
-    if (there.faults.cut) {
-      return;
-    }
+  const auto execute = [this, start, epoch, outcome](SimTarget& there) {
     *outcome = standins::PassesFence(there, epoch)
                    ? Begin(there, start)
                    : cell::OrderOutcome::kFenced;
+  };
+  At(arrives, [this, id = start.target, late, outcome, execute] {
+    SimTarget* there = Find(id);
+    *outcome = Reaches(there);
+    if (*outcome != cell::OrderOutcome::kDone) {
+      return;
+    }
+    if (!late) {
+      execute(*there);
+      return;
+    }
+    // What a process has received and not executed is lost with it.
+    At(m_now + kOrderDelay, [this, id, execute, life = there->entry.life] {
+      SimTarget* later = Find(id);
+      if (later != nullptr && !later->faults.down &&
+          later->entry.life == life) {
+        execute(*later);
+      }
+    });
   });
-  const bool unanswered = lost || target->faults.cut;
+  const bool unanswered = lost || (target != nullptr && target->faults.cut);
   const Time back =
       unanswered ? m_now + kOrderTimeout : arrives + m_options.link;
   At(back, [this, start, outcome, unanswered, life = m_life] {
@@ -302,22 +378,22 @@
 
 void World::DeliverStop(const cell::SendStop& stop) {
   const SimTarget* target = Find(stop.target);
-  const bool cut = target->faults.cut;
+  const bool cut = target != nullptr && target->faults.cut;
   const Epoch epoch = m_cell->epoch;
   const auto outcome =
       std::make_shared<cell::OrderOutcome>(cell::OrderOutcome::kUnknown);
   At(m_now + m_options.link, [this, stop, epoch, outcome] {
-    SimTarget& there = *Find(stop.target);
-    if (there.faults.cut) {
+    SimTarget* there = Find(stop.target);
+    *outcome = Reaches(there);
+    if (*outcome != cell::OrderOutcome::kDone) {
       return;
     }
-    if (!standins::PassesFence(there, epoch)) {
+    if (!standins::PassesFence(*there, epoch)) {
       *outcome = cell::OrderOutcome::kFenced;
       return;
     }
-    standins::StopRun(there, stop.run);
-    Report(there);
-    *outcome = cell::OrderOutcome::kDone;
+    standins::StopRun(*there, stop.run);
+    Report(*there);
   });
   const Time back = cut ? m_now + kOrderTimeout : m_now + 2 * m_options.link;
   At(back, [this, stop, outcome, life = m_life] {
@@ -387,10 +463,12 @@
     if (life != m_life) {
       return;
     }
-    SimTarget& there = *Find(id);
+    SimTarget* there = Find(id);
     const auto known = m_cell->targets.find(id);
     if (known == m_cell->targets.end()) {
-      there.reporting = false;
+      if (there != nullptr) {
+        there->reporting = false;
+      }
       return;
     }
     const cell::ReportCall call =
@@ -398,43 +476,78 @@
     if (call.deadline_ms > 0) {
       cell::OnLeaseSent(*m_cell, id, m_now);
     }
-    if (there.faults.cut) {
-      At(m_now + kReportInterval, [this, id, life] {
-        if (life != m_life) {
-          return;
-        }
-        SimTarget& again = *Find(id);
-        again.reporting = false;
-        cell::Actions actions;
-        cell::ReportFailed(*m_cell, actions, id, cell::OrderOutcome::kUnknown,
-                           m_now);
-        Act(std::move(actions));
-        Report(again);
-      });
+    const cell::OrderOutcome reached = Reaches(there);
+    if (reached != cell::OrderOutcome::kDone) {
+      const Millis until_failed = reached == cell::OrderOutcome::kUnknown
+                                      ? kReportInterval
+                                      : 2 * m_options.link;
+      At(m_now + until_failed,
+         [this, id, reached, life] { FailReport(id, reached, life); });
       return;
     }
-    there.fence = std::max(there.fence, m_cell->epoch);
-    const cell::TargetReport report =
-        standins::TakeReportCall(there, call, m_now);
-    At(m_now + m_options.link, [this, id, report, sent_at, life] {
-      if (life != m_life) {
-        return;
-      }
-      SimTarget& again = *Find(id);
-      again.reporting = false;
-      cell::Actions actions;
-      cell::Reported(*m_cell, actions, id, report, sent_at, m_now);
-      Act(std::move(actions));
-      const bool unacked = !again.ended.empty();
-      At(m_now + (unacked ? Millis(50) : kReportInterval), [this, id, life] {
-        if (life == m_life) {
-          Report(*Find(id));
-        }
-      });
-    });
+    AnswerReport(*there, call, sent_at, life);
+  });
+}
+
+void World::FailReport(const TargetId& id, cell::OrderOutcome outcome,
+                       std::uint64_t life) {
+  if (life != m_life) {
+    return;
+  }
+  if (SimTarget* target = Find(id)) {
+    target->reporting = false;
+  }
+  cell::Actions actions;
+  cell::ReportFailed(*m_cell, actions, id, outcome, m_now);
+  Act(std::move(actions));
+  At(m_now + kReportRetryDelay, [this, id, life] {
+    if (life != m_life) {
+      return;
+    }
+    if (SimTarget* target = Find(id)) {
+      Report(*target);
+    } else if (m_cell->targets.contains(id)) {
+      FailReport(id, cell::OrderOutcome::kOtherLife, life);
+    }
   });
 }
 
+void World::AnswerReport(SimTarget& target, const cell::ReportCall& call,
+                         Time sent_at, std::uint64_t life) {
+  target.fence = std::max(target.fence, m_cell->epoch);
+  for (const cell::EndReport& end : target.ended) {
+    if (end.sequence <= call.acked_end && end.end == cell::RunEnd::kDone) {
+      m_checker.DoneAcknowledged(end.run.task);
+    }
+  }
+  const cell::TargetReport report =
+      standins::TakeReportCall(target, call, m_now);
+  At(m_now + m_options.link,
+     [this, id = target.entry.id, report, sent_at, life] {
+       if (life != m_life) {
+         return;
+       }
+       cell::Actions actions;
+       cell::Reported(*m_cell, actions, id, report, sent_at, m_now);
+       Act(std::move(actions));
+       SimTarget* again = Find(id);
+       if (again == nullptr) {
+         FailReport(id, cell::OrderOutcome::kOtherLife, life);
+         return;
+       }
+       again->reporting = false;
+       const bool unacked = !again->ended.empty();
+       At(m_now + (unacked ? Millis(50) : kReportInterval), [this, id, life] {
+         SimTarget* next = Find(id);
+         if (life == m_life && next != nullptr) {
+           Report(*next);
+         } else if (life == m_life) {
+           FailReport(id, cell::OrderOutcome::kOtherLife, life);
+         }
+       });
+     });
+}
+
 bool World::Allows(const std::string& queue, const std::string& step,
                    const TargetId& target) const {
   const auto share = m_options.good_shares.find(queue);
--- a/tests/standins/job_checker.cc
+++ b/tests/standins/job_checker.cc
@@ -106,6 +106,9 @@
   if (m_done.contains(run.task)) {
     m_breaches.push_back("again: " + NameOf(run.task));
   }
+  if (m_acknowledged.contains(run.task)) {
+    m_breaches.push_back("again after acknowledgement: " + NameOf(run.task));
+  }
   for (const std::uint32_t before : spec->after) {
     if (!StepDone(job, run.task, before)) {
       m_breaches.push_back("order: " + NameOf(run.task));
@@ -113,6 +116,13 @@
   }
 }
 
+void JobChecker::DoneAcknowledged(const cell::TaskId& task) {
+  m_acknowledged.insert(task);
+  if (m_task_starts[task] > m_starts_before_end[task]) {
+    m_breaches.push_back("again before acknowledgement: " + NameOf(task));
+  }
+}
+
 void JobChecker::ShownCompleted(const std::string& id) {
   const KnownJob& job = m_jobs[id];
   for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
--- a/tests/standins/job_checker.h
+++ b/tests/standins/job_checker.h
@@ -33,7 +33,14 @@
   /// @param strict_acceptance a start before the caller has its answer counts
   void Starting(std::span<const SimTarget> targets, const SimTarget& target,
                 const cell::RunId& run, bool strict_acceptance);
-  void Done(const cell::TaskId& task) { ++m_done[task]; }
+  void Done(const cell::TaskId& task) {
+    ++m_done[task];
+    m_starts_before_end[task] = m_task_starts[task];
+  }
+
+  /// @brief The end of a run as done was acknowledged to its target. From its
+  ///   end on, the task must not have been started again.
+  void DoneAcknowledged(const cell::TaskId& task);
 
   /// @brief A caller was told that a job is completed.
   void ShownCompleted(const std::string& job);
@@ -57,6 +64,8 @@
   std::map<std::string, KnownJob> m_jobs;
   std::map<cell::TaskId, int> m_done;
   std::map<cell::TaskId, int> m_task_starts;
+  std::map<cell::TaskId, int> m_starts_before_end;  ///< Of done tasks.
+  std::set<cell::TaskId> m_acknowledged;
   std::set<std::string> m_started_jobs;
   std::vector<cell::Team> m_teams;
   std::vector<std::string> m_breaches;
--- a/tests/standins/platform_day.cc
+++ b/tests/standins/platform_day.cc
@@ -127,7 +127,7 @@
   const Time now = SteadyNow();
   const auto epoch = static_cast<Epoch>(IntegerAt(*body, "fencing_token", 0));
   if (!PassesFence(target, epoch)) {
-    respond(Conflict(now, "fence"));
+    respond(Conflict(target, now, "fence"));
     return;
   }
   if (request.target == "/buckthornmux/run-start") {
@@ -135,7 +135,8 @@
   } else if (request.target == "/buckthornmux/run-stop") {
     StopRun(target, {ParseTask(StringAt(*body, "task")),
                      static_cast<std::uint32_t>(IntegerAt(*body, "run", 0))});
-    respond(JsonAnswer(200, json::object{{"clock_ms", TargetClock(now)}}));
+    respond(
+        JsonAnswer(200, json::object{{"clock_ms", TargetClock(target, now)}}));
   } else if (request.target == "/buckthornmux/hold") {
     const cell::ReportCall call{
         IntegerAt(*body, "deadline_ms", 0),
@@ -167,18 +168,18 @@
                         static_cast<std::uint32_t>(IntegerAt(body, "run", 0))};
   const std::int64_t deadline = IntegerAt(body, "deadline_ms", 0);
   const auto done =
-      JsonAnswer(200, json::object{{"clock_ms", TargetClock(now)}});
+      JsonAnswer(200, json::object{{"clock_ms", TargetClock(target, now)}});
   if (target.running.contains(run)) {
     respond(done);
     return;
   }
   const cell::OrderOutcome verdict = JudgeStart(target, run, deadline, now);
   if (verdict != cell::OrderOutcome::kDone) {
-    respond(Conflict(now, ReasonOf(verdict)));
+    respond(Conflict(target, now, ReasonOf(verdict)));
     return;
   }
   if (StringAt(body, "ticket").empty()) {
-    respond(Conflict(now, "ticket"));
+    respond(Conflict(target, now, "ticket"));
     return;
   }
   // The acceptance may still be on its way to the caller.
--- a/tests/standins/platform_wire.cc
+++ b/tests/standins/platform_wire.cc
@@ -107,9 +107,10 @@
                                       {"ended", std::move(ended)}});
 }
 
-net::HttpResponse Conflict(Time now, std::string_view reason) {
-  return JsonAnswer(
-      409, json::object{{"clock_ms", TargetClock(now)}, {"reason", reason}});
+net::HttpResponse Conflict(const SimTarget& target, Time now,
+                           std::string_view reason) {
+  return JsonAnswer(409, json::object{{"clock_ms", TargetClock(target, now)},
+                                      {"reason", reason}});
 }
 
 std::string_view ReasonOf(cell::OrderOutcome outcome) {
--- a/tests/standins/platform_wire.h
+++ b/tests/standins/platform_wire.h
@@ -24,7 +24,8 @@
 /// @brief A target's answer that lists its runs.
 [[nodiscard]] net::HttpResponse ReportJson(const cell::TargetReport& report);
 /// @brief A target's refusal.
-[[nodiscard]] net::HttpResponse Conflict(Time now, std::string_view reason);
+[[nodiscard]] net::HttpResponse Conflict(const SimTarget& target, Time now,
+                                         std::string_view reason);
 /// @brief Word for why a start was refused.
 [[nodiscard]] std::string_view ReasonOf(cell::OrderOutcome outcome);
 
--- a/tests/standins/sim_target.cc
+++ b/tests/standins/sim_target.cc
@@ -5,8 +5,6 @@
 namespace buckthornmux::standins {
 namespace {
 
-constexpr std::int64_t kClockOrigin = 500'000;  ///< Of targets, ms.
-
 void EndRun(SimTarget& target, const cell::RunId& id, cell::RunEnd end) {
   target.running.erase(id);
   std::uint32_t& up_to = target.refused_up_to[id.task];
@@ -14,10 +12,32 @@
   target.ended.push_back({++target.sequence, id, end, {}});
 }
 
+void Renew(SimTarget& target, std::int64_t deadline_ms, Time now) {
+  const Millis lease(deadline_ms - TargetClock(target, now));
+  target.lease_until =
+      std::max(target.lease_until, now + std::min(lease, target.max_lease));
+}
+
 }  // namespace
 
-std::int64_t TargetClock(Time now) {
-  return now.time_since_epoch().count() - kClockOrigin;
+std::int64_t TargetClock(const SimTarget& target, Time now) {
+  return now.time_since_epoch().count() - target.clock_origin;
+}
+
+void Crash(SimTarget& target) {
+  target.faults.down = true;
+  target.running.clear();
+  target.refused_up_to.clear();
+  target.ended.clear();
+  target.sequence = 0;
+  target.fence = 0;
+  target.lease_until = {};
+}
+
+void Revive(SimTarget& target, std::int64_t life, std::int64_t clock_origin) {
+  target.faults.down = false;
+  target.entry.life = life;
+  target.clock_origin = clock_origin;
 }
 
 bool PassesFence(SimTarget& target, Epoch epoch) {
@@ -30,7 +50,7 @@
 
 cell::OrderOutcome JudgeStart(const SimTarget& target, const cell::RunId& run,
                               std::int64_t deadline_ms, Time now) {
-  if (deadline_ms <= TargetClock(now)) {
+  if (deadline_ms <= TargetClock(target, now)) {
     return cell::OrderOutcome::kLate;
   }
   const auto refused = target.refused_up_to.find(run.task);
@@ -51,8 +71,7 @@
       static_cast<double>(work.count()) * target.faults.slowdown / target.speed;
   run.ends =
       run.stuck ? Time::max() : now + Millis(static_cast<std::int64_t>(took));
-  target.lease_until = std::max(target.lease_until,
-                                now + Millis(deadline_ms - TargetClock(now)));
+  Renew(target, deadline_ms, now);
   target.running[id] = run;
 }
 
@@ -89,15 +108,14 @@
 cell::TargetReport TakeReportCall(SimTarget& target,
                                   const cell::ReportCall& call, Time now) {
   if (call.deadline_ms > 0) {
-    target.lease_until = std::max(
-        target.lease_until, now + Millis(call.deadline_ms - TargetClock(now)));
+    Renew(target, call.deadline_ms, now);
   }
   std::erase_if(target.ended, [&](const cell::EndReport& end) {
     return end.sequence <= call.acked_end;
   });
   cell::TargetReport report;
   report.life = target.entry.life;
-  report.clock_ms = TargetClock(now);
+  report.clock_ms = TargetClock(target, now);
   report.ended = target.ended;
   for (const auto& [run, state] : target.running) {
     constexpr std::int64_t kAlmostDone = 99;
--- a/tests/standins/sim_target.h
+++ b/tests/standins/sim_target.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,7 @@
   bool fails_all = false;
   bool stuck = false;
   bool cut = false;         ///< Nothing reaches it; it runs on.
+  bool down = false;        ///< Its process has crashed; nothing listens.
   double answers_lost = 0;  ///< Share of orders done but not answered.
   double orders_late = 0;   ///< Share carried out seconds later, unanswered.
   double slowdown = 1;
@@ -42,10 +44,23 @@
   Time lease_until;
   bool reporting = false;  ///< A report is under way.
   bool listed = true;
+  /// Life shown by the list if that is behind; otherwise empty.
+  std::optional<std::int64_t> listed_life;
+  std::int64_t clock_origin = 500'000;  ///< Our clock when its own was 0, ms.
+  Millis max_lease{10'000};             ///< Longer leases are shortened to it.
 };
 
-/// @brief The target's own clock, which has another origin than ours.
-[[nodiscard]] std::int64_t TargetClock(Time now);
+/// @brief The target's own clock, which starts anew with each life.
+[[nodiscard]] std::int64_t TargetClock(const SimTarget& target, Time now);
+
+/// @brief Ends the target's process: it loses its runs, its unacknowledged ends
+///   and all that it knew of owners and of stopped runs.
+void Crash(SimTarget& target);
+
+/// @brief Starts the process again after a crash.
+/// @param life names the new life; not higher than an earlier one if the
+///   target's wall clock was set back
+void Revive(SimTarget& target, std::int64_t life, std::int64_t clock_origin);
 
 /// @brief Whether an order of this epoch is taken; raises the fence if so.
 [[nodiscard]] bool PassesFence(SimTarget& target, Epoch epoch);
