Reports: renew and acknowledge only on a connection to the same process

Callers saw a task run again after its end as done had been acknowledged. Cause: a report call carries the lease deadline on the target's clock and the number up to which ends are acknowledged. Both belong to one process of the target, but the call names only its id. If the target has restarted under that id, its new process forgets ends that the owner has never seen (their numbers start at 1 again), and takes a deadline of another clock. A connection that was open when the process reported leads to that process or to none.

--- a/include/buckthornmux/detail/cell/cell.h
+++ b/include/buckthornmux/detail/cell/cell.h
@@ -77,6 +77,10 @@
 struct ReportCall {
   std::int64_t deadline_ms = 0;  ///< 0 until the target's clock is known.
   std::uint64_t acked_end = 0;
+  /// Deadline and acknowledgement are meant for the process that has reported,
+  /// and would harm the runs and ends of a later one. A connection that was
+  /// open by this time leads to that process or to none.
+  Time connected_by;
 };
 [[nodiscard]] ReportCall MakeReportCall(const Cell& cell, const Target& target,
                                         Time now);
--- a/include/buckthornmux/detail/cell/state.h
+++ b/include/buckthornmux/detail/cell/state.h
@@ -111,7 +111,8 @@
   /// Has no other runs than `runs`, although it does not report.
   bool runs_known = false;
   bool removed = false;
-  Time lease_until;  ///< All runs there have ended after this time.
+  Time life_confirmed;  ///< When the latest report of `entry.life` was requested.
+  Time lease_until;     ///< All runs there have ended after this time.
   Time last_answer;
   /// Has left report calls unanswered for too long; its lease isn't renewed.
   bool silent = false;
--- a/include/buckthornmux/detail/entry/cell_host.h
+++ b/include/buckthornmux/detail/entry/cell_host.h
@@ -101,6 +101,8 @@
   struct ReportLoop {
     bool in_flight = false;
     Time next;
+    /// The next call must suit any process: it renews and acknowledges nothing.
+    bool plain = false;
   };
   struct OpenCall {
     HostId from;
--- a/include/buckthornmux/detail/net/http_types.h
+++ b/include/buckthornmux/detail/net/http_types.h
@@ -25,6 +25,9 @@
   std::string body;            ///< JSON, or empty.
   std::string authorization;   ///< "Bearer <key>", or empty.
   Time send_by = Time::max();  ///< Outgoing: not sent after this time.
+  /// Outgoing: sent only on a connection that is open since this time or
+  /// longer; without one the call fails, and nothing is sent.
+  Time connected_by = Time::max();
   /// Outgoing: once the answer arrives, the call fails only if its time-out has
   /// passed and no part was received for this time. The extension is limited to
   /// 10 s in total. 0: the time-out applies to the whole answer.
--- a/src/cell/reports.cc
+++ b/src/cell/reports.cc
@@ -49,6 +49,7 @@
     DropRuns(cell, actions, target, "target restarted");
   }
   target.entry.life = life;
+  target.life_confirmed = {};
   target.reported = false;
   target.clock_known = false;
   target.seen_end = 0;
@@ -314,6 +315,7 @@
 ReportCall MakeReportCall(const Cell& cell, const Target& target, Time now) {
   ReportCall call;
   call.acked_end = target.acked_end;
+  call.connected_by = target.life_confirmed;
   if (target.clock_known && target.recorded &&
       now - target.last_answer <= kSilenceTimeout) {
     call.deadline_ms = DeadlineAt(cell, target, now);
@@ -376,6 +378,7 @@
   const bool unexpected = target->silent || !target->reported;
   cell.targets_dirty = cell.targets_dirty || (unexpected && !target->recorded);
   target->last_answer = now;
+  target->life_confirmed = sent_at;
   target->silent = false;
   target->runs_known = false;
   target->clock_offset = report.clock_ms - ToMs(now);
--- a/src/entry/cell_reports.cc
+++ b/src/entry/cell_reports.cc
@@ -31,19 +31,27 @@
     return;
   }
   loop.in_flight = true;
-  const cell::ReportCall call = cell::MakeReportCall(*m_cell, target, now);
+  cell::ReportCall call = cell::MakeReportCall(*m_cell, target, now);
+  if (loop.plain) {
+    call = {};
+  }
+  const bool for_one_life = call.deadline_ms > 0 || call.acked_end > 0;
+  loop.plain = for_one_life;
   if (call.deadline_ms > 0) {
     cell::OnLeaseSent(*m_cell, id, now);
   }
   const bool first = !target.reported || !target.clock_known || unacked;
   const Millis wait = first ? Millis(0) : kReportTimeout;
-  m_client.Call(
-      target.entry.address, m_calls.report(id, call, m_cell->epoch, wait),
-      wait + kReportMargin, [this, term = m_term, id, now](const auto& answer) {
-        if (term == m_term) {
-          HandleReport(id, now, answer);
-        }
-      });
+  net::HttpRequest request = m_calls.report(id, call, m_cell->epoch, wait);
+  if (for_one_life) {
+    request.connected_by = call.connected_by;
+  }
+  m_client.Call(target.entry.address, std::move(request), wait + kReportMargin,
+                [this, term = m_term, id, now](const auto& answer) {
+                  if (term == m_term) {
+                    HandleReport(id, now, answer);
+                  }
+                });
 }
 
 void CellHost::HandleReport(const TargetId& id, Time sent_at,
@@ -60,6 +68,7 @@
     });
     if (const auto* good = std::get_if<cell::TargetReport>(&report)) {
       m_metrics.Count(Counter::kTasksEnded, good->ended.size());
+      loop.plain = false;
       cell::Reported(*m_cell, actions, id, *good, sent_at, now);
     } else {
       LogLine("report_unreadable", Level::kWarning)
@@ -69,7 +78,8 @@
     }
   }
   if (outcome != cell::OrderOutcome::kDone) {
-    loop.next = now + kReportRetryDelay;
+    // What was meant for one process is followed by a call to any.
+    loop.next = loop.plain ? now : now + kReportRetryDelay;
     cell::ReportFailed(*m_cell, actions, id, outcome, now);
   }
   const auto target = m_cell->targets.find(id);
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -157,6 +157,7 @@
       co_return nullptr;
     }
     connection->stream.socket().set_option(tcp::no_delay(true), error);
+    connection->opened = SteadyClock::now();
     co_return connection;
   }
 
@@ -213,12 +214,22 @@
     co_return response;
   }
 
-  /// Takes an idle connection and discards those that the peer has closed, so
-  /// that no request is sent on a closed connection.
-  static ConnectionPtr TakeIdle(Peer& peer) {
-    while (!peer.idle.empty()) {
-      ConnectionPtr connection = std::move(peer.idle.back());
-      peer.idle.pop_back();
+  /// Takes an idle connection that was open by a time, and discards those that
+  /// the peer has closed, so that no request is sent on a closed connection.
+  static ConnectionPtr TakeIdle(Peer& peer, Time connected_by) {
+    const auto old_enough = [&](const ConnectionPtr& connection) {
+      return connected_by == Time::max() ||
+             connection->opened <=
+                 SteadyClock::time_point(connected_by.time_since_epoch());
+    };
+    while (true) {
+      const auto found = std::ranges::find_if(peer.idle.rbegin(),
+                                              peer.idle.rend(), old_enough);
+      if (found == peer.idle.rend()) {
+        return nullptr;
+      }
+      ConnectionPtr connection = std::move(*found);
+      peer.idle.erase(std::next(found).base());
       auto& socket = connection->stream.socket();
       error_code error;
       socket.non_blocking(true, error);
@@ -228,7 +239,6 @@
         return connection;
       }
     }
-    return nullptr;
   }
 
   static asio::awaitable<void> Run(std::shared_ptr<Impl> self,
@@ -237,14 +247,19 @@
     Outcome<HttpResponse> outcome =
         PeerUnreachable("timed out in the call queue");
     ConnectionPtr connection;
+    bool all_too_new = false;
     bool sent = false;
     bool reusable = false;
     if (SteadyClock::now() < call.deadline) {
-      connection = TakeIdle(*peer);
-      if (!connection) {
+      const bool may_open = call.request.connected_by == Time::max();
+      connection = TakeIdle(*peer, call.request.connected_by);
+      all_too_new = !connection && !may_open;
+      if (!connection && may_open) {
         connection = co_await self->Open(*peer, call.deadline);
       }
-      if (!connection) {
+      if (all_too_new) {
+        outcome = PeerUnreachable("no idle connection is old enough");
+      } else if (!connection) {
         outcome = PeerUnreachable("can't connect to " + peer->address);
       } else if (std::chrono::time_point_cast<Millis>(SteadyClock::now()) >
                  call.request.send_by) {
@@ -259,7 +274,7 @@
       if (reusable) {
         peer->idle.push_back(connection);
       }
-    } else {
+    } else if (!all_too_new) {
       CloseSuspectConnections(*peer);
     }
     --peer->active;
--- a/tests/standins/sim_target.cc
+++ b/tests/standins/sim_target.cc
@@ -30,6 +30,7 @@
   target.refused_up_to.clear();
   target.ended.clear();
   target.sequence = 0;
+  target.lapsed_after = 0;
   target.fence = 0;
   target.lease_until = {};
 }
@@ -84,6 +85,9 @@
 }
 
 std::vector<cell::TaskId> Advance(SimTarget& target, Time now) {
+  if (now >= target.lease_until) {
+    target.lapsed_after = target.sequence;
+  }
   std::vector<cell::RunId> over;
   for (const auto& [id, run] : target.running) {
     if (now >= run.ends || now >= target.lease_until) {
--- a/tests/standins/sim_target.h
+++ b/tests/standins/sim_target.h
@@ -42,6 +42,8 @@
   std::vector<cell::EndReport> ended;
   std::uint64_t sequence = 0;
   Time lease_until;
+  /// Ends up to this number were listed before the lease last ran out.
+  std::uint64_t lapsed_after = 0;
   bool reporting = false;  ///< A report is under way.
   bool listed = true;
   /// Life shown by the list if that is behind; otherwise empty.
--- a/tests/unit-http.cc
+++ b/tests/unit-http.cc
@@ -2,10 +2,12 @@
 // connections.
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
+#include <memory>
 #include <thread>
 
 #include "buckthornmux/detail/net/http_client.h"
@@ -45,6 +47,7 @@
   CPPUNIT_TEST(UnresponsiveConnectionsAreClosed);
   CPPUNIT_TEST(QueueTimeCountsTowardsTheTimeout);
   CPPUNIT_TEST(NothingIsSentAfterSendBy);
+  CPPUNIT_TEST(NothingIsSentOnAConnectionThatIsTooNew);
   CPPUNIT_TEST(AnswerKeepsRetryAfterAndClosingIsUnknown);
   CPPUNIT_TEST_SUITE_END();
 
@@ -155,6 +158,34 @@
     CPPUNIT_ASSERT_EQUAL(1, received);
   }
 
+  // Guards against a call for one process that reaches the next one at the same
+  // address.
+  void NothingIsSentOnAConnectionThatIsTooNew() {
+    IoThread io;
+    std::atomic<int> received = 0;
+    auto server = std::make_unique<HttpServer>(
+        io.io, HttpServerOptions(), [&](HttpRequest, Responder respond) {
+          ++received;
+          respond({.body = "ok"});
+        });
+    HttpClient client(io.io, {});
+    const auto now = [] {
+      return std::chrono::time_point_cast<Millis>(
+          std::chrono::steady_clock::now());
+    };
+    const auto succeeds = [&](Time connected_by) {
+      HttpRequest request;
+      request.connected_by = connected_by;
+      return std::holds_alternative<HttpResponse>(client.CallAndWait(
+          AddressOf(*server), std::move(request), kCallTimeout));
+    };
+    CPPUNIT_ASSERT(!succeeds(now()));
+    CPPUNIT_ASSERT(succeeds(Time::max()));
+    CPPUNIT_ASSERT(!succeeds(now() - kCallTimeout));
+    CPPUNIT_ASSERT(succeeds(now() + Millis(1)));
+    CPPUNIT_ASSERT_EQUAL(2, received.load());
+  }
+
   void AnswerKeepsRetryAfterAndClosingIsUnknown() {
     IoThread io;
     HttpServer server(io.io, {},
