--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -63,8 +63,15 @@
   Millis link{2};              ///< One-way network delay.
   Millis store{6};             ///< Duration of a write.
   Millis round{0};             ///< Minimum interval of planning rounds.
+  Millis deadly_after{20};   ///< From the start of a deadly task to the crash.
+  Millis deadly_down{3000};  ///< Until a crashed target is up again.
+  /// Share of crashed targets that are up again under their own id.
+  double same_id_share = 0;
 };
 
+/// Payload of jobs whose tasks crash the targets that start them.
+inline constexpr std::string_view kDeadly = "deadly";
+
 struct BatchSize {
   std::size_t writes = 0;
   std::size_t bytes = 0;  ///< Total size of keys and values.
@@ -147,6 +154,8 @@
   [[nodiscard]] const std::map<std::string, int>& Stops() const {
     return m_stops;
   }
+  /// @brief Number of targets that deadly tasks have crashed.
+  [[nodiscard]] int Crashes() const { return m_checker.Crashes(); }
   [[nodiscard]] int AdviceCalls() const { return m_advice_calls; }
   /// @brief CPU time of each planning round, in order.
   [[nodiscard]] const std::vector<std::clock_t>& RoundTimes() const {
@@ -179,6 +188,8 @@
   void DeliverStart(const cell::SendStart& start);
   void DeliverStop(const cell::SendStop& stop);
   cell::OrderOutcome Begin(SimTarget& target, const cell::SendStart& start);
+  /// Crashes the target of a deadly task soon, if the task is still there.
+  void CrashSoon(const SimTarget& target, const RunId& run);
   void Ask(const cell::AskAdvice& ask);
   void Report(SimTarget& target);
   void FailReport(const TargetId& id, cell::OrderOutcome outcome,
--- a/tests/standins/cell_world.cc
+++ b/tests/standins/cell_world.cc
@@ -427,9 +427,30 @@
   const cell::StepSpec& spec = *m_checker.StepOf(start.run.task);
   standins::BeginRun(target, start.run, spec.demand,
                      TrueTime(start.run.task, spec), start.deadline_ms, m_now);
+  if (start.payload == kDeadly) {
+    CrashSoon(target, start.run);
+  }
   return cell::OrderOutcome::kDone;
 }
 
+void World::CrashSoon(const SimTarget& target, const RunId& run) {
+  const auto index = static_cast<int>(&target - m_targets.data());
+  At(m_now + m_options.deadly_after, [this, index, run] {
+    SimTarget& there = Target(index);
+    if (!there.running.contains(run)) {
+      return;
+    }
+    m_checker.Crashed(run.task);
+    const std::int64_t life = m_now.time_since_epoch().count();
+    constexpr Millis kListAfter{100};
+    if (Chance(m_options.same_id_share)) {
+      Restart(index, m_options.deadly_down, kListAfter, life);
+    } else {
+      Rename(index, m_options.deadly_down, kListAfter, life);
+    }
+  });
+}
+
 /// Returns the run time of a task at full speed. It differs from the estimate
 /// by the same factor for all tasks of a step.
 Millis World::TrueTime(const cell::TaskId& task,
--- a/tests/standins/job_checker.cc
+++ b/tests/standins/job_checker.cc
@@ -106,6 +106,12 @@
   if (m_done.contains(run.task)) {
     m_breaches.push_back("again: " + NameOf(run.task));
   }
+  constexpr int kMaxFurtherStarts = 2;
+  const auto limited = m_starts_before_third_crash.find(run.task);
+  if (limited != m_starts_before_third_crash.end() &&
+      m_task_starts[run.task] > limited->second + kMaxFurtherStarts) {
+    m_breaches.push_back("budget: " + NameOf(run.task));
+  }
   if (m_acknowledged.contains(run.task)) {
     m_breaches.push_back("again after acknowledgement: " + NameOf(run.task));
   }
@@ -116,6 +122,14 @@
   }
 }
 
+void JobChecker::Crashed(const cell::TaskId& task) {
+  constexpr int kCrashesUntilLimit = 3;
+  ++m_crashes;
+  if (++m_task_crashes[task] == kCrashesUntilLimit) {
+    m_starts_before_third_crash[task] = m_task_starts[task];
+  }
+}
+
 void JobChecker::DoneAcknowledged(const cell::TaskId& task) {
   m_acknowledged.insert(task);
   if (m_task_starts[task] > m_starts_before_end[task]) {
--- a/tests/standins/job_checker.h
+++ b/tests/standins/job_checker.h
@@ -42,6 +42,9 @@
   ///   end on, the task must not have been started again.
   void DoneAcknowledged(const cell::TaskId& task);
 
+  /// @brief A task has crashed the target that had started it.
+  void Crashed(const cell::TaskId& task);
+
   /// @brief A caller was told that a job is completed.
   void ShownCompleted(const std::string& job);
 
@@ -50,6 +53,7 @@
   [[nodiscard]] const std::vector<std::string>& Breaches() const {
     return m_breaches;
   }
+  [[nodiscard]] int Crashes() const { return m_crashes; }
   [[nodiscard]] int Starts() const { return m_starts; }
   [[nodiscard]] int StartsOf(const cell::TaskId& task) const;
 
@@ -66,6 +70,9 @@
   std::map<cell::TaskId, int> m_task_starts;
   std::map<cell::TaskId, int> m_starts_before_end;  ///< Of done tasks.
   std::set<cell::TaskId> m_acknowledged;
+  std::map<cell::TaskId, int> m_task_crashes;
+  std::map<cell::TaskId, int> m_starts_before_third_crash;
+  int m_crashes = 0;
   std::set<std::string> m_started_jobs;
   std::vector<cell::Team> m_teams;
   std::vector<std::string> m_breaches;
--- /dev/null
+++ b/tests/unit-deadly-tasks.cc
@@ -0,0 +1,182 @@
+// Tasks that crash the targets that start them.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <cstdlib>
+#include <random>
+
+#include "cell_world.h"
+#include "plain_cell.h"
+
+namespace buckthornmux::tests {
+namespace {
+
+class DeadlyTasksTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(DeadlyTasksTest);
+  CPPUNIT_TEST(DeadlyTaskIsGivenUpAfterTwoCrashes);
+  CPPUNIT_TEST(TasksBesideADeadlyOneAreDone);
+  CPPUNIT_TEST(CrashesAreCountedOverAChangeOfTheOwner);
+  CPPUNIT_TEST(OtherCallersAreServedWhileManyTasksAreDeadly);
+  CPPUNIT_TEST(RandomCrashesGiveUpDeadlyTasksOnly);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against a task that is started again on target after target.
+  void DeadlyTaskIsGivenUpAfterTwoCrashes() {
+    for (const double same_id : {0.0, 1.0}) {
+      WorldOptions options = Targets(6);
+      options.same_id_share = same_id;
+      World world(options);
+      Open(world);
+      world.Submit(Deadly("deadly", 1));
+      world.RunUntil(world.NowTime() + Millis(30'000));
+      CPPUNIT_ASSERT_EQUAL(2, world.Crashes());
+      CPPUNIT_ASSERT(world.PhaseOf("deadly") == cell::JobPhase::kFailed);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.Breaches().size());
+    }
+  }
+
+  // Guards against giving up tasks that ran on the crashed targets only.
+  void TasksBesideADeadlyOneAreDone() {
+    World world(Targets(3));
+    Open(world);
+    for (int i = 0; i < 10; ++i) {
+      world.Submit(PlainJob("plain-" + std::to_string(i), 3, 2500));
+    }
+    world.Submit(Deadly("deadly", 2));
+    world.RunUntil(world.NowTime() + Millis(40'000));
+    CPPUNIT_ASSERT(world.PhaseOf("deadly") == cell::JobPhase::kFailed);
+    for (int i = 0; i < 10; ++i) {
+      CPPUNIT_ASSERT(world.PhaseOf("plain-" + std::to_string(i)) ==
+                     cell::JobPhase::kCompleted);
+    }
+    CPPUNIT_ASSERT(world.Crashes() <= 3);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.Breaches().size());
+  }
+
+  // Guards against a next owner that starts from zero.
+  void CrashesAreCountedOverAChangeOfTheOwner() {
+    World world(Targets(6));
+    Open(world);
+    world.Submit(Deadly("deadly", 1));
+    for (int i = 0; i < 8; ++i) {
+      world.RunUntil(world.NowTime() + Millis(5000));
+      world.ReplaceOwner(Millis(400));
+    }
+    world.RunUntil(world.NowTime() + Millis(20'000));
+    CPPUNIT_ASSERT(world.PhaseOf("deadly") == cell::JobPhase::kFailed);
+    CPPUNIT_ASSERT(world.Crashes() <= 3);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.Breaches().size());
+  }
+
+  // The load of the users' day: one job in ten is deadly for 10 s.
+  void OtherCallersAreServedWhileManyTasksAreDeadly() {
+    World world(Targets(48));
+    Open(world);
+    const Time begin = world.NowTime();
+    std::mt19937_64 random(5);
+    for (int i = 0; i < 400; ++i) {
+      const bool deadly = i >= 100 && i < 300 && i % 10 == 0;
+      cell::JobSpec job = PlainJob("job-" + std::to_string(i), 2, 800);
+      job.steps[0].demand.cpu_milli = 1400;
+      if (deadly) {
+        job.payload = kDeadly;
+      }
+      world.At(begin + Millis(i * 50), [&world, job] { world.Submit(job); });
+    }
+    world.RunUntil(begin + Millis(50'000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.Breaches().size());
+    const SimCount count = world.CountOf("plain");
+    CPPUNIT_ASSERT_EQUAL(20, count.failed);
+    // 0.85 of the 380 others in time.
+    CPPUNIT_ASSERT(count.in_time >= 323);
+    CPPUNIT_ASSERT(world.Crashes() <= 2 * 20);
+  }
+
+  // DEADLY_SEEDS=N plays more seeds by hand.
+  void RandomCrashesGiveUpDeadlyTasksOnly() {
+    constexpr int kSeeds = 8;
+    const char* wanted = std::getenv("DEADLY_SEEDS");
+    const int seeds = wanted == nullptr ? kSeeds : std::atoi(wanted);
+    for (int seed = 1; seed <= seeds; ++seed) {
+      PlayRandom(static_cast<std::uint64_t>(seed));
+    }
+  }
+
+ private:
+  static WorldOptions Targets(int count) {
+    WorldOptions options;
+    options.targets = count;
+    return options;
+  }
+
+  static void Open(World& world) {
+    world.SetRules({PlainQueue("plain")});
+    world.RunUntil(world.NowTime() + Millis(200));
+  }
+
+  static cell::JobSpec Deadly(const std::string& id, std::uint32_t tasks) {
+    cell::JobSpec job = PlainJob(id, tasks, 800);
+    job.payload = kDeadly;
+    return job;
+  }
+
+  static void PlayRandom(std::uint64_t seed) {
+    std::mt19937_64 random(seed);
+    const auto number = [&random](std::int64_t least, std::int64_t most) {
+      return std::uniform_int_distribution<std::int64_t>(least, most)(random);
+    };
+    WorldOptions options = Targets(16);
+    options.seed = seed;
+    options.deadly_after = Millis(number(0, 300));
+    options.deadly_down = Millis(number(100, 4000));
+    options.same_id_share = 0.5 * static_cast<double>(number(0, 2));
+    World world(options);
+    Open(world);
+    const Time begin = world.NowTime();
+    std::set<std::string> deadly;
+    for (int i = 0; i < 150; ++i) {
+      cell::JobSpec job = PlainJob("job-" + std::to_string(i),
+                                   static_cast<std::uint32_t>(number(1, 6)),
+                                   static_cast<int>(number(100, 3000)));
+      job.steps[0].gang = number(0, 3) == 0;
+      if (number(0, 9) == 0) {
+        job.payload = kDeadly;
+        deadly.insert(job.id);
+      }
+      world.At(begin + Millis(number(0, 20'000)),
+               [&world, job] { world.Submit(job); });
+    }
+    for (int i = 0; i < 16; ++i) {
+      world.Target(i).faults.answers_lost = 0.02;
+    }
+    // A cut must not make the tasks behind it suspects for good.
+    for (int i = 0; i < 4; ++i) {
+      const auto cut = static_cast<int>(number(0, 15));
+      const Time from = begin + Millis(number(0, 15'000));
+      world.At(from, [&world, cut] { world.Target(cut).faults.cut = true; });
+      world.At(from + Millis(number(500, 6000)),
+               [&world, cut] { world.Target(cut).faults.cut = false; });
+    }
+    world.At(begin + Millis(number(0, 20'000)),
+             [&world] { world.ReplaceOwner(Millis(400)); });
+    world.RunUntil(begin + Millis(120'000));
+    const std::string name = "seed " + std::to_string(seed) + ": ";
+    for (const std::string& breach : world.Breaches()) {
+      CPPUNIT_ASSERT_MESSAGE(name + breach, breach.starts_with("again: "));
+    }
+    for (const auto& [id, job] : world.KnownJobs()) {
+      if (job.accepted) {
+        const bool is_deadly = deadly.contains(id);
+        CPPUNIT_ASSERT_MESSAGE(
+            name + id,
+            world.PhaseOf(id) == (is_deadly ? cell::JobPhase::kFailed
+                                            : cell::JobPhase::kCompleted));
+      }
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DeadlyTasksTest);
+
+}  // namespace
+}  // namespace buckthornmux::tests
