Cell: only reports decide about a target's runs, capacities and leases

What callers would see: two runs of one task. Changed: - The list never drops runs: an entry without a start time, or one that is behind, made the owner drop runs of the life in force.

--- a/include/buckthornmux/detail/cell/state.h
+++ b/include/buckthornmux/detail/cell/state.h
@@ -119,7 +119,8 @@
   bool removed = false;
   Time life_since;      ///< When `entry.life` became known.
   Time life_confirmed;  ///< When its latest report was requested.
-  /// Life in the latest list of targets, which may be behind `entry.life`.
+  /// Life in the latest list of targets, whose capacity and labels `entry` has.
+  /// If it isn't `entry.life`, the target gets no new runs.
   std::int64_t listed_life = 0;
   std::vector<std::int64_t> former_lives;
   /// Runs reported in the current life have ended after this time.
--- a/src/cell/internal.h
+++ b/src/cell/internal.h
@@ -123,6 +123,9 @@
 
 /// Lease deadline for a start or renewal at a target, on the target's clock.
 [[nodiscard]] std::int64_t DeadlineAt(const Cell& cell, const Target& target,
+/// Maximum time that runs continue after a renewal to a lease of this length.
+[[nodiscard]] Millis LeaseLifetime(const Options& options, Millis lease);
+
                                       Time now);
 
 [[nodiscard]] inline std::int64_t ToMs(Time time) {
--- a/src/cell/record_targets.cc
+++ b/src/cell/record_targets.cc
@@ -158,7 +158,7 @@
   }
   for (const auto& [id, target] : cell.targets) {
     if (!target.runs.empty()) {
-      until[id] = std::max(until[id], target.lease_until);
+      until[id] = std::max(until[id], LastRunEnd(cell, target));
     }
   }
   std::vector<StoredTarget> left;
@@ -183,7 +183,7 @@
     return !until.contains(entry.first);
   });
   for (auto& [id, time] : cell.expected) {
-    time = std::min(time, until.at(id));
+    time = until.at(id);
   }
   cell.targets_dirty = true;
   Note(actions, "former_owner_told",
--- a/src/cell/reports.cc
+++ b/src/cell/reports.cc
@@ -33,9 +33,6 @@
 /// Suspension of a slow target, extended while it stays slow.
 constexpr Millis kSlowSuspension{1500};
 
-/// Former lives by which a list that is behind is recognized.
-constexpr std::size_t kMaxFormerLives = 16;
-
 std::string RackOf(const TargetEntry& entry) {
   return entry.labels.size() > 1 ? entry.labels.back() : std::string();
 }
@@ -47,21 +44,16 @@
   return run.life != 0 && run.life != target.entry.life && !run.unsure;
 }
 
-/// Begins a new life of a restarted target. Runs that may be in the new life
-/// are kept until a report of that life tells.
+/// Begins a new life of a restarted target, which a report has shown.
 void BeginLife(Cell& cell, Actions& actions, Target& target, std::int64_t life,
-               std::string_view why, Time now) {
+               Time now) {
   if (target.entry.life != 0) {
-    target.former_lives.push_back(target.entry.life);
-    if (target.former_lives.size() > kMaxFormerLives) {
-      target.former_lives.erase(target.former_lives.begin());
-    }
     Note(actions, "target_restarted",
          {{"target", target.entry.id},
           {"former_life", std::to_string(target.entry.life)},
-          {"life", std::to_string(life)},
-          {"seen_by", std::string(why)}});
+          {"life", std::to_string(life)}});
   }
+  target.former_life = target.entry.life;
   target.entry.life = life;
   target.life_since = now;
   target.life_confirmed = {};
@@ -85,26 +77,24 @@
   for (const RunId& id : ended) {
     DropRun(cell, actions, target, id, "target restarted");
   }
+  // Orders sent by the former clock may have set a longer lease.
+  target.lease_until =
+      std::max(target.lease_until,
+               now + LeaseLifetime(cell.options, cell.options.longest_lease));
   cell.plan_due = true;
 }
 
-/// Applies the life that the list shows. Start times of lives are not compared,
-/// since a target's wall clock may have been set back.
-void UpdateListedLife(Cell& cell, Actions& actions, Target& target,
-                      std::int64_t life, Time now) {
-  const bool followed = target.listed_life == target.entry.life;
-  if (life == target.listed_life) {
+/// Applies the life that the list shows. The list may be ahead or behind, and
+/// start times of lives don't tell, since a wall clock may have been set back;
+/// so runs are kept until a report of the new life.
+void UpdateListedLife(Actions& actions, Target& target, std::int64_t life) {
+  if (life == 0 || life == target.listed_life) {
     return;
   }
   target.listed_life = life;
-  if (life == target.entry.life ||
-      std::ranges::count(target.former_lives, life) > 0) {
-    return;
-  }
-  if (followed || target.entry.life == 0) {
-    BeginLife(cell, actions, target, life, "list", now);
-  } else {
-    // Reports are ahead of the list; only the next one tells which life is now.
+  if (target.entry.life == 0) {
+    target.entry.life = life;
+  } else if (life != target.entry.life) {
     target.reported = false;
     Note(actions, "target_life_unclear",
          {{"target", target.entry.id},
@@ -123,7 +113,7 @@
 
 void UpdateTarget(Cell& cell, Actions& actions, Target& target,
                   const TargetEntry& entry, Time now) {
-  UpdateListedLife(cell, actions, target, entry.life, now);
+  UpdateListedLife(actions, target, entry.life);
   if (entry.draining && !target.entry.draining) {
     Note(actions, "target_draining",
          {{"target", entry.id},
@@ -424,7 +414,7 @@
     return;
   }
   const bool other_life = report.life != target->entry.life;
-  // An answer that was under way when the list showed a new life may be of the
+  // An answer that was under way when a new life was reported may be of the
   // former one.
   if (report.life == 0 || (other_life && sent_at < target->life_since)) {
     Note(actions, "report_ignored",
@@ -436,7 +426,7 @@
     return;
   }
   if (other_life) {
-    BeginLife(cell, actions, *target, report.life, "report", now);
+    BeginLife(cell, actions, *target, report.life, now);
   }
   // The stored list allows only for a shorter lease of such a target.
   const bool unexpected = target->silent || !target->reported;
--- a/src/cell/round.cc
+++ b/src/cell/round.cc
@@ -80,7 +80,7 @@
 }
 
 Round BeginRound(Cell& cell, Actions& actions, Time now) {
-  Round round{cell, actions, now, {}, {}, {}, LaneCallTimes(cell), 0};
+  Round round{cell, actions, now, {}, {}, {}, LaneCallTimes(cell), {}, 0};
   round.slots.reserve(cell.targets.size());
   for (auto& [id, target] : cell.targets) {
     const TargetHealth& health = target.health;
--- a/src/cell/runs.cc
+++ b/src/cell/runs.cc
@@ -67,6 +67,7 @@
                   DeadlineAt(cell, target, now)};
   ++run.tries;
   run.in_flight = true;
+  OnLeaseSent(cell, target.entry.id, now);
   actions.emplace_back(std::move(start));
 }
 
@@ -99,11 +100,6 @@
         {"reason", std::string(why)}});
 }
 
-Millis LeaseLifetime(const Options& options, Millis lease) {
-  return lease + lease * options.drift_per_mille / kPerMille +
-         options.stop_time;
-}
-
 }  // namespace
 
 std::string_view OutcomeName(OrderOutcome outcome) {
@@ -366,6 +362,11 @@
   ReleaseRun(cell, target, id);
 }
 
+Millis LeaseLifetime(const Options& options, Millis lease) {
+  return lease + lease * options.drift_per_mille / kPerMille +
+         options.stop_time;
+}
+
 Millis MaxLeaseLifetime(const Options& options) {
   return LeaseLifetime(options, options.lease);
 }
--- a/tests/unit-target-restart.cc
+++ b/tests/unit-target-restart.cc
@@ -28,9 +28,14 @@
   void RunOfANewLifeIsKeptWhenTheListShowsThatLife() {
     World world(Targets(3));
     Open(world);
-    world.Restart(0, Millis(20), Millis(300), kNextLife);
-    world.Restart(1, Millis(20), Millis(300), kNextLife);
-    world.RunUntil(world.NowTime() + Millis(40));
+    for (const int index : {0, 1}) {
+      world.Target(index).faults.cut = true;  // The restart isn't noticed.
+      world.Restart(index, Millis(20), Millis(300), kNextLife);
+    }
+    world.RunUntil(world.NowTime() + Millis(30));
+    world.Target(0).faults.cut = false;
+    world.Target(1).faults.cut = false;
+    world.RunUntil(world.NowTime() + Millis(10));
     world.Submit(PlainJob("job", 20, 800));
     world.RunUntil(world.NowTime() + Millis(6000));
     AssertNoBreach(world, "restart");
@@ -137,7 +142,13 @@
         const Millis down = time(5, number(0, 1) == 0 ? 60 : 2500);
         const Millis list_after = time(0, 2500);
         const bool renamed = number(0, 4) == 0;
-        world.At(at, [&world, i, down, list_after, life, renamed] {
+        const bool noticed = number(0, 1) == 0;
+        world.At(at, [&world, i, down, list_after, life, renamed, noticed] {
+          if (!noticed) {
+            world.Target(i).faults.cut = true;
+            world.At(world.NowTime() + down,
+                     [&world, i] { world.Target(i).faults.cut = false; });
+          }
           if (renamed) {
             world.Rename(i, down, list_after, life);
           } else {
