Cell: tasks are suspected of crashes, run on probation, and are given up

Class of fault: a loss of a target was put down to nothing. A crash is known by a report of a new life, or by another id answering at the address; silence alone is none. Tasks that began within 200 ms before it are suspects. The crash is stored before a suspect starts again. It then runs on probation: no task that began within 0.5 s is there, no other job may start there, one task of the job at a time. It is cleared by its end or after 200 ms without a crash, and given up after a second crash that no other job's task can explain; its job ends as failed, with a log line that names target, life and run of each crash. Those that were beside it are cleared then. A task whose crashes come late in its runs is suspected after two of them and needs an empty target. Runs of a target that another id has replaced are released at once instead of at the end of the lease, and a target whose calls fail gets no new runs until it reports. The test of many deadly jobs counted two crashes a job, but both tasks of its jobs are deadly and may start on two targets: it now holds two crashes a task. The random test of restarts accepts a job that failed only if two targets have crashed under one of its tasks, as the rule says.

--- a/include/buckthornmux/detail/cell/state.h
+++ b/include/buckthornmux/detail/cell/state.h
@@ -28,6 +28,11 @@
   Millis job_retention{130'000};  ///< How long ended jobs stay visible.
   /// Not used: an unanswered start is resent immediately.
   Millis start_retry_delay{150};
+  /// A task that crashes its target does so within this time of its start.
+  Millis crash_clearance{200};
+  /// A crash is put down to a task only if no other job's task had begun within
+  /// this time before it.
+  Millis crash_doubt{500};
   int start_tries = 3;  ///< Sends of a start before the run is stopped.
   Millis stop_retry_delay{250};  ///< Delay before an unanswered stop is resent.
   Millis write_delay{150};       ///< Batching delay of task ends.
@@ -83,6 +88,9 @@
   int priority = 0;
   bool checkpoints = false;
   bool gang = false;
+  /// Its task is suspected of crashes; no other job may start on its target
+  /// until it has run for Options::crash_clearance.
+  bool probation = false;
   Millis estimate{0};
 };
 
@@ -122,10 +130,13 @@
   /// Life in the latest list of targets, whose capacity and labels `entry` has.
   /// If it isn't `entry.life`, the target gets no new runs.
   std::int64_t listed_life = 0;
-  std::vector<std::int64_t> former_lives;
+  std::int64_t former_life = 0;
+  Time crashed_at;  ///< When its former process was last known to be there.
   /// Runs reported in the current life have ended after this time.
   Time lease_until;
   Time last_answer;
+  /// When the first call since the last report failed; empty if none did.
+  std::optional<Time> failing_since;
   /// Has left report calls unanswered for too long; its lease isn't renewed.
   bool silent = false;
   Resources used;
@@ -139,6 +150,19 @@
   TargetHealth health;
 };
 
+/// A crash of a target while it ran a task.
+struct TaskCrash {
+  std::uint32_t run = 0;
+  TargetId target;
+  std::int64_t life = 0;
+  bool fresh = false;  ///< The run had begun within the clearance time.
+  /// The target had confirmed the run. A start without an answer may never have
+  /// reached it.
+  bool confirmed = false;
+
+  bool operator==(const TaskCrash&) const = default;
+};
+
 enum class TaskPhase : std::uint8_t { kWaiting, kLive, kDone };
 
 struct Task {
@@ -149,6 +173,9 @@
   TargetId target;  ///< Target of the live run.
   std::uint32_t run = 0;
   std::string checkpoint;
+  /// Crashes of targets that ran it and of which it isn't cleared.
+  std::vector<TaskCrash> crashes;
+  std::uint64_t crash_version = 0;  ///< Job version with the last of them.
   [[nodiscard]] std::uint32_t Failures() const {
     return static_cast<std::uint32_t>(failed_runs.size());
   }
--- a/src/cell/internal.h
+++ b/src/cell/internal.h
@@ -87,6 +87,25 @@
 void HandleRunEnd(Cell& cell, Actions& actions, Target& target,
                   const EndReport& end, Time now);
 
+/// Whether a task may have caused the crash of a target.
+[[nodiscard]] bool IsSuspect(const Task& task);
+
+/// Whether a task is suspected although no crash came soon after its start.
+[[nodiscard]] bool IsSlowSuspect(const Task& task);
+
+/// Records the crash of a target's process for the tasks that it ran. Those
+/// that had just begun are suspected; without such, all of them are.
+/// @param crashed_at latest time at which the process may have crashed
+/// @param runs runs that the process had, still held by the target
+void HandleCrash(Cell& cell, Actions& actions, const Target& target,
+                 std::int64_t life, Time crashed_at,
+                 std::span<const RunId> runs, Time now);
+
+/// Lifts the suspicion that a task crashes targets soon after its start, or any
+/// suspicion.
+void ClearSuspicion(Cell& cell, Actions& actions, const RunId& id,
+                    bool of_all_crashes, Time now);
+
 /// Drops a run that has ended with its target's life or lease.
 void DropRun(Cell& cell, Actions& actions, Target& target, const RunId& id,
              std::string_view why);
@@ -104,6 +123,9 @@
 /// Advances the acknowledged end up to the first whose job isn't stored.
 void AdvanceAcks(Cell& cell, Target& target);
 
+/// Maximum time that runs continue after a renewal to a lease of this length.
+[[nodiscard]] Millis LeaseLifetime(const Options& options, Millis lease);
+
 /// Maximum time that runs of a target continue after its last renewal.
 [[nodiscard]] Millis MaxLeaseLifetime(const Options& options);
 
@@ -123,9 +145,6 @@
 
 /// Lease deadline for a start or renewal at a target, on the target's clock.
 [[nodiscard]] std::int64_t DeadlineAt(const Cell& cell, const Target& target,
-/// Maximum time that runs continue after a renewal to a lease of this length.
-[[nodiscard]] Millis LeaseLifetime(const Options& options, Millis lease);
-
                                       Time now);
 
 [[nodiscard]] inline std::int64_t ToMs(Time time) {
--- a/src/cell/plan.cc
+++ b/src/cell/plan.cc
@@ -12,6 +12,10 @@
 constexpr int kEstimateErrorDivisor = 5;
 /// Maximum number of steps planned per round; later ones find no room anyway.
 constexpr std::size_t kMaxPlannedSteps = 150;
+/// One job on probation at a time for this many targets, or for this many empty
+/// ones if that is more.
+constexpr std::size_t kTargetsPerProbation = 4;
+constexpr std::size_t kEmptyTargetsPerProbation = 2;
 
 /// Returns the priority class of a step; lower classes are planned first.
 int ClassOf(const Candidate& candidate) {
@@ -61,6 +65,12 @@
   candidate.step = FindStep(job, ref.occurrence, ref.step);
   candidate.priority = job.priority;
   candidate.excess = job.excess;
+  candidate.suspect =
+      std::ranges::any_of(candidate.step->tasks, [](const Task& task) {
+        return task.phase != TaskPhase::kDone && IsSuspect(task);
+      });
+  candidate.slow_suspect =
+      std::ranges::any_of(candidate.step->tasks, IsSlowSuspect);
   const Time began = BeganAt(cell, job, ref.occurrence);
   const Millis chain = ChainFrom(job.spec, ref.step);
   if (candidate.Spec().service) {
@@ -139,7 +149,8 @@
   const std::vector<Slot*> allowed = AllowedSlots(round, candidate, queue);
   for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
     const Task& task = step.tasks[i];
-    if (task.phase != TaskPhase::kWaiting) {
+    if (task.phase != TaskPhase::kWaiting ||
+        (candidate.suspect && !IsSuspect(task))) {
       continue;
     }
     if (!TeamAllows(round.cell, candidate.job->spec.team, ReservedBy(spec))) {
@@ -153,15 +164,37 @@
       continue;
     }
     StartTask(round, candidate, i, task.next_run, *slot);
+    if (candidate.suspect) {
+      break;  // One task at a time, and one target.
+    }
   }
 }
 
+/// Whether suspected tasks of a step may start now: their crashes are stored,
+/// and few enough other jobs are on probation.
+bool MayTrySuspects(const Round& round, const Candidate& candidate) {
+  const Job& job = *candidate.job;
+  const bool stored = std::ranges::all_of(
+      candidate.step->tasks,
+      [&](const Task& task) { return task.crash_version <= job.durable; });
+  const auto empty = static_cast<std::size_t>(
+      std::ranges::count(round.slots, true, &Slot::empty));
+  const std::size_t most =
+      std::max({std::size_t{1}, round.slots.size() / kTargetsPerProbation,
+                empty / kEmptyTargetsPerProbation});
+  return stored && (round.on_probation.contains(candidate.ref.job) ||
+                    round.on_probation.size() < most);
+}
+
 void PlanStep(Round& round, const Candidate& candidate) {
   const Job& job = *candidate.job;
   const Queue* queue = QueueOf(round.cell, job.spec.queue);
   if (queue == nullptr || candidate.step == nullptr) {
     return;
   }
+  if (candidate.suspect && !MayTrySuspects(round, candidate)) {
+    return;
+  }
   const bool gang = candidate.Spec().gang;
   // Without a ticket nothing can start.
   if (!queue->advice || !candidate.step->advice.tickets.empty()) {
--- a/src/cell/record_codec.cc
+++ b/src/cell/record_codec.cc
@@ -274,12 +274,42 @@
 constexpr std::uint64_t kBegun = 2;       ///< `next_run` is not 1.
 constexpr std::uint64_t kFailed = 4;      ///< Failed runs follow.
 constexpr std::uint64_t kCheckpoint = 8;  ///< A checkpoint follows.
+constexpr std::uint64_t kCrashed = 16;    ///< Crashes follow.
+
+/// Flags of an encoded TaskCrash.
+constexpr std::uint64_t kFresh = 1;
+constexpr std::uint64_t kConfirmed = 2;
+
+void PutCrashes(Writer& out, const std::vector<TaskCrash>& crashes) {
+  PutVarint(out, crashes.size());
+  for (const TaskCrash& crash : crashes) {
+    PutVarint(out, crash.run);
+    PutText(out, crash.target);
+    PutVarint(out, static_cast<std::uint64_t>(crash.life));
+    PutVarint(out,
+              (crash.fresh ? kFresh : 0) | (crash.confirmed ? kConfirmed : 0));
+  }
+}
+
+std::vector<TaskCrash> ReadCrashes(Reader& in) {
+  std::vector<TaskCrash> crashes(ReadCount(in));
+  for (TaskCrash& crash : crashes) {
+    crash.run = ReadUint32(in);
+    crash.target = ReadText(in);
+    crash.life = static_cast<std::int64_t>(ReadVarint(in));
+    const std::uint64_t crash_flags = ReadVarint(in);
+    crash.fresh = (crash_flags & kFresh) != 0;
+    crash.confirmed = (crash_flags & kConfirmed) != 0;
+  }
+  return crashes;
+}
 
 void PutTasks(Writer& out, const StoredTasks& tasks) {
   const std::uint64_t flags = (tasks.done ? kDone : 0) |
                               (tasks.next_run != 1 ? kBegun : 0) |
                               (tasks.failed_runs.empty() ? 0 : kFailed) |
-                              (tasks.checkpoint.empty() ? 0 : kCheckpoint);
+                              (tasks.checkpoint.empty() ? 0 : kCheckpoint) |
+                              (tasks.crashes.empty() ? 0 : kCrashed);
   PutVarint(out, flags);
   PutVarint(out, tasks.count);
   if ((flags & kBegun) != 0) {
@@ -291,6 +321,9 @@
   if ((flags & kCheckpoint) != 0) {
     PutText(out, tasks.checkpoint);
   }
+  if ((flags & kCrashed) != 0) {
+    PutCrashes(out, tasks.crashes);
+  }
 }
 
 StoredTasks ReadStoredTasks(Reader& in) {
@@ -307,6 +340,9 @@
   if ((flags & kCheckpoint) != 0) {
     tasks.checkpoint = ReadText(in);
   }
+  if ((flags & kCrashed) != 0) {
+    tasks.crashes = ReadCrashes(in);
+  }
   return tasks;
 }
 
--- a/src/cell/record_codec.h
+++ b/src/cell/record_codec.h
@@ -30,6 +30,7 @@
   bool done = false;
   std::uint32_t next_run = 1;
   std::vector<std::uint32_t> failed_runs;
+  std::vector<TaskCrash> crashes;
   std::string checkpoint;
 };
 
--- a/src/cell/record_load.cc
+++ b/src/cell/record_load.cc
@@ -19,6 +19,7 @@
       task.phase = from.done ? TaskPhase::kDone : TaskPhase::kWaiting;
       task.next_run = from.next_run;
       task.failed_runs = from.failed_runs;
+      task.crashes = from.crashes;
       task.checkpoint = from.checkpoint;
       step.done += from.done ? 1U : 0U;
     }
--- a/src/cell/records.cc
+++ b/src/cell/records.cc
@@ -19,14 +19,18 @@
 constexpr Millis kMaxEndRecordAge{2000};
 
 StoredTasks StateOf(const Task& task) {
-  return {1, task.phase == TaskPhase::kDone, task.next_run, task.failed_runs,
+  return {1,
+          task.phase == TaskPhase::kDone,
+          task.next_run,
+          task.failed_runs,
+          task.crashes,
           task.checkpoint};
 }
 
 bool HaveSameState(const StoredTasks& left, const StoredTasks& right) {
   return left.done == right.done && left.next_run == right.next_run &&
          left.failed_runs == right.failed_runs &&
-         left.checkpoint == right.checkpoint;
+         left.crashes == right.crashes && left.checkpoint == right.checkpoint;
 }
 
 StoredProgress ProgressOf(const Job& job) {
--- a/src/cell/reports.cc
+++ b/src/cell/reports.cc
@@ -56,6 +56,7 @@
   target.former_life = target.entry.life;
   target.entry.life = life;
   target.life_since = now;
+  target.crashed_at = target.failing_since.value_or(now);
   target.life_confirmed = {};
   target.reported = false;
   target.clock_known = false;
@@ -74,6 +75,10 @@
       run.next_try = now;
     }
   }
+  if (!target.entry.draining) {
+    HandleCrash(cell, actions, target, target.former_life, target.crashed_at,
+                ended, now);
+  }
   for (const RunId& id : ended) {
     DropRun(cell, actions, target, id, "target restarted");
   }
@@ -81,6 +86,7 @@
   target.lease_until =
       std::max(target.lease_until,
                now + LeaseLifetime(cell.options, cell.options.longest_lease));
+  target.failing_since.reset();
   cell.plan_due = true;
 }
 
@@ -201,6 +207,19 @@
   }
 }
 
+/// Clears the task of a run that has not crashed its target for long enough.
+void EndProbation(Cell& cell, Actions& actions, const RunId& id, Run& run,
+                  Time now) {
+  if (run.probation && now - run.confirmed_at >= cell.options.crash_clearance) {
+    ClearSuspicion(cell, actions, id, false, now);
+    const Job* job = FindJob(cell, id.task.job);
+    Task* task = job == nullptr
+                     ? nullptr
+                     : FindTask(*FindJob(cell, id.task.job), id.task);
+    run.probation = task != nullptr && IsSuspect(*task);
+  }
+}
+
 /// Drops runs that the target should have reported and did not.
 void DropMissingRuns(Cell& cell, Actions& actions, Target& target,
                      const std::set<RunId>& listed, Time sent_at, Time now) {
@@ -223,6 +242,19 @@
   for (const RunId& id : unsure) {
     StopRun(cell, actions, target, id, "start uncertain", now);
   }
+  // Runs that the former process had and that no report of it has listed.
+  std::vector<RunId> crashed;
+  for (const RunId& id : gone) {
+    const Run& run = target.runs.at(id);
+    if (run.life != target.entry.life && target.former_life != 0 &&
+        run.sent < target.life_since) {
+      crashed.push_back(id);
+    }
+  }
+  if (!crashed.empty()) {
+    HandleCrash(cell, actions, target, target.former_life, target.crashed_at,
+                crashed, now);
+  }
   for (const RunId& id : gone) {
     Note(actions, "task_not_there",
          {{"job", id.task.job},
@@ -434,6 +466,7 @@
   target->last_answer = now;
   target->life_confirmed = sent_at;
   target->silent = false;
+  target->failing_since.reset();
   target->runs_known = false;
   target->clock_offset = report.clock_ms - ToMs(now);
   target->clock_known = true;
@@ -456,6 +489,7 @@
       AdoptRun(cell, actions, *target, running, now);
     } else {
       UpdateProgress(cell, found->second, running, report.life, now);
+      EndProbation(cell, actions, running.run, found->second, now);
     }
   }
   DropMissingRuns(cell, actions, *target, listed, sent_at, now);
@@ -470,6 +504,27 @@
   }
 }
 
+/// Drops the runs of a target at whose address another target answers.
+void DropReplacedTarget(Cell& cell, Actions& actions, Target& target,
+                        Time now) {
+  if (target.runs.empty()) {
+    return;
+  }
+  std::vector<RunId> ended;
+  for (const auto& [id, run] : target.runs) {
+    ended.push_back(id);
+  }
+  if (!target.entry.draining) {
+    HandleCrash(cell, actions, target, target.entry.life,
+                target.failing_since.value_or(now), ended, now);
+  }
+  for (const RunId& id : ended) {
+    DropRun(cell, actions, target, id, "target replaced");
+  }
+  target.reported = false;
+  cell.targets_dirty = true;
+}
+
 void ReportFailed(Cell& cell, Actions& actions, const TargetId& id,
                   OrderOutcome outcome, Time now) {
   Target* target = FindTarget(cell, id);
@@ -480,6 +535,12 @@
     actions.emplace_back(FencedOff{id});
     return;
   }
+  if (!target->failing_since) {
+    target->failing_since = now;
+  }
+  if (outcome == OrderOutcome::kOtherLife) {
+    DropReplacedTarget(cell, actions, *target, now);
+  }
   if (!target->silent && now - target->last_answer > kSilenceTimeout) {
     target->silent = true;
     Note(actions, "target_lost",
--- a/src/cell/round.cc
+++ b/src/cell/round.cc
@@ -45,8 +45,29 @@
   return takes;
 }
 
+/// Notes which runs of a slot restrict further starts.
+void MarkRecentRuns(const Cell& cell, Slot& slot, Time now) {
+  slot.empty = slot.target->runs.empty();
+  for (const auto& [id, run] : slot.target->runs) {
+    if (run.probation) {
+      slot.probation = &id.task.job;
+    }
+    const Time began =
+        run.phase == RunPhase::kSent ? run.sent : run.confirmed_at;
+    slot.fresh = slot.fresh || now - began < cell.options.crash_doubt;
+  }
+}
+
 }  // namespace
 
+bool KeepsProbation(const Slot& slot, const Candidate& candidate) {
+  if (slot.probation != nullptr) {
+    return *slot.probation == candidate.ref.job;
+  }
+  return !candidate.suspect ||
+         (candidate.slow_suspect ? slot.empty : !slot.fresh);
+}
+
 Resources RoomOf(const Target& target) {
   Resources room = target.entry.capacity;
   room -= target.used;
@@ -87,9 +108,16 @@
     const bool probing =
         health.consecutive_failures >= kFailuresToProbe && !target.runs.empty();
     if (target.reported && target.recorded && target.listed &&
-        !target.entry.draining && !target.silent && target.unknown_runs == 0 &&
+        target.listed_life == target.entry.life && !target.entry.draining &&
+        !target.silent && !target.failing_since && target.unknown_runs == 0 &&
         now >= health.suspended_until && !probing) {
       round.slots.push_back({&target, RoomOf(target), {}});
+      MarkRecentRuns(cell, round.slots.back(), now);
+    }
+    for (const auto& [run_id, run] : target.runs) {
+      if (run.probation) {
+        round.on_probation.insert(run_id.task.job);
+      }
     }
   }
   round.by_id.resize(
@@ -153,14 +181,16 @@
   std::vector<Slot*> allowed;
   if (!queue.advice) {
     for (const std::uint32_t place : Suited(round, queue, spec).places) {
-      allowed.push_back(&round.slots[place]);
+      if (KeepsProbation(round.slots[place], candidate)) {
+        allowed.push_back(&round.slots[place]);
+      }
     }
     return allowed;
   }
   for (const auto& [id, ticket] : candidate.step->advice.tickets) {
     Slot* slot = ticket.until > round.now ? FindSlot(round, id) : nullptr;
     if (slot != nullptr && slot->target->entry.life == ticket.life &&
-        Suits(*slot->target, queue, spec)) {
+        Suits(*slot->target, queue, spec) && KeepsProbation(*slot, candidate)) {
       allowed.push_back(slot);
     }
   }
--- a/src/cell/round.h
+++ b/src/cell/round.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string_view>
 #include <utility>
 #include <vector>
@@ -17,6 +18,12 @@
   Target* target = nullptr;
   Resources room;      ///< Resources not held by runs.
   Resources reserved;  ///< Kept for waiting gangs; urgent work may use it.
+  /// Job with a run on probation there; no other job may start on it.
+  const JobId* probation = nullptr;
+  bool empty = true;  ///< Has no run.
+  /// Has a run that began so recently that it could be taken for the cause of a
+  /// crash, and its job if it is the only one.
+  bool fresh = false;
 };
 
 /// A step to be planned in this round.
@@ -25,10 +32,12 @@
   Job* job = nullptr;  ///< Job of the step, valid for the whole round.
   Step* step = nullptr;
   int priority = 0;
-  bool excess = false;    ///< The job is beyond its team's share.
-  bool late = false;      ///< Can no longer meet its objective.
-  bool hopeless = false;  ///< So late that its result has no value.
-  Millis slack{0};        ///< Time left until its latest start.
+  bool excess = false;        ///< The job is beyond its team's share.
+  bool late = false;          ///< Can no longer meet its objective.
+  bool hopeless = false;      ///< So late that its result has no value.
+  bool suspect = false;       ///< An open task of the step is a suspect.
+  bool slow_suspect = false;  ///< One is, whose crashes came late in its runs.
+  Millis slack{0};            ///< Time left until its latest start.
 
   [[nodiscard]] bool Urgent() const { return priority == 0; }
   [[nodiscard]] const StepSpec& Spec() const {
@@ -58,6 +67,8 @@
   /// Processing time of the longest open call of each lane, indexed like
   /// Cell::lanes.
   std::vector<Millis> lane_call_times;
+  /// Jobs with a run on probation.
+  std::set<JobId> on_probation;
   /// Gangs that do not fit yet and for which all free room is reserved.
   int gangs_reserving_all = 0;
 };
@@ -80,6 +91,10 @@
 [[nodiscard]] bool AnyHasRoom(Round& round, const Candidate& candidate,
                               const Queue& queue);
 
+/// @brief Whether a crash of the target could be told apart from those that
+///   other jobs cause, if a step's tasks start there.
+[[nodiscard]] bool KeepsProbation(const Slot& slot, const Candidate& candidate);
+
 /// @brief Returns the slots that suit a step and that it may use by its
 ///   tickets, sorted by target id.
 [[nodiscard]] std::vector<Slot*> AllowedSlots(Round& round,
--- a/src/cell/starts.cc
+++ b/src/cell/starts.cc
@@ -51,8 +51,15 @@
   run.checkpoints = spec.checkpoints;
   run.gang = spec.gang;
   run.estimate = spec.estimate;
+  run.probation = candidate.suspect;
   AddRun(round.cell, target, id, run);
   slot.room -= run.demand;
+  slot.fresh = true;
+  slot.empty = false;
+  if (run.probation) {
+    slot.probation = &job.spec.id;
+    round.on_probation.insert(job.spec.id);
+  }
   task.phase = TaskPhase::kLive;
   task.target = target.entry.id;
   task.run = number;
--- a/src/cell/steps.cc
+++ b/src/cell/steps.cc
@@ -243,6 +243,9 @@
   const StepSpec& spec = job->spec.steps[end.run.task.step];
   Step& step = *FindStep(*job, end.run.task.occurrence, end.run.task.step);
   KeepCheckpoint(step, spec, end.run.task.index, end.checkpoint);
+  if (end.end == RunEnd::kDone || end.end == RunEnd::kFailed) {
+    ClearSuspicion(cell, actions, end.run, true, now);
+  }
   if (end.end == RunEnd::kDone && task->phase != TaskPhase::kDone) {
     if (!spec.service) {
       TaskDone(cell, actions, *job, end.run.task, now);
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -110,8 +110,9 @@
   ///   all its runs, and its entry expires `expiry` later.
   void TakeAway(int index, Millis notice, Millis expiry = Millis(4500));
 
-  /// @brief Crashes a target. It is up again under the same id after
-  ///   `down_for`, and the list shows its new life `list_after` later.
+  /// @brief Crashes a target. The owner notices at once that its connection is
+  ///   reset, unless the target is cut off. It is up again under the same id
+  ///   after `down_for`, and the list shows its new life `list_after` later.
   /// @param life names the new life; lower than the former one if the target's
   ///   wall clock was set back meanwhile
   void Restart(int index, Millis down_for, Millis list_after,
@@ -154,8 +155,14 @@
   [[nodiscard]] const std::map<std::string, int>& Stops() const {
     return m_stops;
   }
+  /// @brief Whether two targets have crashed under a task of a job.
+  [[nodiscard]] bool MayBeGivenUp(const std::string& job) const {
+    return m_checker.MayBeGivenUp(job);
+  }
   /// @brief Number of targets that deadly tasks have crashed.
   [[nodiscard]] int Crashes() const { return m_checker.Crashes(); }
+  /// @brief Maximum number of targets that one task has crashed.
+  [[nodiscard]] int MostCrashes() const { return m_checker.MostCrashes(); }
   [[nodiscard]] int AdviceCalls() const { return m_advice_calls; }
   /// @brief CPU time of each planning round, in order.
   [[nodiscard]] const std::vector<std::clock_t>& RoundTimes() const {
@@ -188,6 +195,7 @@
   void DeliverStart(const cell::SendStart& start);
   void DeliverStop(const cell::SendStop& stop);
   cell::OrderOutcome Begin(SimTarget& target, const cell::SendStart& start);
+  void CrashNow(SimTarget& target);
   /// Crashes the target of a deadly task soon, if the task is still there.
   void CrashSoon(const SimTarget& target, const RunId& run);
   void Ask(const cell::AskAdvice& ask);
--- a/tests/standins/cell_world.cc
+++ b/tests/standins/cell_world.cc
@@ -112,10 +112,25 @@
   });
 }
 
+void World::CrashNow(SimTarget& target) {
+  const bool cut = target.faults.cut;
+  for (const auto& [run, state] : target.running) {
+    m_checker.CrashedUnder(run.task);
+  }
+  standins::Crash(target);
+  if (cut || !m_owned) {
+    return;
+  }
+  // The server has a report call open at any time, which is reset.
+  At(m_now + m_options.link, [this, id = target.entry.id, life = m_life] {
+    FailReport(id, cell::OrderOutcome::kUnknown, life);
+  });
+}
+
 void World::Restart(int index, Millis down_for, Millis list_after,
                     std::int64_t life) {
   SimTarget& target = Target(index);
-  standins::Crash(target);
+  CrashNow(target);
   target.listed_life = target.listed_life.value_or(target.entry.life);
   At(m_now + down_for, [this, index, life] {
     standins::Revive(Target(index), life, m_now.time_since_epoch().count());
@@ -134,7 +149,7 @@
 void World::Rename(int index, Millis down_for, Millis list_after,
                    std::int64_t life, Millis expiry) {
   SimTarget& target = Target(index);
-  standins::Crash(target);
+  CrashNow(target);
   const cell::TargetEntry former = target.entry;
   m_former_entries[former.id] = former;
   target.entry.id = former.id + "+";
@@ -428,6 +443,7 @@
   standins::BeginRun(target, start.run, spec.demand,
                      TrueTime(start.run.task, spec), start.deadline_ms, m_now);
   if (start.payload == kDeadly) {
+    target.running.at(start.run).ends = Time::max();
     CrashSoon(target, start.run);
   }
   return cell::OrderOutcome::kDone;
--- a/tests/standins/job_checker.cc
+++ b/tests/standins/job_checker.cc
@@ -122,6 +122,20 @@
   }
 }
 
+bool JobChecker::MayBeGivenUp(const std::string& job) const {
+  return std::ranges::any_of(m_crashes_under, [&](const auto& entry) {
+    return entry.first.job == job && entry.second >= 2;
+  });
+}
+
+int JobChecker::MostCrashes() const {
+  int most = 0;
+  for (const auto& [task, crashes] : m_task_crashes) {
+    most = std::max(most, crashes);
+  }
+  return most;
+}
+
 void JobChecker::Crashed(const cell::TaskId& task) {
   constexpr int kCrashesUntilLimit = 3;
   ++m_crashes;
--- a/tests/standins/job_checker.h
+++ b/tests/standins/job_checker.h
@@ -42,6 +42,12 @@
   ///   end on, the task must not have been started again.
   void DoneAcknowledged(const cell::TaskId& task);
 
+  /// @brief The process of a target has crashed while it ran a task.
+  void CrashedUnder(const cell::TaskId& task) { ++m_crashes_under[task]; }
+
+  /// @brief Whether a task of a job may be given up for crashes under it.
+  [[nodiscard]] bool MayBeGivenUp(const std::string& job) const;
+
   /// @brief A task has crashed the target that had started it.
   void Crashed(const cell::TaskId& task);
 
@@ -54,6 +60,7 @@
     return m_breaches;
   }
   [[nodiscard]] int Crashes() const { return m_crashes; }
+  [[nodiscard]] int MostCrashes() const;
   [[nodiscard]] int Starts() const { return m_starts; }
   [[nodiscard]] int StartsOf(const cell::TaskId& task) const;
 
@@ -70,6 +77,7 @@
   std::map<cell::TaskId, int> m_task_starts;
   std::map<cell::TaskId, int> m_starts_before_end;  ///< Of done tasks.
   std::set<cell::TaskId> m_acknowledged;
+  std::map<cell::TaskId, int> m_crashes_under;
   std::map<cell::TaskId, int> m_task_crashes;
   std::map<cell::TaskId, int> m_starts_before_third_crash;
   int m_crashes = 0;
