Tests: capacities of the cell's world change while tasks run

The simulated targets had one capacity from start to end, so no test ran the code for a room that shrinks. World::Resize now changes it; the list of targets may be late. A stop may take time, and the run holds its room until then. The checker counts the true room, the room that the list shows, and one that it has shown until less than 4000 ms ago (the rule's stable window and a beat); where the room doesn't change, it is as strict as before.

--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -63,6 +63,8 @@
   Millis link{2};              ///< One-way network delay.
   Millis store{6};             ///< Duration of a write.
   Millis round{0};             ///< Minimum interval of planning rounds.
+  /// How long a room that has shrunk counts after the list has shown that.
+  Millis room_grace{standins::kRoomGrace};
 };
 
 struct BatchSize {
@@ -116,6 +118,10 @@
   void Rename(int index, Millis down_for, Millis list_after, std::int64_t life,
               Millis expiry = Millis(4500));
 
+  /// @brief Changes the capacity of a target now; the list shows that
+  ///   `list_after` later, unless it has shown a later change by then.
+  void Resize(int index, const Resources& capacity, Millis list_after);
+
   /// @brief Sets the duration of writes from now on.
   void SetStoreTime(Millis time) { m_options.store = time; }
 
--- a/tests/standins/cell_world.cc
+++ b/tests/standins/cell_world.cc
@@ -32,6 +32,7 @@
                            "rack-" + std::to_string(i / m_options.rack)};
     m_targets.push_back(std::move(target));
   }
+  m_checker.SetRoomGrace(m_options.room_grace);
   OpenCell(1);
 }
 
@@ -84,6 +85,8 @@
     if (target.listed) {
       entries.push_back(target.entry);
       entries.back().life = target.listed_life.value_or(target.entry.life);
+      entries.back().capacity =
+          target.listed_capacity.value_or(target.entry.capacity);
     }
   }
   for (const auto& [id, entry] : m_former_entries) {
@@ -156,6 +159,22 @@
   });
 }
 
+void World::Resize(int index, const Resources& capacity, Millis list_after) {
+  SimTarget& target = Target(index);
+  target.listed_capacity =
+      target.listed_capacity.value_or(target.entry.capacity);
+  target.entry.capacity = capacity;
+  const int number = ++target.resizes;
+  At(m_now + list_after, [this, index, capacity, number] {
+    SimTarget& shown = Target(index);
+    if (number > shown.listed_resizes) {
+      shown.listed_resizes = number;
+      standins::ShowCapacity(shown, capacity, m_now);
+      ListTargets();
+    }
+  });
+}
+
 cell::OrderOutcome World::Reaches(const SimTarget* target) {
   if (target == nullptr) {
     return cell::OrderOutcome::kOtherLife;
@@ -398,7 +417,7 @@
       *outcome = cell::OrderOutcome::kFenced;
       return;
     }
-    standins::StopRun(*there, stop.run);
+    standins::StopRun(*there, stop.run, m_now);
     Report(*there);
   });
   const Time back = cut ? m_now + kOrderTimeout : m_now + 2 * m_options.link;
@@ -423,7 +442,7 @@
   if (verdict != cell::OrderOutcome::kDone) {
     return verdict;
   }
-  m_checker.Starting(m_targets, target, start.run, true);
+  m_checker.Starting(m_targets, target, start.run, true, m_now);
   const cell::StepSpec& spec = *m_checker.StepOf(start.run.task);
   standins::BeginRun(target, start.run, spec.demand,
                      TrueTime(start.run.task, spec), start.deadline_ms, m_now);
--- a/tests/standins/job_checker.cc
+++ b/tests/standins/job_checker.cc
@@ -50,12 +50,19 @@
 }
 
 void JobChecker::CheckRoom(const SimTarget& target, const cell::RunId& run,
-                           const Resources& demand) {
+                           const Resources& demand, Time now) {
   Resources used = demand;
   for (const auto& [other, state] : target.running) {
     used += state.demand;
   }
-  if (!used.FitsIn(target.entry.capacity)) {
+  const bool shown =
+      target.listed_capacity && used.FitsIn(*target.listed_capacity);
+  const bool shown_lately =
+      std::ranges::any_of(target.former_rooms, [&](const FormerRoom& room) {
+        return now < room.shown_until + m_room_grace &&
+               used.FitsIn(room.capacity);
+      });
+  if (!used.FitsIn(target.entry.capacity) && !shown && !shown_lately) {
     m_breaches.push_back("limit: " + NameOf(run.task) + " on " +
                          target.entry.id);
   }
@@ -83,7 +90,7 @@
 
 void JobChecker::Starting(std::span<const SimTarget> targets,
                           const SimTarget& target, const cell::RunId& run,
-                          bool strict_acceptance) {
+                          bool strict_acceptance, Time now) {
   ++m_starts;
   ++m_task_starts[run.task];
   m_started_jobs.insert(run.task.job);
@@ -94,7 +101,7 @@
     m_breaches.push_back("unasked: " + NameOf(run.task));
     return;
   }
-  CheckRoom(target, run, spec->demand);
+  CheckRoom(target, run, spec->demand, now);
   CheckTeam(targets, run, spec->demand);
   for (const SimTarget& other : targets) {
     for (const auto& [id, state] : other.running) {
--- a/tests/standins/job_checker.h
+++ b/tests/standins/job_checker.h
@@ -11,6 +11,9 @@
 
 namespace buckthornmux::standins {
 
+/// The rule's stable window and one beat.
+inline constexpr Millis kRoomGrace{4000};
+
 /// What callers know of a job.
 struct KnownJob {
   cell::JobSpec spec;
@@ -27,12 +30,16 @@
   void Accepted(const std::string& job) { m_jobs[job].accepted = true; }
   void Refused(const std::string& job);
   void Cancelled(const std::string& job) { m_jobs[job].cancelled = true; }
+  /// @brief Sets how long a room that has shrunk counts after the list has
+  /// shown
+  ///   that.
+  void SetRoomGrace(Millis grace) { m_room_grace = grace; }
   void SetTeams(std::vector<cell::Team> teams) { m_teams = std::move(teams); }
 
   /// @brief A target is about to begin a run.
   /// @param strict_acceptance a start before the caller has its answer counts
   void Starting(std::span<const SimTarget> targets, const SimTarget& target,
-                const cell::RunId& run, bool strict_acceptance);
+                const cell::RunId& run, bool strict_acceptance, Time now);
   void Done(const cell::TaskId& task) {
     ++m_done[task];
     m_starts_before_end[task] = m_task_starts[task];
@@ -57,7 +64,7 @@
   [[nodiscard]] bool StepDone(const KnownJob& job, const cell::TaskId& task,
                               std::uint32_t step) const;
   void CheckRoom(const SimTarget& target, const cell::RunId& run,
-                 const Resources& demand);
+                 const Resources& demand, Time now);
   void CheckTeam(std::span<const SimTarget> targets, const cell::RunId& run,
                  const Resources& demand);
 
@@ -70,6 +77,7 @@
   std::vector<cell::Team> m_teams;
   std::vector<std::string> m_breaches;
   int m_starts = 0;
+  Millis m_room_grace{kRoomGrace};
 };
 
 }  // namespace buckthornmux::standins
--- a/tests/standins/platform_day.cc
+++ b/tests/standins/platform_day.cc
@@ -133,8 +133,10 @@
   if (request.target == "/buckthornmux/run-start") {
     Start(index, *body, respond);
   } else if (request.target == "/buckthornmux/run-stop") {
-    StopRun(target, {ParseTask(StringAt(*body, "task")),
-                     static_cast<std::uint32_t>(IntegerAt(*body, "run", 0))});
+    StopRun(target,
+            {ParseTask(StringAt(*body, "task")),
+             static_cast<std::uint32_t>(IntegerAt(*body, "run", 0))},
+            now);
     respond(
         JsonAnswer(200, json::object{{"clock_ms", TargetClock(target, now)}}));
   } else if (request.target == "/buckthornmux/hold") {
@@ -183,7 +185,7 @@
     return;
   }
   // The acceptance may still be on its way to the caller.
-  m_checker.Starting(m_targets, target, run, false);
+  m_checker.Starting(m_targets, target, run, false, now);
   if (const cell::StepSpec* spec = m_checker.StepOf(run.task)) {
     BeginRun(target, run, spec->demand, spec->estimate, deadline, now);
   }
--- a/tests/standins/sim_target.cc
+++ b/tests/standins/sim_target.cc
@@ -76,28 +76,46 @@
   target.running[id] = run;
 }
 
-void StopRun(SimTarget& target, const cell::RunId& id) {
+void StopRun(SimTarget& target, const cell::RunId& id, Time now) {
   std::uint32_t& up_to = target.refused_up_to[id.task];
   up_to = std::max(up_to, id.number);
-  if (target.running.contains(id)) {
+  const auto run = target.running.find(id);
+  if (run == target.running.end()) {
+    return;
+  }
+  if (target.faults.stop_time > Millis(0)) {
+    run->second.stops =
+        std::min(run->second.stops, now + target.faults.stop_time);
+  } else {
     EndRun(target, id, cell::RunEnd::kStopped);
   }
 }
 
+void ShowCapacity(SimTarget& target, const Resources& capacity, Time now) {
+  target.former_rooms.push_back(
+      {target.listed_capacity.value_or(target.entry.capacity), now});
+  target.listed_capacity.reset();
+  if (capacity != target.entry.capacity) {
+    target.listed_capacity = capacity;
+  }
+}
+
 std::vector<cell::TaskId> Advance(SimTarget& target, Time now) {
   if (now >= target.lease_until) {
     target.lapsed_after = target.sequence;
   }
   std::vector<cell::RunId> over;
   for (const auto& [id, run] : target.running) {
-    if (now >= run.ends || now >= target.lease_until) {
+    if (now >= std::min(run.ends, run.stops) || now >= target.lease_until) {
       over.push_back(id);
     }
   }
   std::vector<cell::TaskId> done;
   for (const cell::RunId& id : over) {
     const SimRun& run = target.running.at(id);
-    if (now < run.ends) {
+    if (now >= run.stops && run.stops < run.ends) {
+      EndRun(target, id, cell::RunEnd::kStopped);
+    } else if (now < run.ends) {
       EndRun(target, id, cell::RunEnd::kLapsed);
     } else if (run.fails) {
       EndRun(target, id, cell::RunEnd::kFailed);
--- a/tests/standins/sim_target.h
+++ b/tests/standins/sim_target.h
@@ -18,7 +18,14 @@
   Time ends;
   Resources demand;
   bool fails = false;
-  bool stuck = false;  ///< Makes no progress and never ends.
+  bool stuck = false;        ///< Makes no progress and never ends.
+  Time stops = Time::max();  ///< Being stopped until then.
+};
+
+/// A capacity that the list of targets no longer shows.
+struct FormerRoom {
+  Resources capacity;
+  Time shown_until;
 };
 
 /// How a simulated target misbehaves.
@@ -30,6 +37,7 @@
   double answers_lost = 0;  ///< Share of orders done but not answered.
   double orders_late = 0;   ///< Share carried out seconds later, unanswered.
   double slowdown = 1;
+  Millis stop_time{0};  ///< A run that is stopped goes on for so long.
 };
 
 struct SimTarget {
@@ -48,6 +56,11 @@
   bool listed = true;
   /// Life shown by the list if that is behind; otherwise empty.
   std::optional<std::int64_t> listed_life;
+  /// Capacity shown by the list if that is behind; otherwise empty.
+  std::optional<Resources> listed_capacity;
+  std::vector<FormerRoom> former_rooms;  ///< Oldest first.
+  int resizes = 0;
+  int listed_resizes = 0;  ///< Latest change of capacity that the list shows.
   std::int64_t clock_origin = 500'000;  ///< Our clock when its own was 0, ms.
   Millis max_lease{10'000};             ///< Longer leases are shortened to it.
 };
@@ -79,7 +92,10 @@
               Time now);
 
 /// @brief Stops a run, or keeps it from ever starting.
-void StopRun(SimTarget& target, const cell::RunId& run);
+void StopRun(SimTarget& target, const cell::RunId& run, Time now);
+
+/// @brief Shows a capacity in the list of targets.
+void ShowCapacity(SimTarget& target, const Resources& capacity, Time now);
 
 /// @brief Ends what is done or whose lease is over.
 /// @return tasks that ended as done
