Cell: judge a new job by the largest capacities of targets

Callers saw a new job refused as never_fits while all rooms had shrunk below its demand, although it would fit once one had grown again. Cause: the check compared the demand with the capacities that the list shows now, which were constant until the new rule. Now it compares with the maxima of the capacities that the list has shown to this owner; what exceeds those is refused as before. Evidence: NewJobIsJudgedByTheLargestRooms failed before (the job was refused) and passes now; so does the check that no job of the undisturbed random worlds is refused. Limit: the maxima aren't stored, so a next owner knows only what the list has shown since it took over.

--- a/include/buckthornmux/detail/cell/state.h
+++ b/include/buckthornmux/detail/cell/state.h
@@ -104,6 +104,7 @@
 /// A target and the runs known to be on it.
 struct Target {
   TargetEntry entry;
+  Resources largest;  ///< Maxima of the capacities listed to this owner.
   std::string rack;
   bool listed = true;  ///< Is in the current list of targets.
   Time unlisted_at;
--- a/src/cell/jobs.cc
+++ b/src/cell/jobs.cc
@@ -21,7 +21,8 @@
   actions.emplace_back(AnswerSubmit{call, Error{kind, std::move(message), {}}});
 }
 
-/// Whether any target is large enough for a task; true if no target is known.
+/// Whether any target is or was large enough for a task, since its capacity may
+/// grow again; true if no target is known.
 bool CanEverFit(const Cell& cell, const Queue& queue, const StepSpec& step) {
   bool any = false;
   for (const auto& [id, target] : cell.targets) {
@@ -29,7 +30,7 @@
       continue;
     }
     any = true;
-    if (ReservedBy(step).FitsIn(target.entry.capacity)) {
+    if (ReservedBy(step).FitsIn(target.largest)) {
       return true;
     }
   }
--- a/src/cell/reports.cc
+++ b/src/cell/reports.cc
@@ -113,6 +113,15 @@
   }
 }
 
+void RaiseLargest(Target& target) {
+  const Resources& listed = target.entry.capacity;
+  Resources& largest = target.largest;
+  largest.slots = std::max(largest.slots, listed.slots);
+  largest.cpu_milli = std::max(largest.cpu_milli, listed.cpu_milli);
+  largest.memory_mb = std::max(largest.memory_mb, listed.memory_mb);
+  largest.accelerators = std::max(largest.accelerators, listed.accelerators);
+}
+
 /// Whether a former owner has stored a target as one that may have any runs.
 bool MayHaveAnyRuns(const Cell& cell, const TargetId& id) {
   const auto expected = cell.expected.find(id);
@@ -141,6 +150,7 @@
   const std::int64_t life = target.entry.life;
   target.entry = entry;
   target.entry.life = life;
+  RaiseLargest(target);
   target.rack = RackOf(entry);
   if (!target.listed) {
     Note(actions, "target_back", {{"target", entry.id}});
@@ -391,6 +401,7 @@
     auto [found, added] = cell.targets.try_emplace(entry.id);
     if (added) {
       found->second.entry = entry;
+      RaiseLargest(found->second);
       found->second.rack = RackOf(entry);
       found->second.listed_life = entry.life;
       found->second.last_answer = now;
--- a/tests/unit-target-room.cc
+++ b/tests/unit-target-room.cc
@@ -35,6 +35,7 @@
   CPPUNIT_TEST(GrownRoomIsUsedAtOnce);
   CPPUNIT_TEST(NothingIsStoppedBecauseRoomsShrink);
   CPPUNIT_TEST(JobThatFitsNowhereForAWhileWaits);
+  CPPUNIT_TEST(NewJobIsJudgedByTheLargestRooms);
   CPPUNIT_TEST(RoomsAreKeptUnderRandomChanges);
   CPPUNIT_TEST_SUITE_END();
 
@@ -272,6 +273,26 @@
     AssertCompleted(world, {"former", "large"});
   }
 
+  // Guards against refusing for good what only has to wait, and against keeping
+  // what fits on no target at its largest.
+  void NewJobIsJudgedByTheLargestRooms() {
+    World world(Targets(2));
+    Open(world);
+    for (int i = 0; i < 2; ++i) {
+      world.Resize(i, Room(6000), Millis(0));
+    }
+    Run(world, Millis(1000));
+    world.Submit(Large("large", 12'000));
+    world.Submit(Large("too-large", kFullCpu + 1));
+    Run(world, Millis(1000));
+    CPPUNIT_ASSERT(world.KnownJobs().at("too-large").refused);
+    CPPUNIT_ASSERT(!world.KnownJobs().at("large").refused);
+    world.Resize(0, Room(kFullCpu), Millis(0));
+    Run(world, Millis(1000));
+    AssertCompleted(world, {"large"});
+    AssertNoBreach(world, "rooms: ");
+  }
+
   // ROOM_SEEDS=N plays more seeds by hand.
   void RoomsAreKeptUnderRandomChanges() {
     constexpr int kSeeds = 12;
@@ -470,6 +491,8 @@
     const std::string name = "seed " + std::to_string(seed) + ": ";
     AssertNoBreach(world, name);
     for (const auto& [id, job] : world.KnownJobs()) {
+      // All tasks fit on a full target.
+      CPPUNIT_ASSERT_MESSAGE(name + id, disturbed || !job.refused);
       if (job.accepted && !job.cancelled) {
         CPPUNIT_ASSERT_MESSAGE(name + id,
                                world.PhaseOf(id) == cell::JobPhase::kCompleted);
