Cell: don't resend an unanswered start to a target that has shrunk

Targets got starts over their capacity after the owner had read of the smaller room: 200 ms later in the test; by the code until the third send, which the simulated world makes 600 ms after the first. Cause: an unanswered start is sent again at once, up to three times, without a look at the room, which had been constant since the first send; if the target never got the first one, the resend brings it over its room. Now such a start is held while the target's runs exceed its capacity. It is sent again once they fit, and stopped as unanswered once a report that was requested after the time-out doesn't list it; if the report lists it, it runs on. So nothing that runs is stopped because the room has shrunk. Evidence: UnansweredStartsAreNotSentAgainIntoAShrunkRoom and HeldStartsAreSentOnceTheRoomHasGrown failed before ('limit: job.0.0.4') and pass now; UnansweredStartsThatRunAreNotStoppedInAShrunkRoom keeps passing.

--- a/src/cell/runs.cc
+++ b/src/cell/runs.cc
@@ -42,6 +42,11 @@
   }
 }
 
+/// Whether a target has room for all its runs; it may have shrunk meanwhile.
+bool HoldsItsRuns(const Target& target) {
+  return target.used.FitsIn(target.entry.capacity);
+}
+
 void ResendStart(Cell& cell, Actions& actions, Target& target, const RunId& id,
                  Run& run, Time now) {
   const Job* job = FindJob(cell, id.task.job);
@@ -287,7 +292,7 @@
     case OrderOutcome::kUnknown:
       run.unsure = true;
       run.next_try = now;
-      if (run.phase == RunPhase::kSent) {
+      if (run.phase == RunPhase::kSent && HoldsItsRuns(*target)) {
         ResendStart(cell, actions, *target, id, run, now);
       }
       return;
@@ -385,6 +390,25 @@
   }
 }
 
+/// Decides unanswered starts that were not sent again because their target's
+/// room had shrunk: it may have grown, or a report tells that they don't run.
+void SettleHeldStarts(Cell& cell, Actions& actions, Target& target, Time now) {
+  std::vector<RunId> held;
+  for (const auto& [id, run] : target.runs) {
+    if (run.phase == RunPhase::kSent && run.unsure && !run.in_flight) {
+      held.push_back(id);
+    }
+  }
+  for (const RunId& id : held) {
+    Run& run = target.runs.at(id);
+    if (HoldsItsRuns(target)) {
+      ResendStart(cell, actions, target, id, run, now);
+    } else if (target.life_confirmed > run.next_try) {
+      StopRun(cell, actions, target, id, "start not answered", now);
+    }
+  }
+}
+
 /// Resends stops that were not confirmed.
 void ResendStops(Cell& cell, Actions& actions, Target& target, Time now) {
   std::vector<RunId> due;
--- a/tests/unit-target-room.cc
+++ b/tests/unit-target-room.cc
@@ -26,7 +26,9 @@
   CPPUNIT_TEST(CheckerGivesNoGraceWhereTheRoomIsTheSame);
   CPPUNIT_TEST(NothingStartsInARoomThatIsSmallerThanItsRuns);
   CPPUNIT_TEST(StartsOnTheirWayCountInAShrinkingRoom);
+  CPPUNIT_TEST(UnansweredStartsAreNotSentAgainIntoAShrunkRoom);
   CPPUNIT_TEST(UnansweredStartsThatRunAreNotStoppedInAShrunkRoom);
+  CPPUNIT_TEST(HeldStartsAreSentOnceTheRoomHasGrown);
   CPPUNIT_TEST(RunsThatAreBeingStoppedCountInAShrunkRoom);
   CPPUNIT_TEST(NextOwnerCountsRunsThatItTakesOver);
   CPPUNIT_TEST(NextOwnerCountsRunsOfEndedJobs);
@@ -91,6 +93,21 @@
     AssertNothingStopped(world);
   }
 
+  // Guards against starts that the target never got, and that are sent again
+  // after its room has shrunk.
+  void UnansweredStartsAreNotSentAgainIntoAShrunkRoom() {
+    World world(Targets(1));
+    Open(world);
+    world.Target(0).faults.cut = true;
+    world.Submit(PlainJob("job", 12, 3000));
+    Run(world, Millis(100));
+    world.Resize(0, Room(4000), Millis(0));
+    Run(world, Millis(50));
+    world.Target(0).faults.cut = false;
+    Run(world, Millis(14'000));
+    AssertCompleted(world, {"job"});
+  }
+
   // Guards against stopping work that runs only because its answer was lost.
   void UnansweredStartsThatRunAreNotStoppedInAShrunkRoom() {
     World world(Targets(1));
@@ -106,6 +123,23 @@
     AssertNothingStopped(world);
   }
 
+  // Guards against starts that wait for ever once they were held back.
+  void HeldStartsAreSentOnceTheRoomHasGrown() {
+    World world(Targets(1));
+    Open(world);
+    world.Target(0).faults.cut = true;
+    world.Submit(PlainJob("job", 12, 3000));
+    Run(world, Millis(100));
+    world.Resize(0, Room(4000), Millis(0));
+    Run(world, Millis(50));
+    world.Target(0).faults.cut = false;
+    Run(world, Millis(250));
+    world.Resize(0, Room(kFullCpu), Millis(0));
+    Run(world, Millis(3100));
+    AssertCompleted(world, {"job"});
+    AssertNothingStopped(world);
+  }
+
   // Guards against counting a run as gone when its stop is answered: it holds
   // its room until it has ended.
   void RunsThatAreBeingStoppedCountInAShrunkRoom() {
