--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -67,6 +67,8 @@
   Millis deadly_down{3000};  ///< Until a crashed target is up again.
   /// Share of crashed targets that are up again under their own id.
   double same_id_share = 0;
+  /// How long a room that has shrunk counts after the list has shown that.
+  Millis room_grace{standins::kRoomGrace};
 };
 
 /// Payload of jobs whose tasks crash the targets that start them.
@@ -124,6 +126,10 @@
   void Rename(int index, Millis down_for, Millis list_after, std::int64_t life,
               Millis expiry = Millis(4500));
 
+  /// @brief Changes the capacity of a target now; the list shows that
+  ///   `list_after` later, unless it has shown a later change by then.
+  void Resize(int index, const Resources& capacity, Millis list_after);
+
   /// @brief Sets the duration of writes from now on.
   void SetStoreTime(Millis time) { m_options.store = time; }
 
