--- a/tests/unit-target-lives.cc
+++ b/tests/unit-target-lives.cc
@@ -29,13 +29,19 @@
   static void Assert(const World& world) {
     std::string all;
     for (const std::string& breach : world.Breaches()) {
-      if (!breach.starts_with("again: ")) all += breach + "; ";
+      if (!breach.starts_with("again: ")) {
+        all += breach;
+        all += "; ";
+      }
     }
     CPPUNIT_ASSERT_MESSAGE(all, all.empty());
   }
   static std::vector<cell::TargetEntry> List(World& world, int count) {
     std::vector<cell::TargetEntry> list;
-    for (int i = 0; i < count; ++i) list.push_back(world.Target(i).entry);
+    list.reserve(static_cast<std::size_t>(count));
+    for (int i = 0; i < count; ++i) {
+      list.push_back(world.Target(i).entry);
+    }
     return list;
   }
 
@@ -56,9 +62,12 @@
       world.RunUntil(world.NowTime() + Millis(5));
       const auto& target = world.State().targets.at("target-0");
       bool reported = target.entry.life == 2 && target.reported;
-      for (const auto& [id, run] : target.runs)
+      for (const auto& [id, run] : target.runs) {
         reported = reported && run.life == 2;
-      if (reported && !target.runs.empty()) break;
+      }
+      if (reported && !target.runs.empty()) {
+        break;
+      }
     }
     CPPUNIT_ASSERT(!world.Target(0).running.empty());
     world.Target(0).faults.cut = true;
--- a/tests/unit-target-restart.cc
+++ b/tests/unit-target-restart.cc
@@ -38,7 +38,7 @@
     world.RunUntil(world.NowTime() + Millis(10));
     world.Submit(PlainJob("job", 20, 800));
     world.RunUntil(world.NowTime() + Millis(6000));
-    AssertNoBreach(world, "restart");
+    AssertNoBreach(world, "restart: ");
     CPPUNIT_ASSERT_EQUAL(20, world.Starts());
     CPPUNIT_ASSERT(world.PhaseOf("job") == cell::JobPhase::kCompleted);
   }
@@ -54,7 +54,7 @@
     world.RunUntil(world.NowTime() + Millis(400));
     CPPUNIT_ASSERT_EQUAL(16, world.Starts());
     world.RunUntil(world.NowTime() + Millis(4000));
-    AssertNoBreach(world, "restart");
+    AssertNoBreach(world, "restart: ");
     CPPUNIT_ASSERT(world.PhaseOf("job") == cell::JobPhase::kCompleted);
   }
 
@@ -67,7 +67,7 @@
     world.RunUntil(world.NowTime() + Millis(2500));
     world.Submit(PlainJob("job", 4, 800));
     world.RunUntil(world.NowTime() + Millis(3000));
-    AssertNoBreach(world, "restart");
+    AssertNoBreach(world, "restart: ");
     CPPUNIT_ASSERT(world.PhaseOf("job") == cell::JobPhase::kCompleted);
   }
 
@@ -96,8 +96,7 @@
   static void AssertNoBreach(const World& world, const std::string& name) {
     for (const std::string& breach : world.Breaches()) {
       // An end as done that was lost with the target's process may be repeated.
-      CPPUNIT_ASSERT_MESSAGE(name + ": " + breach,
-                             breach.starts_with("again: "));
+      CPPUNIT_ASSERT_MESSAGE(name + breach, breach.starts_with("again: "));
     }
   }
 
@@ -170,13 +169,13 @@
       world.At(next, [&world] { world.ReplaceOwner(Millis(400)); });
     }
     world.RunUntil(begin + Millis(70'000));
-    const std::string name = "seed " + std::to_string(seed);
+    const std::string name = "seed " + std::to_string(seed) + ": ";
     AssertNoBreach(world, name);
     for (const auto& [id, job] : world.KnownJobs()) {
       if (job.accepted) {
         const auto phase = world.PhaseOf(id);
         CPPUNIT_ASSERT_MESSAGE(
-            name + ": " + id,
+            name + id,
             phase == cell::JobPhase::kCompleted ||
                 (phase == cell::JobPhase::kFailed && world.MayBeGivenUp(id)));
       }
