Cell: a service whose tasks crash their targets is given up too

Services have no limit of attempts, and the suspicion of crashes left them out, so such a task crashed target after target without end: 78 crashes in 40 s of the new test, 2 now. The rule on crashes makes no exception for tasks that last.

--- a/src/cell/crashes.cc
+++ b/src/cell/crashes.cc
@@ -107,8 +107,7 @@
         {"fresh", fresh ? "true" : "false"},
         {"alone", alone ? "true" : "false"},
         {"crashes", std::to_string(task->crashes.size())}});
-  const bool service = job->spec.steps[id.task.step].service;
-  if (alone && !service && IsGuilty(*task)) {
+  if (alone && IsGuilty(*task)) {
     const Task guilty = *task;
     EndJob(cell, actions, *job, JobPhase::kFailed,
            "task " + TaskName(id.task) + " crashed " + Describe(guilty.crashes),
--- a/src/cell/round.h
+++ b/src/cell/round.h
@@ -21,8 +21,7 @@
   /// Job with a run on probation there; no other job may start on it.
   const JobId* probation = nullptr;
   bool empty = true;  ///< Has no run.
-  /// Has a run that began so recently that it could be taken for the cause of a
-  /// crash, and its job if it is the only one.
+  /// Has a run that began so recently that it could have caused a crash.
   bool fresh = false;
 };
 
--- a/tests/unit-deadly-tasks.cc
+++ b/tests/unit-deadly-tasks.cc
@@ -13,6 +13,7 @@
 class DeadlyTasksTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(DeadlyTasksTest);
   CPPUNIT_TEST(DeadlyTaskIsGivenUpAfterTwoCrashes);
+  CPPUNIT_TEST(DeadlyServiceIsGivenUpToo);
   CPPUNIT_TEST(TasksBesideADeadlyOneAreDone);
   CPPUNIT_TEST(CrashesAreCountedOverAChangeOfTheOwner);
   CPPUNIT_TEST(OtherCallersAreServedWhileManyTasksAreDeadly);
@@ -35,6 +36,19 @@
     }
   }
 
+  // Guards against a service that crashes targets without end, since its tasks
+  // have no limit of attempts.
+  void DeadlyServiceIsGivenUpToo() {
+    World world(Targets(6));
+    Open(world);
+    cell::JobSpec service = Deadly("service", 1);
+    service.steps[0].service = true;
+    world.Submit(service);
+    world.RunUntil(world.NowTime() + Millis(40'000));
+    CPPUNIT_ASSERT_EQUAL(2, world.Crashes());
+    CPPUNIT_ASSERT(world.PhaseOf("service") == cell::JobPhase::kFailed);
+  }
+
   // Guards against giving up tasks that ran on the crashed targets only.
   void TasksBesideADeadlyOneAreDone() {
     World world(Targets(3));
