--- a/src/cell/plan.cc
+++ b/src/cell/plan.cc
@@ -65,12 +65,6 @@
   candidate.step = FindStep(job, ref.occurrence, ref.step);
   candidate.priority = job.priority;
   candidate.excess = job.excess;
-  candidate.suspect =
-      std::ranges::any_of(candidate.step->tasks, [](const Task& task) {
-        return task.phase != TaskPhase::kDone && IsSuspect(task);
-      });
-  candidate.slow_suspect =
-      std::ranges::any_of(candidate.step->tasks, IsSlowSuspect);
   const Time began = BeganAt(cell, job, ref.occurrence);
   const Millis chain = ChainFrom(job.spec, ref.step);
   if (candidate.Spec().service) {
@@ -170,6 +164,17 @@
   }
 }
 
+/// Notes whether a step has suspected tasks. Done for planned steps only, since
+/// a long queue has many more.
+void FindSuspects(Candidate& candidate) {
+  candidate.suspect =
+      std::ranges::any_of(candidate.step->tasks, [](const Task& task) {
+        return task.phase != TaskPhase::kDone && IsSuspect(task);
+      });
+  candidate.slow_suspect =
+      std::ranges::any_of(candidate.step->tasks, IsSlowSuspect);
+}
+
 /// Whether suspected tasks of a step may start now: their crashes are stored,
 /// and few enough other jobs are on probation.
 bool MayTrySuspects(const Round& round, const Candidate& candidate) {
@@ -294,7 +299,8 @@
       Before);
   candidates.resize(planned);
   Round round = BeginRound(cell, actions, now);
-  for (const Candidate& candidate : candidates) {
+  for (Candidate& candidate : candidates) {
+    FindSuspects(candidate);
     PlanStep(round, candidate);
   }
 }
