Callers: a restarted host numbers its calls from a random start

A caller could be told that a job was accepted although its call had not even reached the owner. Cause: each process of a host counted its calls from 1, and the owner replies by host and number, so a reply to a call of the former process met the call of the same number in the new one. The first number is random now, so that the two don't meet. ReplyToAFormerProcessIsIgnored failed before (status 200) and passes.

--- a/include/buckthornmux/detail/entry/callers.h
+++ b/include/buckthornmux/detail/entry/callers.h
@@ -123,7 +123,9 @@
   Millis m_key_trust;
   runtime::Metrics& m_metrics;
   CallerLinks m_links;
-  std::uint64_t m_next = 1;
+  /// Number of the next call. The first is random, since the owner may still
+  /// reply to calls of this host's former process.
+  std::uint64_t m_next;
   std::map<std::uint64_t, OpenCall> m_open;
   std::unique_ptr<net::HttpServer> m_server;
 };
--- a/src/entry/callers.cc
+++ b/src/entry/callers.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <charconv>
+#include <limits>
+#include <random>
 #include <utility>
 
 #include "buckthornmux/detail/entry/clock.h"
@@ -39,6 +41,13 @@
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
 
+/// Returns a number from which a process can count its calls without wrapping.
+std::uint64_t RandomCallNumber() {
+  std::random_device random;
+  return std::uniform_int_distribution<std::uint64_t>(
+      1, std::numeric_limits<std::uint64_t>::max() / 2)(random);
+}
+
 Millis RetryAfterFor(ErrorKind kind) {
   switch (kind) {
     case ErrorKind::kStoreUnavailable:
@@ -121,7 +130,8 @@
       m_rules(rules),
       m_key_trust(key_trust * kKeyTrustPercent / 100),
       m_metrics(metrics),
-      m_links(std::move(links)) {
+      m_links(std::move(links)),
+      m_next(RandomCallNumber()) {
   net::HttpServerOptions options;
   options.address = address;
   options.kept_headers = {"Host", m_codec.key_header, m_codec.deadline_header};
--- a/tests/unit-entry-callers.cc
+++ b/tests/unit-entry-callers.cc
@@ -124,6 +124,7 @@
   CPPUNIT_TEST(ResponsesCloseIfTheStoreServesOnlyOthers);
   CPPUNIT_TEST(LateRefusalOfAFormerOwnerIsIgnored);
   CPPUNIT_TEST(LastTryWithLittleTimeIsAnswered);
+  CPPUNIT_TEST(ReplyToAFormerProcessIsIgnored);
   CPPUNIT_TEST(CallWithoutTimeIsRefusedImmediately);
   CPPUNIT_TEST_SUITE_END();
 
@@ -293,6 +294,36 @@
     CPPUNIT_ASSERT_EQUAL(200, answer.status);
   }
 
+  // Guards against a restarted host that takes the owner's reply to a call of
+  // its former process, and tells a caller that another's job was accepted.
+  void ReplyToAFormerProcessIsIgnored() {
+    constexpr int kDeadlineMs = 300;
+    const std::string body = R"({"steps":[{"count":1}]})";
+    std::optional<entry::CellReply> late;
+    {
+      Fixture former;
+      const auto tick = [&] {
+        former.callers.Tick(entry::Now());
+        entry::CellReply reply;
+        reply.call = former.forwarded.back().call;
+        reply.attempt = former.forwarded.back().attempt;
+        reply.end = CallResult::kAccepted;
+        late = late.value_or(reply);
+      };
+      (void)former.Send("POST", kJob, "k1", body, tick, kDeadlineMs);
+    }
+    CPPUNIT_ASSERT(late.has_value());
+    Fixture next;
+    const auto answer = next.Send(
+        "POST", "/p/fedcba9876543210", "k1", body,
+        [&] {
+          next.callers.HandleReply(*late);
+          next.callers.Tick(entry::Now());
+        },
+        kDeadlineMs);
+    CPPUNIT_ASSERT(answer.status != 200);
+  }
+
   void CallWithoutTimeIsRefusedImmediately() {
     Fixture f;
     const auto answer =
