--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -9,10 +9,12 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <ostream>
 #include <queue>
 #include <random>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "buckthornmux/detail/cell/cell.h"
@@ -69,6 +71,7 @@
   double same_id_share = 0;
   /// How long a room that has shrunk counts after the list has shown that.
   Millis room_grace{standins::kRoomGrace};
+  std::ostream* trace = nullptr;  ///< Gets a line per event; null: no trace.
 };
 
 /// Payload of jobs whose tasks crash the targets that start them.
@@ -214,6 +217,10 @@
   [[nodiscard]] Millis TrueTime(const cell::TaskId& task,
                                 const cell::StepSpec& spec) const;
   [[nodiscard]] bool Chance(double share);
+  void Trace(std::string_view event, const TargetId& target,
+             const std::string& text);
+  /// Traces the breaches after the first `known`.
+  void TraceBreaches(std::size_t known);
   /// Whether the adviser allows a step on a target; constant for a world.
   [[nodiscard]] bool Allows(const std::string& queue, const std::string& step,
                             const TargetId& target) const;
@@ -232,6 +239,7 @@
   std::unique_ptr<cell::Cell> m_cell;
   std::uint64_t m_life = 0;  ///< Owner's life; older answers are dropped.
   bool m_owned = false;      ///< The cell has an owner.
+  Epoch m_epoch = 1;  ///< Of the owner, or of the next one while there is none.
   Time m_now{Millis(1'000'000)};
   std::uint64_t m_order = 0;
   std::priority_queue<Event> m_events;
--- a/tests/standins/cell_world.cc
+++ b/tests/standins/cell_world.cc
@@ -8,6 +8,12 @@
 namespace buckthornmux::tests {
 namespace {
 
+std::string NameOf(const RunId& run) {
+  return run.task.job + "." + std::to_string(run.task.occurrence) + "." +
+         std::to_string(run.task.step) + "." + std::to_string(run.task.index) +
+         "#" + std::to_string(run.number);
+}
+
 constexpr Millis kStep{5};
 constexpr Millis kTick{50};
 constexpr Millis kReportInterval{1000};
@@ -33,10 +39,26 @@
     m_targets.push_back(std::move(target));
   }
   m_checker.SetRoomGrace(m_options.room_grace);
-  OpenCell(1);
+  OpenCell(m_epoch);
+}
+
+void World::Trace(std::string_view event, const TargetId& target,
+                  const std::string& text) {
+  if (m_options.trace != nullptr) {
+    *m_options.trace << m_now.time_since_epoch().count() << ' ' << event << ' '
+                     << target << ' ' << text << '\n';
+  }
+}
+
+void World::TraceBreaches(std::size_t known) {
+  const std::vector<std::string>& breaches = m_checker.Breaches();
+  for (std::size_t i = known; i < breaches.size(); ++i) {
+    Trace("breach", {}, breaches[i]);
+  }
 }
 
 void World::OpenCell(Epoch epoch) {
+  Trace("owner_opens", {}, "epoch=" + std::to_string(epoch));
   ++m_life;
   m_owned = true;
   m_cell = std::make_unique<cell::Cell>();
@@ -117,6 +139,8 @@
 
 void World::CrashNow(SimTarget& target) {
   const bool cut = target.faults.cut;
+  Trace("crash", target.entry.id,
+        "life=" + std::to_string(target.entry.life) + (cut ? " cut" : ""));
   for (const auto& [run, state] : target.running) {
     m_checker.CrashedUnder(run.task);
   }
@@ -137,6 +161,7 @@
   target.listed_life = target.listed_life.value_or(target.entry.life);
   At(m_now + down_for, [this, index, life] {
     standins::Revive(Target(index), life, m_now.time_since_epoch().count());
+    Trace("up", Target(index).entry.id, "life=" + std::to_string(life));
   });
   At(m_now + down_for + list_after, [this, index, life] {
     // A later restart is shown by its own event.
@@ -159,6 +184,7 @@
   target.listed = false;
   At(m_now + down_for, [this, index, life] {
     standins::Revive(Target(index), life, m_now.time_since_epoch().count());
+    Trace("up", Target(index).entry.id, "life=" + std::to_string(life));
   });
   At(m_now + down_for + list_after, [this, index, id = target.entry.id] {
     if (Target(index).entry.id == id) {
@@ -330,12 +356,18 @@
 }
 
 void World::ReplaceOwner(Millis after) {
-  const Epoch epoch = m_cell->epoch + 1;
+  Trace("owner_killed", {}, "epoch=" + std::to_string(m_epoch));
+  const Epoch epoch = ++m_epoch;
   ++m_life;
   m_owned = false;
   const Time dark = m_now + after;
   m_cell = std::make_unique<cell::Cell>();  // An empty cell that does nothing.
-  At(dark, [this, epoch] { OpenCell(epoch); });
+  At(dark, [this, epoch] {
+    // Killed before it took over.
+    if (epoch == m_epoch) {
+      OpenCell(epoch);
+    }
+  });
 }
 
 void World::Act(cell::Actions actions) {
@@ -359,6 +391,16 @@
     } else if (const auto* ask = std::get_if<cell::AskAdvice>(&action)) {
       Ask(*ask);
     } else if (const auto* note = std::get_if<cell::Decision>(&action)) {
+      if (m_options.trace != nullptr) {
+        std::string text;
+        for (const auto& [name, value] : note->fields) {
+          text += name;
+          text += '=';
+          text += value;
+          text += ' ';
+        }
+        Trace(note->event, {}, text);
+      }
       if (note->event == "task_stop") {
         ++m_stops[note->fields.back().second];
       } else if (note->event == "job_ended") {
@@ -457,7 +499,14 @@
   if (verdict != cell::OrderOutcome::kDone) {
     return verdict;
   }
+  const std::size_t breaches = m_checker.Breaches().size();
   m_checker.Starting(m_targets, target, start.run, true, m_now);
+  Trace("run_begins", target.entry.id,
+        NameOf(start.run) + " epoch=" + std::to_string(m_cell->epoch) +
+            " life=" + std::to_string(target.entry.life) + " deadline_in=" +
+            std::to_string(start.deadline_ms -
+                           standins::TargetClock(target, m_now)));
+  TraceBreaches(breaches);
   const cell::StepSpec& spec = *m_checker.StepOf(start.run.task);
   standins::BeginRun(target, start.run, spec.demand,
                      TrueTime(start.run.task, spec), start.deadline_ms, m_now);
@@ -507,6 +556,14 @@
     for (const cell::TaskId& task : standins::Advance(target, m_now)) {
       m_checker.Done(task);
     }
+    for (const cell::EndReport& end : target.ended) {
+      if (end.sequence > before) {
+        Trace("run_ends", target.entry.id,
+              NameOf(end.run) + " end=" + std::to_string(int(end.end)) +
+                  " sequence=" + std::to_string(end.sequence) +
+                  " life=" + std::to_string(target.entry.life));
+      }
+    }
     if (target.sequence > before) {
       Report(target);
     }
@@ -583,12 +640,17 @@
 void World::AnswerReport(SimTarget& target, const cell::ReportCall& call,
                          Time sent_at, std::uint64_t life) {
   target.fence = std::max(target.fence, m_cell->epoch);
+  const std::size_t breaches = m_checker.Breaches().size();
   for (const cell::EndReport& end : target.ended) {
     if (end.sequence <= call.acked_end && end.end == cell::RunEnd::kDone &&
         end.sequence > target.lapsed_after) {
+      Trace("end_acknowledged", target.entry.id,
+            NameOf(end.run) + " sequence=" + std::to_string(end.sequence) +
+                " epoch=" + std::to_string(m_cell->epoch));
       m_checker.DoneAcknowledged(end.run.task);
     }
   }
+  TraceBreaches(breaches);
   const cell::TargetReport report =
       standins::TakeReportCall(target, call, m_now);
   m_connected[target.entry.id] = target.entry.life;
