--- a/src/cell/reports.cc
+++ b/src/cell/reports.cc
@@ -185,7 +185,8 @@
        {{"job", id.task.job},
         {"task", TaskName(id.task)},
         {"run", std::to_string(id.number)},
-        {"target", target.entry.id}});
+        {"target", target.entry.id},
+        {"life", std::to_string(target.entry.life)}});
 }
 
 void UpdateProgress(Cell& cell, Run& run, const RunningReport& report,
@@ -270,7 +271,8 @@
          {{"job", id.task.job},
           {"task", TaskName(id.task)},
           {"run", std::to_string(id.number)},
-          {"target", target.entry.id}});
+          {"target", target.entry.id},
+          {"life", std::to_string(target.entry.life)}});
     ReleaseRun(cell, target, id);
   }
 }
--- a/src/cell/runs.cc
+++ b/src/cell/runs.cc
@@ -74,6 +74,13 @@
   run.in_flight = true;
   OnLeaseSent(cell, target.entry.id, now);
   actions.emplace_back(std::move(start));
+  Note(actions, "start_resent",
+       {{"job", id.task.job},
+        {"task", TaskName(id.task)},
+        {"run", std::to_string(id.number)},
+        {"target", target.entry.id},
+        {"life", std::to_string(target.entry.life)},
+        {"send", std::to_string(run.tries)}});
 }
 
 std::string_view RunPhaseName(RunPhase phase) {
--- a/src/cell/starts.cc
+++ b/src/cell/starts.cc
@@ -77,6 +77,7 @@
         {"task", TaskName(id.task)},
         {"run", std::to_string(number)},
         {"target", target.entry.id},
+        {"life", std::to_string(target.entry.life)},
         {"team", job.spec.team},
         {"waited_ms", std::to_string((round.now - step.ready_at).count())},
         {"slack_ms", std::to_string(candidate.slack.count())}});
--- a/src/cell/steps.cc
+++ b/src/cell/steps.cc
@@ -229,6 +229,7 @@
         {"task", TaskName(end.run.task)},
         {"run", std::to_string(end.run.number)},
         {"target", target.entry.id},
+        {"life", std::to_string(target.entry.life)},
         {"end", std::string(EndName(end.end))},
         {"sequence", std::to_string(end.sequence)}});
   if (task != nullptr && end.end == RunEnd::kDone) {
