--- a/tests/unit-target-restart.cc
+++ b/tests/unit-target-restart.cc
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(RunsOfAFormerLifeStartAgainElsewhere);
   CPPUNIT_TEST(LifeWithALowerStartTimeIsReportedAndServed);
   CPPUNIT_TEST(NothingRunsTwiceUnderRandomRestarts);
+  CPPUNIT_TEST(NothingRunsTwiceUnderLongCutsAndManyOwners);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -73,15 +74,47 @@
 
   // RESTART_SEEDS=N plays more seeds by hand.
   void NothingRunsTwiceUnderRandomRestarts() {
-    constexpr int kSeeds = 12;
-    const char* wanted = std::getenv("RESTART_SEEDS");
-    const int seeds = wanted == nullptr ? kSeeds : std::atoi(wanted);
-    for (int seed = 1; seed <= seeds; ++seed) {
-      PlayRandom(static_cast<std::uint64_t>(seed));
+    constexpr std::uint64_t kSeeds = 12;
+    for (std::uint64_t seed = 1; seed <= SeedsOr(kSeeds); ++seed) {
+      PlayRandom(seed, Faults());
+    }
+  }
+
+  // Guards against a second run of a task that a target's new process executes
+  // by the clock of the former one, so that its lease outlasts the next owner's
+  // wait. In each of the named seeds such a run was started again.
+  void NothingRunsTwiceUnderLongCutsAndManyOwners() {
+    constexpr std::uint64_t kSeeds = 12;
+    const Faults faults{.answers_lost = 0.4,
+                        .orders_late = 0.3,
+                        .longest_cut = Millis(7000),
+                        .owners = 6,
+                        .shortest_term = Millis(400),
+                        .longest_term = Millis(5000)};
+    for (const std::uint64_t seed : {120U, 392U, 815U, 961U, 1796U, 2058U}) {
+      PlayRandom(seed, faults);
+    }
+    for (std::uint64_t seed = 1; seed <= SeedsOr(kSeeds); ++seed) {
+      PlayRandom(seed, faults);
     }
   }
 
  private:
+  /// Upper bounds of the faults of a random play.
+  struct Faults {
+    double answers_lost = 0.1;  ///< Share of starts that are not answered.
+    double orders_late = 0.06;  ///< Share of starts executed seconds later.
+    Millis longest_cut{900};
+    int owners = 3;  ///< Number of changes of the owner.
+    Millis shortest_term{2000};
+    Millis longest_term{9000};
+  };
+
+  static std::uint64_t SeedsOr(std::uint64_t number) {
+    const char* wanted = std::getenv("RESTART_SEEDS");
+    return wanted == nullptr ? number : std::strtoull(wanted, nullptr, 10);
+  }
+
   static WorldOptions Targets(int count) {
     WorldOptions options;
     options.targets = count;
@@ -101,7 +134,7 @@
   }
 
   /// Restarts, lost and late answers, cuts and changes of the owner under load.
-  static void PlayRandom(std::uint64_t seed) {
+  static void PlayRandom(std::uint64_t seed, const Faults& faults) {
     std::mt19937_64 random(seed);
     const auto number = [&random](std::int64_t least, std::int64_t most) {
       return std::uniform_int_distribution<std::int64_t>(least, most)(random);
@@ -128,8 +161,8 @@
       world.At(begin + time(0, 20'000), [&world, job] { world.Submit(job); });
     }
     for (int i = 0; i < kTargets; ++i) {
-      world.Target(i).faults.answers_lost = share(0.1);
-      world.Target(i).faults.orders_late = share(0.06);
+      world.Target(i).faults.answers_lost = share(faults.answers_lost);
+      world.Target(i).faults.orders_late = share(faults.orders_late);
       std::int64_t life = 1;
       std::set<std::int64_t> lives{life};
       Time at = begin + time(0, 4000);
@@ -157,15 +190,15 @@
         if (number(0, 3) == 0) {
           const Time from = at + down + time(0, 700);
           world.At(from, [&world, i] { world.Target(i).faults.cut = true; });
-          world.At(from + time(100, 900),
+          world.At(from + time(100, faults.longest_cut.count()),
                    [&world, i] { world.Target(i).faults.cut = false; });
         }
         at += down + list_after + time(1000, 8000);
       }
     }
     Time next = begin;
-    for (int i = 0; i < 3; ++i) {
-      next += time(2000, 9000);
+    for (int i = 0; i < faults.owners; ++i) {
+      next += time(faults.shortest_term.count(), faults.longest_term.count());
       world.At(next, [&world] { world.ReplaceOwner(Millis(400)); });
     }
     world.RunUntil(begin + Millis(70'000));
