--- a/tests/standins/sim_target.h
+++ b/tests/standins/sim_target.h
@@ -20,6 +20,8 @@
   bool fails = false;
   bool stuck = false;        ///< Makes no progress and never ends.
   Time stops = Time::max();  ///< Being stopped until then.
+  /// Prefix of the checkpoints that it saves; empty: it saves none.
+  std::string saves_as;
 };
 
 /// A capacity that the list of targets no longer shows.
@@ -37,7 +39,9 @@
   double answers_lost = 0;  ///< Share of orders done but not answered.
   double orders_late = 0;   ///< Share carried out seconds later, unanswered.
   double slowdown = 1;
-  Millis stop_time{0};  ///< A run that is stopped goes on for so long.
+  Millis stop_time{0};      ///< A run that is stopped goes on for so long.
+  double reports_late = 0;  ///< Share of reports answered 50 to 1500 ms late.
+  double clock_slow = 0;    ///< Share by which its own clock is slow.
 };
 
 struct SimTarget {
@@ -59,6 +63,12 @@
   /// Capacity shown by the list if that is behind; otherwise empty.
   std::optional<Resources> listed_capacity;
   std::vector<FormerRoom> former_rooms;  ///< Oldest first.
+  /// Address shown by the list if that is behind; otherwise empty.
+  std::optional<std::string> listed_address;
+  bool left = false;  ///< Has left for good; it runs nothing any more.
+  Time hidden_until;  ///< Its entry is missing in the list until then.
+  int restarts = 0;
+  int listed_restarts = 0;  ///< Latest restart that the list shows.
   int resizes = 0;
   int listed_resizes = 0;  ///< Latest change of capacity that the list shows.
   std::int64_t clock_origin = 500'000;  ///< Our clock when its own was 0, ms.
--- /dev/null
+++ b/tests/unit-restart-random.cc
@@ -0,0 +1,293 @@
+// Random plays of targets that restart, move and leave, under lost and late
+// answers, lists that go back and many changes of the owner.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <cstdlib>
+#include <iostream>
+#include <random>
+#include <set>
+
+#include "cell_world.h"
+#include "plain_cell.h"
+
+namespace buckthornmux::tests {
+namespace {
+
+constexpr int kTargets = 8;
+constexpr int kJobs = 120;
+constexpr Millis kTrouble{20'000};  ///< During which jobs and faults begin.
+constexpr Millis kPlay{75'000};  ///< By the end of which all jobs have ended.
+
+std::uint64_t NumberFrom(const char* variable, std::uint64_t otherwise) {
+  const char* value = std::getenv(variable);
+  return value == nullptr ? otherwise : std::strtoull(value, nullptr, 10);
+}
+
+/// @brief Draws of one play.
+class Dice {
+ public:
+  explicit Dice(std::uint64_t seed) : m_random(seed) {}
+  std::int64_t Number(std::int64_t least, std::int64_t most) {
+    return std::uniform_int_distribution<std::int64_t>(least, most)(m_random);
+  }
+  Millis Time(std::int64_t least, std::int64_t most) {
+    return Millis(Number(least, most));
+  }
+  double Share(double most) {
+    return std::uniform_real_distribution<double>(0, most)(m_random);
+  }
+  bool OneIn(std::int64_t count) { return Number(1, count) == 1; }
+
+ private:
+  std::mt19937_64 m_random;
+};
+
+/// What a play showed.
+struct Outcome {
+  std::vector<std::string> breaches;
+  standins::PassedOver passed_over;
+};
+
+cell::JobSpec DrawJob(Dice& dice, int number) {
+  const auto run_ms = [&dice] {
+    return static_cast<int>(dice.OneIn(4) ? dice.Number(2000, 6000)
+                                          : dice.Number(100, 900));
+  };
+  cell::JobSpec job = PlainJob("job-" + std::to_string(number), 2, run_ms());
+  const auto steps = dice.OneIn(3) ? dice.Number(2, 3) : 1;
+  while (std::ssize(job.steps) < steps) {
+    cell::StepSpec step = PlainStep(
+        static_cast<std::uint32_t>(dice.Number(1, 3)), 1000, run_ms());
+    step.after = {static_cast<std::uint32_t>(job.steps.size() - 1)};
+    if (job.steps.size() == 2 && dice.OneIn(2)) {
+      step.after = {0, 1};
+    }
+    job.steps.push_back(step);
+  }
+  for (cell::StepSpec& step : job.steps) {
+    step.gang = dice.OneIn(6);
+    step.checkpoints = dice.OneIn(2);
+    step.demand.cpu_milli = dice.Number(1, 3) * 1000;
+  }
+  return job;
+}
+
+/// @brief New lives of one target; no life comes twice.
+class Lives {
+ public:
+  /// Wall clocks are set back and forth between the lives.
+  std::int64_t Next(Dice& dice) {
+    do {
+      m_life += dice.OneIn(4) ? -dice.Number(2, 900) : dice.Number(2, 1000);
+    } while (m_life == 0 || !m_used.insert(m_life).second);
+    return m_life;
+  }
+
+ private:
+  std::int64_t m_life = 1;
+  std::set<std::int64_t> m_used{1};
+};
+
+void CutFor(World& world, int index, Time from, Millis lasts) {
+  world.At(from, [&world, index] {
+    if (!world.Target(index).left) {
+      world.Target(index).faults.cut = true;
+    }
+  });
+  world.At(from + lasts, [&world, index] {
+    if (!world.Target(index).left) {
+      world.Target(index).faults.cut = false;
+    }
+  });
+}
+
+/// Schedules one restart and returns when the next one may be.
+Time AddRestart(World& world, Dice& dice, Lives& lives, int index, Time at) {
+  const Millis down = dice.OneIn(2) ? dice.Time(5, 60) : dice.Time(5, 2500);
+  const Millis list_after = dice.Time(0, 2500);
+  const std::int64_t life = lives.Next(dice);
+  if (dice.OneIn(2)) {
+    CutFor(world, index, at, down);  // The crash isn't noticed.
+  }
+  switch (dice.Number(0, 9)) {
+    case 0:
+    case 1:
+      world.At(at, [&world, index, down, list_after, life] {
+        world.Rename(index, down, list_after, life);
+      });
+      return at + down + list_after;
+    case 2: {
+      // Another id has the address for a while.
+      const std::int64_t other = lives.Next(dice);
+      const Millis visit = dice.Time(20, 4000);
+      const Millis visitor_down = dice.Time(5, 500);
+      const Time leaves = at + down + visit;
+      world.At(at, [&world, index, down, list_after, life, visit, visitor_down,
+                    other, back_listed = dice.Time(0, 2500)] {
+        const TargetId id = world.Target(index).entry.id;
+        world.RenameTo(index, id + "v", down, list_after, life);
+        world.At(world.NowTime() + down + visit,
+                 [&world, index, id, visitor_down, back_listed, other] {
+                   world.RenameTo(index, id, visitor_down, back_listed, other);
+                 });
+      });
+      return leaves + visitor_down + Millis(2500);
+    }
+    case 3:
+      world.At(at, [&world, index, down, list_after, life] {
+        world.Move(index, down, list_after, life);
+      });
+      return at + down;
+    default:
+      world.At(at, [&world, index, down, list_after, life] {
+        world.Restart(index, down, list_after, life);
+      });
+      return at + down;
+  }
+}
+
+void AddTargetFaults(World& world, Dice& dice, int index, Time begin) {
+  standins::SimFaults& faults = world.Target(index).faults;
+  faults.answers_lost = dice.Share(0.4);
+  faults.orders_late = dice.Share(0.3);
+  faults.reports_late = dice.Share(0.3);
+  faults.clock_slow = dice.Share(0.02);
+  faults.stop_time = dice.Time(0, 400);
+  const bool leaves = index == 0;
+  const Time until = begin + (leaves ? dice.Time(3000, 14'000) : kTrouble);
+  Lives lives;
+  Time at = begin + dice.Time(0, 4000);
+  while (at < until) {
+    Time next = AddRestart(world, dice, lives, index, at);
+    if (dice.OneIn(4)) {
+      CutFor(world, index, next + dice.Time(0, 700), dice.Time(100, 7000));
+    }
+    if (dice.OneIn(4)) {
+      world.At(next + dice.Time(0, 1500),
+               [&world, index, lasts = dice.Time(100, 6000)] {
+                 world.Hide(index, lasts);
+               });
+    }
+    // Series of restarts within 2 s.
+    at = next + (dice.OneIn(3) ? dice.Time(5, 600) : dice.Time(1000, 8000));
+  }
+  if (!leaves) {
+    return;
+  }
+  const Time drains = at + dice.Time(2500, 5000);
+  const Millis notice = dice.Time(1000, 6000);
+  world.At(drains, [&world, index, notice] { world.TakeAway(index, notice); });
+  if (dice.OneIn(2)) {
+    CutFor(world, index, drains + dice.Time(0, notice.count()),
+           dice.Time(100, 3000));
+  }
+  if (dice.OneIn(2)) {
+    world.At(drains + dice.Time(0, notice.count()),
+             [&world, index, lasts = dice.Time(100, 4000)] {
+               world.Hide(index, lasts);
+             });
+  }
+}
+
+void AddOwners(World& world, Dice& dice, Time begin) {
+  const auto owners = dice.Number(3, 8);
+  Time next = begin;
+  for (int i = 0; i < owners; ++i) {
+    next += dice.Time(400, 5000);
+    const Millis dark = dice.Time(50, 600);
+    if (dice.OneIn(3)) {
+      world.At(next, [&world, dark, told = dice.Time(0, 300)] {
+        world.HandOver(dark, told);
+      });
+    } else {
+      world.At(next, [&world, dark] { world.ReplaceOwner(dark); });
+    }
+  }
+}
+
+Outcome Play(std::uint64_t seed, std::ostream* trace) {
+  Dice dice(seed);
+  WorldOptions options;
+  options.seed = seed;
+  options.targets = kTargets;
+  options.least_order_delay = Millis(500);
+  options.most_order_delay = Millis(6000);
+  options.by_address = true;
+  options.ends_by_run = true;
+  options.trace = trace;
+  World world(options);
+  world.SetRules({PlainQueue("plain")});
+  world.RunUntil(world.NowTime() + Millis(200));
+  const Time begin = world.NowTime();
+  for (int i = 0; i < kJobs; ++i) {
+    const Time at = begin + dice.Time(0, kTrouble.count());
+    world.At(at, [&world, job = DrawJob(dice, i)] { world.Submit(job); });
+    if (dice.OneIn(12)) {
+      world.At(at + dice.Time(50, 6000),
+               [&world, i] { world.Cancel("job-" + std::to_string(i)); });
+    }
+  }
+  for (int i = 0; i < kTargets; ++i) {
+    AddTargetFaults(world, dice, i, begin);
+  }
+  for (auto lists = dice.Number(0, 3); lists > 0; --lists) {
+    world.At(begin + dice.Time(500, kTrouble.count()),
+             [&world, age = dice.Time(100, 6000), lasts = dice.Time(50, 3000)] {
+               world.ShowFormerList(age, lasts);
+             });
+  }
+  AddOwners(world, dice, begin);
+  world.RunUntil(begin + kPlay);
+  Outcome outcome{world.Breaches(), world.PassOvers()};
+  for (const auto& [id, job] : world.KnownJobs()) {
+    const auto phase = world.PhaseOf(id);
+    if (job.accepted && !job.cancelled && phase != cell::JobPhase::kCompleted &&
+        phase != cell::JobPhase::kCancelled &&
+        (phase != cell::JobPhase::kFailed || !world.MayBeGivenUp(id))) {
+      outcome.breaches.push_back(
+          (phase == cell::JobPhase::kFailed ? "failed: " : "no end: ") + id);
+    }
+  }
+  return outcome;
+}
+
+class RestartRandomTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RestartRandomTest);
+  CPPUNIT_TEST(RestartsMovesAndOldListsBreakNoPromise);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // RESTART_SEEDS=N plays N seeds from RESTART_FIRST=K on; RESTART_TRACE=1
+  // writes the events of a single seed to stdout.
+  void RestartsMovesAndOldListsBreakNoPromise() {
+    constexpr std::uint64_t kSeeds = 12;
+    const std::uint64_t first = NumberFrom("RESTART_FIRST", 1);
+    const std::uint64_t seeds = NumberFrom("RESTART_SEEDS", kSeeds);
+    const bool trace = seeds == 1 && NumberFrom("RESTART_TRACE", 0) != 0;
+    standins::PassedOver sum;
+    std::string failed;
+    for (std::uint64_t seed = first; seed < first + seeds; ++seed) {
+      const Outcome outcome = Play(seed, trace ? &std::cout : nullptr);
+      sum.lost += outcome.passed_over.lost;
+      sum.pending += outcome.passed_over.pending;
+      sum.cancelled += outcome.passed_over.cancelled;
+      if (outcome.breaches.empty()) {
+        continue;
+      }
+      failed += " " + std::to_string(seed);
+      for (const std::string& breach : outcome.breaches) {
+        std::cout << "seed " << seed << ": " << breach << '\n';
+      }
+    }
+    std::cout << "seeds " << seeds << " from " << first << ": passed over "
+              << sum.lost << " starts after a lost end, " << sum.pending
+              << " after an end not acknowledged by then, " << sum.cancelled
+              << " late starts of cancelled jobs\n";
+    CPPUNIT_ASSERT_MESSAGE("failing seeds:" + failed, failed.empty());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RestartRandomTest);
+
+}  // namespace
+}  // namespace buckthornmux::tests
