Test: cuts at changes of the owner, report calls executed late

An owner that takes over while it can't reach a target, and a hand-over with ends that aren't acknowledged, were rare in the random plays. A second test cuts targets off around each change, hands over every second time, and lets report calls be executed up to 6 s late. The first one keeps its draws.

--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -74,6 +74,8 @@
   /// Delay of orders that are executed late; drawn if the bounds differ.
   Millis least_order_delay{4000};
   Millis most_order_delay{4000};
+  /// After which the owner gives up a report call to a target that is cut off.
+  Millis report_timeout{1000};
   /// Calls go to the listed address, whoever answers there.
   bool by_address = false;
   /// Judges each end by its run, see JobChecker::JudgeEndsByRun.
@@ -188,6 +190,8 @@
   [[nodiscard]] const standins::PassedOver& PassOvers() const {
     return m_checker.PassOvers();
   }
+  /// @brief Number of starts that carried a checkpoint.
+  [[nodiscard]] int Resumes() const { return m_resumes; }
   [[nodiscard]] int Starts() const { return m_checker.Starts(); }
   /// @brief Number of stop orders by reason.
   [[nodiscard]] const std::map<std::string, int>& Stops() const {
@@ -246,6 +250,9 @@
   void WhileOpen(Time at, const TargetId& id, std::function<void()> action);
   void FailReport(const TargetId& id, cell::OrderOutcome outcome,
                   std::uint64_t life);
+  /// What a target does on a report call.
+  cell::TargetReport Take(SimTarget& target, const cell::ReportCall& call,
+                          Epoch epoch);
   void AnswerReport(SimTarget& target, const cell::ReportCall& call,
                     Time sent_at, std::uint64_t life);
   void AdvanceTargets();
@@ -298,6 +305,7 @@
   std::vector<cell::TargetEntry> m_former_list;
   Time m_former_list_until;
   int m_next_port = 1000;
+  int m_resumes = 0;
   cell::Rules m_rules;
   standins::JobChecker m_checker;
   std::map<cell::CallId, std::string> m_calls;
