World: a report call that was given up makes no connection known

The simulated owner counted a process as connected once the target had handled its report call, also if the answer came too late and was dropped. The server sends such a call only on a connection that was open by the last good report (connected_by), so this was a fault of the world.

--- a/tests/standins/cell_world.cc
+++ b/tests/standins/cell_world.cc
@@ -776,14 +776,14 @@
     if (Chance(there->faults.calls_late)) {
       const Millis delay(std::uniform_int_distribution<std::int64_t>(
           kLeastCallDelay.count(), kMostCallDelay.count())(m_random));
-      At(m_now + delay, [this, id, call, epoch = m_cell->epoch,
-                         process = there->entry.life] {
-        SimTarget* later = Find(id);
-        if (later != nullptr && !later->faults.down && !later->left &&
-            later->entry.life == process && epoch >= later->fence) {
-          static_cast<void>(Take(*later, call, epoch));
-        }
-      });
+      At(m_now + delay,
+         [this, id, call, epoch = m_cell->epoch, process = there->entry.life] {
+           SimTarget* later = Find(id);
+           if (later != nullptr && !later->faults.down && !later->left &&
+               later->entry.life == process && epoch >= later->fence) {
+             static_cast<void>(Take(*later, call, epoch));
+           }
+         });
       WhileOpen(sent_at + kReportTimeout, id, [this, id, life] {
         FailReport(id, cell::OrderOutcome::kUnknown, life);
       });
@@ -850,7 +850,6 @@
 void World::AnswerReport(SimTarget& target, const cell::ReportCall& call,
                          Time sent_at, std::uint64_t life) {
   const cell::TargetReport report = Take(target, call, m_cell->epoch);
-  m_connected[target.entry.id] = target.entry.life;
   for (const cell::RunningReport& run : report.running) {
     m_checker.Saved(run.run.task, run.checkpoint);
   }
@@ -870,6 +869,8 @@
               });
     return;
   }
+  // An owner that has given the call up doesn't know that process.
+  m_connected[target.entry.id] = target.entry.life;
   const auto answer = [this, id = target.entry.id, report, sent_at, life] {
     if (life != m_life) {
       return;
