Cell: one place concludes what has become of a run

Cause: what may be concluded of a run (never started, ended with its target's process, lapsed, still possible) was decided in reports.cc, runs.cc, crashes.cc, steps.cc and record_targets.cc, each from a part of the evidence. Since a start reaches only the process it is meant for, a run belongs to one life of its target, and most of these rules are no longer needed: runs without a life, the longest lease of a start by a former clock, unreported runs that a new process may have started.

Change: verdicts.h: (target, run, evidence, now) -> verdict, with five kinds of evidence: the answer to a start, a report that doesn't list the run, a report of another life, another target at the address, and silence. Starting tasks, asking after a takeover and letting a target forget an end ask there too. New in it: another target's answer counts only at the address where the run's process was last reported (a list that goes back shows others), and a report that is cut to its first ends proves nothing about the rest.

--- a/include/buckthornmux/detail/cell/cell.h
+++ b/include/buckthornmux/detail/cell/cell.h
@@ -180,7 +180,12 @@
 void ReportFailed(Cell& cell, Actions& actions, const TargetId& target,
                   OrderOutcome outcome, Time now);
 
-/// @brief Extends the lease of a target to which a renewal was sent at `now`.
+/// @brief Notes that a report call is sent to a target at `now`; only one is
+///   open at a time.
+void OnReportSent(Cell& cell, const TargetId& target, const ReportCall& call,
+                  Time now);
+
+/// @brief Extends the lease of a target to which a deadline was sent at `now`.
 void OnLeaseSent(Cell& cell, const TargetId& target, Time now);
 
 /// @brief Handles an answer of the adviser, or its time-out (`answered` false,
--- a/include/buckthornmux/detail/cell/state.h
+++ b/include/buckthornmux/detail/cell/state.h
@@ -19,10 +19,7 @@
 
 /// Limits, time-outs and delays of a cell.
 struct Options {
-  Millis lease{6000};  ///< Lifetime of a target's runs after a renewal.
-  /// Targets shorten leases to this. A lease meant for a target's former
-  /// process, whose clock was another, may last so long.
-  Millis longest_lease{10'000};
+  Millis lease{6000};        ///< Lifetime of a target's runs after a renewal.
   int drift_per_mille = 20;  ///< Maximum clock drift of a target, in 1/1000.
   Millis stop_time{400};     ///< Maximum time that a stop takes.
   Millis job_retention{130'000};  ///< How long ended jobs stay visible.
@@ -80,9 +77,6 @@
   Time first_at;                   ///< When `first_percent` was reported.
   Time progress_at;                ///< When `percent` last rose.
   bool listed = false;             ///< The target has reported it as running.
-  /// Life of the target that has reported it to this owner; 0: none yet, so it
-  /// may be in any life since its order was sent.
-  std::int64_t life = 0;
   /// Known from a former owner; its silent target has not confirmed it since.
   bool inherited = false;
   int priority = 0;
@@ -131,9 +125,12 @@
   /// Life in the latest list of targets, whose capacity and labels `entry` has.
   /// If it isn't `entry.life`, the target gets no new runs.
   std::int64_t listed_life = 0;
-  std::int64_t former_life = 0;
-  Time crashed_at;  ///< When its former process was last known to be there.
-  /// Runs reported in the current life have ended after this time.
+  /// Address at which its latest report was requested.
+  std::string confirmed_address;
+  /// Address and time of the latest report call, answered or not.
+  std::string called_address;
+  Time called_at;
+  /// All runs have ended after this time, unless it is renewed.
   Time lease_until;
   Time last_answer;
   /// When the first call since the last report failed; empty if none did.
--- a/include/buckthornmux/detail/cell/types.h
+++ b/include/buckthornmux/detail/cell/types.h
@@ -181,6 +181,7 @@
   std::int64_t clock_ms = 0;  ///< The target's clock.
   std::vector<RunningReport> running;
   std::vector<EndReport> ended;  ///< Unacknowledged, by sequence number.
+  bool complete = true;          ///< `ended` has all of them.
 };
 
 /// Outcome of an order to a target.
--- a/src/cell/crashes.cc
+++ b/src/cell/crashes.cc
@@ -91,7 +91,7 @@
   }
   const Run& run = target.runs.at(id);
   const bool confirmed =
-      !run.inherited && (run.life != 0 || run.confirmed_at != Time());
+      !run.inherited && (run.listed || run.confirmed_at != Time());
   task->crashes.push_back({id.number, target.entry.id, life, fresh, confirmed});
   MarkChanged(cell, *job, IsSuspect(*task), now);
   if (!IsSuspect(*task)) {
--- a/src/cell/internal.h
+++ b/src/cell/internal.h
@@ -132,10 +132,6 @@
 /// Maximum time that runs of a target continue after its last renewal.
 [[nodiscard]] Millis MaxLeaseLifetime(const Options& options);
 
-/// Latest end of a run on a target that no longer answers.
-[[nodiscard]] Time LeaseEnd(const Options& options, const Target& target,
-                            const Run& run);
-
 /// Refuses new jobs whose callers are about to time out and for which no write
 /// has been sent yet.
 void RefuseOverdue(Cell& cell, Actions& actions, Time now);
--- a/src/cell/plan.cc
+++ b/src/cell/plan.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "round.h"
+#include "verdicts.h"
 
 namespace buckthornmux::cell {
 namespace {
@@ -288,7 +289,7 @@
   std::vector<Candidate> candidates;
   for (const StepRef& ref : cell.ready) {
     Job& job = *FindJob(cell, ref.job);
-    if (job.durable > 0 && (cell.recovered || !job.adopted)) {
+    if (MayStartTasks(cell, job)) {
       candidates.push_back(MakeCandidate(cell, ref, job, now));
     }
   }
--- a/src/cell/record_targets.cc
+++ b/src/cell/record_targets.cc
@@ -16,19 +16,10 @@
 constexpr Millis kMinLeaseReduction{500};
 
 /// Whether a target has stopped answering, but all its runs are known.
-bool IsSilent(const Target& target) {
+bool IsKnownSilent(const Target& target) {
   return target.silent && (target.reported || target.runs_known);
 }
 
-/// Latest end of all runs on a target that no longer answers.
-Time LastRunEnd(const Cell& cell, const Target& target) {
-  Time last = target.lease_until;
-  for (const auto& [id, run] : target.runs) {
-    last = std::max(last, LeaseEnd(cell.options, target, run));
-  }
-  return last;
-}
-
 /// Returns the targets that a next owner must query. A draining target without
 /// runs is omitted: nothing is started on it, so it stays empty.
 std::vector<StoredTarget> TargetsToAsk(const Cell& cell, Time now) {
@@ -43,9 +34,9 @@
     const bool drained = target.entry.draining && target.runs.empty();
     if (target.reported && drained) {
       lasts.erase(id);
-    } else if (IsSilent(target)) {
+    } else if (IsKnownSilent(target)) {
       // The lease of a silent target is no longer renewed.
-      lasts[id] = std::max(Millis(0), LastRunEnd(cell, target) - now);
+      lasts[id] = std::max(Millis(0), target.lease_until - now);
     } else if (target.reported) {
       lasts[id] = longest;
     } else if (!drained) {
@@ -63,7 +54,7 @@
 StoredSilentTargets SilentTargets(const Cell& cell) {
   StoredSilentTargets silent{cell.epoch, {}};
   for (const auto& [id, target] : cell.targets) {
-    if (!IsSilent(target)) {
+    if (!IsKnownSilent(target)) {
       continue;
     }
     StoredSilentTarget stored{id, target.entry.address, target.entry.life, {}};
@@ -105,6 +96,7 @@
     target.entry.id = silent.id;
     target.entry.address = silent.address;
     target.entry.life = silent.life;
+    target.confirmed_address = silent.address;
     target.listed = false;
     target.unlisted_at = now;
     target.silent = true;
@@ -130,7 +122,7 @@
   const std::vector<StoredTarget> stored = TargetsToAsk(cell, now);
   for (const StoredTarget& target : stored) {
     const Target* known = FindTarget(cell, target.id);
-    if ((known == nullptr || !IsSilent(*known)) &&
+    if ((known == nullptr || !IsKnownSilent(*known)) &&
         target.lasts >= MaxLeaseLifetime(cell.options)) {
       batch.targets.push_back(target.id);
     }
@@ -158,7 +150,7 @@
   }
   for (const auto& [id, target] : cell.targets) {
     if (!target.runs.empty()) {
-      until[id] = std::max(until[id], LastRunEnd(cell, target));
+      until[id] = std::max(until[id], target.lease_until);
     }
   }
   std::vector<StoredTarget> left;
--- a/src/cell/reports.cc
+++ b/src/cell/reports.cc
@@ -3,18 +3,11 @@
 #include <optional>
 #include <set>
 
-#include "internal.h"
+#include "verdicts.h"
 
 namespace buckthornmux::cell {
 namespace {
 
-/// A target that has not answered for this time gets no more renewals, so that
-/// the leases of its runs expire. Longer than the longest wait of a report
-/// call.
-constexpr Millis kSilenceTimeout{1500};
-/// A draining target that disappears from the list within this time of its last
-/// answer has shut down; a target that failed stays listed for longer.
-constexpr Millis kMaxDepartureDelay{2500};
 /// A run is stopped as stuck if it makes no progress for its estimated run time
 /// divided by kStuckTimeoutDivisor, or for kMinStuckTimeout if that is longer.
 constexpr int kStuckTimeoutDivisor = 3;
@@ -37,11 +30,29 @@
   return entry.labels.size() > 1 ? entry.labels.back() : std::string();
 }
 
-/// Whether a run has ended with a former life of its target. A run that no
-/// report has listed may have been started by the new process, and so may one
-/// of which a second order is unanswered.
-bool EndedWithFormerLife(const Target& target, const Run& run) {
-  return run.life != 0 && run.life != target.entry.life && !run.unsure;
+std::vector<RunId> RunsWith(const Cell& cell, const Target& target,
+                            const RunEvidence& evidence, RunVerdict verdict,
+                            Time now) {
+  std::vector<RunId> found;
+  for (const auto& [id, run] : target.runs) {
+    if (Judge(cell.options, target, run, evidence, now) == verdict) {
+      found.push_back(id);
+    }
+  }
+  return found;
+}
+
+/// Drops runs that have ended with their target's process.
+void DropCrashedRuns(Cell& cell, Actions& actions, Target& target,
+                     std::span<const RunId> runs, std::string_view why,
+                     Time now) {
+  if (!target.entry.draining) {
+    HandleCrash(cell, actions, target, target.entry.life,
+                target.failing_since.value_or(now), runs, now);
+  }
+  for (const RunId& id : runs) {
+    DropRun(cell, actions, target, id, why);
+  }
 }
 
 /// Begins a new life of a restarted target, which a report has shown.
@@ -53,10 +64,12 @@
           {"former_life", std::to_string(target.entry.life)},
           {"life", std::to_string(life)}});
   }
-  target.former_life = target.entry.life;
+  DropCrashedRuns(
+      cell, actions, target,
+      RunsWith(cell, target, OtherLife{life}, RunVerdict::kProcessGone, now),
+      "target restarted", now);
   target.entry.life = life;
   target.life_since = now;
-  target.crashed_at = target.failing_since.value_or(now);
   target.life_confirmed = {};
   target.reported = false;
   target.clock_known = false;
@@ -65,27 +78,6 @@
   target.pending_ends.clear();
   target.health = {};
   target.runs_known = false;
-  std::vector<RunId> ended;
-  for (auto& [id, run] : target.runs) {
-    if (EndedWithFormerLife(target, run)) {
-      ended.push_back(id);
-    } else if (run.phase == RunPhase::kStopping) {
-      // The new process does not know of the stop.
-      run.stop_done = false;
-      run.next_try = now;
-    }
-  }
-  if (!target.entry.draining) {
-    HandleCrash(cell, actions, target, target.former_life, target.crashed_at,
-                ended, now);
-  }
-  for (const RunId& id : ended) {
-    DropRun(cell, actions, target, id, "target restarted");
-  }
-  // Orders sent by the former clock may have set a longer lease.
-  target.lease_until =
-      std::max(target.lease_until,
-               now + LeaseLifetime(cell.options, cell.options.longest_lease));
   target.failing_since.reset();
   cell.plan_due = true;
 }
@@ -122,8 +114,7 @@
 bool MayHaveAnyRuns(const Cell& cell, const TargetId& id) {
   const auto expected = cell.expected.find(id);
   return expected != cell.expected.end() &&
-         expected->second >=
-             cell.former_renewals_until + MaxLeaseLifetime(cell.options);
+         expected->second >= FormerLeaseEnd(cell);
 }
 
 void UpdateTarget(Cell& cell, Actions& actions, Target& target,
@@ -169,7 +160,6 @@
     return;
   }
   Run run = MakeRun(*job, id.task.step, now);
-  run.life = target.entry.life;
   run.percent = report.percent;
   run.first_percent = report.percent;
   run.first_at = now;
@@ -190,14 +180,13 @@
 }
 
 void UpdateProgress(Cell& cell, Run& run, const RunningReport& report,
-                    std::int64_t life, Time now) {
+                    Time now) {
   if (run.phase == RunPhase::kSent) {
     run.phase = RunPhase::kRunning;
     run.confirmed_at = now;
     run.progress_at = now;
   }
   run.listed = true;
-  run.life = life;
   run.inherited = false;
   if (report.percent > run.percent) {
     if (run.percent == 0) {
@@ -233,40 +222,13 @@
 
 /// Drops runs that the target should have reported and did not.
 void DropMissingRuns(Cell& cell, Actions& actions, Target& target,
-                     const std::set<RunId>& listed, Time sent_at, Time now) {
-  std::vector<RunId> gone;
-  std::vector<RunId> unsure;
-  for (const auto& [id, run] : target.runs) {
+                     const std::set<RunId>& listed, const NotListed& report,
+                     Time now) {
+  for (const RunId& id :
+       RunsWith(cell, target, report, RunVerdict::kNotThere, now)) {
     if (listed.contains(id)) {
       continue;
     }
-    const bool stopped = run.phase == RunPhase::kStopping && run.stop_done &&
-                         sent_at > run.stop_done_at + cell.options.stop_time;
-    const bool vanished =
-        run.phase == RunPhase::kRunning && sent_at > run.confirmed_at;
-    if (vanished && run.unsure && run.life != target.entry.life) {
-      unsure.push_back(id);
-    } else if (stopped || vanished) {
-      gone.push_back(id);
-    }
-  }
-  for (const RunId& id : unsure) {
-    StopRun(cell, actions, target, id, "start uncertain", now);
-  }
-  // Runs that the former process had and that no report of it has listed.
-  std::vector<RunId> crashed;
-  for (const RunId& id : gone) {
-    const Run& run = target.runs.at(id);
-    if (run.life != target.entry.life && target.former_life != 0 &&
-        run.sent < target.life_since) {
-      crashed.push_back(id);
-    }
-  }
-  if (!crashed.empty()) {
-    HandleCrash(cell, actions, target, target.former_life, target.crashed_at,
-                crashed, now);
-  }
-  for (const RunId& id : gone) {
     Note(actions, "task_not_there",
          {{"job", id.task.job},
           {"task", TaskName(id.task)},
@@ -397,8 +359,7 @@
 void AdvanceAcks(Cell& cell, Target& target) {
   while (!target.pending_ends.empty()) {
     const PendingEnd& end = target.pending_ends.front();
-    const Job* job = FindJob(cell, end.job);
-    if (job != nullptr && job->durable < end.version) {
+    if (!MayForget(cell, end)) {
       return;
     }
     target.acked_end = end.sequence;
@@ -410,13 +371,25 @@
   ReportCall call;
   call.acked_end = target.acked_end;
   call.connected_by = target.life_confirmed;
-  if (target.clock_known && target.recorded &&
-      now - target.last_answer <= kSilenceTimeout) {
+  if (target.clock_known && target.recorded && !IsSilent(target, now)) {
     call.deadline_ms = DeadlineAt(cell, target, now);
   }
   return call;
 }
 
+void OnReportSent(Cell& cell, const TargetId& id, const ReportCall& call,
+                  Time now) {
+  Target* target = FindTarget(cell, id);
+  if (target == nullptr) {
+    return;
+  }
+  target->called_address = target->entry.address;
+  target->called_at = now;
+  if (call.deadline_ms > 0) {
+    OnLeaseSent(cell, id, now);
+  }
+}
+
 void SetTargets(Cell& cell, Actions& actions,
                 std::span<const TargetEntry> entries, Time now) {
   std::set<TargetId> listed;
@@ -478,6 +451,9 @@
   cell.targets_dirty = cell.targets_dirty || (unexpected && !target->recorded);
   target->last_answer = now;
   target->life_confirmed = sent_at;
+  target->confirmed_address = target->called_address.empty()
+                                  ? target->entry.address
+                                  : target->called_address;
   target->silent = false;
   target->failing_since.reset();
   target->runs_known = false;
@@ -501,11 +477,12 @@
     if (found == target->runs.end()) {
       AdoptRun(cell, actions, *target, running, now);
     } else {
-      UpdateProgress(cell, found->second, running, report.life, now);
+      UpdateProgress(cell, found->second, running, now);
       EndProbation(cell, actions, running.run, found->second, now);
     }
   }
-  DropMissingRuns(cell, actions, *target, listed, sent_at, now);
+  DropMissingRuns(cell, actions, *target, listed, {sent_at, report.complete},
+                  now);
   AdvanceAcks(cell, *target);
   StopStuck(cell, actions, *target, now);
   UpdateSlowness(cell, *target, now);
@@ -520,20 +497,13 @@
 /// Drops the runs of a target at whose address another target answers.
 void DropReplacedTarget(Cell& cell, Actions& actions, Target& target,
                         Time now) {
-  if (target.runs.empty()) {
+  const OtherTarget evidence{target.called_address, target.called_at};
+  const std::vector<RunId> gone =
+      RunsWith(cell, target, evidence, RunVerdict::kProcessGone, now);
+  if (gone.empty()) {
     return;
   }
-  std::vector<RunId> ended;
-  for (const auto& [id, run] : target.runs) {
-    ended.push_back(id);
-  }
-  if (!target.entry.draining) {
-    HandleCrash(cell, actions, target, target.entry.life,
-                target.failing_since.value_or(now), ended, now);
-  }
-  for (const RunId& id : ended) {
-    DropRun(cell, actions, target, id, "target replaced");
-  }
+  DropCrashedRuns(cell, actions, target, gone, "target replaced", now);
   target.reported = false;
   cell.targets_dirty = true;
 }
@@ -554,7 +524,7 @@
   if (outcome == OrderOutcome::kOtherLife) {
     DropReplacedTarget(cell, actions, *target, now);
   }
-  if (!target->silent && now - target->last_answer > kSilenceTimeout) {
+  if (!target->silent && IsSilent(*target, now)) {
     target->silent = true;
     Note(actions, "target_lost",
          {{"target", id},
@@ -563,35 +533,25 @@
   }
 }
 
-/// Drops the runs of a silent target that have left or lapsed with it.
-void DropExpiredRuns(Cell& cell, Actions& actions, Target& target, bool left,
-                     Time now) {
-  std::vector<RunId> over;
-  for (const auto& [id, run] : target.runs) {
-    if (left || now > LeaseEnd(cell.options, target, run)) {
-      over.push_back(id);
-    }
+/// Drops the runs of a silent target once its lease has expired, and removes
+/// the target once it is neither listed nor answering.
+void ExpireTarget(Cell& cell, Actions& actions, Target& target, Time now) {
+  const std::vector<RunId> left =
+      RunsWith(cell, target, Silence(), RunVerdict::kProcessGone, now);
+  const std::vector<RunId> lapsed =
+      RunsWith(cell, target, Silence(), RunVerdict::kLapsed, now);
+  for (const RunId& id : left) {
+    DropRun(cell, actions, target, id, "target left");
   }
-  for (const RunId& id : over) {
-    DropRun(cell, actions, target, id, left ? "target left" : "lease over");
+  for (const RunId& id : lapsed) {
+    DropRun(cell, actions, target, id, "lease over");
   }
-  if (!over.empty()) {
+  if (!left.empty() || !lapsed.empty()) {
     target.reported = false;
     target.runs_known = target.silent;
     cell.targets_dirty = true;
   }
-}
-
-/// Drops the runs of a silent target once its lease has expired, and removes
-/// the target once it is neither listed nor answering.
-void ExpireTarget(Cell& cell, Actions& actions, Target& target, Time now) {
-  const bool silent = now - target.last_answer > kSilenceTimeout;
-  const bool left =
-      !target.listed && target.entry.draining &&
-      target.unlisted_at - target.last_answer < kMaxDepartureDelay;
-  if (silent && !target.runs.empty() && (left || now > target.lease_until)) {
-    DropExpiredRuns(cell, actions, target, left, now);
-  }
+  const bool silent = IsSilent(target, now);
   if (!target.listed && !target.removed && silent && target.runs.empty() &&
       now - target.unlisted_at > cell.options.unlisted_timeout) {
     target.removed = true;
--- a/src/cell/runs.cc
+++ b/src/cell/runs.cc
@@ -1,7 +1,7 @@
 #include <algorithm>
 
 #include "buckthornmux/detail/core/invariant.h"
-#include "internal.h"
+#include "verdicts.h"
 
 namespace buckthornmux::cell {
 namespace {
@@ -330,11 +330,11 @@
   if (run.phase == RunPhase::kRunning) {
     return;  // A report confirmed the run before this answer arrived.
   }
-  if (run.unsure && outcome != OrderOutcome::kOtherLife) {
-    // An earlier send of the start may still arrive.
-    StopRun(cell, actions, *target, id, "start uncertain", now);
-  } else {
+  if (Judge(cell.options, *target, run, StartOutcome{outcome}, now) ==
+      RunVerdict::kNotStarted) {
     ReleaseUnstartedRun(cell, *target, id);
+  } else {
+    StopRun(cell, actions, *target, id, "start uncertain", now);
   }
   StopGang(cell, actions, id, now);
 }
@@ -384,14 +384,6 @@
   return LeaseLifetime(options, options.lease);
 }
 
-Time LeaseEnd(const Options& options, const Target& target, const Run& run) {
-  const bool reported = run.life == target.entry.life && !run.unsure;
-  return reported || run.inherited
-             ? target.lease_until
-             : target.lease_until - MaxLeaseLifetime(options) +
-                   LeaseLifetime(options, options.longest_lease);
-}
-
 void OnLeaseSent(Cell& cell, const TargetId& id, Time now) {
   if (Target* target = FindTarget(cell, id)) {
     target->lease_until =
--- a/src/cell/steps.cc
+++ b/src/cell/steps.cc
@@ -1,7 +1,7 @@
 #include <algorithm>
 
 #include "buckthornmux/detail/core/invariant.h"
-#include "internal.h"
+#include "verdicts.h"
 
 namespace buckthornmux::cell {
 namespace {
@@ -143,10 +143,7 @@
 std::vector<TargetId> Unreported(const Cell& cell, Time now) {
   std::vector<TargetId> unreported;
   for (const auto& [id, until] : cell.expected) {
-    const auto target = cell.targets.find(id);
-    const bool reported =
-        target != cell.targets.end() && target->second.reported;
-    if (!reported && now < until) {
+    if (MayHaveUnknownRuns(cell, id, until, now)) {
       unreported.push_back(id);
     }
   }
--- /dev/null
+++ b/src/cell/verdicts.cc
@@ -0,0 +1,105 @@
+#include "verdicts.h"
+
+namespace buckthornmux::cell {
+namespace {
+
+/// A target that has not answered for this time gets no more renewals, so that
+/// the leases of its runs expire. Longer than the longest wait of a report
+/// call.
+constexpr Millis kSilenceTimeout{1500};
+/// A draining target that disappears from the list within this time of its last
+/// answer has shut down; a target that failed stays listed for longer.
+constexpr Millis kMaxDepartureDelay{2500};
+
+/// Whether a draining target has left as announced. The entry of a target that
+/// lives can be missing from the list too, if it can't reach the store; then it
+/// answers calls after that.
+bool HasLeft(const Target& target) {
+  return !target.listed && target.entry.draining &&
+         target.last_answer <= target.unlisted_at &&
+         target.unlisted_at - target.last_answer < kMaxDepartureDelay;
+}
+
+struct JudgeRun {
+  const Options& options;
+  const Target& target;
+  const Run& run;
+  Time now;
+
+  RunVerdict operator()(const StartOutcome& answer) const {
+    const bool taken = answer.outcome == OrderOutcome::kDone ||
+                       answer.outcome == OrderOutcome::kUnknown ||
+                       answer.outcome == OrderOutcome::kOld;
+    // An earlier send of the start may still take effect.
+    return taken || run.unsure || run.phase != RunPhase::kSent
+               ? RunVerdict::kPossible
+               : RunVerdict::kNotStarted;
+  }
+
+  RunVerdict operator()(const NotListed& report) const {
+    const bool stopped =
+        run.phase == RunPhase::kStopping && run.stop_done &&
+        report.requested > run.stop_done_at + options.stop_time;
+    const bool vanished =
+        run.phase == RunPhase::kRunning && report.requested > run.confirmed_at;
+    return report.complete && (stopped || vanished) ? RunVerdict::kNotThere
+                                                    : RunVerdict::kPossible;
+  }
+
+  RunVerdict operator()(const OtherLife& report) const {
+    return report.life == target.entry.life ? RunVerdict::kPossible
+                                            : RunVerdict::kProcessGone;
+  }
+
+  RunVerdict operator()(const OtherTarget& answer) const {
+    // The list may show an address that its target hasn't, or no longer.
+    return answer.address == target.confirmed_address &&
+                   answer.requested >= target.life_since
+               ? RunVerdict::kProcessGone
+               : RunVerdict::kPossible;
+  }
+
+  RunVerdict operator()(const Silence&) const {
+    if (!IsSilent(target, now)) {
+      return RunVerdict::kPossible;
+    }
+    if (HasLeft(target)) {
+      return RunVerdict::kProcessGone;
+    }
+    return now > target.lease_until ? RunVerdict::kLapsed
+                                    : RunVerdict::kPossible;
+  }
+};
+
+}  // namespace
+
+RunVerdict Judge(const Options& options, const Target& target, const Run& run,
+                 const RunEvidence& evidence, Time now) {
+  return std::visit(JudgeRun{options, target, run, now}, evidence);
+}
+
+bool IsSilent(const Target& target, Time now) {
+  return now - target.last_answer > kSilenceTimeout;
+}
+
+Time FormerLeaseEnd(const Cell& cell) {
+  return cell.former_renewals_until + MaxLeaseLifetime(cell.options);
+}
+
+bool MayHaveUnknownRuns(const Cell& cell, const TargetId& id, Time until,
+                        Time now) {
+  const auto target = cell.targets.find(id);
+  const bool reported = target != cell.targets.end() && target->second.reported;
+  return !reported && now < until;
+}
+
+bool MayStartTasks(const Cell& cell, const Job& job) {
+  return job.durable > 0 && (cell.recovered || !job.adopted);
+}
+
+bool MayForget(const Cell& cell, const PendingEnd& end) {
+  const auto job = cell.jobs.find(end.job);
+  return job == cell.jobs.end() || job->second.durable >= end.version;
+}
+
+}  // namespace buckthornmux::cell
--- a/src/entry/cell_host.cc
+++ b/src/entry/cell_host.cc
@@ -32,7 +32,6 @@
   constexpr Millis kStatusSlack{10'000};
   cell::Options options;
   options.lease = std::min(kMaxTargetLease, bounds.longest_lease);
-  options.longest_lease = bounds.longest_lease;
   options.stop_time = bounds.stop_time;
   options.job_retention = bounds.status_kept + kStatusSlack;
   return options;
--- a/src/entry/cell_reports.cc
+++ b/src/entry/cell_reports.cc
@@ -37,9 +37,7 @@
   }
   const bool for_one_life = call.deadline_ms > 0 || call.acked_end > 0;
   loop.plain = for_one_life;
-  if (call.deadline_ms > 0) {
-    cell::OnLeaseSent(*m_cell, id, now);
-  }
+  cell::OnReportSent(*m_cell, id, call, now);
   const bool first = !target.reported || !target.clock_known || unacked;
   const Millis wait = first ? Millis(0) : kReportTimeout;
   net::HttpRequest request = m_calls.report(id, call, m_cell->epoch, wait);
