Cell: a run that a former owner started has that owner's lease

Fault: an owner that had adopted a run and not yet sent a renewal knew no lease of it: lease_until was the beginning of time. A next owner was told that it needn't wait for the target (EncodeFormerOwnerState), and a target cut off right after its first report lost its runs on paper at once: two runs of one task. Change: a target begins with the latest lease that a former owner may have given.

--- a/src/cell/reports.cc
+++ b/src/cell/reports.cc
@@ -402,6 +402,7 @@
       found->second.rack = RackOf(entry);
       found->second.listed_life = entry.life;
       found->second.last_answer = now;
+      found->second.lease_until = FormerLeaseEnd(cell);
       found->second.recorded = MayHaveAnyRuns(cell, entry.id);
       if (entry.draining && entry.remaining > Millis(0)) {
         found->second.leaves_at = now + entry.remaining;
