Cell: a target that is missing from the list may run on

Fault: a draining target that was silent and not listed counted as left, and its runs started elsewhere at once. Its entry is also missing when it couldn't reach the store for a while; cut off from the owner too, it ran on: two runs of one task, or a run after an end that was acknowledged later. Change: only the end of the lease tells what has become of a silent target's runs. No unit relied on the rule.

--- a/src/cell/reports.cc
+++ b/src/cell/reports.cc
@@ -537,17 +537,12 @@
 /// Drops the runs of a silent target once its lease has expired, and removes
 /// the target once it is neither listed nor answering.
 void ExpireTarget(Cell& cell, Actions& actions, Target& target, Time now) {
-  const std::vector<RunId> left =
-      RunsWith(cell, target, Silence(), RunVerdict::kProcessGone, now);
   const std::vector<RunId> lapsed =
       RunsWith(cell, target, Silence(), RunVerdict::kLapsed, now);
-  for (const RunId& id : left) {
-    DropRun(cell, actions, target, id, "target left");
-  }
   for (const RunId& id : lapsed) {
     DropRun(cell, actions, target, id, "lease over");
   }
-  if (!left.empty() || !lapsed.empty()) {
+  if (!lapsed.empty()) {
     target.reported = false;
     target.runs_known = target.silent;
     cell.targets_dirty = true;
--- a/src/cell/verdicts.cc
+++ b/src/cell/verdicts.cc
@@ -7,19 +7,6 @@
 /// the leases of its runs expire. Longer than the longest wait of a report
 /// call.
 constexpr Millis kSilenceTimeout{1500};
-/// A draining target that disappears from the list within this time of its last
-/// answer has shut down; a target that failed stays listed for longer.
-constexpr Millis kMaxDepartureDelay{2500};
-
-/// Whether a draining target has left as announced. The entry of a target that
-/// lives can be missing from the list too, if it can't reach the store; then it
-/// answers calls after that.
-bool HasLeft(const Target& target) {
-  return !target.listed && target.entry.draining &&
-         target.last_answer <= target.unlisted_at &&
-         target.unlisted_at - target.last_answer < kMaxDepartureDelay;
-}
-
 struct JudgeRun {
   const Options& options;
   const Target& target;
@@ -60,14 +47,11 @@
   }
 
   RunVerdict operator()(const Silence&) const {
-    if (!IsSilent(target, now)) {
-      return RunVerdict::kPossible;
-    }
-    if (HasLeft(target)) {
-      return RunVerdict::kProcessGone;
-    }
-    return now > target.lease_until ? RunVerdict::kLapsed
-                                    : RunVerdict::kPossible;
+    // A missing entry in the list doesn't count: a target that can't reach the
+    // store loses its entry and runs on.
+    return IsSilent(target, now) && now > target.lease_until
+               ? RunVerdict::kLapsed
+               : RunVerdict::kPossible;
   }
 };
 
