Cell: an end that isn't stored keeps its target among those to query

Fault: an owner that had taken note of an end and not stored it counted the target as empty: in the state for the next owner, among silent targets whose runs are known, and among drained ones. The next owner didn't wait for its report and started the task again, while the target still listed the end. Change: a target is empty without runs and without ends to store. The stored list is written again once the last of them is.

--- a/src/cell/record_targets.cc
+++ b/src/cell/record_targets.cc
@@ -15,9 +15,16 @@
 /// longest, so that the target's lease may be renewed without another write.
 constexpr Millis kMinLeaseReduction{500};
 
+/// Whether a target has nothing that a next owner would have to ask it for. An
+/// end that isn't stored would be lost without its report.
+bool IsEmpty(const Target& target) {
+  return target.runs.empty() && target.pending_ends.empty();
+}
+
 /// Whether a target has stopped answering, but all its runs are known.
 bool IsKnownSilent(const Target& target) {
-  return target.silent && (target.reported || target.runs_known);
+  return target.silent && target.pending_ends.empty() &&
+         (target.reported || target.runs_known);
 }
 
 /// Returns the targets that a next owner must query. A draining target without
@@ -31,7 +38,7 @@
         longest - left < kMinLeaseReduction ? std::max(longest, left) : left;
   }
   for (const auto& [id, target] : cell.targets) {
-    const bool drained = target.entry.draining && target.runs.empty();
+    const bool drained = target.entry.draining && IsEmpty(target);
     if (target.reported && drained) {
       lasts.erase(id);
     } else if (IsKnownSilent(target)) {
@@ -149,7 +156,7 @@
     until[id] = cell.expected.at(id);
   }
   for (const auto& [id, target] : cell.targets) {
-    if (!target.runs.empty()) {
+    if (!IsEmpty(target)) {
       until[id] = std::max(until[id], target.lease_until);
     }
   }
--- a/src/cell/reports.cc
+++ b/src/cell/reports.cc
@@ -364,6 +364,10 @@
     }
     target.acked_end = end.sequence;
     target.pending_ends.pop_front();
+    // A next owner needn't query it any more, or knows all its runs.
+    cell.targets_dirty =
+        cell.targets_dirty || (target.pending_ends.empty() &&
+                               (target.entry.draining || target.silent));
   }
 }
 
