--- /dev/null
+++ b/include/buckthornmux/detail/core/bounds.h
@@ -0,0 +1,51 @@
+/// Bounds of what other processes write. Sums and products of values within
+/// them fit into 64 bits.
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+#include "buckthornmux/detail/core/time.h"
+
+namespace buckthornmux::bounds {
+
+/// Inclusive range of a number.
+template <class T>
+struct Range {
+  T low;
+  T high;
+
+  [[nodiscard]] constexpr bool Has(T value) const {
+    return value >= low && value <= high;
+  }
+};
+
+inline constexpr std::int64_t kMaxCpuMilli = 1'000'000'000;  ///< 10^6 cores.
+inline constexpr std::int64_t kMaxMemoryMb = 1'000'000'000;  ///< One PB.
+inline constexpr std::int64_t kMaxAccelerators = 1'000'000;  ///< Devices.
+inline constexpr std::int64_t kMaxDurationMs =
+    10 * 365 * 24 * std::int64_t{3'600'000};  ///< Ten years, ms.
+/// End of the year 9999, ms since the Unix epoch.
+inline constexpr std::int64_t kMaxWallMs = 253'402'300'799'999;
+inline constexpr std::size_t kMaxIdBytes = 200;  ///< Length of a store's key.
+
+inline constexpr Range<std::int64_t> kCpuMilli{0, kMaxCpuMilli};
+inline constexpr Range<std::int64_t> kMemoryMb{0, kMaxMemoryMb};
+inline constexpr Range<std::int64_t> kAccelerators{0, kMaxAccelerators};
+inline constexpr Range<Millis> kDuration{Millis(0), Millis(kMaxDurationMs)};
+/// Start time of a process, ms since the Unix epoch.
+inline constexpr Range<std::int64_t> kStartTime{1, kMaxWallMs};
+
+/// @brief Whether an id can be part of a key and of an HTTP header.
+[[nodiscard]] constexpr bool IsId(std::string_view id) {
+  constexpr unsigned char kDelete = 0x7f;
+  for (const char c : id) {
+    const auto byte = static_cast<unsigned char>(c);
+    if (byte <= ' ' || byte == kDelete) {
+      return false;
+    }
+  }
+  return !id.empty() && id.size() <= kMaxIdBytes;
+}
+
+}  // namespace buckthornmux::bounds
--- a/include/buckthornmux/detail/core/json_reader.h
+++ b/include/buckthornmux/detail/core/json_reader.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 
+#include "buckthornmux/detail/core/bounds.h"
 #include "buckthornmux/detail/core/time.h"
 
 namespace buckthornmux {
@@ -69,6 +70,27 @@
     out = Millis(millis);
   }
 
+  /// @brief Reads a number and fails if it isn't within the range.
+  template <class T>
+  void ReadIn(std::string_view name, T& out, const bounds::Range<T>& range) {
+    T number{};
+    Read(name, number);
+    Bound(name, number, range, out);
+  }
+
+  /// @brief Reads an optional number and fails if it isn't within the range;
+  ///   `out` is unchanged if the member is absent or null.
+  template <class T>
+  void ReadOptionalIn(std::string_view name, T& out,
+                      const bounds::Range<T>& range) {
+    const auto* value = Find(name);
+    if (value != nullptr && !value->is_null()) {
+      T number{};
+      ReadOptional(name, number);
+      Bound(name, number, range, out);
+    }
+  }
+
   /// @brief Returns an array member, or an empty array if it is absent.
   [[nodiscard]] const boost::json::array& Array(std::string_view name) {
     static const boost::json::array kEmpty;
@@ -102,6 +124,16 @@
   [[nodiscard]] const std::string& Failed() const { return m_failed; }
 
  private:
+  template <class T>
+  void Bound(std::string_view name, const T& number,
+             const bounds::Range<T>& range, T& out) {
+    if (range.Has(number)) {
+      out = number;
+    } else {
+      Fail(name);
+    }
+  }
+
   const boost::json::object* m_object;
   std::string m_failed;
 };
--- /dev/null
+++ b/tests/unit-odd-entries.cc
@@ -0,0 +1,307 @@
+// Odd entries of other writers: what is accepted lies within the bounds, the
+// rest is refused, and no process ends. ODD_SEEDS=N runs N seeds.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <cstdlib>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "buckthornmux/detail/core/bounds.h"
+#include "buckthornmux/detail/net/address.h"
+#include "platform/targets.h"
+
+namespace buckthornmux::platform {
+namespace {
+
+namespace json = boost::json;
+
+constexpr std::string_view kTarget =
+    R"({"service":"s","address":"10.128.0.9:8080","zone":"a","version":"v1",
+    "slots":8,"state":"draining","remaining_ms":1650,"cold_remaining_ms":20,
+    "capacity":{"cpu":16000,"mem_mb":32768,"gpu":2},"labels":["a","r1-3"],
+    "clock_ms":482113,"sequence":4,"born":1700000000000})";
+
+using Random = std::mt19937_64;
+
+std::size_t Pick(Random& random, std::size_t count) {
+  return std::uniform_int_distribution<std::size_t>(0, count - 1)(random);
+}
+
+/// A JSON value that a careless or faulty writer could leave in any field.
+std::string OddValue(Random& random) {
+  static const std::vector<std::string> kValues{
+      "null",
+      "true",
+      "\"\"",
+      "\"x\"",
+      "{}",
+      "[]",
+      "[[1]]",
+      "0",
+      "-1",
+      "-5",
+      "1",
+      "100",
+      "101",
+      "65536",
+      "99999",
+      "4294967295",
+      "4294967296",
+      "9007199254740993",
+      "9223372036854775807",
+      "-9223372036854775807",
+      "-9223372036854775808",
+      "9223372036854775808",
+      "18446744073709551615",
+      "1e18",
+      "1e19",
+      "1e30",
+      "1e308",
+      "-1e308",
+      "1e400",
+      "1.5",
+      "-0.0",
+      "5e-324",
+      "\"10.0.0.1:0\"",
+      "\"10.0.0.1:99999\"",
+      "\"10.0.0.1\"",
+      "\"host:80\"",
+      "\"10.0.0.1\\u0000:80\"",
+      "\"====\"",
+      "\"a===\"",
+      "\"ready\"",
+      "\"\\ud800\"",
+      "\"5c0e7a21d94b36f8.0.1.17\"",
+      "\"5c0e7a21d94b36f8.0.1.99999999999\"",
+      "\"..\""};
+  constexpr std::size_t kNesting = 12;
+  if (Pick(random, kNesting) == 0) {
+    constexpr std::size_t kMaxDepth = 5000;
+    const std::size_t depth = 1 + Pick(random, kMaxDepth);
+    return std::string(depth, '[') + std::string(depth, ']');
+  }
+  return kValues[Pick(random, kValues.size())];
+}
+
+/// Replaces, removes or repeats one member at any depth; the values of the
+/// replaced members are marked and filled in after the value is serialized.
+constexpr std::string_view kMark = "@odd@";
+
+void MutateMember(json::value& value, Random& random) {
+  if (auto* object = value.if_object(); object != nullptr && !object->empty()) {
+    auto member = object->begin() +
+                  static_cast<std::ptrdiff_t>(Pick(random, object->size()));
+    switch (Pick(random, 5)) {
+      case 0:
+        object->erase(member);
+        return;
+      case 1:
+        member->value() = kMark;
+        return;
+      default:
+        MutateMember(member->value(), random);
+        return;
+    }
+  }
+  if (auto* array = value.if_array(); array != nullptr && !array->empty()) {
+    const std::size_t index = Pick(random, array->size());
+    switch (Pick(random, 6)) {
+      case 0:
+        array->erase(array->begin() + static_cast<std::ptrdiff_t>(index));
+        return;
+      case 1:
+        array->push_back(json::value((*array)[index]));
+        return;
+      case 2:
+        (*array)[index] = kMark;
+        return;
+      default:
+        MutateMember((*array)[index], random);
+        return;
+    }
+  }
+  value = kMark;
+}
+
+std::string Mutate(std::string_view real, Random& random) {
+  json::value value = json::parse(real);
+  for (std::size_t i = 1 + Pick(random, 3); i > 0; --i) {
+    MutateMember(value, random);
+  }
+  std::string text = json::serialize(value);
+  const std::string mark = '"' + std::string(kMark) + '"';
+  for (auto at = text.find(mark); at != std::string::npos;
+       at = text.find(mark, at)) {
+    const std::string odd = OddValue(random);
+    text.replace(at, mark.size(), odd);
+    at += odd.size();
+  }
+  constexpr std::size_t kBytewise = 8;
+  switch (Pick(random, kBytewise)) {
+    case 0:
+      text.resize(Pick(random, text.size() + 1));
+      break;
+    case 1:
+      for (std::size_t i = 1 + Pick(random, 4); i > 0 && !text.empty(); --i) {
+        char& byte = text[Pick(random, text.size())];
+        byte = static_cast<char>(byte ^ (1 << Pick(random, 8)));
+      }
+      break;
+    default:
+      break;
+  }
+  return text;
+}
+
+int Seeds() {
+  constexpr int kSeedsInCi = 300;
+  const char* text = std::getenv("ODD_SEEDS");
+  return text == nullptr ? kSeedsInCi : std::atoi(text);
+}
+
+/// Calls `parse` with mutations of `real` and `check` with what is accepted.
+template <class Parse, class Check>
+void ForMutations(std::string_view real, Parse parse, Check check) {
+  constexpr int kMutationsPerSeed = 20;
+  int accepted = 0;
+  for (int seed = 1; seed <= Seeds(); ++seed) {
+    Random random(static_cast<std::uint64_t>(seed));
+    for (int i = 0; i < kMutationsPerSeed; ++i) {
+      const std::string text = Mutate(real, random);
+      auto outcome = Capture([&] { return parse(text, random); });
+      if (const auto* error = std::get_if<Error>(&outcome)) {
+        CPPUNIT_ASSERT_MESSAGE(text,
+                               error->kind == ErrorKind::kMalformed ||
+                                   error->kind == ErrorKind::kStoreUnknown);
+        continue;
+      }
+      ++accepted;
+      CPPUNIT_ASSERT_MESSAGE(
+          "seed " + std::to_string(seed) + ": " + text.substr(0, 2000),
+          check(std::get<0>(outcome)));
+    }
+  }
+  // The mutations must leave enough entries that are accepted.
+  CPPUNIT_ASSERT(accepted > Seeds());
+}
+
+bool Within(const Resources& resources) {
+  return bounds::kCpuMilli.Has(resources.cpu_milli) &&
+         bounds::kMemoryMb.Has(resources.memory_mb) &&
+         bounds::kAccelerators.Has(resources.accelerators);
+}
+
+bool Reachable(std::string_view address) {
+  const auto outcome = Capture([&] { return net::ParseAddress(address); });
+  const auto* parsed = std::get_if<net::Address>(&outcome);
+  return parsed != nullptr && parsed->port > 0;
+}
+
+bool Within(const cell::TargetEntry& entry) {
+  return bounds::IsId(entry.id) && Reachable(entry.address) && entry.life > 0 &&
+         bounds::kStartTime.Has(entry.life) &&
+         bounds::kDuration.Has(entry.remaining) &&
+         bounds::kDuration.Has(entry.cold) && Within(entry.capacity);
+}
+
+/// The real entry with one member replaced by JSON text.
+std::string TargetWith(std::string_view name, std::string_view odd) {
+  json::value value = json::parse(kTarget);
+  json::object* object = &value.as_object();
+  const std::size_t dot = name.find('.');
+  if (dot != std::string_view::npos) {
+    object = &object->at(name.substr(0, dot)).as_object();
+    name = name.substr(dot + 1);
+  }
+  (*object)[name] = json::parse(odd);
+  return json::serialize(value);
+}
+
+class OddEntriesTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(OddEntriesTest);
+  CPPUNIT_TEST(RefusesOddTargets);
+  CPPUNIT_TEST(AcceptsUnusualTargets);
+  CPPUNIT_TEST(MutatedTargets);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // An entry of another writer with numbers out of range, without a usable
+  // address or without an id was taken as a target.
+  void RefusesOddTargets() {
+    using Odd = std::pair<std::string_view, std::string_view>;
+    for (const auto& [name, odd] :
+         std::vector<Odd>{{"address", R"("10.0.0.1:99999")"},
+                          {"address", R"("10.0.0.1:0")"},
+                          {"address", R"("10.0.0.1")"},
+                          {"address", R"("host.example:80")"},
+                          {"address", R"("0.0.0.0:80")"},
+                          {"address", R"("224.0.0.1:80")"},
+                          {"address", R"("10.0.0.1\u0000:80")"},
+                          {"address", R"("")"},
+                          {"capacity.cpu", "-5"},
+                          {"capacity.cpu", "9223372036854775807"},
+                          {"capacity.mem_mb", "9223372036854775807"},
+                          {"capacity.gpu", "-1"},
+                          {"remaining_ms", "9223372036854775807"},
+                          {"remaining_ms", "-9223372036854775807"},
+                          {"cold_remaining_ms", "9223372036854775807"},
+                          {"born", "-1"},
+                          {"born", "0"},
+                          {"born", "1.5"},
+                          {"born", "9223372036854775807"}}) {
+      const auto outcome = Capture(
+          [&] { return ParseTarget("servers/i-1", TargetWith(name, odd)); });
+      const auto* error = std::get_if<Error>(&outcome);
+      const std::string what = std::string(name) + " " + std::string(odd);
+      CPPUNIT_ASSERT_MESSAGE(what, error != nullptr);
+      CPPUNIT_ASSERT_MESSAGE(what, error->kind == ErrorKind::kMalformed);
+      const std::string field(name.substr(0, name.find('.')));
+      CPPUNIT_ASSERT_MESSAGE(what + ": " + error->message,
+                             error->message.find(field) != std::string::npos);
+    }
+    for (const std::string& key :
+         {std::string("servers/"), std::string("servers/a b"),
+          std::string("servers/a\r\nX: y"),
+          "servers/" + std::string(bounds::kMaxIdBytes + 1, 'i')}) {
+      const auto outcome = Capture([&] { return ParseTarget(key, kTarget); });
+      CPPUNIT_ASSERT_MESSAGE(key, std::holds_alternative<Error>(outcome));
+    }
+  }
+
+  // Bounds must leave room for what real targets report.
+  void AcceptsUnusualTargets() {
+    using Odd = std::pair<std::string_view, std::string_view>;
+    for (const auto& [name, odd] :
+         std::vector<Odd>{{"address", R"("[fd00::9]:8080")"},
+                          {"capacity.cpu", "0"},
+                          {"capacity.cpu", "1000000000"},
+                          {"remaining_ms", "0"},
+                          {"cold_remaining_ms", "86400000"},
+                          {"born", "1"}}) {
+      const auto outcome = Capture(
+          [&] { return ParseTarget("servers/i-1", TargetWith(name, odd)); });
+      CPPUNIT_ASSERT_MESSAGE(
+          std::string(name) + " " + std::string(odd),
+          std::holds_alternative<cell::TargetEntry>(outcome));
+    }
+  }
+
+  void MutatedTargets() {
+    ForMutations(
+        kTarget,
+        [](std::string_view text, Random& random) {
+          constexpr std::size_t kEmptyId = 50;
+          return ParseTarget(
+              Pick(random, kEmptyId) == 0 ? "servers/" : "servers/i-1", text);
+        },
+        [](const cell::TargetEntry& entry) { return Within(entry); });
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(OddEntriesTest);
+
+}  // namespace
+}  // namespace buckthornmux::platform
