Target reader: forget unreadable entries whose keys are gone

What was seen: the list of unreadable keys only grew. An entry that went and came back unreadable had no log line, and any number of odd keys took memory and a line each. Cause: a key left the list only if its entry became readable. Change: each complete list replaces what was remembered, at most 256 entries; the others are counted in one line. A list that fails halfway forgets no key.

--- a/include/buckthornmux/detail/entry/target_reader.h
+++ b/include/buckthornmux/detail/entry/target_reader.h
@@ -15,8 +15,12 @@
 using TargetParser = std::function<Result<cell::TargetEntry>(
     std::string_view key, std::string_view text)>;
 
+/// Maximum number of unreadable entries that are remembered and logged one by
+/// one.
+inline constexpr std::size_t kMaxUnreadableTargets = 256;
+
 /// @brief Lists all entries at a fixed interval. An entry that can't be parsed
-///   is skipped, and logged once for each different error.
+///   is skipped, and logged once for each different error while its key exists.
 class TargetReader {
  public:
   using Listed = std::function<void(std::vector<cell::TargetEntry>)>;
@@ -29,9 +33,19 @@
   void Tick(Time now);
 
  private:
-  void Read(std::string after, std::vector<cell::TargetEntry> entries);
-  void ParseEntry(const store::Entry& item,
-                  std::vector<cell::TargetEntry>& entries);
+  /// Keys of entries that could not be parsed, with the error messages.
+  using Unreadable = std::map<std::string, std::string>;
+  /// What the pages of one list have shown so far.
+  struct Reading {
+    std::vector<cell::TargetEntry> entries;
+    Unreadable unreadable;
+    std::size_t excess = 0;  ///< Unreadable entries beyond the maximum.
+  };
+
+  void Read(std::string after, Reading reading);
+  void ParseEntry(const store::Entry& item, Reading& reading);
+  void Fail(const Error& error, Reading reading);
+  void Finish(Reading reading);
 
   const store::AsyncStore& m_store;
   std::string m_prefix;
@@ -41,8 +55,8 @@
   bool m_reading = false;
   bool m_store_healthy = true;
   Time m_next;
-  /// Keys of entries that could not be parsed, with the error messages.
-  std::map<std::string, std::string> m_unreadable;
+  Unreadable m_unreadable;  ///< At most kMaxUnreadableTargets.
+  std::size_t m_excess = 0;
 };
 
 }  // namespace buckthornmux::entry
--- a/src/entry/target_reader.cc
+++ b/src/entry/target_reader.cc
@@ -1,5 +1,6 @@
 #include "buckthornmux/detail/entry/target_reader.h"
 
+#include <iterator>
 #include <utility>
 
 #include "buckthornmux/detail/entry/clock.h"
@@ -34,59 +35,81 @@
   if (m_active && !m_reading && now >= m_next) {
     m_reading = true;
     m_next = now + kReadInterval;
-    Read({}, {});
+    Read({}, Reading());
   }
 }
 
-void TargetReader::ParseEntry(const store::Entry& item,
-                              std::vector<cell::TargetEntry>& entries) {
+void TargetReader::ParseEntry(const store::Entry& item, Reading& reading) {
   auto outcome = Capture([&] { return m_parse(item.key, item.value); });
   if (auto* entry = std::get_if<cell::TargetEntry>(&outcome)) {
-    m_unreadable.erase(item.key);
-    entries.push_back(std::move(*entry));
+    reading.entries.push_back(std::move(*entry));
+    return;
+  }
+  if (reading.unreadable.size() >= kMaxUnreadableTargets) {
+    ++reading.excess;
     return;
   }
   const Error& error = std::get<Error>(outcome);
-  if (m_unreadable[item.key] != error.message) {
-    m_unreadable[item.key] = error.message;
+  reading.unreadable[item.key] = error.message;
+  const auto known = m_unreadable.find(item.key);
+  if (known == m_unreadable.end() || known->second != error.message) {
     LogLine("target_entry_unreadable", Level::kWarning)
         .With("key", item.key)
         .With("reason", error.message);
   }
 }
 
-void TargetReader::Read(std::string after,
-                        std::vector<cell::TargetEntry> entries) {
+void TargetReader::Read(std::string after, Reading reading) {
   m_store.list(m_prefix, std::move(after),
-               [this, entries = std::move(entries)](auto outcome) mutable {
+               [this, reading = std::move(reading)](auto outcome) mutable {
                  if (const auto* error = std::get_if<Error>(&outcome)) {
-                   m_reading = false;
-                   m_next = Now() + kRetryDelay;
-                   if (m_store_healthy) {
-                     m_store_healthy = false;
-                     LogLine("store_lost", Level::kWarning)
-                         .With("by", "targets")
-                         .With("reason", error->message);
-                   }
+                   Fail(*error, std::move(reading));
                    return;
                  }
                  const auto& page = std::get<store::ItemPage>(outcome);
                  for (const store::Entry& item : page.items) {
-                   ParseEntry(item, entries);
+                   ParseEntry(item, reading);
                  }
                  if (page.more && !page.items.empty()) {
-                   Read(page.items.back().key, std::move(entries));
+                   Read(page.items.back().key, std::move(reading));
                    return;
                  }
-                 m_reading = false;
-                 if (!m_store_healthy) {
-                   m_store_healthy = true;
-                   LogLine("store_regained").With("by", "targets");
-                 }
-                 if (m_active) {
-                   m_listed(std::move(entries));
-                 }
+                 Finish(std::move(reading));
                });
 }
 
+void TargetReader::Fail(const Error& error, Reading reading) {
+  m_reading = false;
+  m_next = Now() + kRetryDelay;
+  // The keys of the pages that weren't read may still exist.
+  reading.unreadable.merge(m_unreadable);
+  m_unreadable = std::move(reading.unreadable);
+  while (m_unreadable.size() > kMaxUnreadableTargets) {
+    m_unreadable.erase(std::prev(m_unreadable.end()));
+  }
+  if (m_store_healthy) {
+    m_store_healthy = false;
+    LogLine("store_lost", Level::kWarning)
+        .With("by", "targets")
+        .With("reason", error.message);
+  }
+}
+
+void TargetReader::Finish(Reading reading) {
+  m_reading = false;
+  m_unreadable = std::move(reading.unreadable);
+  if (reading.excess > 0 && m_excess == 0) {
+    LogLine("target_entries_unreadable", Level::kWarning)
+        .With("not_named", static_cast<std::uint64_t>(reading.excess));
+  }
+  m_excess = reading.excess;
+  if (!m_store_healthy) {
+    m_store_healthy = true;
+    LogLine("store_regained").With("by", "targets");
+  }
+  if (m_active) {
+    m_listed(std::move(reading.entries));
+  }
+}
+
 }  // namespace buckthornmux::entry
