--- a/include/buckthornmux/detail/core/bounds.h
+++ b/include/buckthornmux/detail/core/bounds.h
@@ -2,6 +2,7 @@
 /// them fit into 64 bits.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string_view>
 
@@ -33,6 +34,8 @@
 inline constexpr Range<std::int64_t> kMemoryMb{0, kMaxMemoryMb};
 inline constexpr Range<std::int64_t> kAccelerators{0, kMaxAccelerators};
 inline constexpr Range<Millis> kDuration{Millis(0), Millis(kMaxDurationMs)};
+/// Clock reading, ms since the Unix epoch or since the start of a process.
+inline constexpr Range<std::int64_t> kClock{0, kMaxWallMs};
 /// Start time of a process, ms since the Unix epoch.
 inline constexpr Range<std::int64_t> kStartTime{1, kMaxWallMs};
 
--- a/tests/unit-odd-entries.cc
+++ b/tests/unit-odd-entries.cc
@@ -5,13 +5,18 @@
 #include <algorithm>
 #include <boost/json.hpp>
 #include <cstdlib>
+#include <future>
 #include <random>
 #include <string>
 #include <vector>
 
 #include "buckthornmux/detail/core/bounds.h"
 #include "buckthornmux/detail/net/address.h"
+#include "buckthornmux/detail/net/http_server.h"
+#include "platform/adviser.h"
+#include "platform/kv_store.h"
 #include "platform/targets.h"
+#include "standins/io_thread.h"
 
 namespace buckthornmux::platform {
 namespace {
@@ -24,6 +29,14 @@
     "capacity":{"cpu":16000,"mem_mb":32768,"gpu":2},"labels":["a","r1-3"],
     "clock_ms":482113,"sequence":4,"born":1700000000000})";
 
+constexpr std::string_view kAdvice =
+    R"({"good":[["i-1","c81e"],["i-2","d0"]],"valid_ms":3000})";
+
+constexpr std::string_view kPage =
+    R"({"items":[{"key":"servers/i-1","value":"Z29vZA==","revision":5,
+    "created":4,"lease":0},{"key":"servers/i-2","value":"","revision":6}],
+    "has_more":false,"current_rev":9})";
+
 using Random = std::mt19937_64;
 
 std::size_t Pick(Random& random, std::size_t count) {
@@ -207,31 +220,74 @@
          bounds::kDuration.Has(entry.cold) && Within(entry.capacity);
 }
 
-/// The real entry with one member replaced by JSON text.
-std::string TargetWith(std::string_view name, std::string_view odd) {
-  json::value value = json::parse(kTarget);
-  json::object* object = &value.as_object();
-  const std::size_t dot = name.find('.');
-  if (dot != std::string_view::npos) {
-    object = &object->at(name.substr(0, dot)).as_object();
-    name = name.substr(dot + 1);
+/// The member of a JSON value at a path such as "routes.0.priority".
+json::value& MemberAt(json::value& value, std::string_view path) {
+  json::value* at = &value;
+  while (!path.empty()) {
+    const std::string_view name = path.substr(0, path.find('.'));
+    path.remove_prefix(std::min(path.size(), name.size() + 1));
+    at = at->is_array() ? &at->as_array().at(std::stoul(std::string(name)))
+                        : &at->as_object()[name];
   }
-  (*object)[name] = json::parse(odd);
+  return *at;
+}
+
+/// A real message with one member replaced by JSON text.
+std::string With(std::string_view real, std::string_view path,
+                 std::string_view odd) {
+  json::value value = json::parse(real);
+  MemberAt(value, path) = json::parse(odd);
   return json::serialize(value);
 }
 
+std::string TargetWith(std::string_view path, std::string_view odd) {
+  return With(kTarget, path, odd);
+}
+
+struct Odd {
+  std::string_view path;
+  std::string_view value;
+};
+
+/// A server of the key-value service that returns one body to all calls.
+struct PageServer {
+  standins::IoThread server_io;
+  standins::IoThread client_io;
+  std::string body;
+  net::HttpServer server{
+      server_io.io,
+      {},
+      [this](const net::HttpRequest&, const net::Responder& respond) {
+        respond({.status = 200, .body = body});
+      }};
+  net::HttpClient client{client_io.io, {}};
+  store::AsyncStore calls =
+      MakeKvStore(client, "127.0.0.1:" + std::to_string(server.Port()), {});
+
+  Outcome<store::ItemPage> List(std::string text) {
+    body = std::move(text);
+    std::promise<Outcome<store::ItemPage>> answer;
+    calls.list("servers/", {}, [&](Outcome<store::ItemPage> outcome) {
+      answer.set_value(std::move(outcome));
+    });
+    return answer.get_future().get();
+  }
+};
+
 class OddEntriesTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(OddEntriesTest);
   CPPUNIT_TEST(RefusesOddTargets);
   CPPUNIT_TEST(AcceptsUnusualTargets);
   CPPUNIT_TEST(MutatedTargets);
+  CPPUNIT_TEST(MutatedAdvice);
+  CPPUNIT_TEST(OddStoreValues);
+  CPPUNIT_TEST(MutatedPages);
   CPPUNIT_TEST_SUITE_END();
 
  public:
   // An entry of another writer with numbers out of range, without a usable
   // address or without an id was taken as a target.
   void RefusesOddTargets() {
-    using Odd = std::pair<std::string_view, std::string_view>;
     for (const auto& [name, odd] :
          std::vector<Odd>{{"address", R"("10.0.0.1:99999")"},
                           {"address", R"("10.0.0.1:0")"},
@@ -273,7 +329,6 @@
 
   // Bounds must leave room for what real targets report.
   void AcceptsUnusualTargets() {
-    using Odd = std::pair<std::string_view, std::string_view>;
     for (const auto& [name, odd] :
          std::vector<Odd>{{"address", R"("[fd00::9]:8080")"},
                           {"capacity.cpu", "0"},
@@ -299,6 +354,61 @@
         },
         [](const cell::TargetEntry& entry) { return Within(entry); });
   }
+
+  void MutatedAdvice() {
+    ForMutations(
+        kAdvice,
+        [](std::string_view text, Random&) { return ParseAdvice(text); },
+        [](const std::vector<cell::Ticket>&) { return true; });
+  }
+
+  // Values that aren't base64 were decoded in part; where the library takes
+  // padding alone, it also gave a length below zero.
+  void OddStoreValues() {
+    PageServer server;
+    using Value = std::pair<std::string_view, std::string_view>;
+    for (const auto& [encoded, decoded] :
+         std::vector<Value>{{"====", ""},
+                            {"========", ""},
+                            {"=", ""},
+                            {"a===", ""},
+                            {"Zg==Zg==", ""},
+                            {"Zg==\\n\\n\\n\\n", ""},
+                            {"    ", ""},
+                            {"Zg=", ""},
+                            {"Zg==", "f"},
+                            {"Zm8=", "fo"},
+                            {"Zm9v", "foo"},
+                            {"", ""}}) {
+      const auto outcome = server.List(
+          R"({"items":[{"key":"a","revision":1,"value":")" +
+          std::string(encoded) +
+          R"("},{"key":"b","revision":2,"value":"Z29vZA=="}],"current_rev":9})");
+      const auto* page = std::get_if<store::ItemPage>(&outcome);
+      CPPUNIT_ASSERT_MESSAGE(std::string(encoded), page != nullptr);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(std::string(encoded), std::string(decoded),
+                                   page->items.at(0).value);
+      CPPUNIT_ASSERT_EQUAL(std::string("good"), page->items.at(1).value);
+    }
+  }
+
+  void MutatedPages() {
+    PageServer server;
+    ForMutations(
+        kPage,
+        [&](std::string_view text, Random&) -> Result<store::ItemPage> {
+          auto outcome = server.List(std::string(text));
+          if (const auto* error = std::get_if<Error>(&outcome)) {
+            return Fail(error->kind, error->message);
+          }
+          return std::get<store::ItemPage>(std::move(outcome));
+        },
+        [](const store::ItemPage& page) {
+          return std::ranges::all_of(page.items, [](const store::Entry& item) {
+            return !item.key.empty();
+          });
+        });
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(OddEntriesTest);
