Reports: numbers out of range are refused or bounded

Cause: each number of a row was cast from a double, which is undefined out of the type's range and inexact beyond 2^53. Change: numbers that identify runs and ends, the clock and the start time must lie within the bounds, else the report is refused with a log line as before. Percent and load only help to decide; the nearest value within the bounds is used, so that they don't hide a target's runs and ends.

--- a/include/buckthornmux/detail/core/bounds.h
+++ b/include/buckthornmux/detail/core/bounds.h
@@ -39,6 +39,13 @@
 /// Start time of a process, ms since the Unix epoch.
 inline constexpr Range<std::int64_t> kStartTime{1, kMaxWallMs};
 
+inline constexpr Range<std::uint32_t> kRunNumber{1, 1'000'000'000};
+/// Number of an end; a JSON number of any reader is exact up to 2^53.
+inline constexpr Range<std::uint64_t> kEndNumber{1, std::uint64_t{1} << 53};
+inline constexpr Range<std::int32_t> kPercent{0, 100};
+/// Tail latency in ms or thousandths of a core.
+inline constexpr Range<std::int64_t> kLoad{0, kMaxDurationMs};
+
 /// @brief Whether an id can be part of a key and of an HTTP header.
 [[nodiscard]] constexpr bool IsId(std::string_view id) {
   constexpr unsigned char kDelete = 0x7f;
--- a/tests/unit-odd-entries.cc
+++ b/tests/unit-odd-entries.cc
@@ -15,6 +15,7 @@
 #include "buckthornmux/detail/net/http_server.h"
 #include "platform/adviser.h"
 #include "platform/kv_store.h"
+#include "platform/orders.h"
 #include "platform/targets.h"
 #include "standins/io_thread.h"
 
@@ -29,6 +30,13 @@
     "capacity":{"cpu":16000,"mem_mb":32768,"gpu":2},"labels":["a","r1-3"],
     "clock_ms":482113,"sequence":4,"born":1700000000000})";
 
+constexpr std::string_view kReport =
+    R"({"clock_ms":482113,"born":1700000000000,"running":[
+    ["5c0e7a21d94b36f8.0.1.17",2,"00000bb87a21d94b",41,900],
+    ["5c0e7a21d94b36f8.0.1.18",1,"",0]],
+    "ended":[[58,"5c0e7a21d94b36f8.3.1.9",1,"done",""],
+    [59,"5c0e7a21d94b36f8.0.1.8",4,"alone","x"]]})";
+
 constexpr std::string_view kAdvice =
     R"({"good":[["i-1","c81e"],["i-2","d0"]],"valid_ms":3000})";
 
@@ -220,6 +228,24 @@
          bounds::kDuration.Has(entry.cold) && Within(entry.capacity);
 }
 
+bool Within(const cell::RunId& run) {
+  return !run.task.job.empty() && bounds::kRunNumber.Has(run.number);
+}
+
+bool Within(const cell::TargetReport& report) {
+  return (report.life == 0 || bounds::kStartTime.Has(report.life)) &&
+         bounds::kClock.Has(report.clock_ms) &&
+         std::ranges::all_of(report.running,
+                             [](const cell::RunningReport& row) {
+                               return Within(row.run) &&
+                                      bounds::kPercent.Has(row.percent) &&
+                                      bounds::kLoad.Has(row.load);
+                             }) &&
+         std::ranges::all_of(report.ended, [](const cell::EndReport& row) {
+           return Within(row.run) && bounds::kEndNumber.Has(row.sequence);
+         });
+}
+
 /// The member of a JSON value at a path such as "routes.0.priority".
 json::value& MemberAt(json::value& value, std::string_view path) {
   json::value* at = &value;
@@ -249,6 +275,20 @@
   std::string_view value;
 };
 
+/// Replaces one member at a time and expects each message to be refused.
+template <class Parse>
+void ExpectRefused(std::string_view real, const std::vector<Odd>& odds,
+                   Parse parse) {
+  for (const auto& [path, odd] : odds) {
+    const std::string text = With(real, path, odd);
+    const auto outcome = Capture([&] { return parse(text); });
+    const auto* error = std::get_if<Error>(&outcome);
+    const std::string what = std::string(path) + " " + std::string(odd);
+    CPPUNIT_ASSERT_MESSAGE(what, error != nullptr);
+    CPPUNIT_ASSERT_MESSAGE(what, error->kind == ErrorKind::kMalformed);
+  }
+}
+
 /// A server of the key-value service that returns one body to all calls.
 struct PageServer {
   standins::IoThread server_io;
@@ -279,6 +319,9 @@
   CPPUNIT_TEST(RefusesOddTargets);
   CPPUNIT_TEST(AcceptsUnusualTargets);
   CPPUNIT_TEST(MutatedTargets);
+  CPPUNIT_TEST(RefusesOddReports);
+  CPPUNIT_TEST(BoundsHintsOfReports);
+  CPPUNIT_TEST(MutatedReports);
   CPPUNIT_TEST(MutatedAdvice);
   CPPUNIT_TEST(OddStoreValues);
   CPPUNIT_TEST(MutatedPages);
@@ -355,6 +398,51 @@
         [](const cell::TargetEntry& entry) { return Within(entry); });
   }
 
+  // Numbers out of range were cast from doubles, which is undefined, and an
+  // end's number beyond 2^53 lost its last digits.
+  void RefusesOddReports() {
+    ExpectRefused(kReport,
+                  {{"clock_ms", "9223372036854775807"},
+                   {"clock_ms", "-1"},
+                   {"born", "-1"},
+                   {"born", "0"},
+                   {"running.0.1", "0"},
+                   {"running.0.1", "-1"},
+                   {"running.0.1", "1e308"},
+                   {"running.0.1", "1.5"},
+                   {"running.0.1", "4294967295"},
+                   {"running.0.3", "\"41\""},
+                   {"ended.0.0", "0"},
+                   {"ended.0.0", "-1"},
+                   {"ended.0.0", "1e308"},
+                   {"ended.0.0", "18446744073709551615"},
+                   {"ended.0.2", "4294967296"}},
+                  [](std::string_view text) { return ParseReport(text); });
+  }
+
+  // A percent or load out of range must not hide the runs and ends of a target.
+  void BoundsHintsOfReports() {
+    const auto read = [](std::string_view path, std::string_view odd) {
+      const std::string text = With(kReport, path, odd);
+      auto outcome = Capture([&] { return ParseReport(text); });
+      const auto* report = std::get_if<cell::TargetReport>(&outcome);
+      CPPUNIT_ASSERT_MESSAGE(text, report != nullptr);
+      return report->running.at(0);
+    };
+    CPPUNIT_ASSERT_EQUAL(100, read("running.0.3", "1e308").percent);
+    CPPUNIT_ASSERT_EQUAL(0, read("running.0.3", "-7").percent);
+    CPPUNIT_ASSERT_EQUAL(41, read("running.0.3", "41.9").percent);
+    CPPUNIT_ASSERT_EQUAL(bounds::kLoad.high, read("running.0.4", "1e308").load);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, read("running.0.4", "-1e308").load);
+  }
+
+  void MutatedReports() {
+    ForMutations(
+        kReport,
+        [](std::string_view text, Random&) { return ParseReport(text); },
+        [](const cell::TargetReport& report) { return Within(report); });
+  }
+
   void MutatedAdvice() {
     ForMutations(
         kAdvice,
