Rules: numbers of the configuration are bounded

What was seen: by a trial of the parser, a decide_ms, weight or stretch of 1e308 and a weight of 1e400 (infinite) were taken, and the cast of decide_ms is undefined. An unreadable max_body_bytes was dropped without a log line. Change: each number must lie within its bounds, else the configuration is refused and the one in force stays, as for other errors. A team's maximum above any possible sum of targets counts as that sum, since it may be meant as no limit.

--- a/include/buckthornmux/detail/core/bounds.h
+++ b/include/buckthornmux/detail/core/bounds.h
@@ -46,6 +46,14 @@
 /// Tail latency in ms or thousandths of a core.
 inline constexpr Range<std::int64_t> kLoad{0, kMaxDurationMs};
 
+inline constexpr Range<int> kPriority{-1'000'000, 1'000'000};
+inline constexpr Range<double> kStretch{0, 10'000};     ///< Factor.
+inline constexpr Range<double> kWeight{0, 1e9};         ///< Jobs per second.
+inline constexpr Range<double> kFractionalMs{0, 1e11};  ///< About three years.
+inline constexpr Range<std::uint64_t> kBodyBytes{0, std::uint64_t{1} << 40};
+/// A team's limit above this many of the largest targets is none.
+inline constexpr std::int64_t kMaxTeamTargets = 1'000'000;
+
 /// @brief Whether an id can be part of a key and of an HTTP header.
 [[nodiscard]] constexpr bool IsId(std::string_view id) {
   constexpr unsigned char kDelete = 0x7f;
--- a/tests/unit-odd-entries.cc
+++ b/tests/unit-odd-entries.cc
@@ -16,6 +16,7 @@
 #include "platform/adviser.h"
 #include "platform/kv_store.h"
 #include "platform/orders.h"
+#include "platform/rules.h"
 #include "platform/targets.h"
 #include "standins/io_thread.h"
 
@@ -37,6 +38,16 @@
     "ended":[[58,"5c0e7a21d94b36f8.3.1.9",1,"done",""],
     [59,"5c0e7a21d94b36f8.0.1.8",4,"alone","x"]]})";
 
+constexpr std::string_view kRules =
+    R"({"version":7,"routes":[{"name":"r","hostname":"h.example",
+    "prefix":"/p/","target_runtime_ms":1000,"priority":1,"service":"s",
+    "max_attempts":2,"stretch":2.2,"advice":{"decide_ms":380.0,
+    "each_ms":5.4,"valid_ms":2500},"public":false}],
+    "services":[{"name":"s","admission_check":false,"standby":true}],
+    "limits":{"max_body_bytes":262144},
+    "tenants":[{"name":"t","api_keys":["k1","k2"],"weight":31,
+    "maximum":{"cpu":433663,"mem_mb":696900,"gpu":0}}]})";
+
 constexpr std::string_view kAdvice =
     R"({"good":[["i-1","c81e"],["i-2","d0"]],"valid_ms":3000})";
 
@@ -246,6 +257,35 @@
          });
 }
 
+bool Within(const cell::Queue& queue) {
+  return bounds::kPriority.Has(queue.priority) &&
+         bounds::kStretch.Has(queue.stretch) &&
+         bounds::kDuration.Has(queue.target_runtime) &&
+         (!queue.advice || (bounds::kDuration.Has(queue.advice->decide) &&
+                            bounds::kFractionalMs.Has(queue.advice->each_ms) &&
+                            bounds::kDuration.Has(queue.advice->valid)));
+}
+
+bool Within(const cell::Team& team) {
+  return bounds::kWeight.Has(team.weight) && team.maximum.cpu_milli >= 0 &&
+         team.maximum.memory_mb >= 0 && team.maximum.accelerators >= 0 &&
+         team.maximum.cpu_milli <=
+             bounds::kMaxCpuMilli * bounds::kMaxTeamTargets &&
+         team.maximum.memory_mb <=
+             bounds::kMaxMemoryMb * bounds::kMaxTeamTargets &&
+         team.maximum.accelerators <=
+             bounds::kMaxAccelerators * bounds::kMaxTeamTargets;
+}
+
+bool Within(const cell::Rules& rules) {
+  return bounds::kBodyBytes.Has(rules.max_body_bytes) &&
+         std::ranges::all_of(
+             rules.queues,
+             [](const cell::Queue& queue) { return Within(queue); }) &&
+         std::ranges::all_of(
+             rules.teams, [](const cell::Team& team) { return Within(team); });
+}
+
 /// The member of a JSON value at a path such as "routes.0.priority".
 json::value& MemberAt(json::value& value, std::string_view path) {
   json::value* at = &value;
@@ -322,6 +362,9 @@
   CPPUNIT_TEST(RefusesOddReports);
   CPPUNIT_TEST(BoundsHintsOfReports);
   CPPUNIT_TEST(MutatedReports);
+  CPPUNIT_TEST(RefusesOddRules);
+  CPPUNIT_TEST(BoundsTeamMaximum);
+  CPPUNIT_TEST(MutatedRules);
   CPPUNIT_TEST(MutatedAdvice);
   CPPUNIT_TEST(OddStoreValues);
   CPPUNIT_TEST(MutatedPages);
@@ -443,6 +486,40 @@
         [](const cell::TargetReport& report) { return Within(report); });
   }
 
+  void RefusesOddRules() {
+    ExpectRefused(kRules,
+                  {{"routes.0.advice.decide_ms", "1e308"},
+                   {"routes.0.advice.decide_ms", "-1"},
+                   {"routes.0.advice.each_ms", "1e308"},
+                   {"routes.0.advice.valid_ms", "9223372036854775807"},
+                   {"routes.0.target_runtime_ms", "-9223372036854775807"},
+                   {"routes.0.stretch", "1e308"},
+                   {"routes.0.priority", "2147483647"},
+                   {"routes.0.max_attempts", "4294967296"},
+                   {"limits.max_body_bytes", "18446744073709551615"},
+                   {"tenants.0.weight", "1e308"},
+                   {"tenants.0.weight", "-1"},
+                   {"tenants.0.maximum.cpu", "-1"}},
+                  [](std::string_view text) { return ParseRules(text); });
+  }
+
+  // An operator may write a very large number for no limit.
+  void BoundsTeamMaximum() {
+    const std::string text =
+        With(kRules, "tenants.0.maximum.cpu", "9223372036854775807");
+    const auto outcome = Capture([&] { return ParseRules(text); });
+    const auto* rules = std::get_if<cell::Rules>(&outcome);
+    CPPUNIT_ASSERT(rules != nullptr);
+    CPPUNIT_ASSERT_EQUAL(bounds::kMaxCpuMilli * bounds::kMaxTeamTargets,
+                         rules->teams.at(0).maximum.cpu_milli);
+  }
+
+  void MutatedRules() {
+    ForMutations(
+        kRules, [](std::string_view text, Random&) { return ParseRules(text); },
+        [](const cell::Rules& rules) { return Within(rules); });
+  }
+
   void MutatedAdvice() {
     ForMutations(
         kAdvice,
