Jobs: demands, times and recurrences of callers are bounded

What callers saw: a job with a demand of 2^63-1 or an interval of 2^63-1 ms was accepted; products with the tasks of a gang or the number of an occurrence then overflow in the cell. A step number repeated in `after` was kept each time. An earlier step is kept once.

--- a/include/buckthornmux/detail/core/bounds.h
+++ b/include/buckthornmux/detail/core/bounds.h
@@ -46,6 +46,8 @@
 /// Tail latency in ms or thousandths of a core.
 inline constexpr Range<std::int64_t> kLoad{0, kMaxDurationMs};
 
+/// Last due time of a recurring job, ms after its first one.
+inline constexpr std::int64_t kMaxRecurrenceMs = 1'000'000'000'000'000'000;
 inline constexpr Range<int> kPriority{-1'000'000, 1'000'000};
 inline constexpr Range<double> kStretch{0, 10'000};     ///< Factor.
 inline constexpr Range<double> kWeight{0, 1e9};         ///< Jobs per second.
--- a/tests/unit-odd-entries.cc
+++ b/tests/unit-odd-entries.cc
@@ -14,6 +14,7 @@
 #include "buckthornmux/detail/net/address.h"
 #include "buckthornmux/detail/net/http_server.h"
 #include "platform/adviser.h"
+#include "platform/jobs.h"
 #include "platform/kv_store.h"
 #include "platform/orders.h"
 #include "platform/rules.h"
@@ -48,6 +49,13 @@
     "tenants":[{"name":"t","api_keys":["k1","k2"],"weight":31,
     "maximum":{"cpu":433663,"mem_mb":696900,"gpu":0}}]})";
 
+constexpr std::string_view kJob =
+    R"({"spec":"work","steps":[{"count":4,"cpu":500,"mem_mb":256,
+    "estimated_ms":900,"affinity":"r1-3","anti_affinity":2,
+    "constraints":"b"},{"count":20,"cpu":2000,"gpu":1,"after":[0],
+    "gang":true,"may_miss":1,"target_ms":80,"image":"i"}],
+    "repeat_count":3,"start_at_ms":1000,"interval_ms":2000})";
+
 constexpr std::string_view kAdvice =
     R"({"good":[["i-1","c81e"],["i-2","d0"]],"valid_ms":3000})";
 
@@ -286,6 +294,31 @@
              rules.teams, [](const cell::Team& team) { return Within(team); });
 }
 
+bool Within(const cell::StepSpec& step, std::size_t number) {
+  constexpr std::uint32_t kMaxTasks = 10'000;
+  return step.count >= 1 && step.count <= kMaxTasks && Within(step.demand) &&
+         bounds::kDuration.Has(step.estimate) &&
+         bounds::kDuration.Has(step.tail_target) &&
+         step.after.size() <= number &&
+         std::ranges::all_of(
+             step.after, [&](std::uint32_t before) { return before < number; });
+}
+
+bool Within(const cell::JobSpec& job) {
+  constexpr std::size_t kMaxSteps = 64;
+  for (std::size_t i = 0; i < job.steps.size(); ++i) {
+    if (!Within(job.steps[i], i)) {
+      return false;
+    }
+  }
+  const cell::Recurrence& recurrence = job.recurrence;
+  return !job.steps.empty() && job.steps.size() <= kMaxSteps &&
+         bounds::kClock.Has(recurrence.first) &&
+         bounds::kDuration.Has(recurrence.interval) &&
+         static_cast<double>(recurrence.interval.count()) * recurrence.count <=
+             static_cast<double>(bounds::kMaxRecurrenceMs);
+}
+
 /// The member of a JSON value at a path such as "routes.0.priority".
 json::value& MemberAt(json::value& value, std::string_view path) {
   json::value* at = &value;
@@ -365,6 +398,9 @@
   CPPUNIT_TEST(RefusesOddRules);
   CPPUNIT_TEST(BoundsTeamMaximum);
   CPPUNIT_TEST(MutatedRules);
+  CPPUNIT_TEST(RefusesOddJobs);
+  CPPUNIT_TEST(KeepsEachEarlierStepOnce);
+  CPPUNIT_TEST(MutatedJobs);
   CPPUNIT_TEST(MutatedAdvice);
   CPPUNIT_TEST(OddStoreValues);
   CPPUNIT_TEST(MutatedPages);
@@ -520,6 +556,50 @@
         [](const cell::Rules& rules) { return Within(rules); });
   }
 
+  // The product of a gang's tasks and their demand, and due times of
+  // occurrences, overflowed.
+  void RefusesOddJobs() {
+    ExpectRefused(kJob,
+                  {{"steps.0.cpu", "9223372036854775807"},
+                   {"steps.0.mem_mb", "9223372036854775807"},
+                   {"steps.0.gpu", "9223372036854775807"},
+                   {"steps.0.estimated_ms", "9223372036854775807"},
+                   {"steps.1.target_ms", "-9223372036854775807"},
+                   {"steps.1.after", "[1]"},
+                   {"steps.1.after", "[-1]"},
+                   {"steps.1.after", "[1e308]"},
+                   {"steps.0.count", "10001"},
+                   {"start_at_ms", "9223372036854775807"},
+                   {"start_at_ms", "-1"},
+                   {"interval_ms", "9223372036854775807"},
+                   {"interval_ms", "-1"},
+                   {"repeat_count", "4294967296"}},
+                  [](std::string_view text) { return ParseJob(text); });
+    const std::string often = With(With(kJob, "repeat_count", "4294967295"),
+                                   "interval_ms", "300000000000");
+    CPPUNIT_ASSERT(std::holds_alternative<Error>(
+        Capture([&] { return ParseJob(often); })));
+    const std::string daily = With(With(kJob, "repeat_count", "4294967295"),
+                                   "interval_ms", "86400000");
+    CPPUNIT_ASSERT(std::holds_alternative<cell::JobSpec>(
+        Capture([&] { return ParseJob(daily); })));
+  }
+
+  // A body full of one step's number cost time and memory at each planning.
+  void KeepsEachEarlierStepOnce() {
+    const std::string text = With(kJob, "steps.1.after", "[0,0,0,0]");
+    const auto outcome = Capture([&] { return ParseJob(text); });
+    const auto* job = std::get_if<cell::JobSpec>(&outcome);
+    CPPUNIT_ASSERT(job != nullptr);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, job->steps.at(1).after.size());
+  }
+
+  void MutatedJobs() {
+    ForMutations(
+        kJob, [](std::string_view text, Random&) { return ParseJob(text); },
+        [](const cell::JobSpec& job) { return Within(job); });
+  }
+
   void MutatedAdvice() {
     ForMutations(
         kAdvice,
