--- a/tests/standins/sim_target.h
+++ b/tests/standins/sim_target.h
@@ -43,7 +43,7 @@
   double reports_late = 0;  ///< Share of reports answered 50 to 1500 ms late.
   /// Share of report calls executed 0.5 to 6 s late, unanswered.
   double calls_late = 0;
-  double clock_slow = 0;    ///< Share by which its own clock is slow.
+  double clock_slow = 0;  ///< Share by which its own clock is slow.
 };
 
 struct SimTarget {
--- a/tests/unit-restart-random.cc
+++ b/tests/unit-restart-random.cc
@@ -3,6 +3,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <cmath>
 #include <cstdlib>
 #include <iostream>
 #include <random>
@@ -178,6 +179,11 @@
   faults.orders_late = dice.Share(0.3);
   faults.reports_late = dice.Share(0.3);
   faults.clock_slow = dice.Share(0.02);
+  // Its clock must not jump as it becomes slow.
+  const auto now = world.NowTime().time_since_epoch().count();
+  std::int64_t& origin = world.Target(index).clock_origin;
+  origin = now - std::llround(static_cast<double>(now - origin) /
+                              (1 - faults.clock_slow));
   faults.stop_time = dice.Time(0, 400);
   if (profile.calls_late > 0) {
     faults.calls_late = dice.Share(profile.calls_late);
