--- a/tests/standins/day_command.cc
+++ b/tests/standins/day_command.cc
@@ -30,7 +30,8 @@
       "store-losses", "share of writes that are not answered then",
       cxxopts::value<double>()->default_value("0.5"))(
       "answers-lost", "share of starts done but not answered",
-      cxxopts::value<double>()->default_value("0"));
+      cxxopts::value<double>()->default_value("0"))(
+      "odd-entries", "another writer leaves odd entries of targets");
   const auto given = options.parse(argc, argv);
   DayOptions day;
   day.port_base = given["port-base"].as<int>();
@@ -45,6 +46,7 @@
   day.store_loses_for = Millis(given["store-loses-for-ms"].as<int>());
   day.store_losses = given["store-losses"].as<double>();
   day.answers_lost = given["answers-lost"].as<double>();
+  day.odd_entries = given.count("odd-entries") > 0;
   boost::asio::io_context io(1);
   const PlatformDay played(io, day);
   io.run();
--- a/tests/standins/platform_day.cc
+++ b/tests/standins/platform_day.cc
@@ -20,6 +20,7 @@
 constexpr Millis kPollEvery{250};
 constexpr Millis kCallTimeout{3000};
 constexpr int kMostTries = 12;
+constexpr std::string_view kInstanceHeader = "X-Expect-Instance";
 constexpr std::string_view kKey = "key-of-team-0";
 
 std::string Loopback(int port) { return "127.0.0.1:" + std::to_string(port); }
@@ -52,6 +53,7 @@
   for (std::size_t i = 0; i < m_targets.size(); ++i) {
     net::HttpServerOptions server;
     server.address = m_targets[i].entry.address;
+    server.kept_headers.emplace_back(kInstanceHeader);
     m_servers.push_back(std::make_unique<net::HttpServer>(
         io, server,
         [this, i](const net::HttpRequest& request,
@@ -71,6 +73,16 @@
   m_checker.SetTeams({team});
   WriteRules();
   WriteEntries();
+  if (m_options.odd_entries) {
+    constexpr int kOddPort = 9;
+    const int port = m_options.port_base + kOddPort;
+    ListenForOddCalls(Loopback(port));
+    m_odd = MakeOddEntries(m_targets.front(), port);
+    for (const OddEntry& entry : m_odd) {
+      std::cout << (entry.readable ? "odd_readable=" : "odd_unreadable=")
+                << entry.key << '\n';
+    }
+  }
   m_began = SteadyNow();
   Tick();
 }
@@ -114,6 +126,30 @@
   }
 }
 
+void PlatformDay::ListenForOddCalls(const std::string& address) {
+  net::HttpServerOptions server;
+  server.address = address;
+  m_servers.push_back(std::make_unique<net::HttpServer>(
+      m_io, server,
+      [this](const net::HttpRequest&, const net::Responder& respond) {
+        ++m_odd_calls;
+        respond(ErrorAnswerOf(404, "path"));
+      }));
+}
+
+void PlatformDay::WriteOddEntries(Millis since) {
+  for (OddEntry& entry : m_odd) {
+    if (!entry.written && since >= entry.from) {
+      entry.written = true;
+      m_store.Put(entry.key, entry.value);
+    }
+    if (!entry.erased && since >= entry.until) {
+      entry.erased = true;
+      m_store.Erase(entry.key);
+    }
+  }
+}
+
 // ---- Targets ----------------------------------------------------------------
 
 void PlatformDay::TakeOrder(std::size_t index, const net::HttpRequest& request,
@@ -125,6 +161,12 @@
   }
   SimTarget& target = m_targets[index];
   const Time now = SteadyNow();
+  if (request.HeaderValue(kInstanceHeader) != target.entry.id) {
+    ++m_other_calls;
+    constexpr int kOtherInstance = 421;
+    respond(ErrorAnswerOf(kOtherInstance, "instance"));
+    return;
+  }
   const auto epoch = static_cast<Epoch>(IntegerAt(*body, "fencing_token", 0));
   if (!PassesFence(target, epoch)) {
     respond(Conflict(target, now, "fence"));
@@ -347,6 +389,9 @@
       held.pop_front();
     }
   }
+  if (!away) {
+    WriteOddEntries(since);
+  }
   if (now >= m_next_entries && !away) {
     m_next_entries = now + kEntriesEvery;
     WriteEntries();
@@ -389,7 +434,15 @@
   }
   std::cout << "jobs=" << m_callers.size() << " accepted=" << accepted
             << " starts=" << m_checker.Starts()
-            << " store_calls=" << m_store.Calls() << '\n';
+            << " store_calls=" << m_store.Calls();
+  if (m_options.odd_entries) {
+    std::cout << " odd_calls=" << m_odd_calls
+              << " other_calls=" << m_other_calls;
+  }
+  std::cout << '\n';
+  if (m_odd_calls > 0) {
+    std::cout << "BROKEN calls to odd entries\n";
+  }
   for (const std::string& breach : m_checker.Breaches()) {
     std::cout << "BROKEN " << breach << '\n';
   }
@@ -403,7 +456,10 @@
   const bool served = std::ranges::any_of(m_callers, [](const auto& entry) {
     return entry.second.accepted && entry.second.ended;
   });
-  return served && m_checker.Breaches().empty() && m_lost.empty() ? 0 : 1;
+  return served && m_odd_calls == 0 && m_checker.Breaches().empty() &&
+                 m_lost.empty()
+             ? 0
+             : 1;
 }
 
 }  // namespace buckthornmux::standins
--- a/tests/standins/platform_day.h
+++ b/tests/standins/platform_day.h
@@ -15,6 +15,7 @@
 #include "buckthornmux/detail/net/http_client.h"
 #include "buckthornmux/detail/net/http_server.h"
 #include "standins/job_checker.h"
+#include "standins/odd_entries.h"
 #include "standins/platform_store.h"
 
 namespace buckthornmux::standins {
@@ -31,8 +32,9 @@
   Millis store_away_for{0};
   Millis store_loses_at{0};  ///< From the start of the load.
   Millis store_loses_for{0};
-  double store_losses = 0;  ///< Share of writes that are not answered then.
-  double answers_lost = 0;  ///< Share of starts done but not answered.
+  double store_losses = 0;   ///< Share of writes that are not answered then.
+  double answers_lost = 0;   ///< Share of starts done but not answered.
+  bool odd_entries = false;  ///< Some beside those of the targets.
 };
 
 /// @brief Plays the day; its summary and verdict go to standard output.
@@ -60,6 +62,8 @@
 
   void WriteRules();
   void WriteEntries();
+  void ListenForOddCalls(const std::string& address);
+  void WriteOddEntries(Millis since);
   void TakeOrder(std::size_t index, const net::HttpRequest& request,
                  const net::Responder& respond);
   void AnswerReport(std::size_t index, const cell::ReportCall& call,
@@ -91,6 +95,9 @@
   double m_due = 0;  ///< Jobs to hand in.
   std::size_t m_next_host = 0;
   std::vector<std::string> m_lost;
+  std::vector<OddEntry> m_odd;
+  int m_odd_calls = 0;    ///< To the address of an odd entry.
+  int m_other_calls = 0;  ///< To a healthy target, for another id.
 };
 
 }  // namespace buckthornmux::standins
--- a/tests/standins/platform_store.cc
+++ b/tests/standins/platform_store.cc
@@ -80,6 +80,15 @@
   }
 }
 
+void PlatformStore::Erase(const std::string& key) {
+  const auto found = m_state.keys.find(key);
+  if (found != m_state.keys.end() &&
+      standins::Erase(m_state, key, found->second.revision) ==
+          WriteEnd::kDone) {
+    WakeWatches(SteadyNow());
+  }
+}
+
 void PlatformStore::Take(const net::HttpRequest& request,
                          const net::Responder& respond) {
   ++m_calls;
@@ -212,7 +221,7 @@
     const std::string key(row.as_string());
     const auto found = m_state.keys.find(key);
     if (found != m_state.keys.end()) {
-      static_cast<void>(Erase(m_state, key, found->second.revision));
+      static_cast<void>(standins::Erase(m_state, key, found->second.revision));
       m_state.history.back().entry.revision = revision;
     }
   }
--- a/tests/standins/platform_store.h
+++ b/tests/standins/platform_store.h
@@ -18,6 +18,7 @@
 
   /// @brief Writes as the operator or a target does.
   void Put(const std::string& key, const std::string& value);
+  void Erase(const std::string& key);
 
   /// @brief While away, every call gets 503.
   void SetAway(bool away) { m_away = away; }
