Archive: a length in a frame allocates no more than its bytes

What was seen: a mutated Hello of 25 bytes asked for 280 TB, a list of targets of 9 bytes for 44 TB; a length of some GB would have been granted. Cause: cereal resizes strings and vectors to the length read before it reads any element. Change: in archive.h, strings and vectors of plain values are read in parts of at most 64 KB, other vectors element by element. All frames and binary records use it.

--- a/include/buckthornmux/detail/core/archive.h
+++ b/include/buckthornmux/detail/core/archive.h
@@ -6,6 +6,7 @@
 /// it.
 #pragma once
 
+#include <algorithm>
 #include <boost/pfr.hpp>
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/chrono.hpp>
@@ -14,13 +15,65 @@
 #include <cereal/types/string.hpp>
 #include <cereal/types/variant.hpp>
 #include <cereal/types/vector.hpp>
+#include <cstddef>
+#include <cstdint>
 #include <sstream>
 #include <string>
 #include <string_view>
 #include <type_traits>
+#include <vector>
 
 #include "buckthornmux/detail/core/error.h"
 
+// Preferred to cereal's own functions, which allocate as much as a length read
+// says before they read any element.
+namespace cereal {
+
+/// Containers grow by at most so much before their next bytes are read.
+inline constexpr std::size_t kMaxReadAheadBytes = 64 << 10;
+
+/// @brief Reads contiguous values of one size; their bytes limit what is
+///   allocated.
+template <class Container>
+void LoadPlain(PortableBinaryInputArchive& archive, Container& values) {
+  using Value = typename Container::value_type;
+  size_type left = 0;
+  archive(make_size_tag(left));
+  values.clear();
+  while (left > 0) {
+    const size_type part =
+        std::min<size_type>(left, kMaxReadAheadBytes / sizeof(Value));
+    const std::size_t before = values.size();
+    values.resize(before + static_cast<std::size_t>(part));
+    archive(binary_data(values.data() + before,
+                        static_cast<std::size_t>(part) * sizeof(Value)));
+    left -= part;
+  }
+}
+
+inline void load(PortableBinaryInputArchive& archive, std::string& text) {
+  LoadPlain(archive, text);
+}
+
+template <class T, class Allocator>
+void load(PortableBinaryInputArchive& archive,
+          std::vector<T, Allocator>& values) {
+  static_assert(!std::is_empty_v<T>, "an element must take bytes");
+  if constexpr (std::is_arithmetic_v<T>) {
+    static_assert(!std::is_same_v<T, bool>);
+    LoadPlain(archive, values);
+  } else {
+    size_type left = 0;
+    archive(make_size_tag(left));
+    values.clear();
+    for (; left > 0; --left) {
+      archive(values.emplace_back());
+    }
+  }
+}
+
+}  // namespace cereal
+
 namespace buckthornmux {
 
 /// Aggregate classes; these are serialized field by field, in order.
