Archive: a flag in a frame is true or false

What was seen: a mutated CallSubmit or heartbeat with a flag of another byte than 0 or 1 was taken; using such a bool is undefined behaviour. Cause: cereal copies the byte into the bool. Change: the loader in archive.h refuses other bytes.

--- a/include/buckthornmux/detail/core/archive.h
+++ b/include/buckthornmux/detail/core/archive.h
@@ -32,6 +32,16 @@
 /// Containers grow by at most so much before their next bytes are read.
 inline constexpr std::size_t kMaxReadAheadBytes = 64 << 10;
 
+/// @brief Reads a flag; any byte but 0 and 1 is refused.
+inline void load(PortableBinaryInputArchive& archive, bool& value) {
+  std::uint8_t byte = 0;
+  archive(byte);
+  if (byte > 1) {
+    throw Exception("a flag is neither 0 nor 1");
+  }
+  value = byte == 1;
+}
+
 /// @brief Reads contiguous values of one size; their bytes limit what is
 ///   allocated.
 template <class Container>
