Targets: the next owner knows the largest capacities

A new job that fits only the largest capacities was refused for good by an owner that took over while all targets had less: they were known only to the owner that had seen them listed.

Cause: Target::largest isn't stored. Now the largest capacities of each service's reported targets are a record of their own, written with the list of targets when they have grown and loaded by the next owner. A store without the record loads as before. A capacity of more than 64 times the median of its service isn't stored.

--- a/include/buckthornmux/detail/cell/state.h
+++ b/include/buckthornmux/detail/cell/state.h
@@ -387,7 +387,12 @@
   std::map<TargetId, Time> expected;
   /// Runs on silent targets that StartService takes over.
   std::vector<std::pair<TargetId, RunId>> inherited;
-  Time expected_stored;        ///< When `expected` was last stored.
+  Time expected_stored;  ///< When `expected` was last stored.
+  /// Stored capacities by service, none of which includes another. Jobs that
+  /// fit one are accepted although all targets may have less now.
+  std::map<std::string, std::vector<Resources>, std::less<>> largest;
+  bool largest_grown = false;  ///< `largest` isn't stored yet.
+  Time largest_checked;        ///< When `largest` was last brought up to date.
   bool targets_dirty = false;  ///< The stored list of targets is outdated.
   bool silent_stored = false;  ///< This owner has stored silent targets.
   bool plan_due = false;
--- a/src/cell/internal.h
+++ b/src/cell/internal.h
@@ -136,6 +136,10 @@
 [[nodiscard]] Time LeaseEnd(const Options& options, const Target& target,
                             const Run& run);
 
+/// Notes the largest capacities of the targets, to be stored if they have
+/// grown.
+void NoteLargestCapacities(Cell& cell, Time now);
+
 /// Refuses new jobs whose callers are about to time out and for which no write
 /// has been sent yet.
 void RefuseOverdue(Cell& cell, Actions& actions, Time now);
--- a/src/cell/jobs.cc
+++ b/src/cell/jobs.cc
@@ -34,7 +34,11 @@
       return true;
     }
   }
-  return !any;
+  const auto stored = cell.largest.find(queue.service);
+  return !any || (stored != cell.largest.end() &&
+                  std::ranges::any_of(stored->second, [&](const auto& room) {
+                    return ReservedBy(step).FitsIn(room);
+                  }));
 }
 
 /// Returns the reason to refuse a new job, if any.
--- a/src/cell/record_layout.h
+++ b/src/cell/record_layout.h
@@ -16,6 +16,7 @@
 inline constexpr std::string_view kProgressKey = "progress/";
 inline constexpr std::string_view kTargetsKey = "targets";
 inline constexpr std::string_view kSilentKey = "silent";
+inline constexpr std::string_view kCapacitiesKey = "capacities";
 /// Jobs are added to a record while it has fewer open jobs and bytes than this.
 inline constexpr std::size_t kMaxBundleJobs = 16;
 inline constexpr std::size_t kMaxBundleBytes = 8'000;
@@ -42,6 +43,15 @@
   std::vector<StoredSilentTarget> targets;
 };
 
+/// The largest capacities that the targets of a service have had.
+struct StoredCapacities {
+  std::string service;
+  std::vector<Resources> largest;
+};
+
+/// @brief Takes over the largest capacities that former owners have seen.
+void InheritCapacities(Cell& cell, std::vector<StoredCapacities> stored);
+
 /// @brief Takes over the targets that were silent for the former owner, so that
 ///   jobs don't wait for the reports of these targets.
 void InheritSilentTargets(Cell& cell, const StoredSilentTargets& stored,
--- a/src/cell/record_load.cc
+++ b/src/cell/record_load.cc
@@ -165,6 +165,10 @@
       for (const StoredTarget& target : targets) {
         cell.expected[target.id] = cell.former_renewals_until + target.lasts;
       }
+    } else if (key == kCapacitiesKey) {
+      BOOST_LEAF_AUTO(capacities, DecodeBinary<std::vector<StoredCapacities>>(
+                                      record.value, key));
+      InheritCapacities(cell, std::move(capacities));
     } else if (key == kSilentKey) {
       BOOST_LEAF_ASSIGN(silent,
                         DecodeBinary<StoredSilentTargets>(record.value, key));
--- a/src/cell/record_targets.cc
+++ b/src/cell/record_targets.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 #include "buckthornmux/detail/core/archive.h"
@@ -15,6 +16,14 @@
 /// longest, so that the target's lease may be renewed without another write.
 constexpr Millis kMinLeaseReduction{500};
 
+/// The largest capacities of the targets are looked at this often.
+constexpr Millis kCapacityInterval{500};
+/// A listed capacity of more than this multiple of the median of its service is
+/// taken for an error and isn't stored.
+constexpr std::int64_t kMaxTimesMedian = 64;
+/// Maximum number of capacities stored for a service.
+constexpr std::size_t kMaxCapacities = 8;
+
 /// Whether a target has stopped answering, but all its runs are known.
 bool IsSilent(const Target& target) {
   return target.silent && (target.reported || target.runs_known);
@@ -75,6 +84,44 @@
   return silent;
 }
 
+/// Returns the median of the largest capacities of a service's targets.
+Resources MedianOf(std::vector<Resources> rooms) {
+  const auto middle =
+      rooms.begin() + static_cast<std::ptrdiff_t>((rooms.size() - 1) / 2);
+  const auto median = [&](auto field) {
+    std::ranges::nth_element(rooms, middle, {}, field);
+    return std::invoke(field, *middle);
+  };
+  return {median(&Resources::slots), median(&Resources::cpu_milli),
+          median(&Resources::memory_mb), median(&Resources::accelerators)};
+}
+
+bool IsOdd(const Resources& room, const Resources& median) {
+  return room.cpu_milli > kMaxTimesMedian * median.cpu_milli ||
+         room.memory_mb > kMaxTimesMedian * median.memory_mb;
+}
+
+/// Adds a capacity unless one of `largest` includes it; true if it was added.
+bool AddCapacity(std::vector<Resources>& largest, const Resources& room) {
+  if (std::ranges::any_of(
+          largest, [&](const auto& other) { return room.FitsIn(other); })) {
+    return false;
+  }
+  std::erase_if(largest,
+                [&](const Resources& other) { return other.FitsIn(room); });
+  if (largest.size() < kMaxCapacities) {
+    largest.push_back(room);
+    return true;
+  }
+  // Rather accept a job that never fits than refuse one that does.
+  Resources& joined = largest.back();
+  joined = {std::max(joined.slots, room.slots),
+            std::max(joined.cpu_milli, room.cpu_milli),
+            std::max(joined.memory_mb, room.memory_mb),
+            std::max(joined.accelerators, room.accelerators)};
+  return true;
+}
+
 /// Holds the task of an inherited run.
 void InheritRun(Cell& cell, Target& target, const RunId& id, Time now) {
   Job* job = FindJob(cell, id.task.job);
@@ -117,6 +164,36 @@
   }
 }
 
+void InheritCapacities(Cell& cell, std::vector<StoredCapacities> stored) {
+  for (StoredCapacities& capacities : stored) {
+    cell.largest[capacities.service] = std::move(capacities.largest);
+  }
+}
+
+void NoteLargestCapacities(Cell& cell, Time now) {
+  if (now - cell.largest_checked < kCapacityInterval) {
+    return;
+  }
+  cell.largest_checked = now;
+  std::map<std::string_view, std::vector<Resources>> rooms;
+  for (const auto& [id, target] : cell.targets) {
+    // Without a report, the list may name what isn't there.
+    if (target.listed && target.reported) {
+      rooms[target.entry.service].push_back(target.largest);
+    }
+  }
+  for (const auto& [service, of_service] : rooms) {
+    const Resources median = MedianOf(of_service);
+    std::vector<Resources>& largest = cell.largest[std::string(service)];
+    for (const Resources& room : of_service) {
+      if (!IsOdd(room, median) && AddCapacity(largest, room)) {
+        cell.largest_grown = true;
+        cell.targets_dirty = true;
+      }
+    }
+  }
+}
+
 void InheritRuns(Cell& cell, Time now) {
   for (const auto& [target_id, run] : std::exchange(cell.inherited, {})) {
     Target* target = FindTarget(cell, target_id);
@@ -143,6 +220,15 @@
     batch.writes.push_back(
         {std::string(kSilentKey), EncodeBinary(silent), false});
   }
+  if (cell.largest_grown) {
+    cell.largest_grown = false;
+    std::vector<StoredCapacities> capacities;
+    for (const auto& [service, largest] : cell.largest) {
+      capacities.push_back({service, largest});
+    }
+    batch.writes.push_back(
+        {std::string(kCapacitiesKey), EncodeBinary(capacities), false});
+  }
   cell.targets_dirty = false;
   cell.expected_stored = now;
   for (auto& [id, target] : cell.targets) {
--- a/src/cell/tick.cc
+++ b/src/cell/tick.cc
@@ -67,6 +67,7 @@
   ForgetOld(cell, now);
   CheckRecovery(cell, actions, now);
   ScheduleLeaseStore(cell, now);
+  NoteLargestCapacities(cell, now);
 }
 
 }  // namespace buckthornmux::cell
