Suspects: they don't wait while targets stand empty

Cause: the number of jobs on probation is bounded by the targets that are still empty, so it stops growing at a third of them. Now suspects beyond that bound may start once all other work of the round is placed, each on an empty target; one target in eight stays empty for work that arrives.

--- a/src/cell/plan.cc
+++ b/src/cell/plan.cc
@@ -16,6 +16,9 @@
 /// ones if that is more.
 constexpr std::size_t kTargetsPerProbation = 4;
 constexpr std::size_t kEmptyTargetsPerProbation = 2;
+/// Beyond that, suspects may use the targets that all other work has left
+/// empty, except for one in this many, for work that arrives meanwhile.
+constexpr std::size_t kTargetsPerSpare = 8;
 
 /// Returns the priority class of a step; lower classes are planned first.
 int ClassOf(const Candidate& candidate) {
@@ -175,20 +178,27 @@
       std::ranges::any_of(candidate.step->tasks, IsSlowSuspect);
 }
 
-/// Whether suspected tasks of a step may start now: their crashes are stored,
-/// and few enough other jobs are on probation.
-bool MayTrySuspects(const Round& round, const Candidate& candidate) {
+/// Whether the crashes of a step's suspected tasks are stored.
+bool AreCrashesStored(const Candidate& candidate) {
   const Job& job = *candidate.job;
-  const bool stored = std::ranges::all_of(
-      candidate.step->tasks,
-      [&](const Task& task) { return task.crash_version <= job.durable; });
-  const auto empty = static_cast<std::size_t>(
+  return std::ranges::all_of(candidate.step->tasks, [&](const Task& task) {
+    return task.crash_version <= job.durable;
+  });
+}
+
+std::size_t CountEmpty(const Round& round) {
+  return static_cast<std::size_t>(
       std::ranges::count(round.slots, true, &Slot::empty));
+}
+
+/// Whether few enough other jobs are on probation for one more.
+bool MayTrySuspects(const Round& round, const Candidate& candidate) {
+  const std::size_t empty = CountEmpty(round);
   const std::size_t most =
       std::max({std::size_t{1}, round.slots.size() / kTargetsPerProbation,
                 empty / kEmptyTargetsPerProbation});
-  return stored && (round.on_probation.contains(candidate.ref.job) ||
-                    round.on_probation.size() < most);
+  return round.on_probation.contains(candidate.ref.job) ||
+         round.on_probation.size() < most;
 }
 
 void PlanStep(Round& round, const Candidate& candidate) {
@@ -197,9 +207,6 @@
   if (queue == nullptr || candidate.step == nullptr) {
     return;
   }
-  if (candidate.suspect && !MayTrySuspects(round, candidate)) {
-    return;
-  }
   const bool gang = candidate.Spec().gang;
   // Without a ticket nothing can start.
   if (!queue->advice || !candidate.step->advice.tickets.empty()) {
@@ -299,8 +306,24 @@
       Before);
   candidates.resize(planned);
   Round round = BeginRound(cell, actions, now);
+  std::vector<Candidate> held_back;
   for (Candidate& candidate : candidates) {
     FindSuspects(candidate);
+    if (candidate.suspect && !AreCrashesStored(candidate)) {
+      continue;
+    }
+    if (candidate.suspect && !MayTrySuspects(round, candidate)) {
+      held_back.push_back(candidate);
+      continue;
+    }
+    PlanStep(round, candidate);
+  }
+  const std::size_t spare = round.slots.size() / kTargetsPerSpare;
+  for (Candidate& candidate : held_back) {
+    if (CountEmpty(round) <= spare) {
+      break;
+    }
+    candidate.slow_suspect = true;  // Only targets without other work.
     PlanStep(round, candidate);
   }
 }
--- a/tests/unit-deadly-tasks.cc
+++ b/tests/unit-deadly-tasks.cc
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(TasksBesideADeadlyOneAreDone);
   CPPUNIT_TEST(CrashesAreCountedOverAChangeOfTheOwner);
   CPPUNIT_TEST(OtherCallersAreServedWhileManyTasksAreDeadly);
+  CPPUNIT_TEST(SuspectsDoNotWaitWhileTargetsStandEmpty);
   CPPUNIT_TEST(RandomCrashesGiveUpDeadlyTasksOnly);
   CPPUNIT_TEST_SUITE_END();
 
@@ -111,6 +112,35 @@
     CPPUNIT_ASSERT_LESSEQUAL(3 * 20, world.Crashes());
   }
 
+  // Guards against tasks of targets that restarted by themselves twice, tried a
+  // few at a time while targets stand empty.
+  void SuspectsDoNotWaitWhileTargetsStandEmpty() {
+    constexpr int kTargets = 8;
+    constexpr int kJobs = 32;
+    World world(Targets(kTargets));
+    Open(world);
+    for (int i = 0; i < kJobs; ++i) {
+      world.Submit(PlainJob("job-" + std::to_string(i), 1, 2000));
+    }
+    for (const int life : {2, 3}) {
+      world.RunUntil(world.NowTime() + Millis(1000));
+      for (int i = 0; i < kTargets; ++i) {
+        world.Restart(i, Millis(100), Millis(50), life);
+      }
+    }
+    world.RunUntil(world.NowTime() + Millis(1000));
+    // Seven at a time, each alone for 2 s and the time until it starts.
+    world.RunUntil(world.NowTime() + Millis(13'000));
+    int done = 0;
+    for (int i = 0; i < kJobs; ++i) {
+      done += world.PhaseOf("job-" + std::to_string(i)) ==
+                      cell::JobPhase::kCompleted
+                  ? 1
+                  : 0;
+    }
+    CPPUNIT_ASSERT_EQUAL(kJobs, done);
+  }
+
   // DEADLY_SEEDS=N plays more seeds by hand.
   void RandomCrashesGiveUpDeadlyTasksOnly() {
     constexpr int kSeeds = 8;
