--- a/src/cell/internal.h
+++ b/src/cell/internal.h
@@ -132,6 +132,10 @@
 /// Maximum time that runs of a target continue after its last renewal.
 [[nodiscard]] Millis MaxLeaseLifetime(const Options& options);
 
+/// Notes the largest capacities of the targets, to be stored if they have
+/// grown.
+void NoteLargestCapacities(Cell& cell, Time now);
+
 /// Refuses new jobs whose callers are about to time out and for which no write
 /// has been sent yet.
 void RefuseOverdue(Cell& cell, Actions& actions, Time now);
