Silent targets: the next owner learns the confirmed address, not the listed one

Fault, found by the review: the silent record held the address that the list showed last. A list that goes back shows another target's; its answer made the next owner drop the runs of the silent target within their lease (two runs of one task), although the same owner knew better since.

--- a/src/cell/record_targets.cc
+++ b/src/cell/record_targets.cc
@@ -73,7 +73,8 @@
     if (!IsKnownSilent(target)) {
       continue;
     }
-    StoredSilentTarget stored{id, target.entry.address, target.entry.life, {}};
+    StoredSilentTarget stored{
+        id, target.confirmed_address, target.entry.life, {}};
     for (const auto& [run_id, run] : target.runs) {
       stored.runs.push_back(run_id);
     }
