--- a/src/cell/jobs.cc
+++ b/src/cell/jobs.cc
@@ -220,21 +220,33 @@
   }
 }
 
-Millis ChainFrom(const JobSpec& spec, std::uint32_t step) {
-  Millis longest{0};
-  for (std::uint32_t i = step + 1; i < spec.steps.size(); ++i) {
-    if (std::ranges::count(spec.steps[i].after, step) > 0) {
-      longest = std::max(longest, ChainFrom(spec, i));
+namespace {
+
+/// Estimates the time from the start of each step to the end of the job.
+std::vector<Millis> Chains(const JobSpec& spec) {
+  std::vector<Millis> chains(spec.steps.size());
+  std::vector<Millis> longest_after(spec.steps.size());
+  for (std::size_t i = spec.steps.size(); i-- > 0;) {
+    chains[i] = spec.steps[i].estimate + longest_after[i];
+    for (const std::uint32_t before : spec.steps[i].after) {
+      if (before < i) {
+        longest_after[before] = std::max(longest_after[before], chains[i]);
+      }
     }
   }
-  return spec.steps[step].estimate + longest;
+  return chains;
+}
+
+}  // namespace
+
+Millis ChainFrom(const JobSpec& spec, std::uint32_t step) {
+  return Chains(spec)[step];
 }
 
 Millis ObjectiveOf(const Queue& queue, const JobSpec& spec) {
-  Millis chain{0};
-  for (std::uint32_t i = 0; i < spec.steps.size(); ++i) {
-    chain = std::max(chain, ChainFrom(spec, i));
-  }
+  const std::vector<Millis> chains = Chains(spec);
+  const Millis chain =
+      chains.empty() ? Millis(0) : *std::ranges::max_element(chains);
   const auto stretched = static_cast<std::int64_t>(
       queue.stretch * static_cast<double>(chain.count()));
   return Millis(stretched) + queue.target_runtime;
