HTTP client: connections are compared by the clock of the caller

Fault, found by the review: connected_by is taken from the host's clock, which counts suspends of the machine, and was compared with steady time. On a machine that was suspended once, every connection counted as old enough, so that orders for a target's former process reached the next one again. Change: the client takes the clock as an option; the host passes its own.

--- a/include/buckthornmux/detail/net/http_client.h
+++ b/include/buckthornmux/detail/net/http_client.h
@@ -1,6 +1,7 @@
 /// HTTP/1.1 client over Boost.Beast with a connection pool.
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -19,6 +20,8 @@
   std::size_t max_waiting_per_peer = 1024;    ///< Further calls fail at once.
   Millis connect_timeout{1000};
   std::uint64_t max_body_bytes = 8 << 20;
+  /// Clock of HttpRequest::connected_by; empty: the steady clock.
+  std::function<Time()> clock;
 };
 
 /// @brief Calls peers by "IP:port" over persistent connections.
--- a/src/entry/host.cc
+++ b/src/entry/host.cc
@@ -37,6 +37,7 @@
   net::HttpClientOptions options;
   options.max_connections_per_peer = connections;
   options.connect_timeout = kConnectTimeout;
+  options.clock = Now;
   return options;
 }
 
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -39,6 +39,7 @@
       : stream(executor) {}
   beast::tcp_stream stream;
   SteadyClock::time_point opened = SteadyClock::now();
+  Time opened_by;  ///< The same on the clock of HttpRequest::connected_by.
   /// Process that it leads to, by a ConnectionCheck; empty if not checked.
   std::string process;
 };
@@ -140,6 +141,12 @@
     }
   }
 
+  [[nodiscard]] Time Clock() const {
+    return options.clock
+               ? options.clock()
+               : std::chrono::time_point_cast<Millis>(SteadyClock::now());
+  }
+
   asio::awaitable<ConnectionPtr> Open(Peer& peer,
                                       SteadyClock::time_point deadline) {
     const auto outcome = Capture([&] { return ParseAddress(peer.address); });
@@ -159,6 +166,8 @@
     }
     connection->stream.socket().set_option(tcp::no_delay(true), error);
     connection->opened = SteadyClock::now();
+    // In whole milliseconds, so the end of this one.
+    connection->opened_by = Clock() + Millis(1);
     co_return connection;
   }
 
@@ -217,8 +226,7 @@
   /// Whether a connection leads to the process that a request is meant for.
   static bool Suits(const Connection& connection, const HttpRequest& request) {
     return request.connected_by == Time::max() ||
-           connection.opened <= SteadyClock::time_point(
-                                    request.connected_by.time_since_epoch()) ||
+           connection.opened_by <= request.connected_by ||
            (request.check && connection.process == request.check->process);
   }
 
--- a/tests/unit-cell-host.cc
+++ b/tests/unit-cell-host.cc
@@ -36,7 +36,7 @@
   boost::asio::io_context io;
   MockAsyncStore store;
   store::AsyncStore calls = store.Calls();
-  net::HttpClient client{io, {}};
+  net::HttpClient client{io, {.clock = entry::Now}};
   runtime::Metrics metrics;
   std::vector<entry::CellReply> replies;
   entry::CellHost host{
--- a/tests/unit-http.cc
+++ b/tests/unit-http.cc
@@ -51,6 +51,7 @@
   CPPUNIT_TEST(NothingIsSentAfterSendBy);
   CPPUNIT_TEST(NothingIsSentOnAConnectionThatIsTooNew);
   CPPUNIT_TEST(NewConnectionIsCheckedBeforeTheRequest);
+  CPPUNIT_TEST(ConnectionIsTooNewByTheClockOfTheCaller);
   CPPUNIT_TEST(AnswerKeepsRetryAfterAndClosingIsUnknown);
   CPPUNIT_TEST_SUITE_END();
 
@@ -189,6 +190,34 @@
     CPPUNIT_ASSERT_EQUAL(2, received.load());
   }
 
+  // Guards against connections that count as old because the caller's clock is
+  // ahead of the steady one, as it is once a machine was suspended.
+  void ConnectionIsTooNewByTheClockOfTheCaller() {
+    constexpr Millis kSuspended{100'000};
+    const auto clock = [] {
+      return std::chrono::time_point_cast<Millis>(
+                 std::chrono::steady_clock::now()) +
+             kSuspended;
+    };
+    IoThread io;
+    HttpServer server(io.io, {}, [](const HttpRequest&, const Responder& r) {
+      r({.body = "ok"});
+    });
+    HttpClientOptions options;
+    options.clock = clock;
+    HttpClient client(io.io, options);
+    const Time before = clock();
+    CPPUNIT_ASSERT(std::holds_alternative<HttpResponse>(
+        client.CallAndWait(AddressOf(server), {}, kCallTimeout)));
+    HttpRequest request;
+    request.connected_by = before;
+    CPPUNIT_ASSERT(std::holds_alternative<Error>(
+        client.CallAndWait(AddressOf(server), request, kCallTimeout)));
+    request.connected_by = clock() + Millis(2);
+    CPPUNIT_ASSERT(std::holds_alternative<HttpResponse>(
+        client.CallAndWait(AddressOf(server), request, kCallTimeout)));
+  }
+
   // Guards against a request for one process that reaches the next one on a
   // connection opened for it.
   void NewConnectionIsCheckedBeforeTheRequest() {
