World: targets that are found again get report calls

Found by the review: a target that the cell didn't know at the time of its report call, since an old list hid it, got no further call, so that it was mute for the rest of the play. The server calls every target that it knows.

--- a/tests/standins/cell_world.cc
+++ b/tests/standins/cell_world.cc
@@ -135,6 +135,12 @@
   cell::Actions actions;
   cell::SetTargets(*m_cell, actions, entries, m_now);
   Act(std::move(actions));
+  // The server calls each target that it knows and isn't calling.
+  for (SimTarget& target : m_targets) {
+    if (m_cell->targets.contains(target.entry.id)) {
+      Report(target);
+    }
+  }
 }
 
 void World::ShowFormerList(Millis age, Millis lasts) {
