Takeover: run numbers rise over several owners

Fault, found by the review: the gap of 64 after a takeover wasn't stored, so two owners in a row gave run 65 to two runs of a task. An end of the earlier one's run 66 then released the later one's run on a silent target (two runs of one task), and a failure or crash of the second run 65 wasn't counted. Change: each epoch has its own numbers; a task that has used more of them stores its next one.

--- a/src/cell/steps.cc
+++ b/src/cell/steps.cc
@@ -10,6 +10,19 @@
 /// a former owner started but that this one has not seen exceed the highest
 /// known number by less than this.
 constexpr std::uint32_t kTakeoverRunNumberGap = 64;
+/// Epochs above this don't count in run numbers, which have 32 bits.
+constexpr Epoch kMaxNumberedEpoch = 10'000'000;
+
+/// Leaves a gap in a task's run numbers. Numbers of several owners in a row may
+/// be unknown, since starts aren't stored, so that each epoch has its own.
+/// @return whether the number must be stored to differ from the next owner's
+bool SkipFormerRuns(Task& task, Epoch epoch) {
+  const auto of_epoch = static_cast<std::uint32_t>(
+      std::min(epoch, kMaxNumberedEpoch) * kTakeoverRunNumberGap + 1);
+  const std::uint32_t after_known = task.next_run + kTakeoverRunNumberGap;
+  task.next_run = std::max(after_known, of_epoch);
+  return after_known > of_epoch;
+}
 
 Occurrence MakeOccurrence(const JobSpec& spec) {
   Occurrence occurrence;
@@ -285,8 +298,13 @@
     for (auto& [number, occurrence] : job.occurrences) {
       for (std::uint32_t i = 0; i < occurrence.steps.size(); ++i) {
         Step& step = occurrence.steps[i];
+        bool store = false;
         for (Task& task : step.tasks) {
-          task.next_run += kTakeoverRunNumberGap;
+          const bool open = task.phase != TaskPhase::kDone;
+          store = (SkipFormerRuns(task, cell.epoch) && open) || store;
+        }
+        if (store) {
+          MarkChanged(cell, job, false, now);
         }
         // A gang of which only some members run can't continue.
         const bool partial = job.spec.steps[i].gang && step.live > 0 &&
--- /dev/null
+++ b/tests/unit-owner-changes.cc
@@ -0,0 +1,261 @@
+// Ends and run numbers over changes of the owner.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <map>
+#include <optional>
+
+#include "buckthornmux/detail/cell/cell.h"
+#include "cell_world.h"
+#include "plain_cell.h"
+
+namespace buckthornmux::tests {
+namespace {
+
+using Records = std::map<std::string, cell::RecordWrite>;
+
+cell::TargetEntry Entry(const std::string& id) {
+  cell::TargetEntry entry;
+  entry.id = id;
+  entry.service = "service";
+  entry.address = "127.0.0.1:" + id.substr(1);
+  entry.life = 1;
+  entry.capacity = {0, 1000, 32'768, 0};
+  return entry;
+}
+
+std::vector<cell::TargetEntry> List(const std::vector<std::string>& ids) {
+  std::vector<cell::TargetEntry> list;
+  for (const auto& id : ids) {
+    list.push_back(Entry(id));
+  }
+  return list;
+}
+
+cell::Cell Open(Epoch epoch, const Records& stored,
+                const std::vector<cell::TargetEntry>& entries, Time now) {
+  std::vector<cell::RecordWrite> records;
+  for (const auto& [key, write] : stored) {
+    records.push_back(write);
+  }
+  cell::Cell owned;
+  cell::Actions actions;
+  owned.epoch = epoch;
+  owned.claimed_at = now;
+  owned.former_renewals_until = now;
+  cell::Rules rules;
+  rules.queues = {PlainQueue("plain")};
+  cell::SetRules(owned, actions, rules, now);
+  CPPUNIT_ASSERT(!std::holds_alternative<Error>(
+      Capture([&] { return cell::LoadRecords(owned, records, now); })));
+  cell::SetTargets(owned, actions, entries, now);
+  cell::StartService(owned, actions, now);
+  return owned;
+}
+
+void Report(cell::Cell& owned, const std::string& id, Time now,
+            std::vector<cell::RunningReport> running = {},
+            std::vector<cell::EndReport> ended = {}) {
+  cell::Actions actions;
+  cell::OnReportSent(owned, id, {}, now);
+  cell::Reported(owned, actions, id,
+                 {.life = 1,
+                  .clock_ms = 5,
+                  .running = std::move(running),
+                  .ended = std::move(ended)},
+                 now, now);
+}
+
+void Store(cell::Cell& owned, Records& stored, Time now) {
+  while (auto batch = cell::TakeBatch(owned, 29, now)) {
+    for (const auto& write : batch->writes) {
+      if (write.erase) {
+        stored.erase(write.key);
+      } else {
+        stored[write.key] = write;
+      }
+    }
+    cell::Actions actions;
+    cell::OnBatchStored(owned, actions, *batch, now);
+  }
+}
+
+std::vector<cell::SendStart> Plan(cell::Cell& owned, Time now) {
+  cell::Actions actions;
+  cell::Plan(owned, actions, now);
+  std::vector<cell::SendStart> starts;
+  for (const auto& action : actions) {
+    if (const auto* start = std::get_if<cell::SendStart>(&action)) {
+      starts.push_back(*start);
+    }
+  }
+  return starts;
+}
+
+cell::EndReport Ended(std::uint64_t sequence, const cell::RunId& run,
+                      cell::RunEnd how) {
+  cell::EndReport end;
+  end.sequence = sequence;
+  end.run = run;
+  end.end = how;
+  return end;
+}
+
+class OwnerChangesTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(OwnerChangesTest);
+  CPPUNIT_TEST(RemovedTargetKeepsItsUnstoredEnds);
+  CPPUNIT_TEST(RunNumbersRiseOverTakeovers);
+  CPPUNIT_TEST(LaterRunOfAnEarlierOwnerReleasesNothing);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against a next owner that doesn't wait for a target with an end that
+  // the former one couldn't store: the target is cut off and loses its entry.
+  void RemovedTargetKeepsItsUnstoredEnds() {
+    Records stored;
+    Time now{Millis(1'000'000)};
+    cell::Cell first = Open(1, stored, List({"t1", "t2"}), now);
+    Report(first, "t1", now);
+    Report(first, "t2", now);
+    Store(first, stored, now);
+    cell::Actions actions;
+    cell::Submit(first, actions, 1, PlainJob("job", 2, 500), now,
+                 now + Millis(1000));
+    now += Millis(200);
+    Store(first, stored, now);
+    Report(first, "t1", now);
+    Report(first, "t2", now);
+    std::optional<cell::RunId> run;
+    for (const auto& start : Plan(first, now)) {
+      cell::StartAnswered(first, actions, start.target, start.run,
+                          cell::OrderOutcome::kDone, now);
+      if (start.target == "t2") {
+        run = start.run;
+      }
+    }
+    CPPUNIT_ASSERT(run.has_value());
+    now += Millis(500);
+    // The store rejects this host from now on.
+    Report(first, "t2", now, {}, {Ended(1, *run, cell::RunEnd::kDone)});
+    cell::SetTargets(first, actions, List({"t1"}), now + Millis(500));
+    now += Millis(1700);
+    cell::ReportFailed(first, actions, "t2", cell::OrderOutcome::kUnknown, now);
+    cell::Tick(first, actions, now);
+    const std::string state = cell::EncodeFormerOwnerState(first, now);
+    const auto known = first.targets.at("t1").runs;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, known.size());
+    cell::RunningReport other;
+    other.run = known.begin()->first;
+    cell::Cell second = Open(2, stored, List({"t1", "t3"}), now);
+    CPPUNIT_ASSERT(second.expected.contains("t2"));
+    const auto told = Capture([&] {
+      return cell::ApplyFormerOwnerState(second, actions, state, Millis(0),
+                                         now);
+    });
+    CPPUNIT_ASSERT(std::holds_alternative<std::size_t>(told));
+    Report(second, "t1", now, {other});
+    Report(second, "t3", now);
+    Store(second, stored, now);
+    Report(second, "t1", now, {other});
+    Report(second, "t3", now);
+    const auto again = Plan(second, now);
+    CPPUNIT_ASSERT_MESSAGE(
+        "run " + std::to_string(again.empty() ? 0 : again[0].run.number) +
+            " of the task starts while t2 lists its end",
+        again.empty());
+  }
+
+  // Guards against owners that give the same number to two runs of a task.
+  void RunNumbersRiseOverTakeovers() {
+    Records stored;
+    Time now{Millis(1'000'000)};
+    std::vector<std::uint32_t> numbers;
+    for (Epoch epoch = 1; epoch <= 3; ++epoch) {
+      cell::Cell owner = Open(epoch, stored, List({"t1"}), now);
+      Report(owner, "t1", now);
+      Store(owner, stored, now);
+      cell::Actions actions;
+      if (epoch == 1) {
+        cell::Submit(owner, actions, 1, PlainJob("job", 1, 20'000), now,
+                     now + Millis(1000));
+      }
+      now += Millis(200);
+      Store(owner, stored, now);
+      Report(owner, "t1", now);
+      for (const auto& start : Plan(owner, now)) {
+        numbers.push_back(start.run.number);
+      }
+      now += Millis(20'000);  // The owner ends, t1 runs nothing any more.
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, numbers.size());
+    CPPUNIT_ASSERT(numbers[0] < numbers[1]);
+    CPPUNIT_ASSERT_MESSAGE(
+        std::to_string(numbers[1]) + ", then " + std::to_string(numbers[2]),
+        numbers[1] < numbers[2]);
+  }
+
+  // Guards against a run on a silent target that is given up for an end of an
+  // earlier owner's run: t2 had that one, t1 has the later one.
+  void LaterRunOfAnEarlierOwnerReleasesNothing() {
+    Records stored;
+    Time now{Millis(1'000'000)};
+    cell::Actions actions;
+    cell::RunId run;
+    std::uint32_t earlier = 0;
+    for (Epoch epoch = 1; epoch <= 3; ++epoch) {
+      const std::string only = epoch == 3 ? "t1" : "t2";
+      cell::Cell owner = Open(epoch, stored, List({only}), now);
+      Report(owner, only, now);
+      Store(owner, stored, now);
+      if (epoch == 1) {
+        cell::Submit(owner, actions, 1, PlainJob("job", 1, 60'000), now,
+                     now + Millis(1000));
+      }
+      now += Millis(200);
+      if (epoch == 3) {
+        // t2 is cut off, its lease is over.
+        now += Millis(10'000);
+        cell::Tick(owner, actions, now);
+      }
+      Report(owner, only, now);
+      Store(owner, stored, now);
+      auto starts = Plan(owner, now);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, starts.size());
+      run = starts[0].run;
+      if (epoch == 2) {
+        // Its target had no room for the first one.
+        cell::StartAnswered(owner, actions, only, run,
+                            cell::OrderOutcome::kNoRoom, now);
+        starts = Plan(owner, now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, starts.size());
+        run = starts[0].run;
+        earlier = run.number;
+      }
+      cell::StartAnswered(owner, actions, only, run, cell::OrderOutcome::kDone,
+                          now);
+      now += Millis(100);
+      if (epoch == 3) {
+        CPPUNIT_ASSERT(run.number > earlier);
+        now += Millis(1600);
+        cell::ReportFailed(owner, actions, only, cell::OrderOutcome::kUnknown,
+                           now);
+        cell::Tick(owner, actions, now);
+        Store(owner, stored, now);
+        now += Millis(100);
+        cell::Cell next = Open(4, stored, List({"t1", "t2"}), now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, next.targets.at("t1").runs.size());
+        cell::RunId later = run;
+        later.number = earlier;
+        Report(next, "t2", now, {}, {Ended(1, later, cell::RunEnd::kLapsed)});
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("the run goes on at t1", std::size_t{1},
+                                     next.targets.at("t1").runs.size());
+      } else {
+        now += Millis(200);
+      }
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(OwnerChangesTest);
+
+}  // namespace
+}  // namespace buckthornmux::tests
