Targets: one with an end to store isn't forgotten

Fault, found by the review: a silent target without an entry was removed although this owner hadn't stored an end of it, so the next one didn't wait for its report. The lease of a target from a stored list could also be shorter than the list says.

--- a/src/cell/reports.cc
+++ b/src/cell/reports.cc
@@ -407,6 +407,11 @@
       found->second.listed_life = entry.life;
       found->second.last_answer = now;
       found->second.lease_until = FormerLeaseEnd(cell);
+      if (const auto expected = cell.expected.find(entry.id);
+          expected != cell.expected.end()) {
+        found->second.lease_until =
+            std::max(found->second.lease_until, expected->second);
+      }
       found->second.recorded = MayHaveAnyRuns(cell, entry.id);
       if (entry.draining && entry.remaining > Millis(0)) {
         found->second.leaves_at = now + entry.remaining;
@@ -553,6 +558,7 @@
   }
   const bool silent = IsSilent(target, now);
   if (!target.listed && !target.removed && silent && target.runs.empty() &&
+      target.pending_ends.empty() &&
       now - target.unlisted_at > cell.options.unlisted_timeout) {
     target.removed = true;
     cell.targets_dirty = true;
