Suspects: only those of late crashes may use empty targets

One that crashes targets right after its start is found after its next try or two; more of them at once only cost more targets.

--- a/src/cell/plan.cc
+++ b/src/cell/plan.cc
@@ -314,7 +314,10 @@
       continue;
     }
     if (candidate.suspect && !MayTrySuspects(round, candidate)) {
-      held_back.push_back(candidate);
+      // One that has crashed a target soon after its start waits for its turn.
+      if (candidate.slow_suspect) {
+        held_back.push_back(candidate);
+      }
       continue;
     }
     PlanStep(round, candidate);
@@ -324,7 +327,6 @@
     if (CountEmpty(round) <= spare) {
       break;
     }
-    candidate.slow_suspect = true;  // Only targets without other work.
     PlanStep(round, candidate);
   }
 }
--- a/tests/unit-http.cc
+++ b/tests/unit-http.cc
@@ -193,8 +193,8 @@
   // Guards against connections that count as old because the caller's clock is
   // ahead of the steady one, as it is once a machine was suspended.
   void ConnectionIsTooNewByTheClockOfTheCaller() {
-    constexpr Millis kSuspended{100'000};
     const auto clock = [] {
+      constexpr Millis kSuspended{100'000};
       return std::chrono::time_point_cast<Millis>(
                  std::chrono::steady_clock::now()) +
              kSuspended;
