Cell: a known target's former lease is the stored one; drift of the slowest clock

Found by the review and by taking guards out: the lease of a target in the stored list is the one that the list tells, which may be longer than that of the former owner alone (an owner in between had a grace); and 2 % of slowness prolong a lease by 1/49, not by 1/50 of it. AdoptedRunKeepsTheFormerOwnersLease fails without the former (seen); LateReportOfAFormerLifeIsIgnored fails without the check of the report's time (seen), which the random tests can't show, since one call at a time is open to a target. StepsThatNameAllEarlierOnes guards the chain of a job's steps: 2^63 paths before.

--- a/src/cell/reports.cc
+++ b/src/cell/reports.cc
@@ -406,11 +406,9 @@
       found->second.rack = RackOf(entry);
       found->second.listed_life = entry.life;
       found->second.last_answer = now;
-      found->second.lease_until = FormerLeaseEnd(cell);
       if (const auto expected = cell.expected.find(entry.id);
           expected != cell.expected.end()) {
-        found->second.lease_until =
-            std::max(found->second.lease_until, expected->second);
+        found->second.lease_until = expected->second;
       }
       found->second.recorded = MayHaveAnyRuns(cell, entry.id);
       if (entry.draining && entry.remaining > Millis(0)) {
--- a/src/cell/runs.cc
+++ b/src/cell/runs.cc
@@ -376,8 +376,11 @@
 }
 
 Millis LeaseLifetime(const Options& options, Millis lease) {
-  return lease + lease * options.drift_per_mille / kPerMille +
-         options.stop_time;
+  // The slowest clock takes this much longer, rounded up.
+  const Millis drift =
+      lease * options.drift_per_mille / (kPerMille - options.drift_per_mille) +
+      Millis(1);
+  return lease + drift + options.stop_time;
 }
 
 Millis MaxLeaseLifetime(const Options& options) {
--- a/tests/unit-odd-entries.cc
+++ b/tests/unit-odd-entries.cc
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "buckthornmux/detail/cell/cell.h"
 #include "buckthornmux/detail/core/bounds.h"
 #include "buckthornmux/detail/net/address.h"
 #include "buckthornmux/detail/net/http_server.h"
@@ -401,6 +402,7 @@
   CPPUNIT_TEST(RefusesOddJobs);
   CPPUNIT_TEST(KeepsEachEarlierStepOnce);
   CPPUNIT_TEST(MutatedJobs);
+  CPPUNIT_TEST(StepsThatNameAllEarlierOnes);
   CPPUNIT_TEST(MutatedAdvice);
   CPPUNIT_TEST(OddStoreValues);
   CPPUNIT_TEST(MutatedPages);
@@ -600,6 +602,24 @@
         [](const cell::JobSpec& job) { return Within(job); });
   }
 
+  // Guards against following each path through the steps of a job: there are
+  // 2^63 through these, so the test would not end.
+  void StepsThatNameAllEarlierOnes() {
+    constexpr std::uint32_t kSteps = 64;
+    cell::JobSpec spec;
+    for (std::uint32_t i = 0; i < kSteps; ++i) {
+      cell::StepSpec step;
+      step.estimate = Millis(10);
+      for (std::uint32_t before = 0; before < i; ++before) {
+        step.after.push_back(before);
+      }
+      spec.steps.push_back(step);
+    }
+    CPPUNIT_ASSERT(cell::ChainFrom(spec, 0) == Millis(640));
+    CPPUNIT_ASSERT(cell::ChainFrom(spec, 60) == Millis(40));
+    CPPUNIT_ASSERT(cell::ObjectiveOf({.stretch = 2}, spec) == Millis(1280));
+  }
+
   void MutatedAdvice() {
     ForMutations(
         kAdvice,
--- a/tests/unit-owner-changes.cc
+++ b/tests/unit-owner-changes.cc
@@ -103,6 +103,8 @@
 class OwnerChangesTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(OwnerChangesTest);
   CPPUNIT_TEST(RemovedTargetKeepsItsUnstoredEnds);
+  CPPUNIT_TEST(AdoptedRunKeepsTheFormerOwnersLease);
+  CPPUNIT_TEST(LateReportOfAFormerLifeIsIgnored);
   CPPUNIT_TEST(RunNumbersRiseOverTakeovers);
   CPPUNIT_TEST(LaterRunOfAnEarlierOwnerReleasesNothing);
   CPPUNIT_TEST_SUITE_END();
@@ -164,6 +166,55 @@
         again.empty());
   }
 
+  // Guards against a run that is given up with its target, which is cut off
+  // before this owner has renewed the lease that a former one gave.
+  void AdoptedRunKeepsTheFormerOwnersLease() {
+    Records stored;
+    Time now{Millis(1'000'000)};
+    cell::Cell first = Open(1, stored, List({"t1"}), now);
+    Report(first, "t1", now);
+    Store(first, stored, now);
+    cell::Actions actions;
+    cell::Submit(first, actions, 1, PlainJob("job", 1, 20'000), now,
+                 now + Millis(1000));
+    now += Millis(200);
+    Store(first, stored, now);
+    Report(first, "t1", now);
+    const auto starts = Plan(first, now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, starts.size());
+    cell::RunningReport running;
+    running.run = starts[0].run;
+    now += Millis(100);
+    cell::Cell second = Open(2, stored, List({"t1"}), now);
+    Report(second, "t1", now, {running});
+    now += Millis(1600);
+    cell::ReportFailed(second, actions, "t1", cell::OrderOutcome::kUnknown,
+                       now);
+    cell::Tick(second, actions, now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, second.targets.at("t1").runs.size());
+    now = first.targets.at("t1").lease_until + Millis(1000);
+    cell::Tick(second, actions, now);
+    CPPUNIT_ASSERT(second.targets.at("t1").runs.empty());
+  }
+
+  // Guards against a report of a target's former process, answered late, that
+  // ends the runs of the next one.
+  void LateReportOfAFormerLifeIsIgnored() {
+    const Time now{Millis(1'000'000)};
+    cell::Cell owned = Open(1, {}, List({"t1"}), now);
+    Report(owned, "t1", now);
+    cell::Actions actions;
+    cell::TargetReport report{.life = 2, .clock_ms = 5};
+    report.running.push_back({.run = {{"job", 0, 0, 0}, 1}});
+    cell::Reported(owned, actions, "t1", report, now + Millis(500),
+                   now + Millis(510));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, owned.targets.at("t1").runs.size());
+    cell::Reported(owned, actions, "t1", {.life = 1, .clock_ms = 900},
+                   now + Millis(100), now + Millis(600));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, owned.targets.at("t1").runs.size());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{2}, owned.targets.at("t1").entry.life);
+  }
+
   // Guards against owners that give the same number to two runs of a task.
   void RunNumbersRiseOverTakeovers() {
     Records stored;
