Reports: one that lists as many ends as it can isn't complete

Fault, found by taking guards out: the cell knew reports that are cut to their first ends, but the platform's parser never said so, and no test noticed. A target with more than 500 ends that aren't stored lists the first 500; a run whose end is behind them counted as not there and its task would have started again.

--- a/tests/unit-owner-changes.cc
+++ b/tests/unit-owner-changes.cc
@@ -103,8 +103,10 @@
 class OwnerChangesTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(OwnerChangesTest);
   CPPUNIT_TEST(RemovedTargetKeepsItsUnstoredEnds);
+  CPPUNIT_TEST(SilentTargetWithAnEndToStoreIsQueried);
   CPPUNIT_TEST(AdoptedRunKeepsTheFormerOwnersLease);
   CPPUNIT_TEST(LateReportOfAFormerLifeIsIgnored);
+  CPPUNIT_TEST(RunMayHaveEndedBehindTheListedEnds);
   CPPUNIT_TEST(RunNumbersRiseOverTakeovers);
   CPPUNIT_TEST(LaterRunOfAnEarlierOwnerReleasesNothing);
   CPPUNIT_TEST_SUITE_END();
@@ -166,6 +168,42 @@
         again.empty());
   }
 
+  // Guards against a silent record that counts all runs of a target as known
+  // while one of its ends waits for a later batch.
+  void SilentTargetWithAnEndToStoreIsQueried() {
+    Records stored;
+    Time now{Millis(1'000'000)};
+    cell::Cell first = Open(1, stored, List({"t1"}), now);
+    Report(first, "t1", now);
+    Store(first, stored, now);
+    cell::Actions actions;
+    cell::Submit(first, actions, 1, PlainJob("job", 1, 500), now,
+                 now + Millis(1000));
+    now += Millis(200);
+    Store(first, stored, now);
+    Report(first, "t1", now);
+    const auto starts = Plan(first, now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, starts.size());
+    cell::StartAnswered(first, actions, "t1", starts[0].run,
+                        cell::OrderOutcome::kDone, now);
+    cell::OnLeaseSent(first, "t1", now);
+    Report(first, "t1", now, {},
+           {Ended(1, starts[0].run, cell::RunEnd::kDone)});
+    now += Millis(1600);
+    cell::ReportFailed(first, actions, "t1", cell::OrderOutcome::kUnknown, now);
+    cell::Tick(first, actions, now);
+    // This batch has no place for the end of the job.
+    constexpr std::size_t kListsOnly = 7;
+    const auto batch = cell::TakeBatch(first, kListsOnly, now);
+    CPPUNIT_ASSERT(batch.has_value());
+    for (const auto& write : batch->writes) {
+      stored[write.key] = write;
+    }
+    cell::Cell second = Open(2, stored, List({"t1", "t2"}), now);
+    Report(second, "t2", now);
+    CPPUNIT_ASSERT(!second.recovered);
+  }
+
   // Guards against a run that is given up with its target, which is cut off
   // before this owner has renewed the lease that a former one gave.
   void AdoptedRunKeepsTheFormerOwnersLease() {
@@ -215,6 +253,35 @@
     CPPUNIT_ASSERT_EQUAL(std::int64_t{2}, owned.targets.at("t1").entry.life);
   }
 
+  // Guards against a second start of a task whose end is beyond those that a
+  // report lists.
+  void RunMayHaveEndedBehindTheListedEnds() {
+    Records stored;
+    Time now{Millis(1'000'000)};
+    cell::Cell owned = Open(1, stored, List({"t1"}), now);
+    Report(owned, "t1", now);
+    Store(owned, stored, now);
+    cell::Actions actions;
+    cell::Submit(owned, actions, 1, PlainJob("job", 1, 500), now,
+                 now + Millis(1000));
+    now += Millis(200);
+    Store(owned, stored, now);
+    Report(owned, "t1", now);
+    const auto starts = Plan(owned, now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, starts.size());
+    cell::StartAnswered(owned, actions, "t1", starts[0].run,
+                        cell::OrderOutcome::kDone, now);
+    cell::TargetReport report{.life = 1, .clock_ms = 5};
+    report.complete = false;
+    now += Millis(500);
+    cell::Reported(owned, actions, "t1", report, now, now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, owned.targets.at("t1").runs.size());
+    report.complete = true;
+    now += Millis(500);
+    cell::Reported(owned, actions, "t1", report, now, now);
+    CPPUNIT_ASSERT(owned.targets.at("t1").runs.empty());
+  }
+
   // Guards against owners that give the same number to two runs of a task.
   void RunNumbersRiseOverTakeovers() {
     Records stored;
--- a/tests/unit-platform.cc
+++ b/tests/unit-platform.cc
@@ -52,6 +52,7 @@
   CPPUNIT_TEST(FormatsOrders);
   CPPUNIT_TEST(MapsAnswersToOutcomes);
   CPPUNIT_TEST(ParsesReports);
+  CPPUNIT_TEST(ReportWithAsManyEndsAsItListsIsNotComplete);
   CPPUNIT_TEST(RefusesInvalidReports);
   CPPUNIT_TEST(ParsesAdvice);
   CPPUNIT_TEST_SUITE_END();
@@ -239,6 +240,24 @@
                    Kind::kUnknown);
   }
 
+  void ReportWithAsManyEndsAsItListsIsNotComplete() {
+    const auto is_complete = [](int ends) {
+      std::string rows;
+      for (int i = 1; i <= ends; ++i) {
+        rows += (rows.empty() ? "[" : ",[") + std::to_string(i) +
+                R"(,"5c0e7a21d94b36f8.0.0.1",1,"done",""])";
+      }
+      return ValueOf([&] {
+               return ParseReport(
+                   R"({"clock_ms":1,"born":17,"running":[],"ended":[)" + rows +
+                   "]}");
+             })
+          .complete;
+    };
+    CPPUNIT_ASSERT(is_complete(499));
+    CPPUNIT_ASSERT(!is_complete(500));
+  }
+
   void ParsesReports() {
     const auto report = ValueOf([] {
       return ParseReport(
