Lint: what the linter finds in the new tests and bounds

One multiplication in int, a C-style cast, structured bindings in lambdas (refused by the linter's compiler), and vectors that grow in loops; no check has changed.

--- a/include/buckthornmux/detail/core/bounds.h
+++ b/include/buckthornmux/detail/core/bounds.h
@@ -25,7 +25,7 @@
 inline constexpr std::int64_t kMaxMemoryMb = 1'000'000'000;  ///< One PB.
 inline constexpr std::int64_t kMaxAccelerators = 1'000'000;  ///< Devices.
 inline constexpr std::int64_t kMaxDurationMs =
-    10 * 365 * 24 * std::int64_t{3'600'000};  ///< Ten years, ms.
+    std::int64_t{3'600'000} * 24 * 365 * 10;  ///< Ten years, ms.
 /// End of the year 9999, ms since the Unix epoch.
 inline constexpr std::int64_t kMaxWallMs = 253'402'300'799'999;
 inline constexpr std::size_t kMaxIdBytes = 200;  ///< Length of a store's key.
--- a/tests/standins/cell_world.cc
+++ b/tests/standins/cell_world.cc
@@ -730,7 +730,8 @@
       }
       if (end.sequence > before) {
         Trace("run_ends", target.entry.id,
-              NameOf(end.run) + " end=" + std::to_string(int(end.end)) +
+              NameOf(end.run) +
+                  " end=" + std::to_string(static_cast<int>(end.end)) +
                   " sequence=" + std::to_string(end.sequence) +
                   " life=" + std::to_string(target.entry.life));
       }
--- a/tests/unit-odd-entries.cc
+++ b/tests/unit-odd-entries.cc
@@ -432,8 +432,9 @@
                           {"born", "0"},
                           {"born", "1.5"},
                           {"born", "9223372036854775807"}}) {
-      const auto outcome = Capture(
-          [&] { return ParseTarget("servers/i-1", TargetWith(name, odd)); });
+      const std::string text = TargetWith(name, odd);
+      const auto outcome =
+          Capture([&] { return ParseTarget("servers/i-1", text); });
       const auto* error = std::get_if<Error>(&outcome);
       const std::string what = std::string(name) + " " + std::string(odd);
       CPPUNIT_ASSERT_MESSAGE(what, error != nullptr);
@@ -460,8 +461,9 @@
                           {"remaining_ms", "0"},
                           {"cold_remaining_ms", "86400000"},
                           {"born", "1"}}) {
-      const auto outcome = Capture(
-          [&] { return ParseTarget("servers/i-1", TargetWith(name, odd)); });
+      const std::string text = TargetWith(name, odd);
+      const auto outcome =
+          Capture([&] { return ParseTarget("servers/i-1", text); });
       CPPUNIT_ASSERT_MESSAGE(
           std::string(name) + " " + std::string(odd),
           std::holds_alternative<cell::TargetEntry>(outcome));
--- a/tests/unit-owner-changes.cc
+++ b/tests/unit-owner-changes.cc
@@ -25,6 +25,7 @@
 
 std::vector<cell::TargetEntry> List(const std::vector<std::string>& ids) {
   std::vector<cell::TargetEntry> list;
+  list.reserve(ids.size());
   for (const auto& id : ids) {
     list.push_back(Entry(id));
   }
@@ -34,6 +35,7 @@
 cell::Cell Open(Epoch epoch, const Records& stored,
                 const std::vector<cell::TargetEntry>& entries, Time now) {
   std::vector<cell::RecordWrite> records;
+  records.reserve(stored.size());
   for (const auto& [key, write] : stored) {
     records.push_back(write);
   }
--- a/tests/unit-target-address.cc
+++ b/tests/unit-target-address.cc
@@ -62,6 +62,7 @@
 
 std::vector<cell::RecordWrite> Stored() {
   std::vector<cell::RecordWrite> all;
+  all.reserve(g_store.size());
   for (const auto& [key, write] : g_store) {
     all.push_back(write);
   }
