Cell: what a next owner must ask a target is decided with the other conclusions

Found in the read-through. Whether a target is empty, silent with all runs known, or may have any runs was still decided in record_targets.cc and reports.cc, the first of them twice; these rules are in verdicts.h now. HandleCrash took a life that is always the target's, and MaxLeaseLifetime had a second function under it that nobody else calls.

--- a/src/cell/crashes.cc
+++ b/src/cell/crashes.cc
@@ -80,8 +80,7 @@
 }
 
 void RecordCrash(Cell& cell, Actions& actions, const Target& target,
-                 std::int64_t life, const RunId& id, bool fresh, bool alone,
-                 Time now) {
+                 const RunId& id, bool fresh, bool alone, Time now) {
   Job* job = FindJob(cell, id.task.job);
   Task* task =
       job == nullptr || job->Ended() ? nullptr : FindTask(*job, id.task);
@@ -92,7 +91,8 @@
   const Run& run = target.runs.at(id);
   const bool confirmed =
       !run.inherited && (run.listed || run.confirmed_at != Time());
-  task->crashes.push_back({id.number, target.entry.id, life, fresh, confirmed});
+  task->crashes.push_back(
+      {id.number, target.entry.id, target.entry.life, fresh, confirmed});
   MarkChanged(cell, *job, IsSuspect(*task), now);
   if (!IsSuspect(*task)) {
     return;
@@ -103,7 +103,7 @@
         {"task", TaskName(id.task)},
         {"run", std::to_string(id.number)},
         {"target", target.entry.id},
-        {"life", std::to_string(life)},
+        {"life", std::to_string(target.entry.life)},
         {"fresh", fresh ? "true" : "false"},
         {"alone", alone ? "true" : "false"},
         {"crashes", std::to_string(task->crashes.size())}});
@@ -128,8 +128,7 @@
 }
 
 void HandleCrash(Cell& cell, Actions& actions, const Target& target,
-                 std::int64_t life, Time crashed_at,
-                 std::span<const RunId> runs, Time now) {
+                 Time crashed_at, std::span<const RunId> runs, Time now) {
   const auto fresh = [&](const RunId& id) {
     return BeganWithin(cell.options.crash_clearance, target.runs.at(id),
                        crashed_at);
@@ -142,7 +141,7 @@
     }
   }
   for (const RunId& id : runs) {
-    RecordCrash(cell, actions, target, life, id, fresh(id),
+    RecordCrash(cell, actions, target, id, fresh(id),
                 possible.size() == 1 && possible.contains(id.task.job), now);
   }
 }
--- a/src/cell/internal.h
+++ b/src/cell/internal.h
@@ -101,8 +101,7 @@
 /// @param crashed_at latest time at which the process may have crashed
 /// @param runs runs that the process had, still held by the target
 void HandleCrash(Cell& cell, Actions& actions, const Target& target,
-                 std::int64_t life, Time crashed_at,
-                 std::span<const RunId> runs, Time now);
+                 Time crashed_at, std::span<const RunId> runs, Time now);
 
 /// Lifts the suspicion that a task crashes targets soon after its start, or any
 /// suspicion.
@@ -126,9 +125,6 @@
 /// Advances the acknowledged end up to the first whose job isn't stored.
 void AdvanceAcks(Cell& cell, Target& target);
 
-/// Maximum time that runs continue after a renewal to a lease of this length.
-[[nodiscard]] Millis LeaseLifetime(const Options& options, Millis lease);
-
 /// Maximum time that runs of a target continue after its last renewal.
 [[nodiscard]] Millis MaxLeaseLifetime(const Options& options);
 
--- a/src/cell/record_targets.cc
+++ b/src/cell/record_targets.cc
@@ -3,8 +3,8 @@
 #include <utility>
 
 #include "buckthornmux/detail/core/archive.h"
-#include "internal.h"
 #include "record_layout.h"
+#include "verdicts.h"
 
 namespace buckthornmux::cell {
 
@@ -24,18 +24,6 @@
 /// Maximum number of capacities stored for a service.
 constexpr std::size_t kMaxCapacities = 8;
 
-/// Whether a target has nothing that a next owner would have to ask it for. An
-/// end that isn't stored would be lost without its report.
-bool IsEmpty(const Target& target) {
-  return target.runs.empty() && target.pending_ends.empty();
-}
-
-/// Whether a target has stopped answering, but all its runs are known.
-bool IsKnownSilent(const Target& target) {
-  return target.silent && target.pending_ends.empty() &&
-         (target.reported || target.runs_known);
-}
-
 /// Returns the targets that a next owner must query. A draining target without
 /// runs is omitted: nothing is started on it, so it stays empty.
 std::vector<StoredTarget> TargetsToAsk(const Cell& cell, Time now) {
--- a/src/cell/reports.cc
+++ b/src/cell/reports.cc
@@ -47,8 +47,8 @@
                      std::span<const RunId> runs, std::string_view why,
                      Time now) {
   if (!target.entry.draining) {
-    HandleCrash(cell, actions, target, target.entry.life,
-                target.failing_since.value_or(now), runs, now);
+    HandleCrash(cell, actions, target, target.failing_since.value_or(now), runs,
+                now);
   }
   for (const RunId& id : runs) {
     DropRun(cell, actions, target, id, why);
@@ -110,13 +110,6 @@
   largest.accelerators = std::max(largest.accelerators, listed.accelerators);
 }
 
-/// Whether a former owner has stored a target as one that may have any runs.
-bool MayHaveAnyRuns(const Cell& cell, const TargetId& id) {
-  const auto expected = cell.expected.find(id);
-  return expected != cell.expected.end() &&
-         expected->second >= FormerLeaseEnd(cell);
-}
-
 void UpdateTarget(Cell& cell, Actions& actions, Target& target,
                   const TargetEntry& entry, Time now) {
   UpdateListedLife(actions, target, entry.life);
@@ -555,8 +548,7 @@
     cell.targets_dirty = true;
   }
   const bool silent = IsSilent(target, now);
-  if (!target.listed && !target.removed && silent && target.runs.empty() &&
-      target.pending_ends.empty() &&
+  if (!target.listed && !target.removed && silent && IsEmpty(target) &&
       now - target.unlisted_at > cell.options.unlisted_timeout) {
     target.removed = true;
     cell.targets_dirty = true;
--- a/src/cell/runs.cc
+++ b/src/cell/runs.cc
@@ -375,16 +375,12 @@
   ReleaseRun(cell, target, id);
 }
 
-Millis LeaseLifetime(const Options& options, Millis lease) {
-  // The slowest clock takes this much longer, rounded up.
-  const Millis drift =
-      lease * options.drift_per_mille / (kPerMille - options.drift_per_mille) +
-      Millis(1);
-  return lease + drift + options.stop_time;
-}
-
 Millis MaxLeaseLifetime(const Options& options) {
-  return LeaseLifetime(options, options.lease);
+  // The slowest clock takes this much longer, rounded up.
+  const Millis drift = options.lease * options.drift_per_mille /
+                           (kPerMille - options.drift_per_mille) +
+                       Millis(1);
+  return options.lease + drift + options.stop_time;
 }
 
 void OnLeaseSent(Cell& cell, const TargetId& id, Time now) {
--- a/src/cell/verdicts.cc
+++ b/src/cell/verdicts.cc
@@ -66,8 +66,20 @@
   return now - target.last_answer > kSilenceTimeout;
 }
 
-Time FormerLeaseEnd(const Cell& cell) {
-  return cell.former_renewals_until + MaxLeaseLifetime(cell.options);
+bool IsEmpty(const Target& target) {
+  return target.runs.empty() && target.pending_ends.empty();
+}
+
+bool IsKnownSilent(const Target& target) {
+  return target.silent && target.pending_ends.empty() &&
+         (target.reported || target.runs_known);
+}
+
+bool MayHaveAnyRuns(const Cell& cell, const TargetId& id) {
+  const auto expected = cell.expected.find(id);
+  return expected != cell.expected.end() &&
+         expected->second >=
+             cell.former_renewals_until + MaxLeaseLifetime(cell.options);
 }
 
 bool MayHaveUnknownRuns(const Cell& cell, const TargetId& id, Time until,
--- a/src/cell/verdicts.h
+++ b/src/cell/verdicts.h
@@ -53,9 +53,16 @@
 ///   isn't renewed.
 [[nodiscard]] bool IsSilent(const Target& target, Time now);
 
-/// @brief Latest end of the runs on a target that a former owner may have
-///   started; it renewed no lease after Cell::former_renewals_until.
-[[nodiscard]] Time FormerLeaseEnd(const Cell& cell);
+/// @brief Whether a target has nothing that a next owner would have to query it
+///   for. An end that isn't stored would be lost without its report.
+[[nodiscard]] bool IsEmpty(const Target& target);
+
+/// @brief Whether a target has stopped answering, but all its runs are known.
+[[nodiscard]] bool IsKnownSilent(const Target& target);
+
+/// @brief Whether a former owner has stored a target as one that may have any
+///   runs.
+[[nodiscard]] bool MayHaveAnyRuns(const Cell& cell, const TargetId& id);
 
 /// @brief Whether a target may have runs of a former owner that this one
 ///   doesn't know.
