--- a/tests/unit-owner-changes.cc
+++ b/tests/unit-owner-changes.cc
@@ -1,86 +1,23 @@
 // Ends and run numbers over changes of the owner.
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <map>
 #include <optional>
 
-#include "buckthornmux/detail/cell/cell.h"
-#include "cell_world.h"
-#include "plain_cell.h"
+#include "cell_owner.h"
 
 namespace buckthornmux::tests {
 namespace {
 
-using Records = std::map<std::string, cell::RecordWrite>;
-
-cell::TargetEntry Entry(const std::string& id) {
-  cell::TargetEntry entry;
-  entry.id = id;
-  entry.service = "service";
-  entry.address = "127.0.0.1:" + id.substr(1);
-  entry.life = 1;
-  entry.capacity = {0, 1000, 32'768, 0};
-  return entry;
-}
-
+/// Targets t1, t2 and so on, each at its own port.
 std::vector<cell::TargetEntry> List(const std::vector<std::string>& ids) {
   std::vector<cell::TargetEntry> list;
   list.reserve(ids.size());
   for (const auto& id : ids) {
-    list.push_back(Entry(id));
+    list.push_back(Entry(id, "127.0.0.1:" + id.substr(1)));
   }
   return list;
 }
 
-cell::Cell Open(Epoch epoch, const Records& stored,
-                const std::vector<cell::TargetEntry>& entries, Time now) {
-  std::vector<cell::RecordWrite> records;
-  records.reserve(stored.size());
-  for (const auto& [key, write] : stored) {
-    records.push_back(write);
-  }
-  cell::Cell owned;
-  cell::Actions actions;
-  owned.epoch = epoch;
-  owned.claimed_at = now;
-  owned.former_renewals_until = now;
-  cell::Rules rules;
-  rules.queues = {PlainQueue("plain")};
-  cell::SetRules(owned, actions, rules, now);
-  CPPUNIT_ASSERT(!std::holds_alternative<Error>(
-      Capture([&] { return cell::LoadRecords(owned, records, now); })));
-  cell::SetTargets(owned, actions, entries, now);
-  cell::StartService(owned, actions, now);
-  return owned;
-}
-
-void Report(cell::Cell& owned, const std::string& id, Time now,
-            std::vector<cell::RunningReport> running = {},
-            std::vector<cell::EndReport> ended = {}) {
-  cell::Actions actions;
-  cell::OnReportSent(owned, id, {}, now);
-  cell::Reported(owned, actions, id,
-                 {.life = 1,
-                  .clock_ms = 5,
-                  .running = std::move(running),
-                  .ended = std::move(ended)},
-                 now, now);
-}
-
-void Store(cell::Cell& owned, Records& stored, Time now) {
-  while (auto batch = cell::TakeBatch(owned, 29, now)) {
-    for (const auto& write : batch->writes) {
-      if (write.erase) {
-        stored.erase(write.key);
-      } else {
-        stored[write.key] = write;
-      }
-    }
-    cell::Actions actions;
-    cell::OnBatchStored(owned, actions, *batch, now);
-  }
-}
-
 std::vector<cell::SendStart> Plan(cell::Cell& owned, Time now) {
   cell::Actions actions;
   cell::Plan(owned, actions, now);
--- a/tests/unit-target-address.cc
+++ b/tests/unit-target-address.cc
@@ -1,74 +1,11 @@
 // Calls to a target that another target answers.
 #include <cppunit/extensions/HelperMacros.h>
 
-#include "buckthornmux/detail/cell/cell.h"
-#include "cell_world.h"
-#include "plain_cell.h"
+#include "cell_owner.h"
 
 namespace buckthornmux::tests {
 namespace {
 
-cell::TargetEntry Entry(const std::string& id, const std::string& address) {
-  cell::TargetEntry entry;
-  entry.id = id;
-  entry.service = "service";
-  entry.address = address;
-  entry.life = 1;
-  entry.capacity = {0, 1000, 32'768, 0};
-  return entry;
-}
-
-cell::Cell Open(Epoch epoch, std::span<const cell::RecordWrite> records,
-                const std::vector<cell::TargetEntry>& entries, Time now) {
-  cell::Cell owned;
-  cell::Actions actions;
-  owned.epoch = epoch;
-  owned.claimed_at = now;
-  owned.former_renewals_until = now;
-  cell::Rules rules;
-  rules.queues = {PlainQueue("plain")};
-  cell::SetRules(owned, actions, rules, now);
-  CPPUNIT_ASSERT(!std::holds_alternative<Error>(
-      Capture([&] { return cell::LoadRecords(owned, records, now); })));
-  cell::SetTargets(owned, actions, entries, now);
-  cell::StartService(owned, actions, now);
-  return owned;
-}
-
-void Report(cell::Cell& owned, const std::string& id, Time now,
-            std::vector<cell::RunningReport> running = {}) {
-  cell::Actions actions;
-  cell::OnReportSent(owned, id, {}, now);
-  cell::Reported(owned, actions, id,
-                 {.life = 1, .clock_ms = 5, .running = std::move(running)}, now,
-                 now);
-}
-
-std::map<std::string, cell::RecordWrite> g_store;
-
-void Store(cell::Cell& owned, Time now) {
-  while (auto batch = cell::TakeBatch(owned, 29, now)) {
-    for (const auto& write : batch->writes) {
-      if (write.erase) {
-        g_store.erase(write.key);
-      } else {
-        g_store[write.key] = write;
-      }
-    }
-    cell::Actions actions;
-    cell::OnBatchStored(owned, actions, *batch, now);
-  }
-}
-
-std::vector<cell::RecordWrite> Stored() {
-  std::vector<cell::RecordWrite> all;
-  all.reserve(g_store.size());
-  for (const auto& [key, write] : g_store) {
-    all.push_back(write);
-  }
-  return all;
-}
-
 class TargetAddressTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(TargetAddressTest);
   CPPUNIT_TEST(OtherTargetAtAListedAddressProvesNothing);
@@ -80,7 +17,7 @@
   /// Makes a list go back after a run has been reported, and has the next call
   /// answered by the target at the listed address.
   static void Play(bool takeover) {
-    g_store.clear();
+    Records stored;
     Time now{Millis(1'000'000)};
     const auto list = [](const std::string& t2) {
       return std::vector<cell::TargetEntry>{Entry("t1", "127.0.0.1:1"),
@@ -90,12 +27,12 @@
     cell::Cell first = Open(1, {}, list("127.0.0.1:2"), now);
     Report(first, "t1", now);
     Report(first, "t2", now);
-    Store(first, now);
+    Store(first, stored, now);
     cell::Actions actions;
     cell::Submit(first, actions, 1, PlainJob("job", 2, 20'000), now,
                  now + Millis(1000));
     now += Millis(200);
-    Store(first, now);
+    Store(first, stored, now);
     Report(first, "t1", now);
     Report(first, "t2", now);
     actions.clear();
@@ -127,14 +64,14 @@
                        now);
     CPPUNIT_ASSERT(first.targets.at("t2").silent);
     cell::Tick(first, actions, now);
-    Store(first, now);
+    Store(first, stored, now);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, first.targets.at("t2").runs.size());
     const Time lease_until = first.targets.at("t2").lease_until;
     now += Millis(100);
     cell::Cell second;
     cell::Cell* owner = &first;
     if (takeover) {
-      second = Open(2, Stored(), list("127.0.0.1:1"), now);
+      second = Open(2, stored, list("127.0.0.1:1"), now);
       owner = &second;
       CPPUNIT_ASSERT_EQUAL(std::size_t{1}, second.targets.at("t2").runs.size());
       Report(second, "t1", now, {running});
