--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -124,6 +124,10 @@
         self.spawn(name, [sys.executable, str(ROOT / "review/lib/executor.py"),
                           json.dumps(settings)], env={**os.environ, "PYTHONDONTWRITEBYTECODE": "1"})
 
+    async def tell_executor(self, name, trouble):
+        self.record(f"trouble at executor {name}: {json.dumps(trouble)}")
+        await call(self.executors[name], "POST", "/trouble", body=trouble)
+
     def labels(self, name):
         return ["a", "r1-1"]
 
--- a/review/lib/executor.py
+++ b/review/lib/executor.py
@@ -30,6 +30,7 @@
         self.lease_ms = 0
         self.sequence = 0
         self.end_listed = asyncio.Event()
+        self.fails_until = 0.0  # What starts before this time fails at once.
         self.log = open(settings["log"], "a", buffering=1)
 
     def clock_ms(self):
@@ -56,6 +57,8 @@
             for key, state in list(self.running.items()):
                 if now > self.lease_ms:
                     self.end(key, "lapsed")
+                elif state["fails"]:
+                    self.end(key, "failed")
                 elif "ms" in state["spec"] and now - state["since"] >= state["spec"]["ms"]:
                     self.end(key, "done")
 
@@ -85,6 +88,9 @@
     async def handle(self, request):
         if request.path == "/health":
             return 200, {}
+        if request.path == "/trouble":  # From the case.
+            self.fails_until = time.time() + request.json()["fail_s"]
+            return 200, {}
         if request.headers.get("x-expect-instance", self.settings["id"]) != self.settings["id"]:
             return 421, {}
         body = request.json()
@@ -111,7 +117,8 @@
         if body["deadline_ms"] <= self.clock_ms():
             return 409, {**clock, "reason": "late"}
         self.hold_until(body["deadline_ms"])
-        self.running[key] = {"spec": json.loads(body["spec"]), "since": self.clock_ms()}
+        self.running[key] = {"spec": json.loads(body["spec"]), "since": self.clock_ms(),
+                             "fails": time.time() < self.fails_until}
         self.note("start", *key, token=self.token)
         return 200, clock
 
