--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -1,7 +1,7 @@
 """A small deployment on loopback: the store, executors, and the project's hosts.
 
-A case subclasses nothing: it makes a Site, starts it, plays, and calls finish().
-Everything that is sent, answered and run goes to record.txt of the case.
+A case passes its main coroutine to play(), which makes a Site for it. Everything that is
+sent, answered and run goes to record.txt of the case (or to the file that RECORD names).
 """
 
 import asyncio
@@ -184,22 +184,23 @@
                 ready.append(name)
         return ready
 
-    def finish(self):
+    def finish(self, played):
         """Ends all processes, and says whether a rule was broken."""
         for process in self.processes.values():
             process.kill()
         for process in self.processes.values():
             process.wait()
         self.read_events()
-        held = "broken" if self.broken else "held"
-        self.record(f"verdict: the rule {held}" + (
+        verdict = "the rule broke" if self.broken else "the rule held"
+        verdict = verdict if played else "none, the case couldn't run"
+        self.record(f"verdict: {verdict}" + (
             "" if TROUBLE else " (TROUBLE=0: without the disruption)"))
         if os.environ.get("KEEP"):
             print("logs:", self.folder)
         else:
             shutil.rmtree(self.folder, ignore_errors=True)
-        print(f"rule {held}", *self.broken, sep="\n  ")
-        return 1 if self.broken else 0
+        print(f"verdict: {verdict}", *self.broken, sep="\n  ")
+        return bool(self.broken)
 
     # ---- Operator and clients ----
 
@@ -247,16 +248,19 @@
             "tenants": tenants}
 
 
+# Exit codes, which run.sh translates: an interpreter that fails exits with 1.
+HELD, BROKEN, NOT_RUN = 0, 11, 12
+
+
 def play(case, main, **options):
-    """Runs a case: exits with 1 if the rule broke, 0 if it held, 2 if it can't run."""
+    """Runs a case and exits with one of the codes above."""
     site = Site(case, **options)
+    code = NOT_RUN
     try:
         asyncio.run(asyncio.wait_for(main(site), 112))
-    except (CannotRun, asyncio.TimeoutError) as error:
+        code = HELD
+    except (Exception, KeyboardInterrupt) as error:
         site.record(f"can't run: {error!r}")
-        site.finish()
-        sys.exit(2)
-    except BaseException:
-        site.finish()
-        raise
-    sys.exit(site.finish())
+        print(f"can't run: {error!r}")
+    broken = site.finish(code == HELD)
+    sys.exit(code if code == NOT_RUN else BROKEN if broken else HELD)
