--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -40,10 +40,25 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
-def free_port(ip):
+STORE_PORT, EXECUTOR_PORT, HOST_PORT, METRICS_PORT = 8180, 8200, 8100, 7434
+
+
+def is_free(ip, port):
     with socket.socket() as probe:
-        probe.bind((ip, 0))
-        return probe.getsockname()[1]
+        try:
+            probe.bind((ip, port))
+        except OSError:
+            return False
+    return True
+
+
+def free_network():
+    """Start of loopback addresses that no other process uses. Connections leave from
+    127.0.0.1, so that their ports don't meet those of the stand-ins."""
+    while True:
+        network = f"127.{random.randint(10, 250)}.{random.randint(1, 250)}"
+        if is_free(network + ".5", STORE_PORT) and is_free(network + ".11", METRICS_PORT):
+            return network
 
 
 class CannotRun(Exception):
@@ -56,9 +71,9 @@
         record = os.environ.get("RECORD", self.case / "record.txt")
         self.record_file = open(record, "w", buffering=1)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
-        # Addresses of this run alone: the metrics port is the same on all hosts.
-        self.network = f"127.{random.randint(10, 250)}.{random.randint(1, 250)}"
-        self.store_address = f"127.0.0.1:{free_port('127.0.0.1')}"
+        # Addresses of this run alone: ports are the same on all hosts.
+        self.network = free_network()
+        self.store_address = f"{self.network}.5:{STORE_PORT}"
         self.store = Store(HEARTBEAT_S)
         self.processes = {}
         self.host_names = [f"edge-{n}" for n in range(1, hosts + 1)]
@@ -161,18 +176,23 @@
         await self.store.start(*self.store_address.split(":"))
         self.configure(config)
         for n, name in enumerate(self.executor_ids):
-            self.executors[name] = f"127.0.0.1:{free_port('127.0.0.1')}"
+            self.executors[name] = f"{self.network}.{n + 51}:{EXECUTOR_PORT}"
             self.start_executor(name)
         for n, name in enumerate(self.host_names):
-            self.hosts[name] = {"ip": f"{self.network}.{n + 11}", "base": 8100}
+            self.hosts[name] = {"ip": f"{self.network}.{n + 11}", "base": HOST_PORT}
             self.start_host(name)
         until = time.time() + 15
         while time.time() < until:
             await asyncio.sleep(0.2)
             if len(await self.ready_hosts()) == len(self.hosts):
                 await asyncio.sleep(3)
-                return
-        raise CannotRun("the hosts didn't get ready")
+                if all([await self.is_up(name) for name in self.executor_ids]):
+                    return
+        raise CannotRun("the hosts or the executors didn't get ready")
+
+    async def is_up(self, executor):
+        status, _ = await call(self.executors[executor], "GET", "/health", timeout=1)
+        return status == 200
 
     async def ready_hosts(self):
         ready = []
