Accepted jobs go on after their queue was removed or replaced

Cause: a job names its queue, and every decision looked that name up in the configuration in force. Planning skipped the step without a log line; attempts had no bound, the priority became the lowest, advice was dropped, and the listing of the new queue omitted the job.

Change: the cell keeps each queue that has accepted a job as the latest configuration with it defined it, and stores it before the job. Jobs ask QueueOf(cell, job), requests FindQueue, so that a removed queue accepts nothing. Removals are logged. Records of jobs keep their format; records of earlier builds are read, and their queues stored if they are still in force.

--- a/include/buckthornmux/detail/cell/cell.h
+++ b/include/buckthornmux/detail/cell/cell.h
@@ -74,7 +74,8 @@
 [[nodiscard]] std::optional<JobPhase> PhaseOf(const Cell& cell,
                                               std::string_view job);
 
-/// @brief Counts the jobs of a queue of which no task has been started.
+/// @brief Counts the jobs of a queue of which no task has been started,
+///   including those of removed queues whose paths lead to this one now.
 [[nodiscard]] std::uint32_t PendingOf(const Cell& cell, std::string_view queue);
 
 /// @brief Parameters of the next report call to a target.
--- a/include/buckthornmux/detail/cell/state.h
+++ b/include/buckthornmux/detail/cell/state.h
@@ -251,6 +251,15 @@
   }
 };
 
+/// A queue that has had jobs, as defined by the latest configuration with it.
+/// Its jobs are scheduled by this definition once no configuration has it.
+struct KeptQueue {
+  Queue queue;
+  std::uint64_t record = 0;  ///< Number in the key of its record.
+  bool unstored = true;      ///< The definition isn't in a batch yet.
+  bool removed = false;      ///< Its removal has been logged.
+};
+
 /// A step of one occurrence of a job.
 struct StepRef {
   JobId job;
@@ -392,6 +401,9 @@
   bool recovered = false;      ///< No unreported run of a former owner is left.
   bool store_healthy = true;   ///< The store answers writes in time.
   std::map<std::string, Queue, std::less<>> queues;
+  std::map<QueueName, KeptQueue, std::less<>> kept_queues;
+  std::uint64_t next_queue_record = 1;
+  Time queues_checked;  ///< When unused queues were last looked for.
   std::map<std::string, Team, std::less<>> teams;
   std::map<std::string, Service, std::less<>> services;
   std::unordered_map<JobId, Job> jobs;
@@ -410,7 +422,8 @@
   std::uint64_t next_ask = 1;
   WriteQueues writes;
   Bundles bundles;
-  std::map<QueueName, std::uint32_t> pending;  ///< Unstarted jobs by queue.
+  /// Unstarted jobs by the queue that accepted them.
+  std::map<QueueName, std::uint32_t> pending;
   /// CPU demand of waiting tasks, in millicores.
   std::int64_t backlog_cpu = 0;
   /// CPU capacity of the targets that accept work, in millicores.
--- a/include/buckthornmux/detail/cell/types.h
+++ b/include/buckthornmux/detail/cell/types.h
@@ -93,6 +93,8 @@
   Millis decide{0};    ///< Fixed time of a call.
   double each_ms = 0;  ///< Additional time per named target, ms.
   Millis valid{0};     ///< Lifetime of a ticket from its issue.
+
+  bool operator==(const AdviceRules&) const = default;
 };
 
 /// A queue of jobs and its scheduling parameters.
@@ -109,6 +111,8 @@
   Millis target_runtime{0};
   bool open_to_all = false;  ///< Jobs need no key.
   std::optional<AdviceRules> advice;
+
+  bool operator==(const Queue&) const = default;
 };
 
 /// A pool of targets.
--- a/src/cell/advice.cc
+++ b/src/cell/advice.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "queues.h"
 #include "round.h"
 
 namespace buckthornmux::cell {
@@ -370,8 +371,7 @@
   Step* step = job == nullptr
                    ? nullptr
                    : FindStep(*job, open.step.occurrence, open.step.step);
-  const Queue* queue =
-      job == nullptr ? nullptr : QueueOf(cell, job->spec.queue);
+  const Queue* queue = job == nullptr ? nullptr : QueueOf(cell, *job);
   if (step == nullptr || queue == nullptr || !queue->advice) {
     return;
   }
--- a/src/cell/internal.h
+++ b/src/cell/internal.h
@@ -29,7 +29,6 @@
                                    std::uint32_t step);
 /// Finds a task of an open occurrence; null if there is none.
 [[nodiscard]] Task* FindTask(Job& job, const TaskId& id);
-[[nodiscard]] const Queue* QueueOf(const Cell& cell, std::string_view name);
 
 /// Marks a job as changed, to be stored; `urgent` if a caller waits for it.
 void MarkChanged(Cell& cell, Job& job, bool urgent, Time now);
--- a/src/cell/jobs.cc
+++ b/src/cell/jobs.cc
@@ -2,12 +2,13 @@
 #include <utility>
 
 #include "buckthornmux/detail/core/invariant.h"
+#include "queues.h"
 #include "team_limits.h"
 
 namespace buckthornmux::cell {
 namespace {
 
-/// Priority of jobs whose queue is not in the configuration.
+/// Priority of jobs whose queue isn't known.
 constexpr int kNoPriority = 9;
 
 void Refuse(Actions& actions, CallId call, const JobSpec& spec, ErrorKind kind,
@@ -49,7 +50,7 @@
   if (!cell.store_healthy) {
     return Error{ErrorKind::kStoreUnavailable, "writes are not answered", {}};
   }
-  const Queue* queue = QueueOf(cell, spec.queue);
+  const Queue* queue = FindQueue(cell, spec.queue);
   if (queue == nullptr) {
     return Error{ErrorKind::kNotReady, "the queue is not in force here", {}};
   }
@@ -179,11 +180,6 @@
   return const_cast<Job*>(FindJob(std::as_const(cell), id));
 }
 
-const Queue* QueueOf(const Cell& cell, std::string_view name) {
-  const auto found = cell.queues.find(name);
-  return found == cell.queues.end() ? nullptr : &found->second;
-}
-
 const Step* FindStep(const Job& job, std::uint32_t occurrence,
                      std::uint32_t step) {
   const auto found = job.occurrences.find(occurrence);
@@ -267,8 +263,12 @@
 }
 
 std::uint32_t PendingOf(const Cell& cell, std::string_view queue) {
-  const auto found = cell.pending.find(QueueName(queue));
-  return found == cell.pending.end() ? 0 : found->second;
+  const std::string_view current = CurrentName(cell, queue);
+  std::uint32_t pending = 0;
+  for (const auto& [name, count] : cell.pending) {
+    pending += CurrentName(cell, name) == current ? count : 0;
+  }
+  return pending;
 }
 
 void Submit(Cell& cell, Actions& actions, CallId call, JobSpec spec, Time now,
@@ -295,7 +295,8 @@
            "the team sends more than its share while work waits");
     return;
   }
-  const Queue& queue = *QueueOf(cell, spec.queue);
+  const Queue& queue = *FindQueue(cell, spec.queue);
+  KeepQueue(cell, queue, now);
   Job job;
   job.excess = excess;
   job.objective = ObjectiveOf(queue, spec);
@@ -370,7 +371,7 @@
   cell.plan_due = true;
 }
 
-void SetRules(Cell& cell, Actions& actions, Rules rules, Time /*now*/) {
+void SetRules(Cell& cell, Actions& actions, Rules rules, Time now) {
   if (rules.version < cell.rules.version) {
     Note(actions, "rules_older_ignored",
          {{"version", std::to_string(rules.version)},
@@ -390,8 +391,9 @@
   for (const Service& service : cell.rules.services) {
     cell.services.emplace(service.name, service);
   }
+  UpdateKeptQueues(cell, actions, now);
   for (auto& [id, job] : cell.jobs) {
-    const Queue* queue = QueueOf(cell, job.spec.queue);
+    const Queue* queue = QueueOf(cell, job);
     job.priority = queue == nullptr ? kNoPriority : queue->priority;
   }
   cell.plan_due = true;
--- a/src/cell/plan.cc
+++ b/src/cell/plan.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "queues.h"
 #include "round.h"
 #include "team_limits.h"
 #include "verdicts.h"
@@ -205,7 +206,7 @@
 
 void PlanStep(Round& round, const Candidate& candidate) {
   const Job& job = *candidate.job;
-  const Queue* queue = QueueOf(round.cell, job.spec.queue);
+  const Queue* queue = QueueOf(round.cell, job);
   if (queue == nullptr || candidate.step == nullptr) {
     return;
   }
--- a/src/cell/record_load.cc
+++ b/src/cell/record_load.cc
@@ -2,6 +2,7 @@
 
 #include "buckthornmux/detail/core/archive.h"
 #include "internal.h"
+#include "queues.h"
 #include "record_codec.h"
 #include "record_layout.h"
 
@@ -106,9 +107,12 @@
   cell.bundles.jobs[record.key] = std::move(bundle);
 }
 
-/// Sets the values of an open job that derive from the current rules.
-void Adopt(Cell& cell, Job& job) {
-  if (const Queue* queue = QueueOf(cell, job.spec.queue)) {
+/// Sets the values of an open job that derive from its queue.
+void Adopt(Cell& cell, Job& job, Time now) {
+  if (const Queue* queue = FindQueue(cell, job.spec.queue)) {
+    KeepQueue(cell, *queue, now);
+  }
+  if (const Queue* queue = QueueOf(cell, job)) {
     job.priority = queue->priority;
     job.objective = ObjectiveOf(*queue, job.spec);
   }
@@ -165,6 +169,13 @@
       for (const StoredTarget& target : targets) {
         cell.expected[target.id] = cell.former_renewals_until + target.lasts;
       }
+    } else if (key.starts_with(kQueuesKey)) {
+      BOOST_LEAF_AUTO(queue, DecodeBinary<Queue>(record.value, key));
+      if (!InheritQueue(cell, key.substr(kQueuesKey.size()),
+                        std::move(queue))) {
+        return Fail(ErrorKind::kMalformed,
+                    "malformed record key: " + record.key);
+      }
     } else if (key == kCapacitiesKey) {
       BOOST_LEAF_AUTO(capacities, DecodeBinary<std::vector<StoredCapacities>>(
                                       record.value, key));
@@ -180,7 +191,7 @@
   }
   for (auto& [id, job] : cell.jobs) {
     if (!job.Ended()) {
-      Adopt(cell, job);
+      Adopt(cell, job, now);
     }
   }
   InheritSilentTargets(cell, silent, now);
--- a/src/cell/records.cc
+++ b/src/cell/records.cc
@@ -2,6 +2,7 @@
 
 #include "buckthornmux/detail/core/invariant.h"
 #include "internal.h"
+#include "queues.h"
 #include "record_codec.h"
 #include "record_layout.h"
 
@@ -164,7 +165,9 @@
       queue.pop_front();
       continue;
     }
-    if (!HasRoom(draft, *job)) {
+    // A next owner must not load a job without the queue that accepted it.
+    const bool queue_first = job->durable == 0 && !IsQueueWritten(cell, *job);
+    if (queue_first || !HasRoom(draft, *job)) {
       return;
     }
     queue.pop_front();
@@ -346,6 +349,7 @@
   Draft draft;
   const std::size_t for_jobs =
       max_writes - kReservedOwnRecords - kReservedCleanupRecords;
+  WriteKeptQueues(cell, batch, for_jobs);
   DrainWriteQueue(cell, batch, draft, writes.urgent, for_jobs);
   DrainWriteQueue(cell, batch, draft, writes.others, for_jobs);
   CompactRecords(
@@ -354,7 +358,8 @@
   WriteJobs(cell, batch, draft, name);
   WriteEnds(cell, batch, draft, name, now);
   Erase(cell, batch, max_writes);
-  const bool more = writes.count > 0 || !cell.bundles.erasures.empty();
+  const bool more = writes.count > 0 || !cell.bundles.erasures.empty() ||
+                    AnyQueueUnwritten(cell);
   writes.since = more ? std::optional(now) : std::nullopt;
   if (batch.writes.empty() && batch.versions.empty()) {
     return std::nullopt;
--- a/src/cell/steps.cc
+++ b/src/cell/steps.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "buckthornmux/detail/core/invariant.h"
+#include "queues.h"
 #include "verdicts.h"
 
 namespace buckthornmux::cell {
@@ -110,7 +111,7 @@
   counted.failed_on = target;
   counted.failed_at = now;
   MarkChanged(cell, job, false, now);
-  const Queue* queue = QueueOf(cell, job.spec.queue);
+  const Queue* queue = QueueOf(cell, job);
   const std::uint32_t attempts =
       queue == nullptr ? counted.Failures() + 1 : queue->max_attempts;
   if (!spec.service && counted.Failures() >= attempts) {
--- a/src/cell/tick.cc
+++ b/src/cell/tick.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "internal.h"
+#include "queues.h"
 
 namespace buckthornmux::cell {
 namespace {
@@ -41,6 +42,7 @@
     }
     BeginDue(cell, actions, job, now);
   }
+  NoteUnknownQueues(cell, actions);
   InheritRuns(cell, actions, now);
   CheckRecovery(cell, actions, now);
 }
@@ -65,6 +67,7 @@
   RefuseOverdue(cell, actions, now);
   ExpireAdvice(cell, actions, now);
   ForgetOld(cell, now);
+  SettleKeptQueues(cell, actions, now);
   CheckRecovery(cell, actions, now);
   if (cell.ended_runs_dirty && !cell.writes.since) {
     cell.writes.since = now;
