Hold room for a gang only where it comes, and for a bounded time

Cause: all room of all suitable targets was held for a gang that would fit on empty ones. Tasks of services counted as work that leaves, and nothing bounded the hold. A gang behind long work held the room from shorter work too, and one that wants a rack could wait for racks that services fill in part.

Change: only room of ending work counts as coming, and no more is held than the gang can use. Work that ends before the gang's predicted start runs meanwhile if that is further off than a first hold lasts. A hold lasts 13 s at first; then others start for 1 s, and the next hold may be twice as long. A gang that holds room keeps its place once it is late, unless the cell is busy. Holds, pauses and blocked gangs are logged.

--- a/include/buckthornmux/detail/cell/state.h
+++ b/include/buckthornmux/detail/cell/state.h
@@ -84,6 +84,7 @@
   int priority = 0;
   bool checkpoints = false;
   bool gang = false;
+  bool service = false;  ///< Doesn't end by itself.
   /// Its task is suspected of crashes; no other job may start on its target
   /// until it has run for Options::crash_clearance.
   bool probation = false;
@@ -202,6 +203,17 @@
   std::set<TargetId> unusable;
 };
 
+/// Periods in which room is held for a waiting gang. Other work may use the
+/// room between them.
+struct GangHold {
+  Time since;           ///< Begin of the current period; unset between periods.
+  Time held_at;         ///< When room was last held.
+  Millis limit{0};      ///< Maximum length of the current period.
+  Time expected_start;  ///< Of the gang, as the current period began.
+  Time paused_until;    ///< No room is held before.
+  bool blocked = false;  ///< Only the end of services would make room.
+};
+
 struct Step {
   std::vector<Task> tasks;
   std::uint32_t done = 0;
@@ -209,6 +221,7 @@
   bool ready = false;  ///< All earlier steps are done and this one is not.
   Time ready_at;
   AdviceState advice;
+  GangHold hold;
   /// Duration of the last complete run of one of its tasks, by target.
   std::map<TargetId, Millis> run_times;
 };
--- a/src/cell/advice.cc
+++ b/src/cell/advice.cc
@@ -140,7 +140,7 @@
     const bool usable = usables.Contains(id);
     if (spec.gang) {
       placement.possible +=
-          SlotsOn(target, target.entry.capacity, spec, candidate.ref) *
+          SlotsOn(target, RoomWithoutEndingRuns(slot), spec, candidate.ref) *
           (usable ? 1.0 : good_rate);
     }
     const Resources room = RoomFor(slot, candidate);
--- a/src/cell/gangs.cc
+++ b/src/cell/gangs.cc
@@ -14,10 +14,19 @@
 /// would leave too much of the cell idle.
 constexpr int kMaxGangsReservingAll = 4;
 
+/// Maximum length of the first period in which room is held for a gang. Each
+/// further one may last twice as long, so that one is long enough in the end.
+constexpr Millis kFirstHoldLimit{13'000};
+/// Pause between two periods, in which other work may use the room.
+constexpr Millis kHoldPause{1000};
+/// A period counts as ended if no room was held for this time.
+constexpr Millis kMaxHoldGap{1000};
+
 /// A slot and the number of a gang's tasks that fit on it.
 struct Place {
   Slot* slot;
-  std::uint32_t count;
+  std::uint32_t count;         ///< Fit now.
+  std::uint32_t possible = 0;  ///< Fit once all other ending work has ended.
 };
 
 std::uint32_t Total(const std::vector<Place>& places) {
@@ -44,7 +53,6 @@
 /// that could hold the whole gang. If no rack is large enough, all places are
 /// kept, and the gang runs more slowly across several racks.
 void RestrictToOneRack(std::vector<Place>& places, const Candidate& candidate) {
-  const StepSpec& spec = candidate.Spec();
   const std::size_t wanted = candidate.step->tasks.size();
   struct Rack {
     std::uint32_t possible = 0;
@@ -52,10 +60,8 @@
   };
   std::map<std::string, Rack> racks;
   for (const Place& place : places) {
-    const Target& target = *place.slot->target;
-    Rack& rack = racks[target.rack];
-    rack.possible +=
-        SlotsOn(target, target.entry.capacity, spec, candidate.ref);
+    Rack& rack = racks[place.slot->target->rack];
+    rack.possible += place.possible;
     rack.free += place.count;
   }
   const auto best = std::ranges::max_element(racks, {}, [&](const auto& entry) {
@@ -69,6 +75,13 @@
   }
 }
 
+Place MakePlace(Slot& slot, const Candidate& candidate) {
+  const Target& target = *slot.target;
+  const StepSpec& spec = candidate.Spec();
+  return {&slot, SlotsOn(target, RoomFor(slot, candidate), spec, candidate.ref),
+          SlotsOn(target, RoomWithoutEndingRuns(slot), spec, candidate.ref)};
+}
+
 /// Returns a slot for each task of a gang, or an empty list.
 std::vector<Slot*> ChooseForGang(Round& round, const Candidate& candidate,
                                  const Queue& queue) {
@@ -77,8 +90,7 @@
   std::vector<Place> places;
   for (Slot* slot : AllowedSlots(round, candidate, queue)) {
     if (MayUse(round, candidate, queue, candidate.step->tasks[0], *slot)) {
-      places.push_back({slot, SlotsOn(*slot->target, RoomFor(*slot, candidate),
-                                      spec, candidate.ref)});
+      places.push_back(MakePlace(*slot, candidate));
     }
   }
   if (spec.same_rack) {
@@ -100,6 +112,148 @@
       Times(candidate.Spec().demand, candidate.step->tasks.size()));
 }
 
+Resources SmallerOf(const Resources& left, const Resources& right) {
+  return {std::min(left.slots, right.slots),
+          std::min(left.cpu_milli, right.cpu_milli),
+          std::min(left.memory_mb, right.memory_mb),
+          std::min(left.accelerators, right.accelerators)};
+}
+
+/// Returns the places that a gang is known to be allowed on.
+std::vector<Place> PlacesFor(Round& round, const Candidate& candidate,
+                             const Queue& queue) {
+  const StepSpec& spec = candidate.Spec();
+  std::vector<Place> places;
+  const auto add = [&](Slot& slot) {
+    places.push_back(MakePlace(slot, candidate));
+  };
+  if (queue.advice) {
+    for (const TargetId& id : candidate.step->advice.usable) {
+      Slot* slot = FindSlot(round, id);
+      if (slot != nullptr && Suits(*slot->target, queue, spec)) {
+        add(*slot);
+      }
+    }
+  } else {
+    for (const std::uint32_t place : Suited(round, queue, spec).places) {
+      add(round.slots[place]);
+    }
+  }
+  if (spec.same_rack) {
+    RestrictToOneRack(places, candidate);
+  }
+  return places;
+}
+
+/// Predicts when a run of an ending task ends. A run that has exceeded its
+/// estimate is expected to take as long again.
+Time PredictEnd(const Cell& cell, const Run& run, Time now) {
+  if (run.phase == RunPhase::kStopping) {
+    return now + cell.options.stop_time;
+  }
+  if (const auto whole = EstimateRunTime(run, now)) {
+    constexpr int kAllPercent = 100;
+    return now + *whole * (kAllPercent - run.percent) / kAllPercent;
+  }
+  const Time began = run.phase == RunPhase::kSent ? run.sent : run.confirmed_at;
+  const Time end = began + run.estimate;
+  return end > now ? end : now + (now - began);
+}
+
+/// Predicts when all runs of a target have ended but its services.
+Time PredictDrained(const Cell& cell, const Target& target, Time now) {
+  Time drained = now;
+  for (const auto& [id, run] : target.runs) {
+    if (!run.service || run.phase == RunPhase::kStopping) {
+      drained = std::max(drained, PredictEnd(cell, run, now));
+    }
+  }
+  return drained;
+}
+
+/// Predicts when enough room for a gang is free if nothing else starts there.
+Time PredictStart(const Round& round, const std::vector<Place>& places,
+                  std::uint32_t wanted) {
+  std::vector<std::pair<Time, std::uint32_t>> gains;
+  gains.reserve(places.size());
+  for (const Place& place : places) {
+    if (place.possible > place.count) {
+      gains.emplace_back(
+          PredictDrained(round.cell, *place.slot->target, round.now),
+          place.possible - place.count);
+    }
+  }
+  std::ranges::sort(gains);
+  std::uint32_t total = Total(places);
+  Time start = round.now;
+  for (const auto& [drained, gain] : gains) {
+    if (total >= wanted) {
+      break;
+    }
+    total += gain;
+    start = drained;
+  }
+  return start;
+}
+
+/// Logs that a gang can't get room until services end, or that this is over.
+void NoteBlocked(Round& round, const Candidate& candidate,
+                 const std::vector<Place>& places, bool has_room) {
+  std::size_t if_empty = 0;
+  for (const Place& place : places) {
+    if (has_room) {
+      break;
+    }
+    const Target& target = *place.slot->target;
+    if_empty +=
+        SlotsOn(target, target.entry.capacity, candidate.Spec(), candidate.ref);
+  }
+  const bool blocked = if_empty >= candidate.step->tasks.size();
+  GangHold& hold = candidate.step->hold;
+  if (std::exchange(hold.blocked, blocked) != blocked) {
+    Note(round.actions, blocked ? "gang_blocked" : "gang_unblocked",
+         {{"job", candidate.ref.job},
+          {"occurrence", std::to_string(candidate.ref.occurrence)},
+          {"step", std::to_string(candidate.ref.step)},
+          {"tasks", std::to_string(candidate.step->tasks.size())},
+          {"reason", "services hold the room"}});
+  }
+}
+
+/// Whether room may be held for a gang now. Neither wrong estimates nor an
+/// adviser that doesn't answer may keep the room from other work for ever.
+bool MayHold(Round& round, const Candidate& candidate, Time starts_at) {
+  GangHold& hold = candidate.step->hold;
+  const Time now = round.now;
+  if (now < hold.paused_until) {
+    return false;
+  }
+  const auto note = [&](std::string event, Millis lasts) {
+    Note(round.actions, std::move(event),
+         {{"job", candidate.ref.job},
+          {"occurrence", std::to_string(candidate.ref.occurrence)},
+          {"step", std::to_string(candidate.ref.step)},
+          {"tasks", std::to_string(candidate.step->tasks.size())},
+          {"lasts_ms", std::to_string(lasts.count())},
+          {"starts_in_ms", std::to_string((starts_at - now).count())}});
+  };
+  if (hold.since == Time() || now - hold.held_at > kMaxHoldGap) {
+    hold.since = now;
+    hold.limit = std::max(hold.limit, kFirstHoldLimit);
+    hold.expected_start = starts_at;
+    note("gang_holds_room", hold.limit);
+  }
+  hold.held_at = now;
+  if (now - hold.since < hold.limit) {
+    return true;
+  }
+  note("gang_yields_room", kHoldPause);
+  hold.since = Time();
+  hold.limit *= 2;
+  hold.paused_until = now + kHoldPause;
+  return false;
+}
+
 }  // namespace
 
 void StartGang(Round& round, const Candidate& candidate, const Queue& queue) {
@@ -118,57 +272,50 @@
   for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
     StartTask(round, candidate, i, number, *chosen[i]);
   }
+  candidate.step->hold = {};
 }
 
 /// Reserves room on targets that the gang is known to be allowed on. If the
-/// whole gang fits, only what it needs is reserved; otherwise all room on these
-/// targets, so that enough room accumulates.
+/// whole gang fits, only what it needs is reserved; otherwise all that it could
+/// use of these targets, so that enough room accumulates. Room that services
+/// hold doesn't accumulate, so that nothing is reserved for a gang that needs
+/// it.
 void ReserveForGang(Round& round, const Candidate& candidate,
                     const Queue& queue) {
-  const StepSpec& spec = candidate.Spec();
   if (!MayUseMoreForGang(round, candidate)) {
     return;
   }
-  const AdviceState& advice = candidate.step->advice;
-  std::vector<Place> places;
+  std::vector<Place> places = PlacesFor(round, candidate, queue);
+  const auto wanted = static_cast<std::uint32_t>(candidate.step->tasks.size());
   std::uint32_t possible = 0;
-  const auto take = [&](Slot& slot) {
-    const Target& target = *slot.target;
-    possible += SlotsOn(target, target.entry.capacity, spec, candidate.ref);
-    const std::uint32_t count =
-        SlotsOn(target, RoomFor(slot, candidate), spec, candidate.ref);
-    places.push_back({&slot, count});
-  };
-  if (queue.advice) {
-    for (const TargetId& id : advice.usable) {
-      Slot* slot = FindSlot(round, id);
-      if (slot != nullptr && Suits(*slot->target, queue, spec)) {
-        take(*slot);
-      }
-    }
-  } else {
-    for (const std::uint32_t place : Suited(round, queue, spec).places) {
-      take(round.slots[place]);
-    }
-  }
-  if (spec.same_rack) {
-    RestrictToOneRack(places, candidate);
+  for (const Place& place : places) {
+    possible += place.possible;
   }
-  const auto wanted = static_cast<std::uint32_t>(candidate.step->tasks.size());
+  NoteBlocked(round, candidate, places, possible >= wanted);
   const bool covered = Total(places) >= wanted;
   if (possible < wanted ||
       (!covered && round.gangs_reserving_all >= kMaxGangsReservingAll)) {
     return;
   }
+  const Time starts_at = PredictStart(round, places, wanted);
+  if (!MayHold(round, candidate, starts_at)) {
+    return;
+  }
   round.gangs_reserving_all += covered ? 0 : 1;
+  // Wrong estimates must not put the start off for ever.
+  round.gangs_start_at = std::min(
+      {round.gangs_start_at, starts_at, candidate.step->hold.expected_start});
   std::ranges::sort(places, std::ranges::greater{}, &Place::count);
+  const Resources need = ReservedBy(candidate.Spec());
   std::uint32_t reserved = 0;
   for (const Place& place : places) {
+    Resources& held = place.slot->reserved;
     if (!covered) {
-      place.slot->reserved = place.slot->room;
+      held += Times(need, place.possible);
+      held = SmallerOf(held, place.slot->room);
     } else if (reserved < wanted) {
       const std::uint32_t count = std::min(place.count, wanted - reserved);
-      place.slot->reserved += Times(ReservedBy(spec), count);
+      held += Times(need, count);
       reserved += count;
     }
   }
--- a/src/cell/internal.h
+++ b/src/cell/internal.h
@@ -20,6 +20,9 @@
 [[nodiscard]] std::string_view EndName(RunEnd end);
 [[nodiscard]] std::string_view OutcomeName(OrderOutcome outcome);
 
+/// Whether much work waits and hardly any room is free.
+[[nodiscard]] bool IsBusy(const Cell& cell);
+
 [[nodiscard]] Job* FindJob(Cell& cell, std::string_view id);
 [[nodiscard]] const Job* FindJob(const Cell& cell, std::string_view id);
 [[nodiscard]] Target* FindTarget(Cell& cell, const TargetId& id);
--- a/src/cell/jobs.cc
+++ b/src/cell/jobs.cc
@@ -117,13 +117,6 @@
   return false;
 }
 
-bool IsBusy(const Cell& cell) {
-  const auto capacity = static_cast<double>(cell.capacity_cpu);
-  return static_cast<double>(cell.backlog_cpu) >
-             cell.options.busy_backlog * capacity &&
-         static_cast<double>(cell.free_cpu) < cell.options.busy_free * capacity;
-}
-
 /// Stops the runs of a job that has ended.
 void StopAll(Cell& cell, Actions& actions, const Job& job, std::string_view why,
              Time now) {
@@ -171,6 +164,13 @@
   return "unknown";
 }
 
+bool IsBusy(const Cell& cell) {
+  const auto capacity = static_cast<double>(cell.capacity_cpu);
+  return static_cast<double>(cell.backlog_cpu) >
+             cell.options.busy_backlog * capacity &&
+         static_cast<double>(cell.free_cpu) < cell.options.busy_free * capacity;
+}
+
 const Job* FindJob(const Cell& cell, std::string_view id) {
   const auto found = cell.jobs.find(JobId(id));
   return found == cell.jobs.end() ? nullptr : &found->second;
--- a/src/cell/plan.cc
+++ b/src/cell/plan.cc
@@ -71,6 +71,10 @@
   candidate.step = FindStep(job, ref.occurrence, ref.step);
   candidate.priority = job.priority;
   candidate.excess = job.excess;
+  // What is held for a gang would be lost if it fell back once it is late.
+  const bool keeps_place =
+      candidate.step->hold.since != Time() && !IsBusy(cell);
+  candidate.excess = candidate.excess && !keeps_place;
   const Time began = BeganAt(cell, job, ref.occurrence);
   const Millis chain = ChainFrom(job.spec, ref.step);
   if (candidate.Spec().service) {
@@ -79,8 +83,10 @@
     return candidate;
   }
   candidate.slack = began + job.objective - now - chain;
-  candidate.late = candidate.slack < -chain / kEstimateErrorDivisor;
-  candidate.hopeless = now + chain > began + kHopelessFactor * job.objective;
+  candidate.late =
+      !keeps_place && candidate.slack < -chain / kEstimateErrorDivisor;
+  candidate.hopeless =
+      !keeps_place && now + chain > began + kHopelessFactor * job.objective;
   return candidate;
 }
 
@@ -323,6 +329,7 @@
       }
       continue;
     }
+    candidate.ends_before_gangs = EndsBeforeGangs(round, candidate);
     PlanStep(round, candidate);
   }
   const std::size_t spare = round.slots.size() / kTargetsPerSpare;
@@ -330,6 +337,7 @@
     if (CountEmpty(round) <= spare) {
       break;
     }
+    candidate.ends_before_gangs = EndsBeforeGangs(round, candidate);
     PlanStep(round, candidate);
   }
   NoteLimits(cell, actions, round.limited, now);
--- a/src/cell/round.cc
+++ b/src/cell/round.cc
@@ -54,6 +54,9 @@
     if (run.probation) {
       slot.probation = &id.task.job;
     }
+    if (run.service && run.phase != RunPhase::kStopping) {
+      slot.services += run.demand;
+    }
     const Time began =
         run.phase == RunPhase::kSent ? run.sent : run.confirmed_at;
     slot.fresh = slot.fresh || now - began < cell.options.crash_doubt;
@@ -85,7 +88,8 @@
 }
 
 Round BeginRound(Cell& cell, Actions& actions, Time now) {
-  Round round{cell, actions, now, {}, {}, {}, LaneCallTimes(cell), {}, 0, {}};
+  Round round{cell, actions, now,         {}, {}, {}, LaneCallTimes(cell),
+              {},   0,       Time::max(), {}};
   round.slots.reserve(cell.targets.size());
   for (auto& [id, target] : cell.targets) {
     const TargetHealth& health = target.health;
@@ -141,7 +145,8 @@
   const Resources need = ReservedBy(candidate.Spec());
   SuitedTargets& suited = Suited(round, queue, candidate.Spec());
   std::vector<Resources>& too_large =
-      candidate.Urgent() ? suited.too_large : suited.too_large_unless_urgent;
+      candidate.IgnoresReservations() ? suited.too_large
+                                      : suited.too_large_beside_reservations;
   if (std::ranges::any_of(too_large, [&](const Resources& other) {
         return NeedsAtLeast(need, other);
       })) {
@@ -192,9 +197,28 @@
   return false;
 }
 
+Resources RoomWithoutEndingRuns(const Slot& slot) {
+  Resources room = slot.target->entry.capacity;
+  room -= slot.services;
+  return room;
+}
+
+bool EndsBeforeGangs(const Round& round, const Candidate& candidate) {
+  // Estimates are off by about this part of them. A gang that can start soon
+  // isn't put at risk for them.
+  constexpr int kEstimateErrorDivisor = 5;
+  constexpr Millis kLeastGangWait{13'000};
+  const StepSpec& spec = candidate.Spec();
+  const Millis lasts = spec.estimate + spec.estimate / kEstimateErrorDivisor;
+  return !spec.service && spec.estimate > Millis(0) &&
+         round.gangs_start_at != Time::max() &&
+         round.gangs_start_at - round.now > kLeastGangWait &&
+         round.now + lasts <= round.gangs_start_at;
+}
+
 Resources RoomFor(const Slot& slot, const Candidate& candidate) {
   Resources room = slot.room;
-  if (!candidate.Urgent()) {
+  if (!candidate.IgnoresReservations()) {
     room -= slot.reserved;
   }
   return room;
--- a/src/cell/round.h
+++ b/src/cell/round.h
@@ -16,8 +16,11 @@
 /// A target that accepts work in this round.
 struct Slot {
   Target* target = nullptr;
-  Resources room;      ///< Resources not held by runs.
-  Resources reserved;  ///< Kept for waiting gangs; urgent work may use it.
+  Resources room;  ///< Resources not held by runs.
+  /// Kept for waiting gangs; urgent work may use it, and work that ends before
+  /// these gangs can start.
+  Resources reserved;
+  Resources services;  ///< Held by services, which don't end by themselves.
   /// Job with a run on probation there; no other job may start on it.
   const JobId* probation = nullptr;
   bool empty = true;  ///< Has no run.
@@ -36,9 +39,14 @@
   bool hopeless = false;      ///< So late that its result has no value.
   bool suspect = false;       ///< An open task of the step is a suspect.
   bool slow_suspect = false;  ///< One is, whose crashes came late in its runs.
-  Millis slack{0};            ///< Time left until its latest start.
+  /// Ends before a gang can start that room is reserved for.
+  bool ends_before_gangs = false;
+  Millis slack{0};  ///< Time left until its latest start.
 
   [[nodiscard]] bool Urgent() const { return priority == 0; }
+  [[nodiscard]] bool IgnoresReservations() const {
+    return Urgent() || ends_before_gangs;
+  }
   [[nodiscard]] const StepSpec& Spec() const {
     return job->spec.steps[ref.step];
   }
@@ -49,7 +57,7 @@
   std::vector<std::uint32_t> places;  ///< Indices into the slots of the round.
   /// Demands known to fit on none of them; free room only shrinks in a round.
   std::vector<Resources> too_large;
-  std::vector<Resources> too_large_unless_urgent;
+  std::vector<Resources> too_large_beside_reservations;
 };
 
 /// State of a planning round. Built once for all steps, since a busy cell has
@@ -70,6 +78,8 @@
   std::set<JobId> on_probation;
   /// Gangs that do not fit yet and for which all free room is reserved.
   int gangs_reserving_all = 0;
+  /// Earliest time at which a gang that room is reserved for may start.
+  Time gangs_start_at = Time::max();
   /// Teams whose limit held work back; true if some of it would have been
   /// allowed if there were no unknown runs.
   std::map<TeamName, bool> limited;
@@ -108,6 +118,15 @@
 [[nodiscard]] bool MayUseMore(Round& round, const Candidate& candidate,
                               const Resources& more);
 
+/// @brief Returns the room of a target once all runs have ended that end by
+///   themselves.
+[[nodiscard]] Resources RoomWithoutEndingRuns(const Slot& slot);
+
+/// @brief Whether a step's tasks end, by their estimate, before any gang can
+///   start that room is reserved for.
+[[nodiscard]] bool EndsBeforeGangs(const Round& round,
+                                   const Candidate& candidate);
+
 /// @brief Returns the resources that a step may use at a target.
 [[nodiscard]] Resources RoomFor(const Slot& slot, const Candidate& candidate);
 
--- a/src/cell/runs.cc
+++ b/src/cell/runs.cc
@@ -205,6 +205,7 @@
   run.priority = job.priority;
   run.checkpoints = spec.checkpoints;
   run.gang = spec.gang;
+  run.service = spec.service;
   run.estimate = spec.estimate;
   return run;
 }
--- a/src/cell/starts.cc
+++ b/src/cell/starts.cc
@@ -51,10 +51,14 @@
   run.priority = job.priority;
   run.checkpoints = spec.checkpoints;
   run.gang = spec.gang;
+  run.service = spec.service;
   run.estimate = spec.estimate;
   run.probation = candidate.suspect;
   AddRun(round.cell, target, id, run);
   slot.room -= run.demand;
+  if (run.service) {
+    slot.services += run.demand;
+  }
   slot.fresh = true;
   slot.empty = false;
   if (run.probation) {
