Probation of a target counts only what was started on it

Cause: after two failures a target was left out of planning while anything ran on it. What had run before the failures counted as the one task that it may have, and a service's task neither ends nor leaves the target empty. Nothing else ended probation but a restart, and no log line told of it. Tasks that fail by their own fault led to it as well.

Change: a run that is started on probation is a trial; only a trial of the last 3 s keeps further tasks away. Probation ends with a success of what was started since, which a service at work is too, or 10 s after the last pause without a failure. A failed trial doubles the pause, up to 12 s. A failure is taken back if the task then fails elsewhere; a service that fails at work counts for nothing. The log tells of probation and its end.

A target that fails everything beside a service gets at most 8 tasks in a minute.

--- a/include/buckthornmux/detail/cell/state.h
+++ b/include/buckthornmux/detail/cell/state.h
@@ -85,6 +85,7 @@
   bool checkpoints = false;
   bool gang = false;
   bool service = false;  ///< Doesn't end by itself.
+  bool trial = false;    ///< Its target was on probation when it was sent.
   /// Its task is suspected of crashes; no other job may start on its target
   /// until it has run for Options::crash_clearance.
   bool probation = false;
@@ -101,7 +102,10 @@
 /// Recent failures and relative speed of a target.
 struct TargetHealth {
   int consecutive_failures = 0;
-  Time suspended_until;
+  int failed_trials = 0;  ///< Since probation began.
+  Time failed_at;         ///< When the last of these failures was reported.
+  Time paused_until;      ///< Gets no work before, because of failures.
+  Time suspended_until;   ///< Gets no work before, for other reasons.
   Time last_success;
   double slowness = 1;  ///< Run time relative to other targets, smoothed.
 };
--- a/src/cell/reports.cc
+++ b/src/cell/reports.cc
@@ -3,6 +3,7 @@
 #include <optional>
 #include <set>
 
+#include "health.h"
 #include "team_limits.h"
 #include "verdicts.h"
 
@@ -198,7 +199,7 @@
 }
 
 /// Clears the task of a run that has not crashed its target for long enough.
-void EndProbation(Cell& cell, Actions& actions, const RunId& id, Run& run,
+void EndSuspicion(Cell& cell, Actions& actions, const RunId& id, Run& run,
                   Time now) {
   if (run.probation && now - run.confirmed_at >= cell.options.crash_clearance) {
     ClearSuspicion(cell, actions, id, false, now);
@@ -475,8 +476,12 @@
     if (found == target->runs.end()) {
       AdoptRun(cell, actions, *target, running, now);
     } else {
+      const bool was_at_work = IsAtWork(found->second);
       UpdateProgress(cell, found->second, running, now);
-      EndProbation(cell, actions, running.run, found->second, now);
+      if (!was_at_work && IsAtWork(found->second)) {
+        HandleSuccess(actions, *target, running.run, now);
+      }
+      EndSuspicion(cell, actions, running.run, found->second, now);
     }
   }
   DropMissingRuns(cell, actions, *target, listed, {sent_at, report.complete},
--- a/src/cell/round.cc
+++ b/src/cell/round.cc
@@ -4,13 +4,12 @@
 #include <bit>
 #include <functional>
 
+#include "health.h"
 #include "team_limits.h"
 
 namespace buckthornmux::cell {
 namespace {
 
-/// Consecutive failures after which a target gets one task at a time.
-constexpr int kFailuresToProbe = 2;
 /// Hash table places per target; spare places keep collisions rare.
 constexpr std::size_t kTablePlacesPerTarget = 2;
 
@@ -92,13 +91,10 @@
               {},   0,       Time::max(), {}};
   round.slots.reserve(cell.targets.size());
   for (auto& [id, target] : cell.targets) {
-    const TargetHealth& health = target.health;
-    const bool probing =
-        health.consecutive_failures >= kFailuresToProbe && !target.runs.empty();
     if (target.reported && target.recorded && target.listed &&
         target.listed_life == target.entry.life && !target.entry.draining &&
         !target.silent && !target.failing_since && target.unknown_runs == 0 &&
-        now >= health.suspended_until && !probing) {
+        now >= target.health.suspended_until && MayTry(target, now)) {
       round.slots.push_back({&target, RoomOf(target), {}});
       MarkRecentRuns(cell, round.slots.back(), now);
     }
--- a/src/cell/round.h
+++ b/src/cell/round.h
@@ -26,6 +26,7 @@
   bool empty = true;  ///< Has no run.
   /// Has a run that began so recently that it could have caused a crash.
   bool fresh = false;
+  bool trial_begun = false;  ///< On probation; has got its task of this round.
 };
 
 /// A step to be planned in this round.
--- a/src/cell/starts.cc
+++ b/src/cell/starts.cc
@@ -1,4 +1,5 @@
 // Placement restrictions for retried tasks, and the start of tasks.
+#include "health.h"
 #include "round.h"
 
 namespace buckthornmux::cell {
@@ -17,6 +18,9 @@
 
 bool MayUse(const Round& round, const Candidate& candidate, const Queue& queue,
             const Task& task, const Slot& slot) {
+  if (slot.trial_begun) {
+    return false;
+  }
   const Target& target = *slot.target;
   const StepSpec& spec = candidate.Spec();
   const bool last_attempt = task.Failures() + 1 >= queue.max_attempts;
@@ -52,6 +56,7 @@
   run.checkpoints = spec.checkpoints;
   run.gang = spec.gang;
   run.service = spec.service;
+  run.trial = IsOnProbation(target);
   run.estimate = spec.estimate;
   run.probation = candidate.suspect;
   AddRun(round.cell, target, id, run);
@@ -59,6 +64,7 @@
   if (run.service) {
     slot.services += run.demand;
   }
+  slot.trial_begun = run.trial;
   slot.fresh = true;
   slot.empty = false;
   if (run.probation) {
--- a/src/cell/steps.cc
+++ b/src/cell/steps.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "buckthornmux/detail/core/invariant.h"
+#include "health.h"
 #include "queues.h"
 #include "verdicts.h"
 
@@ -127,19 +128,21 @@
   }
 }
 
-void UpdateHealth(Target& target, const EndReport& end, const Task* task,
-                  const Options& options, Time now) {
-  TargetHealth& health = target.health;
+/// Draws conclusions about a target from the end of a run. A gang's failures
+/// are counted for its first task.
+void UpdateHealth(Cell& cell, Actions& actions, Target& target,
+                  const EndReport& end, Job* job, Time now) {
   if (end.end == RunEnd::kDone) {
-    health.consecutive_failures = 0;
-    health.last_success = now;
-  } else if (end.end == RunEnd::kFailed &&
-             (task == nullptr || task->failed_runs.empty())) {
-    // Failures of a task that has failed before say little about this target.
-    constexpr int kFailuresToSuspend = 2;
-    if (++health.consecutive_failures >= kFailuresToSuspend) {
-      health.suspended_until = now + options.suspension;
+    HandleSuccess(actions, target, end.run, now);
+  } else if (end.end == RunEnd::kFailed) {
+    TaskId counted = end.run.task;
+    if (job != nullptr && counted.step < job->spec.steps.size() &&
+        job->spec.steps[counted.step].gang) {
+      counted.index = 0;
     }
+    const Task* task =
+        job == nullptr || job->Ended() ? nullptr : FindTask(*job, counted);
+    HandleFailure(cell, actions, target, end.run, task, now);
   }
 }
 
@@ -234,7 +237,7 @@
   Job* job = FindJob(cell, end.run.task.job);
   Task* task =
       job == nullptr || job->Ended() ? nullptr : FindTask(*job, end.run.task);
-  UpdateHealth(target, end, task, cell.options, now);
+  UpdateHealth(cell, actions, target, end, job, now);
   Note(actions, "task_ended",
        {{"job", end.run.task.job},
         {"task", TaskName(end.run.task)},
--- a/src/cell/tick.cc
+++ b/src/cell/tick.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "health.h"
 #include "internal.h"
 #include "queues.h"
 
@@ -53,6 +54,7 @@
     SettleHeldStarts(cell, actions, target, now);
     ResendStops(cell, actions, target, now);
     ExpireTarget(cell, actions, target, now);
+    EndProbation(actions, target, now);
   }
   std::erase_if(cell.targets,
                 [](const auto& entry) { return entry.second.removed; });
