Look at the hold of a waiting step only if it is a gang

unit-load, PlanningStaysCheapWithALongQueue, failed once beside lint and other tests: 2.20 ms a round, bound 2.0 ms.

--- a/src/cell/plan.cc
+++ b/src/cell/plan.cc
@@ -72,8 +72,9 @@
   candidate.priority = job.priority;
   candidate.excess = job.excess;
   // What is held for a gang would be lost if it fell back once it is late.
-  const bool keeps_place =
-      candidate.step->hold.since != Time() && !IsBusy(cell);
+  const bool keeps_place = candidate.Spec().gang &&
+                           candidate.step->hold.since != Time() &&
+                           !IsBusy(cell);
   candidate.excess = candidate.excess && !keeps_place;
   const Time began = BeganAt(cell, job, ref.occurrence);
   const Millis chain = ChainFrom(job.spec, ref.step);
