One decision on who may act on a job

Cause: a call's team comes from its key now, the job's from its key then. Cancel took a difference for "no such job"; a repeated submit was told "ran: no" of a job that runs; a GET compared nothing, so that any team read any job's state. The same acts where a queue is closed, replaced, or a team renamed.

Change: ReasonToDeny decides for queries, cancels and repeated submits alike, by the job's team, the place to which its path leads now and whether a key is needed there. The keys of teams that have jobs are kept as digests, so that a renamed team keeps its jobs, over changes of the owner too. Others are answered 403 not_permitted (or 409); 403, 409 and 410 say "ran: unknown".

OtherTeamsJobIsNotCancelled asserted "known: false" of one action; it now asserts the refusal's kind too, and that besides the answer only a log line is made.

--- a/include/buckthornmux/detail/cell/cell.h
+++ b/include/buckthornmux/detail/cell/cell.h
@@ -18,11 +18,15 @@
 struct AnswerSubmit {
   CallId call = 0;
   std::optional<Error> error;  ///< Empty if the job was accepted.
+  /// A job of this id exists: a refusal must not say that it doesn't run.
+  bool exists = false;
 };
-/// Answers a cancel. `known` is false if no such job exists.
+/// Answers a cancel: the job has ended, and that is stored, or no such job
+/// exists, or the caller may not act on it.
 struct AnswerCancel {
   CallId call = 0;
-  bool known = false;
+  bool known = false;          ///< The job has ended.
+  std::optional<Error> error;  ///< Why the job goes on.
 };
 /// Sends a start to a target; the outcome is passed to StartAnswered. It must
 /// reach no other process of the target than that of `life`: the deadline is on
@@ -74,6 +78,13 @@
 [[nodiscard]] std::optional<JobPhase> PhaseOf(const Cell& cell,
                                               std::string_view job);
 
+/// @brief Returns why a caller may not act on a job: kNotPermitted for another
+///   team's, kNotReady if the caller's host knows a later configuration.
+/// @return nothing if it may, or if there is no such job
+[[nodiscard]] std::optional<Error> ReasonToDeny(const Cell& cell,
+                                                std::string_view id,
+                                                const Caller& caller);
+
 /// @brief Counts the jobs of a queue of which no task has been started,
 ///   including those of removed queues whose paths lead to this one now.
 [[nodiscard]] std::uint32_t PendingOf(const Cell& cell, std::string_view queue);
@@ -160,9 +171,10 @@
 void Submit(Cell& cell, Actions& actions, CallId call, JobSpec spec, Time now,
             Time answer_by = Time::max());
 
-/// @brief Handles a cancel. The answer follows once the change is stored.
+/// @brief Handles a cancel. The answer follows once the change is stored; a
+///   caller that may not act on the job is refused immediately.
 void Cancel(Cell& cell, Actions& actions, CallId call, std::string_view job,
-            std::string_view team, Time now);
+            const Caller& caller, Time now);
 
 /// @brief Handles the outcome of a start.
 void StartAnswered(Cell& cell, Actions& actions, const TargetId& target,
--- a/include/buckthornmux/detail/cell/state.h
+++ b/include/buckthornmux/detail/cell/state.h
@@ -268,15 +268,24 @@
   }
 };
 
-/// A queue that has had jobs, as defined by the latest configuration with it.
-/// Its jobs are scheduled by this definition once no configuration has it.
-struct KeptQueue {
-  Queue queue;
+/// A definition as the latest configuration with it had it. Accepted jobs are
+/// bound to it once no configuration has it any more.
+template <class Definition>
+struct Kept {
+  Definition definition;
   std::uint64_t record = 0;  ///< Number in the key of its record.
   bool unstored = true;      ///< The definition isn't in a batch yet.
   bool removed = false;      ///< Its removal has been logged.
 };
 
+/// The keys of a team.
+struct TeamKeys {
+  TeamName name;
+  std::vector<std::string> digests;  ///< SHA-256 of each key, hexadecimal.
+
+  bool operator==(const TeamKeys&) const = default;
+};
+
 /// A step of one occurrence of a job.
 struct StepRef {
   JobId job;
@@ -418,9 +427,11 @@
   bool recovered = false;      ///< No unreported run of a former owner is left.
   bool store_healthy = true;   ///< The store answers writes in time.
   std::map<std::string, Queue, std::less<>> queues;
-  std::map<QueueName, KeptQueue, std::less<>> kept_queues;
-  std::uint64_t next_queue_record = 1;
-  Time queues_checked;  ///< When unused queues were last looked for.
+  /// Queues and teams that have jobs, by name.
+  std::map<QueueName, Kept<Queue>, std::less<>> kept_queues;
+  std::map<TeamName, Kept<TeamKeys>, std::less<>> kept_teams;
+  std::uint64_t next_kept_record = 1;
+  Time kept_checked;  ///< When unused ones were last looked for.
   std::map<std::string, Team, std::less<>> teams;
   std::map<std::string, Service, std::less<>> services;
   std::unordered_map<JobId, Job> jobs;
--- a/include/buckthornmux/detail/cell/types.h
+++ b/include/buckthornmux/detail/cell/types.h
@@ -115,6 +115,12 @@
   bool operator==(const Queue&) const = default;
 };
 
+/// The queue that a call came on, and the team of its key.
+struct Caller {
+  QueueName queue;
+  TeamName team;  ///< Empty for a call without a key, on a queue open to all.
+};
+
 /// A pool of targets.
 struct Service {
   std::string name;
--- a/include/buckthornmux/detail/core/error.h
+++ b/include/buckthornmux/detail/core/error.h
@@ -34,6 +34,7 @@
   kFileUnreadable = 107,
   kKeyRefused = 201,
   kKindRefused = 202,
+  kNotPermitted = 203,
   kNeverFits = 301,
   kCellFull = 302,
   kTeamLimit = 303,
--- a/src/cell/jobs.cc
+++ b/src/cell/jobs.cc
@@ -2,6 +2,7 @@
 #include <utility>
 
 #include "buckthornmux/detail/core/invariant.h"
+#include "permissions.h"
 #include "queues.h"
 #include "team_limits.h"
 
@@ -12,14 +13,15 @@
 constexpr int kNoPriority = 9;
 
 void Refuse(Actions& actions, CallId call, const JobSpec& spec, ErrorKind kind,
-            std::string message) {
+            std::string message, bool exists = false) {
   Note(actions, "job_refused",
        {{"job", spec.id},
         {"queue", spec.queue},
         {"team", spec.team},
         {"error", std::string(AnswerFor(kind).name)},
         {"reason", message}});
-  actions.emplace_back(AnswerSubmit{call, Error{kind, std::move(message), {}}});
+  actions.emplace_back(
+      AnswerSubmit{call, Error{kind, std::move(message), {}}, exists});
 }
 
 /// Whether any target is or was large enough for a task, since its capacity may
@@ -274,11 +276,13 @@
 void Submit(Cell& cell, Actions& actions, CallId call, JobSpec spec, Time now,
             Time answer_by) {
   if (Job* known = FindJob(cell, spec.id)) {
-    if (known->spec.team != spec.team) {
-      Refuse(actions, call, spec, ErrorKind::kDuplicateRequest,
-             "another team's job has this id");
+    if (auto denied = ReasonToDeny(cell, *known, {spec.queue, spec.team})) {
+      const bool foreign = denied->kind == ErrorKind::kNotPermitted;
+      Refuse(actions, call, spec,
+             foreign ? ErrorKind::kDuplicateRequest : denied->kind,
+             std::move(denied->message), true);
     } else if (known->durable > 0) {
-      actions.emplace_back(AnswerSubmit{call, std::nullopt});
+      actions.emplace_back(AnswerSubmit{call, std::nullopt, true});
     } else {
       known->submit_calls.push_back(call);
       known->answer_by = std::max(known->answer_by, answer_by);
@@ -297,6 +301,7 @@
   }
   const Queue& queue = *FindQueue(cell, spec.queue);
   KeepQueue(cell, queue, now);
+  KeepTeam(cell, spec.team, now);
   Job job;
   job.excess = excess;
   job.objective = ObjectiveOf(queue, spec);
@@ -323,17 +328,27 @@
 }
 
 void Cancel(Cell& cell, Actions& actions, CallId call, std::string_view id,
-            std::string_view team, Time now) {
+            const Caller& caller, Time now) {
   Job* job = FindJob(cell, id);
-  if (job == nullptr || job->spec.team != team) {
-    actions.emplace_back(AnswerCancel{call, false});
+  if (job == nullptr) {
+    actions.emplace_back(AnswerCancel{call, false, std::nullopt});
+    return;
+  }
+  if (auto denied = ReasonToDeny(cell, *job, caller)) {
+    Note(actions, "cancel_refused",
+         {{"job", job->spec.id},
+          {"queue", caller.queue},
+          {"team", caller.team},
+          {"of_team", job->spec.team},
+          {"error", std::string(AnswerFor(denied->kind).name)}});
+    actions.emplace_back(AnswerCancel{call, false, std::move(denied)});
     return;
   }
   if (!job->Ended()) {
     EndJob(cell, actions, *job, JobPhase::kCancelled, "caller", now);
   }
   if (job->durable >= job->end_version) {
-    actions.emplace_back(AnswerCancel{call, true});
+    actions.emplace_back(AnswerCancel{call, true, std::nullopt});
   } else {
     job->cancel_calls.push_back(call);
   }
@@ -392,6 +407,7 @@
     cell.services.emplace(service.name, service);
   }
   UpdateKeptQueues(cell, actions, now);
+  UpdateKeptTeams(cell, now);
   for (auto& [id, job] : cell.jobs) {
     const Queue* queue = QueueOf(cell, job);
     job.priority = queue == nullptr ? kNoPriority : queue->priority;
--- a/src/cell/queues.h
+++ b/src/cell/queues.h
@@ -3,7 +3,6 @@
 /// has been removed since.
 #pragma once
 
-#include <cstddef>
 #include <string_view>
 
 #include "internal.h"
@@ -27,28 +26,15 @@
 /// @brief Keeps the definition of a queue that accepts a job.
 void KeepQueue(Cell& cell, const Queue& queue, Time now);
 
-/// @brief Takes over a definition that a former owner has stored.
-/// @param number the part of the record's key that identifies the queue
-/// @return false if that isn't a number
-[[nodiscard]] bool InheritQueue(Cell& cell, std::string_view number,
-                                Queue queue);
-
 /// @brief Brings the kept definitions up to date after a change of the
 ///   configuration.
 void UpdateKeptQueues(Cell& cell, Actions& actions, Time now);
 
-/// @brief Periodically drops definitions that no job needs any more, and lets
-///   removed queues follow their paths if their targets are gone.
-void SettleKeptQueues(Cell& cell, Actions& actions, Time now);
+/// @brief Periodically drops queues and teams that no job needs any more, and
+///   lets removed queues follow their paths if their targets are gone.
+void SettleKept(Cell& cell, Actions& actions, Time now);
 
 /// @brief Logs the queues of open jobs that are neither in force nor stored.
 void NoteUnknownQueues(const Cell& cell, Actions& actions);
 
-/// @brief Whether the queue of a job is in a batch or stored.
-[[nodiscard]] bool IsQueueWritten(const Cell& cell, const Job& job);
-[[nodiscard]] bool AnyQueueUnwritten(const Cell& cell);
-
-/// @brief Adds unwritten definitions to a batch of at most `max_writes` writes.
-void WriteKeptQueues(Cell& cell, Batch& batch, std::size_t max_writes);
-
 }  // namespace buckthornmux::cell
--- a/src/cell/record_layout.h
+++ b/src/cell/record_layout.h
@@ -16,6 +16,7 @@
 inline constexpr std::string_view kEndedKey = "ended/";
 inline constexpr std::string_view kProgressKey = "progress/";
 inline constexpr std::string_view kQueuesKey = "queues/";
+inline constexpr std::string_view kTeamsKey = "teams/";
 inline constexpr std::string_view kTargetsKey = "targets";
 inline constexpr std::string_view kSilentKey = "silent";
 inline constexpr std::string_view kCapacitiesKey = "capacities";
--- a/src/cell/record_load.cc
+++ b/src/cell/record_load.cc
@@ -2,6 +2,8 @@
 
 #include "buckthornmux/detail/core/archive.h"
 #include "internal.h"
+#include "kept.h"
+#include "permissions.h"
 #include "queues.h"
 #include "record_codec.h"
 #include "record_layout.h"
@@ -112,6 +114,7 @@
   if (const Queue* queue = FindQueue(cell, job.spec.queue)) {
     KeepQueue(cell, *queue, now);
   }
+  KeepTeam(cell, job.spec.team, now);
   if (const Queue* queue = QueueOf(cell, job)) {
     job.priority = queue->priority;
     job.objective = ObjectiveOf(*queue, job.spec);
@@ -156,6 +159,7 @@
   StoredSilentTargets silent;
   for (const RecordWrite& record : records) {
     const std::string_view key = record.key;
+    bool valid_key = true;
     if (key.starts_with(kProgressKey)) {
       BOOST_LEAF_AUTO(progress, DecodeProgress(record.value, key));
       Job* job = FindJob(cell, key.substr(kProgressKey.size()));
@@ -171,11 +175,12 @@
       }
     } else if (key.starts_with(kQueuesKey)) {
       BOOST_LEAF_AUTO(queue, DecodeBinary<Queue>(record.value, key));
-      if (!InheritQueue(cell, key.substr(kQueuesKey.size()),
-                        std::move(queue))) {
-        return Fail(ErrorKind::kMalformed,
-                    "malformed record key: " + record.key);
-      }
+      valid_key =
+          Inherit(cell, cell.kept_queues, kQueuesKey, key, std::move(queue));
+    } else if (key.starts_with(kTeamsKey)) {
+      BOOST_LEAF_AUTO(keys, DecodeBinary<TeamKeys>(record.value, key));
+      valid_key =
+          Inherit(cell, cell.kept_teams, kTeamsKey, key, std::move(keys));
     } else if (key == kCapacitiesKey) {
       BOOST_LEAF_AUTO(capacities, DecodeBinary<std::vector<StoredCapacities>>(
                                       record.value, key));
@@ -188,6 +193,9 @@
       BOOST_LEAF_ASSIGN(silent,
                         DecodeBinary<StoredSilentTargets>(record.value, key));
     }
+    if (!valid_key) {
+      return Fail(ErrorKind::kMalformed, "malformed record key: " + record.key);
+    }
   }
   for (auto& [id, job] : cell.jobs) {
     if (!job.Ended()) {
--- a/src/cell/records.cc
+++ b/src/cell/records.cc
@@ -2,7 +2,7 @@
 
 #include "buckthornmux/detail/core/invariant.h"
 #include "internal.h"
-#include "queues.h"
+#include "kept.h"
 #include "record_codec.h"
 #include "record_layout.h"
 
@@ -166,8 +166,10 @@
       continue;
     }
     // A next owner must not load a job without the queue that accepted it.
-    const bool queue_first = job->durable == 0 && !IsQueueWritten(cell, *job);
-    if (queue_first || !HasRoom(draft, *job)) {
+    const bool kept_first =
+        job->durable == 0 && !(IsWritten(cell.kept_queues, job->spec.queue) &&
+                               IsWritten(cell.kept_teams, job->spec.team));
+    if (kept_first || !HasRoom(draft, *job)) {
       return;
     }
     queue.pop_front();
@@ -284,12 +286,12 @@
 
 void AnswerCalls(Actions& actions, Job& job) {
   for (const CallId call : job.submit_calls) {
-    actions.emplace_back(AnswerSubmit{call, std::nullopt});
+    actions.emplace_back(AnswerSubmit{call, std::nullopt, true});
   }
   job.submit_calls.clear();
   if (job.Ended() && job.durable >= job.end_version) {
     for (const CallId call : job.cancel_calls) {
-      actions.emplace_back(AnswerCancel{call, true});
+      actions.emplace_back(AnswerCancel{call, true, std::nullopt});
     }
     job.cancel_calls.clear();
   }
@@ -349,7 +351,8 @@
   Draft draft;
   const std::size_t for_jobs =
       max_writes - kReservedOwnRecords - kReservedCleanupRecords;
-  WriteKeptQueues(cell, batch, for_jobs);
+  WriteUnwritten(cell.kept_queues, kQueuesKey, batch, for_jobs);
+  WriteUnwritten(cell.kept_teams, kTeamsKey, batch, for_jobs);
   DrainWriteQueue(cell, batch, draft, writes.urgent, for_jobs);
   DrainWriteQueue(cell, batch, draft, writes.others, for_jobs);
   CompactRecords(
@@ -359,7 +362,8 @@
   WriteEnds(cell, batch, draft, name, now);
   Erase(cell, batch, max_writes);
   const bool more = writes.count > 0 || !cell.bundles.erasures.empty() ||
-                    AnyQueueUnwritten(cell);
+                    AnyUnwritten(cell.kept_queues) ||
+                    AnyUnwritten(cell.kept_teams);
   writes.since = more ? std::optional(now) : std::nullopt;
   if (batch.writes.empty() && batch.versions.empty()) {
     return std::nullopt;
--- a/src/cell/tick.cc
+++ b/src/cell/tick.cc
@@ -69,7 +69,7 @@
   RefuseOverdue(cell, actions, now);
   ExpireAdvice(cell, actions, now);
   ForgetOld(cell, now);
-  SettleKeptQueues(cell, actions, now);
+  SettleKept(cell, actions, now);
   CheckRecovery(cell, actions, now);
   if (cell.ended_runs_dirty && !cell.writes.since) {
     cell.writes.since = now;
--- a/src/core/error.cc
+++ b/src/core/error.cc
@@ -37,6 +37,8 @@
      "the key is missing, unknown or withdrawn; ask an operator"},
     {kKindRefused, "kind_refused", 403, Ran::kUnknown, kNoRetry, 4,
      "the team may not use this kind of work; ask an operator"},
+    {kNotPermitted, "not_permitted", 403, Ran::kUnknown, kNoRetry, 4,
+     "the job belongs to another team; use a key of that team"},
     {kNeverFits, "never_fits", 422, Ran::kNo, kNoRetry, 5,
      "no target could ever hold this work; ask for less"},
     {kCellFull, "cell_full", 503, Ran::kNo, kShortRetryDelay, 6,
--- a/src/entry/callers.cc
+++ b/src/entry/callers.cc
@@ -40,6 +40,9 @@
 constexpr Millis kBusyRetryAfter{1000};
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
+constexpr int kForbidden = 403;
+constexpr int kConflict = 409;
+constexpr int kGone = 410;
 
 /// Returns a number from which a process can count its calls without wrapping.
 std::uint64_t RandomCallNumber() {
@@ -150,9 +153,12 @@
   const ErrorAnswer& answer = AnswerFor(kind);
   net::HttpResponse response;
   response.status = status;
+  // A call about a job of which nothing is known, or not to this caller,
+  // doesn't tell that the job has not run.
+  const bool unknown = status == kGatewayTimeout || status == kGone ||
+                       status == kForbidden || status == kConflict;
   response.body = R"({"error":")" + std::string(answer.name) + R"(","ran":")" +
-                  std::string(status == kGatewayTimeout ? "unknown" : "no") +
-                  R"("})";
+                  std::string(unknown ? "unknown" : "no") + R"("})";
   if (status == kUnavailable || status == 429) {
     response.retry_after = RetryAfterFor(kind);
     // Closes the connection, so that the caller's next try reaches another
@@ -344,7 +350,6 @@
   m_open.erase(found);
   net::HttpResponse response;
   std::string_view why = "done";
-  constexpr int kGone = 410;
   switch (reply.end) {
     case CallResult::kAccepted:
     case CallResult::kCancelled:
--- a/src/entry/cell_host.cc
+++ b/src/entry/cell_host.cc
@@ -239,6 +239,14 @@
     return;
   }
   if (call.kind == CallKind::kQuery) {
+    if (auto denied =
+            cell::ReasonToDeny(*m_cell, call.job, {call.queue, call.team})) {
+      reply.end = CallResult::kRefused;
+      reply.error = denied->kind;
+      reply.message = std::move(denied->message);
+      m_events.reply(from, reply);
+      return;
+    }
     const auto phase = cell::PhaseOf(*m_cell, call.job);
     reply.end = phase ? CallResult::kPhase : CallResult::kNoSuchJob;
     reply.phase = phase.value_or(cell::JobPhase::kQueued);
@@ -257,7 +265,8 @@
   if (call.kind == CallKind::kSubmit) {
     cell::Submit(*m_cell, actions, id, call.spec, Now(), ReplyDeadline(call));
   } else {
-    cell::Cancel(*m_cell, actions, id, call.job, call.team, Now());
+    cell::Cancel(*m_cell, actions, id, call.job, {call.queue, call.team},
+                 Now());
   }
   RunActions(std::move(actions));
   SchedulePump();
@@ -294,8 +303,11 @@
       Log(*decision);
     } else if (auto* submit = std::get_if<cell::AnswerSubmit>(&action)) {
       CellReply reply;
-      reply.end = submit->error ? CallResult::kRefused : CallResult::kAccepted;
+      reply.end = CallResult::kAccepted;
       if (submit->error) {
+        const bool unclear =
+            submit->exists && submit->error->kind == ErrorKind::kNotReady;
+        reply.end = unclear ? CallResult::kUnknown : CallResult::kRefused;
         reply.error = submit->error->kind;
         reply.message = submit->error->message;
       }
@@ -304,6 +316,11 @@
       CellReply reply;
       reply.end =
           cancel->known ? CallResult::kCancelled : CallResult::kNoSuchJob;
+      if (cancel->error) {
+        reply.end = CallResult::kRefused;
+        reply.error = cancel->error->kind;
+        reply.message = cancel->error->message;
+      }
       Reply(cancel->call, std::move(reply));
     } else if (auto* start = std::get_if<cell::SendStart>(&action)) {
       Send(*start);
--- a/tests/standins/cell_world.cc
+++ b/tests/standins/cell_world.cc
@@ -383,8 +383,8 @@
   const cell::CallId call = m_next_call++;
   m_calls[call] = job;
   cell::Actions actions;
-  cell::Cancel(*m_cell, actions, call, job, m_checker.Jobs()[job].spec.team,
-               m_now);
+  const cell::JobSpec& spec = m_checker.Jobs()[job].spec;
+  cell::Cancel(*m_cell, actions, call, job, {spec.queue, spec.team}, m_now);
   Act(std::move(actions));
 }
 
--- a/tests/unit-cell-host.cc
+++ b/tests/unit-cell-host.cc
@@ -49,11 +49,13 @@
       {[this](const HostId&, const auto& reply) { replies.push_back(reply); },
        [](const HostId&, const auto&) {}, [] {}, [] {}}};
 
-  explicit Fixture(entry::TargetCalls used = NoTargets())
-      : target_calls(std::move(used)) {
+  explicit Fixture(std::optional<entry::TargetCalls> used = std::nullopt,
+                   std::vector<cell::Team> teams = {})
+      : target_calls(used ? std::move(*used) : NoTargets()) {
     cell::Rules rules;
     rules.version = 1;
     rules.queues = {PlainQueue("plain")};
+    rules.teams = std::move(teams);
     host.SetRules(std::make_shared<const cell::Rules>(rules));
     host.SetLeaseHeld(true);
     host.Open({.range = "cell/0", .owner = "a", .epoch = 1}, Millis(0));
@@ -68,13 +70,15 @@
     }
   }
 
-  entry::CellReply Call(CallKind kind, const std::string& job) {
+  entry::CellReply Call(CallKind kind, const std::string& job,
+                        const std::string& team = "team-0") {
     entry::CellCall call;
     call.kind = kind;
     call.queue = "plain";
-    call.team = "team-0";
+    call.team = team;
     call.job = job;
     call.spec = PlainJob(job);
+    call.spec.team = team;
     replies.clear();
     host.HandleCall("b", call);
     Run();
@@ -192,6 +196,8 @@
 class CellHostTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(CellHostTest);
   CPPUNIT_TEST(StoredJobIsFound);
+  CPPUNIT_TEST(OtherTeamLearnsNothingOfAJob);
+  CPPUNIT_TEST(HostAheadOfTheOwnerGetsNoVerdict);
   CPPUNIT_TEST(HostWithoutRegistrationAnswersNoQuery);
   CPPUNIT_TEST(HostWithoutRegistrationAcceptsNothing);
   CPPUNIT_TEST(NewProcessOfATargetGetsNoAcknowledgementOfTheFormerOne);
@@ -208,6 +214,40 @@
 
   // An owner that was disconnected from the store replied "no such job" for
   // jobs that the next owner had accepted (rwk-sched, scale-2).
+  // review/4: a query, a cancel and a repeat of one job agree on who may act.
+  void OtherTeamLearnsNothingOfAJob() {
+    Fixture f({}, {{"team-0"}, {"other"}});
+    const auto query = f.Call(CallKind::kQuery, "j1", "other");
+    CPPUNIT_ASSERT(query.end == CallResult::kRefused);
+    CPPUNIT_ASSERT(query.error == ErrorKind::kNotPermitted);
+    const auto cancel = f.Call(CallKind::kCancel, "j1", "other");
+    CPPUNIT_ASSERT(cancel.end == CallResult::kRefused);
+    CPPUNIT_ASSERT(cancel.error == ErrorKind::kNotPermitted);
+    const auto submit = f.Call(CallKind::kSubmit, "j1", "other");
+    CPPUNIT_ASSERT(submit.end == CallResult::kRefused);
+    CPPUNIT_ASSERT(submit.error == ErrorKind::kDuplicateRequest);
+    CPPUNIT_ASSERT(f.Call(CallKind::kQuery, "j2", "other").end ==
+                   CallResult::kNoSuchJob);
+    CPPUNIT_ASSERT(f.Call(CallKind::kCancel, "j2", "other").end ==
+                   CallResult::kNoSuchJob);
+    CPPUNIT_ASSERT(f.Call(CallKind::kQuery, "j1").phase ==
+                   cell::JobPhase::kQueued);
+  }
+
+  // Guards against a refusal that the owner's older configuration can't
+  // justify; a repeated submit isn't told that nothing runs.
+  void HostAheadOfTheOwnerGetsNoVerdict() {
+    Fixture f({}, {{"team-0"}});
+    for (const CallKind kind : {CallKind::kQuery, CallKind::kCancel}) {
+      const auto reply = f.Call(kind, "j1", "new-team");
+      CPPUNIT_ASSERT(reply.end == CallResult::kRefused);
+      CPPUNIT_ASSERT(reply.error == ErrorKind::kNotReady);
+    }
+    const auto submit = f.Call(CallKind::kSubmit, "j1", "new-team");
+    CPPUNIT_ASSERT(submit.end == CallResult::kUnknown);
+    CPPUNIT_ASSERT(submit.error == ErrorKind::kNotReady);
+  }
+
   void HostWithoutRegistrationAnswersNoQuery() {
     Fixture f;
     f.host.SetLeaseHeld(false);
--- a/tests/unit-cell.cc
+++ b/tests/unit-cell.cc
@@ -81,13 +81,18 @@
 
   void OtherTeamsJobIsNotCancelled() {
     World world({});
-    world.SetRules({PlainQueue("plain")});
+    world.SetRules({PlainQueue("plain")}, {{"team-0"}, {"team-9"}});
     world.Submit(PlainJob("j1", 1, 1500));
     world.RunUntil(world.NowTime() + Millis(500));
     cell::Actions actions;
-    cell::Cancel(world.State(), actions, 99, "j1", "team-9", world.NowTime());
-    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, actions.size());
-    CPPUNIT_ASSERT(!std::get<cell::AnswerCancel>(actions[0]).known);
+    cell::Cancel(world.State(), actions, 99, "j1", {"plain", "team-9"},
+                 world.NowTime());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, actions.size());
+    CPPUNIT_ASSERT(std::holds_alternative<cell::Decision>(actions[0]));
+    const auto& answer = std::get<cell::AnswerCancel>(actions[1]);
+    CPPUNIT_ASSERT(!answer.known);
+    // Not "no such job", which would be untrue.
+    CPPUNIT_ASSERT(answer.error->kind == ErrorKind::kNotPermitted);
     CPPUNIT_ASSERT(world.PhaseOf("j1") == JobPhase::kRunning);
   }
 
--- a/tests/unit-entry-callers.cc
+++ b/tests/unit-entry-callers.cc
@@ -126,6 +126,7 @@
   CPPUNIT_TEST(LastTryWithLittleTimeIsAnswered);
   CPPUNIT_TEST(ReplyToAFormerProcessIsIgnored);
   CPPUNIT_TEST(CallWithoutTimeIsRefusedImmediately);
+  CPPUNIT_TEST(RefusedCallsDoNotSayThatAJobHasNotRun);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -219,6 +220,31 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, f.forwarded.size());
   }
 
+  // Guards against "not run" of a job that runs, or did.
+  void RefusedCallsDoNotSayThatAJobHasNotRun() {
+    struct Case {
+      std::string method;
+      CallResult end;
+      ErrorKind error;
+      int status;
+    };
+    const std::vector<Case> cases = {
+        {"DELETE", CallResult::kRefused, ErrorKind::kNotPermitted, 403},
+        {"GET", CallResult::kRefused, ErrorKind::kNotPermitted, 403},
+        {"POST", CallResult::kRefused, ErrorKind::kDuplicateRequest, 409},
+        {"DELETE", CallResult::kNoSuchJob, ErrorKind::kInternal, 410},
+        {"GET", CallResult::kNoSuchJob, ErrorKind::kInternal, 410}};
+    for (const Case& each : cases) {
+      Fixture f;
+      const auto answer =
+          f.Send(each.method, kJob, "k1", R"({"steps":[{"count":1}]})",
+                 [&] { f.Decline(each.end, each.error); });
+      CPPUNIT_ASSERT_EQUAL(each.status, answer.status);
+      CPPUNIT_ASSERT(answer.body.find(R"("ran":"unknown")") !=
+                     std::string::npos);
+    }
+  }
+
   void CallIsRefusedIfNoHostReachesTheStore() {
     Fixture f;
     f.owner_expected = false;
--- a/tests/unit-probation.cc
+++ b/tests/unit-probation.cc
@@ -301,7 +301,7 @@
       CPPUNIT_ASSERT_EQUAL(0, cell.HealthOf("t2").consecutive_failures);
       cell::Actions actions;
       cell::Cancel(cell.owned, actions, 2, "poison-" + std::to_string(i),
-                   "team-0", cell.now);
+                   {"plain", "team-0"}, cell.now);
     }
   }
 
@@ -318,7 +318,7 @@
       CPPUNIT_ASSERT_EQUAL(0, cell.HealthOf("t1").consecutive_failures);
       cell::Actions actions;
       cell::Cancel(cell.owned, actions, 2, "service-" + std::to_string(i),
-                   "team-0", cell.now);
+                   {"plain", "team-0"}, cell.now);
     }
   }
 
@@ -350,7 +350,8 @@
     }
     CPPUNIT_ASSERT_EQUAL(2, cell.HealthOf(target).consecutive_failures);
     cell::Actions actions;
-    cell::Cancel(cell.owned, actions, 2, "failing", "team-0", cell.now);
+    cell::Cancel(cell.owned, actions, 2, "failing", {"plain", "team-0"},
+                 cell.now);
     Store(cell.owned, cell.stored, cell.now);
   }
 };
--- a/tests/unit-records.cc
+++ b/tests/unit-records.cc
@@ -109,7 +109,7 @@
 
 void CancelPlain(cell::Cell& owned, const std::string& id, Time now) {
   cell::Actions actions;
-  cell::Cancel(owned, actions, 2, id, "team-0", now);
+  cell::Cancel(owned, actions, 2, id, {"plain", "team-0"}, now);
 }
 
 /// Applies the queues of the users' grown site and generates its load.
--- a/tests/unit-removed-queues.cc
+++ b/tests/unit-removed-queues.cc
@@ -204,7 +204,7 @@
     cell::Cell next = OpenWithout(2, stored, now);
     CPPUNIT_ASSERT_EQUAL(3, next.jobs.at("job").priority);
     CPPUNIT_ASSERT_EQUAL(std::string("elsewhere"),
-                         next.kept_queues.at("plain").queue.service);
+                         next.kept_queues.at("plain").definition.service);
   }
 
   // A job follows its path to another service only if its own is gone.
@@ -223,13 +223,13 @@
     SetQueues(owned, {successor}, 3, now);
     Tick(owned, now + Millis(2000));
     CPPUNIT_ASSERT_EQUAL(std::string("service"),
-                         owned.kept_queues.at("plain").queue.service);
+                         owned.kept_queues.at("plain").definition.service);
     cell::Actions actions;
     cell::SetTargets(owned, actions, std::vector{other}, now + Millis(2000));
     Tick(owned, now + Millis(5000));
     Tick(owned, now + Millis(8000));
     CPPUNIT_ASSERT_EQUAL(std::string("other"),
-                         owned.kept_queues.at("plain").queue.service);
+                         owned.kept_queues.at("plain").definition.service);
   }
 
   // Guards against a listing that omits the jobs of the former queue.
--- a/tests/unit-team-limits.cc
+++ b/tests/unit-team-limits.cc
@@ -161,7 +161,8 @@
   }
 
   void Cancel(const std::string& job) {
-    cell::Cancel(m_cell, m_actions, ++m_calls, job, "limited", m_now);
+    cell::Cancel(m_cell, m_actions, ++m_calls, job, {"plain", "limited"},
+                 m_now);
   }
 
   /// Stores all changes, and starts what may start.
