Holds of gangs don't grow beyond what running work explains

Found on reading the hold again: it doubled for a gang too that waits for tickets and not for room, so that others got 1 s of room after ever longer waits. A hold is now limited to 13 s and twice the predicted wait for running work.

GangWithoutTicketsHoldsRoomForABoundedTime submits three more jobs, one after the other; without the limit the later ones wait longer than 14 s and the test fails. Its jobs now have an objective of 60 s, so that they come after the gang.

--- a/src/cell/gangs.cc
+++ b/src/cell/gangs.cc
@@ -239,7 +239,9 @@
   };
   if (hold.since == Time() || now - hold.held_at > kMaxHoldGap) {
     hold.since = now;
-    hold.limit = std::max(hold.limit, kFirstHoldLimit);
+    // Waiting for anything but the end of other work isn't worth longer holds.
+    hold.limit = std::clamp(hold.limit, kFirstHoldLimit,
+                            kFirstHoldLimit + 2 * (starts_at - now));
     hold.expected_start = starts_at;
     note("gang_holds_room", hold.limit);
   }
--- a/src/cell/queues.cc
+++ b/src/cell/queues.cc
@@ -76,7 +76,7 @@
     return name;
   }
   const Queue* successor = FindSuccessor(cell, kept->second.definition);
-  return successor == nullptr ? name : std::string_view(successor->name);
+  return successor == nullptr ? name : std::string_view{successor->name};
 }
 
 void KeepQueue(Cell& cell, const Queue& queue, Time now) {
--- a/tests/unit-gang-room.cc
+++ b/tests/unit-gang-room.cc
@@ -243,7 +243,9 @@
     World world(options);
     cell::Queue advised = PlainQueue("advised", 1);
     advised.advice = cell::AdviceRules{Millis(60), 1, Millis(2500)};
-    world.SetRules({advised, PlainQueue("plain", 2)});
+    cell::Queue patient = PlainQueue("plain", 2);
+    patient.target_runtime = Millis(60'000);
+    world.SetRules({advised, patient});
     Run(world, Millis(300));
     cell::JobSpec gang = Gang("gang", kGangCpu, kGangTime);
     gang.queue = "advised";
@@ -256,12 +258,17 @@
       }
     }
     Run(world, Millis(500));
-    cell::JobSpec other = Wide("other", "drivers", kTargets, 16'000, 60'000);
-    world.Submit(other);
+    world.Submit(Wide("other-0", "drivers", kTargets, 16'000, 100));
     Run(world, Millis(500));
-    CPPUNIT_ASSERT(!HasStarted(world, "other"));
+    CPPUNIT_ASSERT(!HasStarted(world, "other-0"));
     Run(world, kMaxWait);
-    CPPUNIT_ASSERT(HasStarted(world, "other"));
+    CPPUNIT_ASSERT(HasStarted(world, "other-0"));
+    // Nor does the time grow for those that come later.
+    for (const std::string other : {"other-1", "other-2", "other-3"}) {
+      world.Submit(Wide(other, "drivers", kTargets, 16'000, 100));
+      Run(world, kMaxWait);
+      CPPUNIT_ASSERT(HasStarted(world, other));
+    }
   }
 
   // The other side: a gang still meets its objective if small jobs keep coming.
