--- a/src/cell/gangs.cc
+++ b/src/cell/gangs.cc
@@ -237,7 +237,7 @@
           {"lasts_ms", std::to_string(lasts.count())},
           {"starts_in_ms", std::to_string((starts_at - now).count())}});
   };
-  if (hold.since == Time() || now - hold.held_at > kMaxHoldGap) {
+  if (!HoldsRoom(*candidate.step, now)) {
     hold.since = now;
     // Waiting for anything but the end of other work isn't worth longer holds.
     hold.limit = std::clamp(hold.limit, kFirstHoldLimit,
@@ -277,6 +277,20 @@
   candidate.step->hold = {};
 }
 
+bool HoldsRoom(const Step& step, Time now) {
+  return step.hold.since != Time() && now - step.hold.held_at <= kMaxHoldGap;
+}
+
+bool EndsBeforeGangs(const Round& round, const Candidate& candidate) {
+  const StepSpec& spec = candidate.Spec();
+  const Millis lasts = spec.estimate + spec.estimate / kEstimateErrorDivisor;
+  // A gang that can start soon isn't put at risk for wrong estimates.
+  return !spec.service && spec.estimate > Millis(0) &&
+         round.gangs_start_at != Time::max() &&
+         round.gangs_start_at - round.now > kFirstHoldLimit &&
+         round.now + lasts <= round.gangs_start_at;
+}
+
 /// Reserves room on targets that the gang is known to be allowed on. If the
 /// whole gang fits, only what it needs is reserved; otherwise all that it could
 /// use of these targets, so that enough room accumulates. Room that services
--- a/src/cell/plan.cc
+++ b/src/cell/plan.cc
@@ -10,9 +10,6 @@
 
 /// A job that ends after this multiple of its objective has no value left.
 constexpr int kHopelessFactor = 3;
-/// A step counts as late once it is behind by more than the estimated remaining
-/// time of its job divided by this, since estimates are off by 1/5.
-constexpr int kEstimateErrorDivisor = 5;
 /// Maximum number of steps planned per round; later ones find no room anyway.
 constexpr std::size_t kMaxPlannedSteps = 150;
 /// One job on probation at a time for this many targets, or for this many empty
@@ -72,9 +69,8 @@
   candidate.priority = job.priority;
   candidate.excess = job.excess;
   // What is held for a gang would be lost if it fell back once it is late.
-  const bool keeps_place = candidate.Spec().gang &&
-                           candidate.step->hold.since != Time() &&
-                           !IsBusy(cell);
+  const bool keeps_place =
+      candidate.Spec().gang && HoldsRoom(*candidate.step, now) && !IsBusy(cell);
   candidate.excess = candidate.excess && !keeps_place;
   const Time began = BeganAt(cell, job, ref.occurrence);
   const Millis chain = ChainFrom(job.spec, ref.step);
@@ -84,6 +80,8 @@
     return candidate;
   }
   candidate.slack = began + job.objective - now - chain;
+  // Estimates are off, so that a step counts as late only if it is behind by
+  // more than that.
   candidate.late =
       !keeps_place && candidate.slack < -chain / kEstimateErrorDivisor;
   candidate.hopeless =
--- a/src/cell/round.cc
+++ b/src/cell/round.cc
@@ -199,19 +199,6 @@
   return room;
 }
 
-bool EndsBeforeGangs(const Round& round, const Candidate& candidate) {
-  // Estimates are off by about this part of them. A gang that can start soon
-  // isn't put at risk for them.
-  constexpr int kEstimateErrorDivisor = 5;
-  constexpr Millis kLeastGangWait{13'000};
-  const StepSpec& spec = candidate.Spec();
-  const Millis lasts = spec.estimate + spec.estimate / kEstimateErrorDivisor;
-  return !spec.service && spec.estimate > Millis(0) &&
-         round.gangs_start_at != Time::max() &&
-         round.gangs_start_at - round.now > kLeastGangWait &&
-         round.now + lasts <= round.gangs_start_at;
-}
-
 Resources RoomFor(const Slot& slot, const Candidate& candidate) {
   Resources room = slot.room;
   if (!candidate.IgnoresReservations()) {
--- a/src/cell/round.h
+++ b/src/cell/round.h
@@ -13,6 +13,9 @@
 
 namespace buckthornmux::cell {
 
+/// Estimates of run times are off by a part of one in this many.
+inline constexpr int kEstimateErrorDivisor = 5;
+
 /// A target that accepts work in this round.
 struct Slot {
   Target* target = nullptr;
@@ -123,6 +126,9 @@
 ///   themselves.
 [[nodiscard]] Resources RoomWithoutEndingRuns(const Slot& slot);
 
+/// @brief Whether room is being held for a waiting gang.
+[[nodiscard]] bool HoldsRoom(const Step& step, Time now);
+
 /// @brief Whether a step's tasks end, by their estimate, before any gang can
 ///   start that room is reserved for.
 [[nodiscard]] bool EndsBeforeGangs(const Round& round,
