--- a/include/buckthornmux/detail/cell/state.h
+++ b/include/buckthornmux/detail/cell/state.h
@@ -242,6 +242,9 @@
   Time arrived;
   WallMillis arrived_wall = 0;
   Millis objective{0};  ///< Target time from arrival to completion.
+  /// Estimated times from the start of each step to the end of the job; empty
+  /// until they are first needed.
+  std::vector<Millis> chains;
   std::map<std::uint32_t, Occurrence> occurrences;  ///< Open ones, by number.
   std::uint32_t occurrences_begun = 0;
   std::uint32_t occurrences_done = 0;
--- a/src/cell/internal.h
+++ b/src/cell/internal.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "buckthornmux/detail/cell/cell.h"
 
@@ -33,6 +34,9 @@
 /// Finds a task of an open occurrence; null if there is none.
 [[nodiscard]] Task* FindTask(Job& job, const TaskId& id);
 
+/// Estimates the time from the start of each step to the end of the job.
+[[nodiscard]] std::vector<Millis> ChainsOf(const JobSpec& spec);
+
 /// Marks a job as changed, to be stored; `urgent` if a caller waits for it.
 void MarkChanged(Cell& cell, Job& job, bool urgent, Time now);
 
--- a/src/cell/jobs.cc
+++ b/src/cell/jobs.cc
@@ -220,10 +220,7 @@
   }
 }
 
-namespace {
-
-/// Estimates the time from the start of each step to the end of the job.
-std::vector<Millis> Chains(const JobSpec& spec) {
+std::vector<Millis> ChainsOf(const JobSpec& spec) {
   std::vector<Millis> chains(spec.steps.size());
   std::vector<Millis> longest_after(spec.steps.size());
   for (std::size_t i = spec.steps.size(); i-- > 0;) {
@@ -237,14 +234,12 @@
   return chains;
 }
 
-}  // namespace
-
 Millis ChainFrom(const JobSpec& spec, std::uint32_t step) {
-  return Chains(spec)[step];
+  return ChainsOf(spec)[step];
 }
 
 Millis ObjectiveOf(const Queue& queue, const JobSpec& spec) {
-  const std::vector<Millis> chains = Chains(spec);
+  const std::vector<Millis> chains = ChainsOf(spec);
   const Millis chain =
       chains.empty() ? Millis(0) : *std::ranges::max_element(chains);
   const auto stretched = static_cast<std::int64_t>(
--- a/src/cell/plan.cc
+++ b/src/cell/plan.cc
@@ -73,7 +73,10 @@
       candidate.Spec().gang && HoldsRoom(*candidate.step, now) && !IsBusy(cell);
   candidate.excess = candidate.excess && !keeps_place;
   const Time began = BeganAt(cell, job, ref.occurrence);
-  const Millis chain = ChainFrom(job.spec, ref.step);
+  if (job.chains.empty()) {
+    job.chains = ChainsOf(job.spec);
+  }
+  const Millis chain = job.chains[ref.step];
   if (candidate.Spec().service) {
     // A service has no completion objective; it is ordered by waiting time.
     candidate.slack = candidate.step->ready_at - now;
