--- a/src/cell/health.cc
+++ b/src/cell/health.cc
@@ -9,7 +9,8 @@
 
 /// Consecutive failures after which a target is on probation.
 constexpr int kFailuresToProbe = 2;
-/// A pause is doubled for each failed trial, so many times at most.
+/// A pause is doubled for each failed trial after the first, so many times at
+/// most.
 constexpr int kMaxPauseDoublings = 2;
 /// A trial that has run for this time doesn't keep another task from starting.
 constexpr Millis kTrialTime{3000};
--- a/tests/unit-probation.cc
+++ b/tests/unit-probation.cc
@@ -248,7 +248,7 @@
     Run(world, Millis(3000));
     before = world.Target(0).sequence;
     Run(world, Millis(kMinute));
-    // Pauses of 3, 6, 12, 12 s and so on.
+    // Pauses of 3, 3, 6, 12, 12 s and so on.
     CPPUNIT_ASSERT_LESSEQUAL(std::uint64_t{8},
                              world.Target(0).sequence - before);
     for (int i = 0; i < kMinute / kJobGap; ++i) {
