--- a/tests/unit-gang-room.cc
+++ b/tests/unit-gang-room.cc
@@ -138,8 +138,8 @@
     world.Submit(Service("service", kServiceCpu));
     Run(world, Millis(1500));
     for (int i = 0; i < 6; ++i) {
-      cell::JobSpec gang =
-          Gang("gang-" + std::to_string(i), kGangCpu + i * 500, 5000);
+      cell::JobSpec gang = Gang("gang-" + std::to_string(i),
+                                kGangCpu + std::int64_t{500} * i, 5000);
       gang.team = "team-" + std::to_string(i);
       world.Submit(gang);
     }
--- a/tests/unit-probation.cc
+++ b/tests/unit-probation.cc
@@ -176,9 +176,10 @@
     FailAll(world, kTargets, false);
     Run(world, kMaxWait / 2);
     // All 15 cores that each target has left.
-    world.Submit(PlainJob("wide", 15 * kTargets, kHour));
+    constexpr std::uint32_t kCores = 15 * kTargets;
+    world.Submit(PlainJob("wide", kCores, kHour));
     Run(world, kMaxWait);
-    CPPUNIT_ASSERT_EQUAL(std::size_t{15 * kTargets},
+    CPPUNIT_ASSERT_EQUAL(std::size_t{kCores},
                          RunningOf(world, kTargets, "wide"));
   }
 
