Tasks that haven't started take no memory of their own

What callers saw: a job in a body under 10 kB, 64 steps of 10,000 tasks, took each owner of the cell over its memory; nobody was answered any more.

Cause: each task of a step had an object of some 200 bytes from the moment its occurrence began, 640,000 for such a job.

Change: TaskTable keeps objects only for tasks that have been started and are not done. Those that are done are ranges of numbers; those that were never started are what is left. Memory and the progress record follow what runs. The record's format is unchanged. A lookup of a done task now finds none; each caller treated a done task and no task alike.

--- a/include/buckthornmux/detail/cell/state.h
+++ b/include/buckthornmux/detail/cell/state.h
@@ -10,6 +10,7 @@
 #include <variant>
 #include <vector>
 
+#include "buckthornmux/detail/cell/tasks.h"
 #include "buckthornmux/detail/cell/types.h"
 #include "buckthornmux/detail/core/error.h"
 
@@ -155,40 +156,6 @@
   TargetHealth health;
 };
 
-/// A crash of a target while it ran a task.
-struct TaskCrash {
-  std::uint32_t run = 0;
-  TargetId target;
-  std::int64_t life = 0;
-  bool fresh = false;  ///< The run had begun within the clearance time.
-  /// The target had confirmed the run. A start without an answer may never have
-  /// reached it.
-  bool confirmed = false;
-
-  bool operator==(const TaskCrash&) const = default;
-};
-
-enum class TaskPhase : std::uint8_t { kWaiting, kLive, kDone };
-
-struct Task {
-  TaskPhase phase = TaskPhase::kWaiting;
-  std::uint32_t next_run = 1;
-  /// Numbers of the failed runs; each counts as one attempt.
-  std::vector<std::uint32_t> failed_runs;
-  TargetId target;  ///< Target of the live run.
-  std::uint32_t run = 0;
-  std::string checkpoint;
-  /// Crashes of targets that ran it and of which it isn't cleared.
-  std::vector<TaskCrash> crashes;
-  std::uint64_t crash_version = 0;  ///< Job version with the last of them.
-  [[nodiscard]] std::uint32_t Failures() const {
-    return static_cast<std::uint32_t>(failed_runs.size());
-  }
-  TargetId failed_on;  ///< Avoided by the next attempts.
-  Time failed_at;      ///< When its last failed run was reported.
-  int moves = 0;       ///< How often it was moved off a slow target.
-};
-
 /// A ticket and its expiry time.
 struct HeldTicket {
   std::string text;
@@ -219,7 +186,7 @@
 };
 
 struct Step {
-  std::vector<Task> tasks;
+  TaskTable tasks;
   std::uint32_t done = 0;
   std::uint32_t live = 0;
   bool ready = false;  ///< All earlier steps are done and this one is not.
@@ -228,6 +195,11 @@
   GangHold hold;
   /// Duration of the last complete run of one of its tasks, by target.
   std::map<TargetId, Millis> run_times;
+
+  /// @brief Number of tasks that have no run and are not done.
+  [[nodiscard]] std::uint32_t CountWaiting() const {
+    return tasks.Count() - done - live;
+  }
 };
 
 struct Occurrence {
--- a/src/cell/crashes.cc
+++ b/src/cell/crashes.cc
@@ -66,7 +66,7 @@
     bool cleared = false;
     for (auto& [number, occurrence] : job.occurrences) {
       for (Step& step : occurrence.steps) {
-        for (Task& task : step.tasks) {
+        for (auto& [index, task] : step.tasks.Started()) {
           cleared = std::erase_if(task.crashes, is_explained) > 0 || cleared;
         }
       }
@@ -84,7 +84,7 @@
   Job* job = FindJob(cell, id.task.job);
   Task* task =
       job == nullptr || job->Ended() ? nullptr : FindTask(*job, id.task);
-  if (task == nullptr || task->phase == TaskPhase::kDone ||
+  if (task == nullptr ||
       std::ranges::count(task->crashes, id.number, &TaskCrash::run) > 0) {
     return;
   }
--- a/src/cell/gangs.cc
+++ b/src/cell/gangs.cc
@@ -53,7 +53,7 @@
 /// that could hold the whole gang. If no rack is large enough, all places are
 /// kept, and the gang runs more slowly across several racks.
 void RestrictToOneRack(std::vector<Place>& places, const Candidate& candidate) {
-  const std::size_t wanted = candidate.step->tasks.size();
+  const std::size_t wanted = candidate.step->tasks.Count();
   struct Rack {
     std::uint32_t possible = 0;
     std::uint32_t free = 0;
@@ -86,10 +86,11 @@
 std::vector<Slot*> ChooseForGang(Round& round, const Candidate& candidate,
                                  const Queue& queue) {
   const StepSpec& spec = candidate.Spec();
-  const std::size_t wanted = candidate.step->tasks.size();
+  const std::size_t wanted = candidate.step->tasks.Count();
+  const Task* first = candidate.step->tasks.Find(0);
   std::vector<Place> places;
   for (Slot* slot : AllowedSlots(round, candidate, queue)) {
-    if (MayUse(round, candidate, queue, candidate.step->tasks[0], *slot)) {
+    if (MayUse(round, candidate, queue, first, *slot)) {
       places.push_back(MakePlace(*slot, candidate));
     }
   }
@@ -109,7 +110,7 @@
 bool MayUseMoreForGang(Round& round, const Candidate& candidate) {
   return MayUseMore(
       round, candidate,
-      Times(candidate.Spec().demand, candidate.step->tasks.size()));
+      Times(candidate.Spec().demand, candidate.step->tasks.Count()));
 }
 
 Resources SmallerOf(const Resources& left, const Resources& right) {
@@ -208,14 +209,14 @@
     if_empty +=
         SlotsOn(target, target.entry.capacity, candidate.Spec(), candidate.ref);
   }
-  const bool blocked = if_empty >= candidate.step->tasks.size();
+  const bool blocked = if_empty >= candidate.step->tasks.Count();
   GangHold& hold = candidate.step->hold;
   if (std::exchange(hold.blocked, blocked) != blocked) {
     Note(round.actions, blocked ? "gang_blocked" : "gang_unblocked",
          {{"job", candidate.ref.job},
           {"occurrence", std::to_string(candidate.ref.occurrence)},
           {"step", std::to_string(candidate.ref.step)},
-          {"tasks", std::to_string(candidate.step->tasks.size())},
+          {"tasks", std::to_string(candidate.step->tasks.Count())},
           {"reason", "services hold the room"}});
   }
 }
@@ -233,7 +234,7 @@
          {{"job", candidate.ref.job},
           {"occurrence", std::to_string(candidate.ref.occurrence)},
           {"step", std::to_string(candidate.ref.step)},
-          {"tasks", std::to_string(candidate.step->tasks.size())},
+          {"tasks", std::to_string(candidate.step->tasks.Count())},
           {"lasts_ms", std::to_string(lasts.count())},
           {"starts_in_ms", std::to_string((starts_at - now).count())}});
   };
@@ -267,11 +268,11 @@
   if (chosen.empty()) {
     return;
   }
-  std::uint32_t number = 1;
-  for (const Task& task : step.tasks) {
+  std::uint32_t number = step.tasks.FirstRun();
+  for (const auto& [index, task] : step.tasks.Started()) {
     number = std::max(number, task.next_run);
   }
-  for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
+  for (std::uint32_t i = 0; i < step.tasks.Count(); ++i) {
     StartTask(round, candidate, i, number, *chosen[i]);
   }
   candidate.step->hold = {};
@@ -302,7 +303,7 @@
     return;
   }
   std::vector<Place> places = PlacesFor(round, candidate, queue);
-  const auto wanted = static_cast<std::uint32_t>(candidate.step->tasks.size());
+  const std::uint32_t wanted = candidate.step->tasks.Count();
   std::uint32_t possible = 0;
   for (const Place& place : places) {
     possible += place.possible;
--- a/src/cell/internal.h
+++ b/src/cell/internal.h
@@ -11,6 +11,11 @@
 
 namespace buckthornmux::cell {
 
+/// Gap left in a task's run numbers after a takeover: the numbers of runs that
+/// a former owner started but that this one has not seen exceed the highest
+/// known number by less than this.
+inline constexpr std::uint32_t kTakeoverRunNumberGap = 64;
+
 /// Adds a decision to be logged to the actions.
 void Note(Actions& actions, std::string event,
           std::initializer_list<std::pair<std::string, std::string>> fields);
@@ -31,7 +36,7 @@
                              std::uint32_t step);
 [[nodiscard]] const Step* FindStep(const Job& job, std::uint32_t occurrence,
                                    std::uint32_t step);
-/// Finds a task of an open occurrence; null if there is none.
+/// Finds a task of an open occurrence; null if there is none or it is done.
 [[nodiscard]] Task* FindTask(Job& job, const TaskId& id);
 
 /// Estimates the time from the start of each step to the end of the job.
@@ -47,6 +52,9 @@
 void EndJob(Cell& cell, Actions& actions, Job& job, JobPhase phase,
             std::string_view why, Time now);
 
+/// Makes an occurrence of which nothing has been started.
+[[nodiscard]] Occurrence MakeOccurrence(const Cell& cell, const Job& job);
+
 /// Begins the occurrences that are due.
 void BeginDue(Cell& cell, Actions& actions, Job& job, Time now);
 
--- a/src/cell/jobs.cc
+++ b/src/cell/jobs.cc
@@ -197,10 +197,11 @@
 
 Task* FindTask(Job& job, const TaskId& id) {
   Step* step = FindStep(job, id.occurrence, id.step);
-  if (step == nullptr || id.index >= step->tasks.size()) {
+  if (step == nullptr || id.index >= step->tasks.Count() ||
+      step->tasks.IsDone(id.index)) {
     return nullptr;
   }
-  return &step->tasks[id.index];
+  return &step->tasks.Get(id.index);
 }
 
 void MarkChanged(Cell& cell, Job& job, bool urgent, Time now) {
--- a/src/cell/plan.cc
+++ b/src/cell/plan.cc
@@ -102,7 +102,7 @@
 
 /// Scores a slot for a task; lower is better.
 double Score(const Slot& slot, const Resources& room, const StepSpec& spec,
-             const Task& task, const Candidate& candidate) {
+             const Task* task, const Candidate& candidate) {
   const Target& target = *slot.target;
   const auto total = static_cast<double>(
       std::max<std::int64_t>(1, target.entry.capacity.cpu_milli));
@@ -117,14 +117,14 @@
       std::ranges::count(target.entry.labels, spec.data_rack) == 0) {
     score += kRemoteDataPenalty;
   }
-  if (task.failed_on == target.entry.id) {
+  if (task != nullptr && task->failed_on == target.entry.id) {
     score += kFailedTargetPenalty;
   }
   return score;
 }
 
 Slot* BestSlot(const Round& round, const Candidate& candidate,
-               const Queue& queue, const Task& task,
+               const Queue& queue, const Task* task,
                const std::vector<Slot*>& allowed) {
   const StepSpec& spec = candidate.Spec();
   Slot* best = nullptr;
@@ -155,26 +155,39 @@
     return;
   }
   const std::vector<Slot*> allowed = AllowedSlots(round, candidate, queue);
-  for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
-    const Task& task = step.tasks[i];
+  // Those that have been started before come first.
+  for (const auto& [index, task] : step.tasks.Started()) {
     if (task.phase != TaskPhase::kWaiting ||
         (candidate.suspect && !IsSuspect(task))) {
       continue;
     }
     if (!MayUseMore(round, candidate, spec.demand)) {
-      break;
+      return;
     }
-    Slot* slot = BestSlot(round, candidate, queue, task, allowed);
+    Slot* slot = BestSlot(round, candidate, queue, &task, allowed);
     if (slot == nullptr) {
       if (task.failed_runs.empty()) {
-        break;  // The other untried tasks have the same demand.
+        return;  // The other untried tasks have the same demand.
       }
       continue;
     }
-    StartTask(round, candidate, i, task.next_run, *slot);
+    StartTask(round, candidate, index, task.next_run, *slot);
     if (candidate.suspect) {
-      break;  // One task at a time, and one target.
+      return;  // One task at a time, and one target.
+    }
+  }
+  if (candidate.suspect) {
+    return;
+  }
+  for (std::uint32_t i = step.tasks.NextUnstarted(0); i < step.tasks.Count();
+       i = step.tasks.NextUnstarted(i + 1)) {
+    Slot* slot = MayUseMore(round, candidate, spec.demand)
+                     ? BestSlot(round, candidate, queue, nullptr, allowed)
+                     : nullptr;
+    if (slot == nullptr) {
+      return;
     }
+    StartTask(round, candidate, i, step.tasks.FirstRun(), *slot);
   }
 }
 
@@ -182,19 +195,22 @@
 /// a long queue has many more.
 void FindSuspects(Candidate& candidate) {
   candidate.suspect =
-      std::ranges::any_of(candidate.step->tasks, [](const Task& task) {
-        return task.phase != TaskPhase::kDone && IsSuspect(task);
+      std::ranges::any_of(candidate.step->tasks.Started(), [](const auto& task) {
+        return IsSuspect(task.second);
       });
   candidate.slow_suspect =
-      std::ranges::any_of(candidate.step->tasks, IsSlowSuspect);
+      std::ranges::any_of(candidate.step->tasks.Started(), [](const auto& task) {
+        return IsSlowSuspect(task.second);
+      });
 }
 
 /// Whether the crashes of a step's suspected tasks are stored.
 bool AreCrashesStored(const Candidate& candidate) {
   const Job& job = *candidate.job;
-  return std::ranges::all_of(candidate.step->tasks, [&](const Task& task) {
-    return task.crash_version <= job.durable;
-  });
+  return std::ranges::all_of(
+      candidate.step->tasks.Started(), [&](const auto& task) {
+        return task.second.crash_version <= job.durable;
+      });
 }
 
 std::size_t CountEmpty(const Round& round) {
--- a/src/cell/record_load.cc
+++ b/src/cell/record_load.cc
@@ -14,42 +14,53 @@
 
 namespace {
 
+/// Whether a task is as if it had never been started: the first run of this
+/// epoch has a higher number than any that a former owner can have used.
+bool IsUnstarted(const StoredTasks& stored, std::uint32_t first_run) {
+  return stored.next_run + kTakeoverRunNumberGap <= first_run && stored.failed_runs.empty() &&
+         stored.crashes.empty() && stored.checkpoint.empty();
+}
+
 void Restore(Step& step, const std::vector<StoredTasks>& stored) {
-  std::size_t next = 0;
+  std::uint32_t next = 0;
   for (const StoredTasks& from : stored) {
-    for (std::uint32_t i = 0; i < from.count && next < step.tasks.size(); ++i) {
-      Task& task = step.tasks[next++];
-      task.phase = from.done ? TaskPhase::kDone : TaskPhase::kWaiting;
-      task.next_run = from.next_run;
-      task.failed_runs = from.failed_runs;
-      task.crashes = from.crashes;
-      task.checkpoint = from.checkpoint;
-      step.done += from.done ? 1U : 0U;
+    const std::uint32_t count =
+        std::min(from.count, step.tasks.Count() - next);
+    if (from.done && count > 0) {
+      step.tasks.MarkDone(next, next + count - 1);
+      step.done += count;
+    } else if (!IsUnstarted(from, step.tasks.FirstRun())) {
+      for (std::uint32_t i = next; i < next + count; ++i) {
+        Task& task = step.tasks.Get(i);
+        task.next_run = from.next_run;
+        task.failed_runs = from.failed_runs;
+        task.crashes = from.crashes;
+        task.checkpoint = from.checkpoint;
+      }
     }
+    next += count;
   }
 }
 
-void Restore(Job& job, const StoredOccurrence& stored) {
-  Occurrence occurrence;
-  for (std::size_t i = 0; i < job.spec.steps.size(); ++i) {
-    Step step;
-    step.tasks.resize(job.spec.steps[i].count);
+void Restore(const Cell& cell, Job& job, const StoredOccurrence& stored) {
+  Occurrence occurrence = MakeOccurrence(cell, job);
+  for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+    Step& step = occurrence.steps[i];
     if (i < stored.steps.size()) {
       Restore(step, stored.steps[i]);
     }
-    occurrence.steps_done += step.done >= step.tasks.size() ? 1U : 0U;
-    occurrence.steps.push_back(std::move(step));
+    occurrence.steps_done += step.done >= step.tasks.Count() ? 1U : 0U;
   }
   job.occurrences.emplace(stored.number, std::move(occurrence));
 }
 
-void RestoreProgress(Job& job, const StoredProgress& progress) {
+void RestoreProgress(const Cell& cell, Job& job, const StoredProgress& progress) {
   job.phase = progress.phase;
   job.occurrences_begun = progress.begun;
   job.occurrences_done = progress.done;
   job.progress_stored = true;
   for (const StoredOccurrence& open : progress.open) {
-    Restore(job, open);
+    Restore(cell, job, open);
   }
 }
 
@@ -165,7 +176,7 @@
       Job* job = FindJob(cell, key.substr(kProgressKey.size()));
       // Progress of unknown or ended jobs is ignored.
       if (job != nullptr && !job->Ended()) {
-        RestoreProgress(*job, progress);
+        RestoreProgress(cell, *job, progress);
       }
     } else if (key == kTargetsKey) {
       BOOST_LEAF_AUTO(
--- a/src/cell/records.cc
+++ b/src/cell/records.cc
@@ -21,7 +21,7 @@
 
 StoredTasks StateOf(const Task& task) {
   return {1,
-          task.phase == TaskPhase::kDone,
+          false,
           task.next_run,
           task.failed_runs,
           task.crashes,
@@ -34,22 +34,50 @@
          left.crashes == right.crashes && left.checkpoint == right.checkpoint;
 }
 
+/// Adds consecutive tasks to the rows of a step.
+void AddRow(std::vector<StoredTasks>& rows, StoredTasks row) {
+  if (!rows.empty() && HaveSameState(rows.back(), row)) {
+    rows.back().count += row.count;
+  } else {
+    rows.push_back(std::move(row));
+  }
+}
+
+/// Returns the states of a step's tasks, in order.
+std::vector<StoredTasks> RowsOf(const TaskTable& tasks) {
+  std::vector<StoredTasks> rows;
+  auto done = tasks.Done().Ranges().begin();
+  auto started = tasks.Started().begin();
+  std::uint32_t next = 0;
+  while (next < tasks.Count()) {
+    const bool any_done = done != tasks.Done().Ranges().end();
+    const bool any_started = started != tasks.Started().end();
+    if (any_done && done->first == next) {
+      AddRow(rows, {done->second - next + 1, true});
+      next = done->second + 1;
+      ++done;
+    } else if (any_started && started->first == next) {
+      AddRow(rows, StateOf(started->second));
+      ++next;
+      ++started;
+    } else {
+      const std::uint32_t end =
+          std::min(any_done ? done->first : tasks.Count(),
+                   any_started ? started->first : tasks.Count());
+      AddRow(rows, {end - next, false, tasks.FirstRun()});
+      next = end;
+    }
+  }
+  return rows;
+}
+
 StoredProgress ProgressOf(const Job& job) {
   StoredProgress stored{
       job.phase, job.occurrences_begun, job.occurrences_done, {}};
   for (const auto& [number, occurrence] : job.occurrences) {
     StoredOccurrence open{number, {}};
     for (const Step& step : occurrence.steps) {
-      std::vector<StoredTasks> tasks;
-      for (const Task& task : step.tasks) {
-        StoredTasks state = StateOf(task);
-        if (!tasks.empty() && HaveSameState(tasks.back(), state)) {
-          ++tasks.back().count;
-        } else {
-          tasks.push_back(std::move(state));
-        }
-      }
-      open.steps.push_back(std::move(tasks));
+      open.steps.push_back(RowsOf(step.tasks));
     }
     stored.open.push_back(std::move(open));
   }
--- a/src/cell/reports.cc
+++ b/src/cell/reports.cc
@@ -194,7 +194,8 @@
     const bool gang = job->spec.steps[report.run.task.step].gang;
     Step& step =
         *FindStep(*job, report.run.task.occurrence, report.run.task.step);
-    step.tasks[gang ? 0 : report.run.task.index].checkpoint = report.checkpoint;
+    step.tasks.Get(gang ? 0 : report.run.task.index).checkpoint =
+        report.checkpoint;
   }
 }
 
--- a/src/cell/round.h
+++ b/src/cell/round.h
@@ -154,8 +154,9 @@
                                     const StepSpec& spec, const StepRef& ref);
 
 /// @brief Whether a task may start on an allowed slot, regardless of room.
+/// @param task null if it was never started
 [[nodiscard]] bool MayUse(const Round& round, const Candidate& candidate,
-                          const Queue& queue, const Task& task,
+                          const Queue& queue, const Task* task,
                           const Slot& slot);
 
 /// @brief Starts a task: reserves its resources and sends the start.
--- a/src/cell/runs.cc
+++ b/src/cell/runs.cc
@@ -30,8 +30,7 @@
   if (step == nullptr || !job->spec.steps[id.task.step].gang) {
     return;
   }
-  for (std::uint32_t i = 0; i < step->tasks.size(); ++i) {
-    const Task& task = step->tasks[i];
+  for (const auto& [i, task] : step->tasks.Started()) {
     if (task.phase != TaskPhase::kLive) {
       continue;
     }
@@ -70,7 +69,7 @@
                   target.entry.life,
                   id,
                   known.spec.payload,
-                  step->tasks[spec.gang ? 0 : id.task.index].checkpoint,
+                  step->tasks.CheckpointOf(spec.gang ? 0 : id.task.index),
                   ticket == step->advice.tickets.end() ? std::string()
                                                        : ticket->second.text,
                   DeadlineAt(cell, target, now),
--- a/src/cell/starts.cc
+++ b/src/cell/starts.cc
@@ -17,19 +17,22 @@
 }  // namespace
 
 bool MayUse(const Round& round, const Candidate& candidate, const Queue& queue,
-            const Task& task, const Slot& slot) {
+            const Task* task, const Slot& slot) {
   if (slot.trial_begun) {
     return false;
   }
+  if (task == nullptr) {
+    return true;
+  }
   const Target& target = *slot.target;
   const StepSpec& spec = candidate.Spec();
-  const bool last_attempt = task.Failures() + 1 >= queue.max_attempts;
-  const Millis waited = round.now - task.failed_at;
-  if (task.failed_runs.empty() || !last_attempt || spec.service ||
+  const bool last_attempt = task->Failures() + 1 >= queue.max_attempts;
+  const Millis waited = round.now - task->failed_at;
+  if (task->failed_runs.empty() || !last_attempt || spec.service ||
       waited > kMaxHealthyTargetDelay) {
     return true;
   }
-  const bool healthy = task.failed_on != target.entry.id &&
+  const bool healthy = task->failed_on != target.entry.id &&
                        target.health.consecutive_failures == 0;
   const bool proven = round.now - target.health.last_success <= kMaxProvenAge;
   return healthy && (proven || waited > kMaxProvenTargetDelay);
@@ -41,7 +44,7 @@
   Job& job = *candidate.job;
   Step& step = *candidate.step;
   const StepSpec& spec = candidate.Spec();
-  Task& task = step.tasks[index];
+  Task& task = step.tasks.Get(index);
   const RunId id{
       {job.spec.id, candidate.ref.occurrence, candidate.ref.step, index},
       number};
@@ -77,7 +80,7 @@
   task.next_run = number + 1;
   ++step.live;
   const auto ticket = step.advice.tickets.find(target.entry.id);
-  const std::string checkpoint = step.tasks[spec.gang ? 0 : index].checkpoint;
+  const std::string checkpoint = step.tasks.CheckpointOf(spec.gang ? 0 : index);
   round.actions.emplace_back(SendStart{
       target.entry.id, target.entry.life, id, job.spec.payload, checkpoint,
       ticket == step.advice.tickets.end() ? std::string() : ticket->second.text,
--- a/src/cell/steps.cc
+++ b/src/cell/steps.cc
@@ -8,34 +8,25 @@
 namespace buckthornmux::cell {
 namespace {
 
-/// Gap left in a task's run numbers after a takeover: the numbers of runs that
-/// a former owner started but that this one has not seen exceed the highest
-/// known number by less than this.
-constexpr std::uint32_t kTakeoverRunNumberGap = 64;
 /// Epochs above this don't count in run numbers, which have 32 bits.
 constexpr Epoch kMaxNumberedEpoch = 10'000'000;
 
+/// Returns the first run number of an epoch.
+std::uint32_t FirstRunOf(Epoch epoch) {
+  return static_cast<std::uint32_t>(
+      std::min(epoch, kMaxNumberedEpoch) * kTakeoverRunNumberGap + 1);
+}
+
 /// Leaves a gap in a task's run numbers. Numbers of several owners in a row may
 /// be unknown, since starts aren't stored, so that each epoch has its own.
 /// @return whether the number must be stored to differ from the next owner's
 bool SkipFormerRuns(Task& task, Epoch epoch) {
-  const auto of_epoch = static_cast<std::uint32_t>(
-      std::min(epoch, kMaxNumberedEpoch) * kTakeoverRunNumberGap + 1);
+  const std::uint32_t of_epoch = FirstRunOf(epoch);
   const std::uint32_t after_known = task.next_run + kTakeoverRunNumberGap;
   task.next_run = std::max(after_known, of_epoch);
   return after_known > of_epoch;
 }
 
-Occurrence MakeOccurrence(const JobSpec& spec) {
-  Occurrence occurrence;
-  for (const StepSpec& step_spec : spec.steps) {
-    Step step;
-    step.tasks.resize(step_spec.count);
-    occurrence.steps.push_back(std::move(step));
-  }
-  return occurrence;
-}
-
 bool IsDue(const Cell& cell, const Job& job, Time now) {
   const Recurrence& recurrence = job.spec.recurrence;
   if (recurrence.count == 0) {
@@ -68,16 +59,18 @@
 
 /// Marks tasks done; a gang is done as a whole.
 void MarkDone(Step& step, const StepSpec& spec, std::uint32_t index) {
-  for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
-    Task& task = step.tasks[i];
-    if ((spec.gang || i == index) && task.phase != TaskPhase::kDone) {
-      if (task.phase == TaskPhase::kLive) {
-        --step.live;
-      }
-      task.phase = TaskPhase::kDone;
-      task.checkpoint.clear();
-      ++step.done;
+  const std::uint32_t first = spec.gang ? 0 : index;
+  const std::uint32_t last = spec.gang ? step.tasks.Count() - 1 : index;
+  for (std::uint32_t i = first; i <= last; ++i) {
+    if (step.tasks.IsDone(i)) {
+      continue;
+    }
+    const Task* task = step.tasks.Find(i);
+    if (task != nullptr && task->phase == TaskPhase::kLive) {
+      --step.live;
     }
+    step.tasks.MarkDone(i);
+    ++step.done;
   }
 }
 
@@ -104,7 +97,7 @@
                 const TargetId& target, Time now) {
   Step& step = *FindStep(job, run.task.occurrence, run.task.step);
   const StepSpec& spec = job.spec.steps[run.task.step];
-  Task& counted = step.tasks[spec.gang ? 0 : run.task.index];
+  Task& counted = step.tasks.Get(spec.gang ? 0 : run.task.index);
   if (std::ranges::count(counted.failed_runs, run.number) > 0) {
     return;
   }
@@ -124,7 +117,7 @@
 void KeepCheckpoint(Step& step, const StepSpec& spec, std::uint32_t index,
                     const std::string& checkpoint) {
   if (!checkpoint.empty()) {
-    step.tasks[spec.gang ? 0 : index].checkpoint = checkpoint;
+    step.tasks.Get(spec.gang ? 0 : index).checkpoint = checkpoint;
   }
 }
 
@@ -157,6 +150,20 @@
 
 }  // namespace
 
+Occurrence MakeOccurrence(const Cell& cell, const Job& job) {
+  // A former owner may have started any task of a job that was taken over.
+  const std::uint32_t first_run =
+      job.adopted
+          ? std::max(FirstRunOf(cell.epoch), kTakeoverRunNumberGap + 1)
+          : 1;
+  Occurrence occurrence;
+  occurrence.steps.reserve(job.spec.steps.size());
+  for (const StepSpec& spec : job.spec.steps) {
+    occurrence.steps.emplace_back().tasks = TaskTable(spec.count, first_run);
+  }
+  return occurrence;
+}
+
 std::vector<TargetId> Unreported(const Cell& cell, Time now) {
   std::vector<TargetId> unreported;
   for (const auto& [id, until] : cell.expected) {
@@ -188,7 +195,7 @@
 void BeginDue(Cell& cell, Actions& actions, Job& job, Time now) {
   while (!job.Ended() && IsDue(cell, job, now)) {
     const std::uint32_t number = job.occurrences_begun++;
-    job.occurrences.emplace(number, MakeOccurrence(job.spec));
+    job.occurrences.emplace(number, MakeOccurrence(cell, job));
     RefreshReady(cell, job, number, now);
     if (job.spec.recurrence.count > 0) {
       MarkChanged(cell, job, false, now);
@@ -207,7 +214,7 @@
     return;
   }
   const Step& step = found->second.steps[number];
-  const bool waits = step.ready && step.done + step.live < step.tasks.size();
+  const bool waits = step.ready && step.CountWaiting() > 0;
   if (waits) {
     cell.ready.insert(ref);
   } else {
@@ -261,11 +268,11 @@
   if (end.end == RunEnd::kDone || end.end == RunEnd::kFailed) {
     ClearSuspicion(cell, actions, end.run, true, now);
   }
-  if (end.end == RunEnd::kDone && task->phase != TaskPhase::kDone) {
+  if (end.end == RunEnd::kDone) {
     if (!spec.service) {
       TaskDone(cell, actions, *job, end.run.task, now);
     }
-  } else if (end.end == RunEnd::kFailed && task->phase != TaskPhase::kDone) {
+  } else if (end.end == RunEnd::kFailed) {
     TaskFailed(cell, actions, *job, end.run, target.entry.id, now);
   }
   cell.plan_due = true;
@@ -306,21 +313,19 @@
       for (std::uint32_t i = 0; i < occurrence.steps.size(); ++i) {
         Step& step = occurrence.steps[i];
         bool store = false;
-        for (Task& task : step.tasks) {
-          const bool open = task.phase != TaskPhase::kDone;
-          store = (SkipFormerRuns(task, cell.epoch) && open) || store;
+        for (auto& [index, task] : step.tasks.Started()) {
+          store = SkipFormerRuns(task, cell.epoch) || store;
         }
         if (store) {
           MarkChanged(cell, job, false, now);
         }
         // A gang of which only some members run can't continue.
         const bool partial = job.spec.steps[i].gang && step.live > 0 &&
-                             step.live < step.tasks.size();
+                             step.live < step.tasks.Count();
         if (!partial) {
           continue;
         }
-        for (std::uint32_t t = 0; t < step.tasks.size(); ++t) {
-          const Task& task = step.tasks[t];
+        for (const auto& [t, task] : step.tasks.Started()) {
           Target* target = task.phase == TaskPhase::kLive
                                ? FindTarget(cell, task.target)
                                : nullptr;
--- a/src/cell/team_limits.cc
+++ b/src/cell/team_limits.cc
@@ -49,11 +49,9 @@
   std::vector<std::optional<std::size_t>> row_ending_at(spec.steps.size());
   for (std::size_t i = 0; i < spec.steps.size(); ++i) {
     const StepSpec& step = spec.steps[i];
-    const std::int64_t waiting =
-        occurrence == nullptr
-            ? step.count
-            : std::ranges::count(occurrence->steps[i].tasks,
-                                 TaskPhase::kWaiting, &Task::phase);
+    const std::int64_t waiting = occurrence == nullptr
+                                     ? step.count
+                                     : occurrence->steps[i].CountWaiting();
     const Resources most = Times(step.demand, waiting);
     std::optional<std::size_t> row;
     for (const std::uint32_t before : step.after) {
@@ -176,8 +174,7 @@
   }
   for (const auto& [number, occurrence] : job.occurrences) {
     for (std::uint32_t i = 0; i < occurrence.steps.size(); ++i) {
-      const auto waiting = static_cast<std::uint32_t>(std::ranges::count(
-          occurrence.steps[i].tasks, TaskPhase::kWaiting, &Task::phase));
+      const std::uint32_t waiting = occurrence.steps[i].CountWaiting();
       if (waiting > 0) {
         EndedRuns& runs = cell.unknown.of_ended_jobs[{job.spec.id, i}];
         runs = {runs.count + waiting, job.spec.steps[i].demand};
