Overdue occurrences of recurring jobs begin bit by bit

Cause: BeginDue made all objects of all due occurrences in one call, each with a log line, a place in the ready set and rows in the progress record. A next owner did the same before it had read its first report, so that nothing ended it.

Ruled out: a bound on open occurrences (those with lasting tasks never end), and a bound on waiting ones alone (some wait for room that never comes).

Change: an occurrence gets objects when it may start. The progress record lists shelved ranges at its end, only if there are any; a record of an earlier build, with each occurrence, is read one occurrence at a time. An occurrence that a target reports and whose begin was never stored is opened, and not run again. Unknown runs of former owners are counted for ranges too. Among late steps each job's oldest occurrence comes first.

--- a/include/buckthornmux/detail/cell/state.h
+++ b/include/buckthornmux/detail/cell/state.h
@@ -44,6 +44,9 @@
   /// Maximum jobs in the cell, including ended ones that are still retained;
   /// submits beyond this are refused.
   std::size_t max_open_jobs = 20'000;
+  /// Maximum steps of occurrences of recurring jobs that have objects. Beyond
+  /// it, each job may have one occurrence with objects.
+  std::size_t max_recurring_steps = 60'000;
   /// Capacity of a team's token bucket, as time at the team's rate.
   Millis share_burst{2000};
   /// Minimum backlog, as a fraction of the total CPU capacity, at which jobs
@@ -190,6 +193,8 @@
   std::uint32_t done = 0;
   std::uint32_t live = 0;
   bool ready = false;  ///< All earlier steps are done and this one is not.
+  /// Is counted in Job::untouched.
+  bool untouched = false;
   Time ready_at;
   AdviceState advice;
   GangHold hold;
@@ -207,6 +212,9 @@
   std::uint32_t steps_done = 0;
 };
 
+/// Steps of an occurrence that are done, one bit each.
+using DoneSteps = std::uint64_t;
+
 struct Job {
   JobSpec spec;
   JobPhase phase = JobPhase::kQueued;
@@ -217,7 +225,16 @@
   /// Estimated times from the start of each step to the end of the job; empty
   /// until they are first needed.
   std::vector<Millis> chains;
-  std::map<std::uint32_t, Occurrence> occurrences;  ///< Open ones, by number.
+  /// Open occurrences with objects, by number.
+  std::map<std::uint32_t, Occurrence> occurrences;
+  /// Open occurrences of a recurring job of which nothing has been started but
+  /// the steps that are done. They are alike and need no objects.
+  std::map<DoneSteps, NumberRanges> shelved;
+  /// By step: occurrences with objects in which it is ready and has a task that
+  /// was never started.
+  std::vector<std::uint32_t> untouched;
+  /// Occurrences below this number have begun: they have objects, are shelved
+  /// or are done. The others that are due need no objects either.
   std::uint32_t occurrences_begun = 0;
   std::uint32_t occurrences_done = 0;
   std::uint64_t version = 0;      ///< Incremented by each change to store.
@@ -419,6 +436,11 @@
   bool ended_runs_stored = false;  ///< The stored ones aren't empty.
   UnknownRuns unknown;      ///< Brought up to date while `recovered` is false.
   std::set<StepRef> ready;  ///< Steps with tasks waiting to start.
+  /// Recurring jobs with occurrences that are due and have no objects.
+  std::set<JobId> behind;
+  JobId behind_last;  ///< The last of them that was looked at.
+  /// Steps of all occurrences of recurring jobs that have objects.
+  std::size_t recurring_steps = 0;
   std::vector<AdviceLane> lanes;
   std::map<std::uint64_t, OpenAdvice> open_advice;
   std::map<QueueName, AdviceStats> advice_stats;
--- a/src/cell/internal.h
+++ b/src/cell/internal.h
@@ -55,14 +55,47 @@
 /// Makes an occurrence of which nothing has been started.
 [[nodiscard]] Occurrence MakeOccurrence(const Cell& cell, const Job& job);
 
-/// Begins the occurrences that are due.
-void BeginDue(Cell& cell, Actions& actions, Job& job, Time now);
+/// Number of the first run of a task that was never started.
+[[nodiscard]] std::uint32_t FirstRunOf(const Cell& cell, const Job& job);
+
+/// Begins a job that runs once; marks a recurring one that is behind.
+void BeginDue(Cell& cell, Job& job, Time now);
+
+/// Begins occurrences that are due, oldest first, as long as all that wait with
+/// objects may start in one round.
+void OpenDue(Cell& cell, Actions& actions, Time now);
+
+/// Gives objects to the occurrence of a run that a target has reported. A
+/// former owner may have begun it without storing that.
+void OpenReported(Cell& cell, Job& job, const TaskId& task, Time now);
+
+/// Takes over an open occurrence, or occurrences of which nothing but the steps
+/// in `done` has been started, from a stored record.
+void RestoreOccurrence(Cell& cell, Job& job, std::uint32_t number,
+                       Occurrence occurrence);
+void RestoreShelf(Cell& cell, Job& job, DoneSteps done, std::uint32_t first,
+                  std::uint32_t last);
+
+/// Drops the objects of one occurrence, or of all, also of the shelved ones.
+void CloseOccurrence(Cell& cell, Job& job, std::uint32_t number);
+void CloseOccurrences(Cell& cell, Job& job);
+
+/// Shelves an occurrence that waits as many others of its job do.
+void ShelveIfIdle(Cell& cell, Job& job, std::uint32_t number);
+
+/// Occurrences of a job that are due and haven't begun.
+[[nodiscard]] std::uint64_t CountNotBegun(const Cell& cell, const Job& job,
+                                          Time now);
+
+/// Occurrences of a job that are due and have no objects.
+[[nodiscard]] std::uint64_t CountUnopened(const Cell& cell, const Job& job,
+                                          Time now);
 
 /// Puts steps whose predecessors are done into the ready set.
 void RefreshReady(Cell& cell, Job& job, std::uint32_t occurrence, Time now);
 
 /// Updates the entry of a step in the ready set.
-void RefreshStep(Cell& cell, const Job& job, std::uint32_t occurrence,
+void RefreshStep(Cell& cell, Job& job, std::uint32_t occurrence,
                  std::uint32_t step);
 
 /// Removes a run; its task waits again unless it is done.
--- a/src/cell/jobs.cc
+++ b/src/cell/jobs.cc
@@ -353,20 +353,15 @@
 void EndJob(Cell& cell, Actions& actions, Job& job, JobPhase phase,
             std::string_view why, Time now) {
   Invariant(!job.Ended(), "job_ends_once", job.spec.id);
-  KeepUnknownRuns(cell, job);
+  KeepUnknownRuns(cell, job, now);
   if (!job.started) {
     --cell.pending[job.spec.queue];
     job.started = true;
   }
   job.phase = phase;
   job.ended_at = now;
-  for (const auto& [number, occurrence] : job.occurrences) {
-    for (std::uint32_t i = 0; i < occurrence.steps.size(); ++i) {
-      cell.ready.erase({job.spec.id, number, i});
-    }
-  }
+  CloseOccurrences(cell, job);
   StopAll(cell, actions, job, PhaseName(phase), now);
-  job.occurrences.clear();
   job.spec.payload.clear();
   job.spec.payload.shrink_to_fit();
   MarkChanged(cell, job, true, now);
--- a/src/cell/plan.cc
+++ b/src/cell/plan.cc
@@ -36,13 +36,21 @@
 }
 
 /// Planning order of steps. Late steps come after those that can still meet
-/// their objective; otherwise every job would be late under overload.
+/// their objective; otherwise every job would be late under overload. Of those,
+/// each job's oldest occurrence comes first, so that a job that is far behind
+/// doesn't keep others waiting.
 bool Before(const Candidate& a, const Candidate& b) {
   const int a_class = ClassOf(a);
   const int b_class = ClassOf(b);
   if (a_class != b_class) {
     return a_class < b_class;
   }
+  const auto rank = [](const Candidate& candidate) {
+    return candidate.late || candidate.hopeless ? candidate.rank : 0;
+  };
+  if (rank(a) != rank(b)) {
+    return rank(a) < rank(b);
+  }
   if (a.slack != b.slack) {
     return a.slack < b.slack;
   }
@@ -229,7 +237,7 @@
 }
 
 void PlanStep(Round& round, const Candidate& candidate) {
-  const Job& job = *candidate.job;
+  Job& job = *candidate.job;
   const Queue* queue = QueueOf(round.cell, job);
   if (queue == nullptr || candidate.step == nullptr) {
     return;
@@ -319,12 +327,21 @@
   if (!cell.loaded) {
     return;
   }
+  OpenDue(cell, actions, now);
   std::vector<Candidate> candidates;
+  std::uint32_t rank = 0;
+  const StepRef* last = nullptr;
   for (const StepRef& ref : cell.ready) {
     Job& job = *FindJob(cell, ref.job);
-    if (MayStartTasks(cell, job)) {
-      candidates.push_back(MakeCandidate(cell, ref, job, now));
+    if (!MayStartTasks(cell, job)) {
+      continue;
     }
+    const bool same_job = last != nullptr && last->job == ref.job;
+    const bool next = same_job && last->occurrence != ref.occurrence;
+    rank = same_job ? rank + (next ? 1 : 0) : 0;
+    last = &ref;
+    candidates.push_back(MakeCandidate(cell, ref, job, now));
+    candidates.back().rank = rank;
   }
   CountBacklog(cell, candidates);
   const std::size_t planned = std::min(candidates.size(), kMaxPlannedSteps);
--- a/src/cell/record_codec.cc
+++ b/src/cell/record_codec.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <limits>
 #include <optional>
 #include <span>
 #include <unordered_map>
@@ -346,6 +347,44 @@
   return tasks;
 }
 
+void PutShelves(Writer& out, const std::map<DoneSteps, NumberRanges>& shelves) {
+  PutVarint(out, shelves.size());
+  for (const auto& [done, numbers] : shelves) {
+    PutVarint(out, done);
+    PutVarint(out, numbers.Ranges().size());
+    std::uint32_t next = 0;
+    for (const auto& [first, last] : numbers.Ranges()) {
+      PutVarint(out, first - next);
+      PutVarint(out, last - first);
+      next = last;
+    }
+  }
+}
+
+std::map<DoneSteps, NumberRanges> ReadShelves(Reader& in) {
+  std::map<DoneSteps, NumberRanges> shelves;
+  const std::size_t count = ReadCount(in);
+  for (std::size_t i = 0; i < count && in.valid; ++i) {
+    NumberRanges& numbers = shelves[ReadVarint(in)];
+    const std::size_t ranges = ReadCount(in);
+    std::uint64_t next = 0;
+    for (std::size_t r = 0; r < ranges && in.valid; ++r) {
+      const std::uint64_t after = ReadVarint(in);
+      const std::uint64_t length = ReadVarint(in);
+      constexpr std::uint64_t kMax = std::numeric_limits<std::uint32_t>::max();
+      in.valid = in.valid && after <= kMax && length <= kMax &&
+                 (r == 0 || after > 0) && next + after + length <= kMax;
+      if (in.valid) {
+        const auto first = static_cast<std::uint32_t>(next + after);
+        next = first + length;
+        numbers.Add(first, static_cast<std::uint32_t>(next));
+      }
+    }
+    in.valid = in.valid && !numbers.Empty();
+  }
+  return shelves;
+}
+
 Result<Reader> Open(std::string_view bytes, std::string_view what) {
   BOOST_LEAF_AUTO(packed, DecodeBinary<Packed>(bytes, what));
   Reader in;
@@ -445,24 +484,38 @@
       }
     }
   }
+  if (!progress.shelved.empty()) {
+    PutShelves(out, progress.shelved);
+  }
   return EncodeBinary(out.packed);
 }
 
-Result<StoredProgress> DecodeProgress(std::string_view bytes,
-                                      std::string_view what) {
+Result<StoredProgress> DecodeProgress(
+    std::string_view bytes, std::string_view what,
+    const std::function<void(StoredOccurrence&)>& open) {
   BOOST_LEAF_AUTO(in, Open(bytes, what));
   StoredProgress progress;
   progress.phase = ReadPhase(in);
   progress.begun = ReadUint32(in);
   progress.done = ReadUint32(in);
-  progress.open.resize(ReadCount(in));
-  for (StoredOccurrence& occurrence : progress.open) {
+  const std::size_t count = ReadCount(in);
+  for (std::size_t i = 0; i < count && in.valid; ++i) {
+    StoredOccurrence occurrence;
     occurrence.number = ReadUint32(in);
-    occurrence.steps.resize(ReadCount(in));
-    for (std::vector<StoredTasks>& step : occurrence.steps) {
-      step.resize(ReadCount(in));
-      std::ranges::generate(step, [&in] { return ReadStoredTasks(in); });
+    const std::size_t steps = ReadCount(in);
+    for (std::size_t s = 0; s < steps && in.valid; ++s) {
+      std::vector<StoredTasks>& rows = occurrence.steps.emplace_back();
+      const std::size_t rows_of_step = ReadCount(in);
+      for (std::size_t r = 0; r < rows_of_step && in.valid; ++r) {
+        rows.push_back(ReadStoredTasks(in));
+      }
     }
+    if (in.valid) {
+      open(occurrence);
+    }
+  }
+  if (in.valid && in.next < in.packed.numbers.size()) {
+    progress.shelved = ReadShelves(in);
   }
   if (!IsComplete(in)) {
     return Fail(ErrorKind::kMalformed,
--- a/src/cell/record_codec.h
+++ b/src/cell/record_codec.h
@@ -2,6 +2,8 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -45,6 +47,9 @@
   std::uint32_t begun = 0;
   std::uint32_t done = 0;
   std::vector<StoredOccurrence> open;
+  /// Open occurrences that wait alike, see Job::shelved. Written only if there
+  /// are any; earlier builds don't know it.
+  std::map<DoneSteps, NumberRanges> shelved;
 };
 
 /// @brief Returns an upper bound on the bytes that a job adds to a record.
@@ -60,7 +65,11 @@
                                                         std::string_view what);
 [[nodiscard]] Result<std::vector<StoredEnd>> DecodeEnds(std::string_view bytes,
                                                         std::string_view what);
-[[nodiscard]] Result<StoredProgress> DecodeProgress(std::string_view bytes,
-                                                    std::string_view what);
+/// @param open receives the open occurrences, one at a time, since a record of
+///   an earlier build may have more of them than fit into memory
+/// @return the progress without open occurrences
+[[nodiscard]] Result<StoredProgress> DecodeProgress(
+    std::string_view bytes, std::string_view what,
+    const std::function<void(StoredOccurrence&)>& open);
 
 }  // namespace buckthornmux::cell
--- a/src/cell/record_load.cc
+++ b/src/cell/record_load.cc
@@ -42,7 +42,7 @@
   }
 }
 
-void Restore(const Cell& cell, Job& job, const StoredOccurrence& stored) {
+void Restore(Cell& cell, Job& job, const StoredOccurrence& stored) {
   Occurrence occurrence = MakeOccurrence(cell, job);
   for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
     Step& step = occurrence.steps[i];
@@ -51,16 +51,18 @@
     }
     occurrence.steps_done += step.done >= step.tasks.Count() ? 1U : 0U;
   }
-  job.occurrences.emplace(stored.number, std::move(occurrence));
+  RestoreOccurrence(cell, job, stored.number, std::move(occurrence));
 }
 
-void RestoreProgress(const Cell& cell, Job& job, const StoredProgress& progress) {
+void RestoreProgress(Cell& cell, Job& job, const StoredProgress& progress) {
   job.phase = progress.phase;
   job.occurrences_begun = progress.begun;
   job.occurrences_done = progress.done;
   job.progress_stored = true;
-  for (const StoredOccurrence& open : progress.open) {
-    Restore(cell, job, open);
+  for (const auto& [done, numbers] : progress.shelved) {
+    for (const auto& [first, last] : numbers.Ranges()) {
+      RestoreShelf(cell, job, done, first, last);
+    }
   }
 }
 
@@ -172,10 +174,17 @@
     const std::string_view key = record.key;
     bool valid_key = true;
     if (key.starts_with(kProgressKey)) {
-      BOOST_LEAF_AUTO(progress, DecodeProgress(record.value, key));
-      Job* job = FindJob(cell, key.substr(kProgressKey.size()));
       // Progress of unknown or ended jobs is ignored.
-      if (job != nullptr && !job->Ended()) {
+      Job* job = FindJob(cell, key.substr(kProgressKey.size()));
+      job = job != nullptr && job->Ended() ? nullptr : job;
+      BOOST_LEAF_AUTO(
+          progress,
+          DecodeProgress(record.value, key, [&](const StoredOccurrence& open) {
+            if (job != nullptr) {
+              Restore(cell, *job, open);
+            }
+          }));
+      if (job != nullptr) {
         RestoreProgress(cell, *job, progress);
       }
     } else if (key == kTargetsKey) {
--- a/src/cell/record_targets.cc
+++ b/src/cell/record_targets.cc
@@ -117,6 +117,9 @@
   Run run = MakeFormerRun(cell, target, id, now);
   run.inherited = true;
   AddRun(cell, target, id, run);
+  if (job != nullptr) {
+    OpenReported(cell, *job, id.task, now);
+  }
   const Task* task =
       job == nullptr || job->Ended() ? nullptr : FindTask(*job, id.task);
   if (task == nullptr || task->phase != TaskPhase::kWaiting) {
--- a/src/cell/records.cc
+++ b/src/cell/records.cc
@@ -73,7 +73,7 @@
 
 StoredProgress ProgressOf(const Job& job) {
   StoredProgress stored{
-      job.phase, job.occurrences_begun, job.occurrences_done, {}};
+      job.phase, job.occurrences_begun, job.occurrences_done, {}, job.shelved};
   for (const auto& [number, occurrence] : job.occurrences) {
     StoredOccurrence open{number, {}};
     for (const Step& step : occurrence.steps) {
@@ -409,7 +409,7 @@
     job->durable = std::max(job->durable, version);
     AnswerCalls(actions, *job);
     if (first && !job->Ended()) {
-      BeginDue(cell, actions, *job, now);
+      BeginDue(cell, *job, now);
     }
   }
   for (const JobId& id : batch.forgotten) {
--- a/src/cell/reports.cc
+++ b/src/cell/reports.cc
@@ -155,6 +155,7 @@
     StopRun(cell, actions, target, id, "no such job", now);
     return;
   }
+  OpenReported(cell, *job, id.task, now);
   ReleaseSupersededRun(cell, *job, id);
   Task* task = job->Ended() ? nullptr : FindTask(*job, id.task);
   if (task == nullptr || task->phase != TaskPhase::kWaiting) {
--- a/src/cell/steps.cc
+++ b/src/cell/steps.cc
@@ -27,18 +27,6 @@
   return after_known > of_epoch;
 }
 
-bool IsDue(const Cell& cell, const Job& job, Time now) {
-  const Recurrence& recurrence = job.spec.recurrence;
-  if (recurrence.count == 0) {
-    return job.occurrences_begun == 0;
-  }
-  const WallMillis due =
-      recurrence.first + recurrence.interval.count() *
-                             static_cast<WallMillis>(job.occurrences_begun);
-  return job.occurrences_begun < recurrence.count &&
-         ToMs(now) + cell.wall_offset >= due;
-}
-
 bool IsDone(const Occurrence& occurrence, const JobSpec& spec,
             std::uint32_t step) {
   return occurrence.steps[step].done >= spec.steps[step].count;
@@ -46,7 +34,7 @@
 
 void EndOccurrence(Cell& cell, Actions& actions, Job& job, std::uint32_t number,
                    Time now) {
-  job.occurrences.erase(number);
+  CloseOccurrence(cell, job, number);
   ++job.occurrences_done;
   const std::uint32_t wanted =
       std::max<std::uint32_t>(1, job.spec.recurrence.count);
@@ -89,6 +77,7 @@
     EndOccurrence(cell, actions, job, id.occurrence, now);
   } else {
     RefreshReady(cell, job, id.occurrence, now);
+    ShelveIfIdle(cell, job, id.occurrence);
   }
 }
 
@@ -150,18 +139,10 @@
 
 }  // namespace
 
-Occurrence MakeOccurrence(const Cell& cell, const Job& job) {
+std::uint32_t FirstRunOf(const Cell& cell, const Job& job) {
   // A former owner may have started any task of a job that was taken over.
-  const std::uint32_t first_run =
-      job.adopted
-          ? std::max(FirstRunOf(cell.epoch), kTakeoverRunNumberGap + 1)
-          : 1;
-  Occurrence occurrence;
-  occurrence.steps.reserve(job.spec.steps.size());
-  for (const StepSpec& spec : job.spec.steps) {
-    occurrence.steps.emplace_back().tasks = TaskTable(spec.count, first_run);
-  }
-  return occurrence;
+  return job.adopted ? std::max(FirstRunOf(cell.epoch), kTakeoverRunNumberGap + 1)
+                     : 1;
 }
 
 std::vector<TargetId> Unreported(const Cell& cell, Time now) {
@@ -192,20 +173,7 @@
   return "unknown";
 }
 
-void BeginDue(Cell& cell, Actions& actions, Job& job, Time now) {
-  while (!job.Ended() && IsDue(cell, job, now)) {
-    const std::uint32_t number = job.occurrences_begun++;
-    job.occurrences.emplace(number, MakeOccurrence(cell, job));
-    RefreshReady(cell, job, number, now);
-    if (job.spec.recurrence.count > 0) {
-      MarkChanged(cell, job, false, now);
-      Note(actions, "occurrence_begun",
-           {{"job", job.spec.id}, {"occurrence", std::to_string(number)}});
-    }
-  }
-}
-
-void RefreshStep(Cell& cell, const Job& job, std::uint32_t occurrence,
+void RefreshStep(Cell& cell, Job& job, std::uint32_t occurrence,
                  std::uint32_t number) {
   const StepRef ref{job.spec.id, occurrence, number};
   const auto found = job.occurrences.find(occurrence);
@@ -213,8 +181,14 @@
     cell.ready.erase(ref);
     return;
   }
-  const Step& step = found->second.steps[number];
+  Step& step = found->second.steps[number];
   const bool waits = step.ready && step.CountWaiting() > 0;
+  const bool untouched = waits && step.tasks.CountUnstarted() > 0;
+  if (untouched != step.untouched) {
+    step.untouched = untouched;
+    std::uint32_t& count = job.untouched[number];
+    count = untouched ? count + 1 : count - 1;
+  }
   if (waits) {
     cell.ready.insert(ref);
   } else {
@@ -242,6 +216,9 @@
 void HandleRunEnd(Cell& cell, Actions& actions, Target& target,
                   const EndReport& end, Time now) {
   Job* job = FindJob(cell, end.run.task.job);
+  if (job != nullptr) {
+    OpenReported(cell, *job, end.run.task, now);
+  }
   Task* task =
       job == nullptr || job->Ended() ? nullptr : FindTask(*job, end.run.task);
   UpdateHealth(cell, actions, target, end, job, now);
--- a/src/cell/team_limits.cc
+++ b/src/cell/team_limits.cc
@@ -1,6 +1,8 @@
 #include "team_limits.h"
 
 #include <algorithm>
+#include <limits>
+#include <span>
 #include <utility>
 
 #include "verdicts.h"
@@ -27,10 +29,28 @@
          std::to_string(resources.accelerators);
 }
 
+/// More than any cell has of a resource. Sums and products stay below it, so
+/// that they don't overflow.
+constexpr std::int64_t kPlenty = std::int64_t{1} << 60;
+
+std::int64_t SumOf(std::int64_t left, std::int64_t right) {
+  return std::min(kPlenty, left + right);
+}
+
+std::int64_t Product(std::int64_t left, std::int64_t right) {
+  return right > 0 && left > kPlenty / right ? kPlenty : left * right;
+}
+
 /// Resources of several equal tasks.
 Resources Times(const Resources& one, std::int64_t count) {
-  return {one.slots * count, one.cpu_milli * count, one.memory_mb * count,
-          one.accelerators * count};
+  return {Product(one.slots, count), Product(one.cpu_milli, count),
+          Product(one.memory_mb, count), Product(one.accelerators, count)};
+}
+
+void Add(Resources& sum, const Resources& more) {
+  sum = {SumOf(sum.slots, more.slots), SumOf(sum.cpu_milli, more.cpu_milli),
+         SumOf(sum.memory_mb, more.memory_mb),
+         SumOf(sum.accelerators, more.accelerators)};
 }
 
 Resources LargerOf(const Resources& left, const Resources& right) {
@@ -43,16 +63,15 @@
 /// Adds what the tasks of an occurrence may have running that no report has
 /// shown: a waiting task may have one run. A step runs only after those that it
 /// follows, so that of steps in a row the largest counts.
-void AddOpenDemand(const JobSpec& spec, const Occurrence* occurrence,
+/// @param waiting number of waiting tasks of each step, in all occurrences that
+///   are in the same state
+void AddOpenDemand(const JobSpec& spec, std::span<const std::int64_t> waiting,
                    OpenDemand& demand) {
   std::vector<OpenDemand> rows;
   std::vector<std::optional<std::size_t>> row_ending_at(spec.steps.size());
   for (std::size_t i = 0; i < spec.steps.size(); ++i) {
     const StepSpec& step = spec.steps[i];
-    const std::int64_t waiting = occurrence == nullptr
-                                     ? step.count
-                                     : occurrence->steps[i].CountWaiting();
-    const Resources most = Times(step.demand, waiting);
+    const Resources most = Times(step.demand, waiting[i]);
     std::optional<std::size_t> row;
     for (const std::uint32_t before : step.after) {
       if (before < i && row_ending_at[before] && !row) {
@@ -71,33 +90,59 @@
     }
   }
   for (const OpenDemand& row : rows) {
-    demand.all += row.all;
-    demand.filling_cpu += row.filling_cpu;
+    Add(demand.all, row.all);
+    demand.filling_cpu = SumOf(demand.filling_cpu, row.filling_cpu);
+  }
+}
+
+/// Calls `add` with the number of waiting tasks of each step, for each state
+/// that open occurrences of a job are in.
+template <class Add>
+void ForEachState(const Cell& cell, const Job& job, Time now, const Add& add) {
+  const std::vector<StepSpec>& steps = job.spec.steps;
+  std::vector<std::int64_t> waiting(steps.size());
+  for (const auto& [number, occurrence] : job.occurrences) {
+    for (std::size_t i = 0; i < steps.size(); ++i) {
+      waiting[i] = occurrence.steps[i].CountWaiting();
+    }
+    add(waiting);
+  }
+  const auto add_alike = [&](DoneSteps done, std::uint64_t count) {
+    for (std::size_t i = 0; i < steps.size(); ++i) {
+      const bool is_done = ((done >> i) & 1U) != 0;
+      waiting[i] =
+          is_done ? 0 : Product(steps[i].count, static_cast<std::int64_t>(count));
+    }
+    add(waiting);
+  };
+  for (const auto& [done, numbers] : job.shelved) {
+    add_alike(done, numbers.Count());
+  }
+  if (job.occurrences_begun < job.spec.recurrence.count) {
+    // By the clock of a former owner, one more may have been due.
+    add_alike(0, CountNotBegun(cell, job, now) + 1);
   }
 }
 
-std::map<TeamName, OpenDemand> DemandOfFormerRuns(const Cell& cell) {
+std::map<TeamName, OpenDemand> DemandOfFormerRuns(const Cell& cell, Time now) {
   std::map<TeamName, OpenDemand> demands;
   for (const auto& [id, job] : cell.jobs) {
     if (!job.adopted || job.Ended()) {
       continue;
     }
     OpenDemand& demand = demands[job.spec.team];
-    for (const auto& [number, occurrence] : job.occurrences) {
-      AddOpenDemand(job.spec, &occurrence, demand);
-    }
-    // By the clock of a former owner, the next occurrence may have been due.
-    if (job.occurrences_begun < job.spec.recurrence.count) {
-      AddOpenDemand(job.spec, nullptr, demand);
-    }
+    ForEachState(cell, job, now, [&](std::span<const std::int64_t> waiting) {
+      AddOpenDemand(job.spec, waiting, demand);
+    });
   }
   for (const auto& [step, runs] : cell.unknown.of_ended_jobs) {
     const Job* job = FindJob(cell, step.first);
     if (job != nullptr && job->Ended()) {
       const Resources charged = Times(runs.charged, runs.count);
       OpenDemand& demand = demands[job->spec.team];
-      demand.all += charged;
-      demand.filling_cpu += charged.cpu_milli;  // They may fill.
+      Add(demand.all, charged);
+      // They may fill.
+      demand.filling_cpu = SumOf(demand.filling_cpu, charged.cpu_milli);
     }
   }
   return demands;
@@ -162,26 +207,30 @@
     return;
   }
   if (now - unknown.jobs_counted_at >= kCountInterval) {
-    unknown.of_jobs = DemandOfFormerRuns(cell);
+    unknown.of_jobs = DemandOfFormerRuns(cell, now);
     unknown.jobs_counted_at = now;
   }
   unknown.of_targets = RoomOfUnreported(cell, now);
 }
 
-void KeepUnknownRuns(Cell& cell, const Job& job) {
+void KeepUnknownRuns(Cell& cell, const Job& job, Time now) {
   if (cell.recovered || !job.adopted) {
     return;
   }
-  for (const auto& [number, occurrence] : job.occurrences) {
-    for (std::uint32_t i = 0; i < occurrence.steps.size(); ++i) {
-      const std::uint32_t waiting = occurrence.steps[i].CountWaiting();
-      if (waiting > 0) {
-        EndedRuns& runs = cell.unknown.of_ended_jobs[{job.spec.id, i}];
-        runs = {runs.count + waiting, job.spec.steps[i].demand};
-        cell.ended_runs_dirty = true;
+  ForEachState(cell, job, now, [&](std::span<const std::int64_t> waiting) {
+    for (std::uint32_t i = 0; i < waiting.size(); ++i) {
+      if (waiting[i] == 0) {
+        continue;
       }
+      EndedRuns& runs = cell.unknown.of_ended_jobs[{job.spec.id, i}];
+      constexpr std::int64_t kMaxCount =
+          std::numeric_limits<std::uint32_t>::max();
+      runs = {static_cast<std::uint32_t>(
+                  std::min(kMaxCount, SumOf(runs.count, waiting[i]))),
+              job.spec.steps[i].demand};
+      cell.ended_runs_dirty = true;
     }
-  }
+  });
 }
 
 Run MakeFormerRun(Cell& cell, const Target& target, const RunId& id, Time now) {
--- a/src/cell/team_limits.h
+++ b/src/cell/team_limits.h
@@ -22,7 +22,7 @@
 
 /// @brief Keeps counting the runs that a former owner may have started of a job
 ///   that is about to end.
-void KeepUnknownRuns(Cell& cell, const Job& job);
+void KeepUnknownRuns(Cell& cell, const Job& job, Time now);
 
 /// @brief Makes a run that a former owner started. Its step isn't known if its
 ///   job has ended or isn't known either: then the run is charged as the former
--- a/src/cell/tick.cc
+++ b/src/cell/tick.cc
@@ -41,7 +41,7 @@
     for (const auto& [number, occurrence] : job.occurrences) {
       RefreshReady(cell, job, number, now);
     }
-    BeginDue(cell, actions, job, now);
+    BeginDue(cell, job, now);
   }
   NoteUnknownQueues(cell, actions);
   InheritRuns(cell, actions, now);
@@ -63,7 +63,7 @@
   }
   for (auto& [id, job] : cell.jobs) {
     if (!job.Ended() && job.durable > 0 && job.spec.recurrence.count > 0) {
-      BeginDue(cell, actions, job, now);
+      BeginDue(cell, job, now);
     }
   }
   RefuseOverdue(cell, actions, now);
--- a/tests/unit-odd-frames.cc
+++ b/tests/unit-odd-frames.cc
@@ -85,6 +85,21 @@
 requires(std::is_enum_v<T>) void Fill(Random& random, T& value) {
   value = static_cast<T>(Pick(random, 2));
 }
+void Fill(Random& random,
+          std::map<cell::DoneSteps, cell::NumberRanges>& shelves) {
+  for (std::size_t i = Pick(random, 3); i > 0; --i) {
+    cell::NumberRanges& numbers = shelves[Pick(random, 120)];
+    for (std::size_t n = 0; n <= Pick(random, 9); ++n) {
+      const auto number = static_cast<std::uint32_t>(Pick(random, 40));
+      if (!numbers.Contains(number)) {
+        numbers.Add(number);
+      }
+    }
+    if (numbers.Empty()) {
+      numbers.Add(7, 4'000'000'000);
+    }
+  }
+}
 template <class T>
 void Fill(Random& random, std::vector<T>& values);
 template <SerializableAggregate T>
@@ -280,9 +295,7 @@
 
   void Progress() {
     Play<cell::StoredProgress>("progress", cell::EncodeProgress,
-                               [](const std::string& bytes) {
-                                 return cell::DecodeProgress(bytes, "x");
-                               });
+                               DecodeWhole);
   }
 
   void Targets() { PlayBinary<std::vector<cell::StoredTarget>>("targets"); }
@@ -303,6 +316,17 @@
   }
 
  private:
+  static Result<cell::StoredProgress> DecodeWhole(const std::string& bytes) {
+    std::vector<cell::StoredOccurrence> open;
+    BOOST_LEAF_AUTO(
+        progress,
+        cell::DecodeProgress(bytes, "x", [&](cell::StoredOccurrence& one) {
+          open.push_back(std::move(one));
+        }));
+    progress.open = std::move(open);
+    return progress;
+  }
+
   template <class T>
   static void PlayBinary(const std::string& what) {
     Play<T>(
