Steps that can't start don't fill the planning window

Cause: a round took the first 150 steps of its order, whatever they waited for.

Change: steps whose team may use no more, or that need more than any suitable target has free, leave the order before it is sorted. The window counts steps for which targets are looked at; gangs have a part of it, so that gangs without room don't hide single tasks.

--- a/src/cell/advice.cc
+++ b/src/cell/advice.cc
@@ -121,6 +121,7 @@
 
 PlacementEstimate EstimatePlacement(Round& round, const Candidate& candidate,
                                     const Queue& queue, double good_rate) {
+  CountLook(round, candidate);
   const StepSpec& spec = candidate.Spec();
   const AdviceState& advice = candidate.step->advice;
   const Resources need = ReservedBy(spec);
@@ -242,6 +243,7 @@
   if (!AnyHasRoom(round, candidate, queue)) {
     return false;
   }
+  CountLook(round, candidate);
   const StepSpec& spec = candidate.Spec();
   const Resources need = ReservedBy(spec);
   const AdviceState& advice = candidate.step->advice;
--- a/src/cell/gangs.cc
+++ b/src/cell/gangs.cc
@@ -108,9 +108,7 @@
 }
 
 bool MayUseMoreForGang(Round& round, const Candidate& candidate) {
-  return MayUseMore(
-      round, candidate,
-      Times(candidate.Spec().demand, candidate.step->tasks.Count()));
+  return MayUseMore(round, candidate, LeastDemand(candidate.Spec()));
 }
 
 Resources SmallerOf(const Resources& left, const Resources& right) {
@@ -123,6 +121,7 @@
 /// Returns the places that a gang is known to be allowed on.
 std::vector<Place> PlacesFor(Round& round, const Candidate& candidate,
                              const Queue& queue) {
+  CountLook(round, candidate);
   const StepSpec& spec = candidate.Spec();
   std::vector<Place> places;
   const auto add = [&](Slot& slot) {
--- a/src/cell/plan.cc
+++ b/src/cell/plan.cc
@@ -10,8 +10,10 @@
 
 /// A job that ends after this multiple of its objective has no value left.
 constexpr int kHopelessFactor = 3;
-/// Maximum number of steps planned per round; later ones find no room anyway.
+/// Maximum number of steps for which targets are looked at in one round, and of
+/// gangs among them. Steps that can't start for another reason don't count.
 constexpr std::size_t kMaxPlannedSteps = 150;
+constexpr std::size_t kMaxPlannedGangs = 100;
 /// One job on probation at a time for this many targets, or for this many empty
 /// ones if that is more.
 constexpr std::size_t kTargetsPerProbation = 4;
@@ -74,6 +76,7 @@
   candidate.ref = ref;
   candidate.job = &job;
   candidate.step = FindStep(job, ref.occurrence, ref.step);
+  candidate.queue = QueueOf(cell, job);
   candidate.priority = job.priority;
   candidate.excess = job.excess;
   // What is held for a gang would be lost if it fell back once it is late.
@@ -238,11 +241,11 @@
 
 void PlanStep(Round& round, const Candidate& candidate) {
   Job& job = *candidate.job;
-  const Queue* queue = QueueOf(round.cell, job);
-  if (queue == nullptr || candidate.step == nullptr) {
+  const Queue* queue = candidate.queue;
+  const bool gang = candidate.Spec().gang;
+  if (gang && round.gang_looks >= kMaxPlannedGangs) {
     return;
   }
-  const bool gang = candidate.Spec().gang;
   // Without a ticket nothing can start.
   if (!queue->advice || !candidate.step->advice.tickets.empty()) {
     if (gang) {
@@ -279,18 +282,57 @@
   }
 }
 
-/// Updates the backlog, capacity and free CPU of the cell.
-void CountBacklog(Cell& cell, const std::vector<Candidate>& candidates) {
-  cell.backlog_cpu = 0;
-  for (const Candidate& candidate : candidates) {
-    cell.backlog_cpu += WaitingCpu(*candidate.step, candidate.Spec());
-  }
+/// Updates the capacity and free CPU of the cell.
+void CountCapacity(Cell& cell) {
   Load load;
   AddTargets(cell, load);
   cell.capacity_cpu = load.capacity.cpu_milli;
   cell.free_cpu = load.free.cpu_milli;
 }
 
+/// Returns the waiting steps, and updates the backlog of the cell.
+std::vector<Candidate> WaitingSteps(Cell& cell, Time now) {
+  std::vector<Candidate> candidates;
+  std::int64_t backlog = 0;
+  std::uint32_t rank = 0;
+  const StepRef* last = nullptr;
+  for (const StepRef& ref : cell.ready) {
+    Job& job = *FindJob(cell, ref.job);
+    if (!MayStartTasks(cell, job)) {
+      continue;
+    }
+    const bool same_job = last != nullptr && last->job == ref.job;
+    const bool next = same_job && last->occurrence != ref.occurrence;
+    rank = same_job ? rank + (next ? 1 : 0) : 0;
+    last = &ref;
+    Candidate candidate = MakeCandidate(cell, ref, job, now);
+    candidate.rank = rank;
+    backlog += WaitingCpu(*candidate.step, candidate.Spec());
+    candidates.push_back(std::move(candidate));
+  }
+  cell.backlog_cpu = backlog;
+  return candidates;
+}
+
+/// Plans a step, unless its suspected tasks have to wait.
+/// @param held_back receives it if it has to wait for its turn
+void PlanUnlessSuspect(Round& round, Candidate& candidate,
+                       std::vector<Candidate>& held_back) {
+  FindSuspects(candidate);
+  if (candidate.suspect && !AreCrashesStored(candidate)) {
+    return;
+  }
+  if (candidate.suspect && !MayTrySuspects(round, candidate)) {
+    // One that has crashed a target soon after its start waits for its turn.
+    if (candidate.slow_suspect) {
+      held_back.push_back(candidate);
+    }
+    return;
+  }
+  candidate.ends_before_gangs = EndsBeforeGangs(round, candidate);
+  PlanStep(round, candidate);
+}
+
 }  // namespace
 
 Load LoadOf(const Cell& cell, Time now) {
@@ -328,44 +370,24 @@
     return;
   }
   OpenDue(cell, actions, now);
-  std::vector<Candidate> candidates;
-  std::uint32_t rank = 0;
-  const StepRef* last = nullptr;
-  for (const StepRef& ref : cell.ready) {
-    Job& job = *FindJob(cell, ref.job);
-    if (!MayStartTasks(cell, job)) {
-      continue;
-    }
-    const bool same_job = last != nullptr && last->job == ref.job;
-    const bool next = same_job && last->occurrence != ref.occurrence;
-    rank = same_job ? rank + (next ? 1 : 0) : 0;
-    last = &ref;
-    candidates.push_back(MakeCandidate(cell, ref, job, now));
-    candidates.back().rank = rank;
-  }
-  CountBacklog(cell, candidates);
-  const std::size_t planned = std::min(candidates.size(), kMaxPlannedSteps);
-  std::ranges::partial_sort(
-      candidates, candidates.begin() + static_cast<std::ptrdiff_t>(planned),
-      Before);
-  candidates.resize(planned);
+  std::vector<Candidate> candidates = WaitingSteps(cell, now);
+  CountCapacity(cell);
   CountUnknownRuns(cell, now);
   Round round = BeginRound(cell, actions, now);
+  std::erase_if(candidates, [&](const Candidate& candidate) {
+    return candidate.queue == nullptr || !MayStartNow(round, candidate);
+  });
+  const auto first_part = candidates.begin() +
+                          static_cast<std::ptrdiff_t>(std::min(
+                              candidates.size(), kMaxPlannedSteps));
+  std::ranges::partial_sort(candidates, first_part, Before);
   std::vector<Candidate> held_back;
-  for (Candidate& candidate : candidates) {
-    FindSuspects(candidate);
-    if (candidate.suspect && !AreCrashesStored(candidate)) {
-      continue;
+  for (auto next = candidates.begin();
+       next != candidates.end() && round.looks < kMaxPlannedSteps; ++next) {
+    if (next == first_part) {
+      std::sort(first_part, candidates.end(), Before);
     }
-    if (candidate.suspect && !MayTrySuspects(round, candidate)) {
-      // One that has crashed a target soon after its start waits for its turn.
-      if (candidate.slow_suspect) {
-        held_back.push_back(candidate);
-      }
-      continue;
-    }
-    candidate.ends_before_gangs = EndsBeforeGangs(round, candidate);
-    PlanStep(round, candidate);
+    PlanUnlessSuspect(round, *next, held_back);
   }
   const std::size_t spare = round.slots.size() / kTargetsPerSpare;
   for (Candidate& candidate : held_back) {
--- a/src/cell/round.cc
+++ b/src/cell/round.cc
@@ -87,8 +87,7 @@
 }
 
 Round BeginRound(Cell& cell, Actions& actions, Time now) {
-  Round round{cell, actions, now,         {}, {}, {}, LaneCallTimes(cell),
-              {},   0,       Time::max(), {}};
+  Round round{cell, actions, now, {}, {}, {}, LaneCallTimes(cell)};
   round.slots.reserve(cell.targets.size());
   for (auto& [id, target] : cell.targets) {
     if (target.reported && target.recorded && target.listed &&
@@ -162,6 +161,7 @@
 
 std::vector<Slot*> AllowedSlots(Round& round, const Candidate& candidate,
                                 const Queue& queue) {
+  CountLook(round, candidate);
   const StepSpec& spec = candidate.Spec();
   std::vector<Slot*> allowed;
   if (!queue.advice) {
@@ -182,6 +182,38 @@
   return allowed;
 }
 
+void CountLook(Round& round, const Candidate& candidate) {
+  if (round.looks > 0 && round.last_look == candidate.ref) {
+    return;
+  }
+  round.last_look = candidate.ref;
+  ++round.looks;
+  round.gang_looks += candidate.Spec().gang ? 1U : 0U;
+}
+
+Resources LeastDemand(const StepSpec& spec) {
+  if (!spec.gang) {
+    return spec.demand;
+  }
+  const std::int64_t count = spec.count;
+  return {spec.demand.slots * count, spec.demand.cpu_milli * count,
+          spec.demand.memory_mb * count, spec.demand.accelerators * count};
+}
+
+bool MayStartNow(Round& round, const Candidate& candidate) {
+  const StepSpec& spec = candidate.Spec();
+  const TeamName& team = candidate.job->spec.team;
+  const auto [room, added] = round.team_room.try_emplace(team);
+  if (added) {
+    room->second = RoomOfTeam(round.cell, team);
+  }
+  if (!HoldsOne(room->second, LeastDemand(spec)) &&
+      !MayUseMore(round, candidate, LeastDemand(spec))) {
+    return false;
+  }
+  return spec.gang || AnyHasRoom(round, candidate, *candidate.queue);
+}
+
 bool MayUseMore(Round& round, const Candidate& candidate,
                 const Resources& more) {
   const TeamName& team = candidate.job->spec.team;
--- a/src/cell/round.h
+++ b/src/cell/round.h
@@ -36,6 +36,7 @@
 struct Candidate {
   StepRef ref;
   Job* job = nullptr;  ///< Job of the step, valid for the whole round.
+  const Queue* queue = nullptr;
   Step* step = nullptr;
   int priority = 0;
   bool excess = false;        ///< The job is beyond its team's share.
@@ -89,6 +90,12 @@
   /// Teams whose limit held work back; true if some of it would have been
   /// allowed if there were no unknown runs.
   std::map<TeamName, bool> limited;
+  /// What the limits of teams left at the begin of the round.
+  std::map<std::string_view, Resources> team_room;
+  /// Steps for which targets were looked at, and how many of them are gangs.
+  std::size_t looks = 0;
+  std::size_t gang_looks = 0;
+  StepRef last_look;
 };
 
 /// @brief Begins a round with the targets that accept work.
@@ -119,6 +126,19 @@
                                               const Candidate& candidate,
                                               const Queue& queue);
 
+/// @brief Whether a step may start tasks in this round, as far as that can be
+///   told without a look at each target: its team may use more, and some
+///   suitable target has room.
+[[nodiscard]] bool MayStartNow(Round& round, const Candidate& candidate);
+
+/// @brief Counts a step for which targets are looked at, once for each step in
+///   a row.
+void CountLook(Round& round, const Candidate& candidate);
+
+/// @brief Resources that a step needs to start anything: those of one task, or
+///   of a whole gang.
+[[nodiscard]] Resources LeastDemand(const StepSpec& spec);
+
 /// @brief Whether the limit of a step's team allows `more` resources in use;
 ///   notes for the log if it doesn't.
 [[nodiscard]] bool MayUseMore(Round& round, const Candidate& candidate,
--- a/src/cell/team_limits.cc
+++ b/src/cell/team_limits.cc
@@ -265,6 +265,24 @@
   return {known, UnknownOf(cell, team)};
 }
 
+Resources RoomOfTeam(const Cell& cell, const TeamName& name) {
+  const auto team = cell.teams.find(name);
+  if (team == cell.teams.end()) {
+    return {kPlenty, kPlenty, kPlenty, kPlenty};
+  }
+  const TeamCount count = CountOf(cell, name);
+  const auto left = [](std::int64_t most, std::int64_t known,
+                       std::int64_t unknown) {
+    return most == 0 ? kPlenty : most - known - unknown;
+  };
+  const Resources& most = team->second.maximum;
+  return {kPlenty,
+          left(most.cpu_milli, count.known.cpu_milli, count.unknown.cpu_milli),
+          left(most.memory_mb, count.known.memory_mb, count.unknown.memory_mb),
+          left(most.accelerators, count.known.accelerators,
+               count.unknown.accelerators)};
+}
+
 bool KnownRunsAllow(const Cell& cell, const TeamName& name,
                     const Resources& more) {
   const auto team = cell.teams.find(name);
--- a/src/cell/team_limits.h
+++ b/src/cell/team_limits.h
@@ -20,6 +20,9 @@
 
 [[nodiscard]] TeamCount CountOf(const Cell& cell, const TeamName& team);
 
+/// @brief Returns what the limit of a team leaves for more runs.
+[[nodiscard]] Resources RoomOfTeam(const Cell& cell, const TeamName& team);
+
 /// @brief Keeps counting the runs that a former owner may have started of a job
 ///   that is about to end.
 void KeepUnknownRuns(Cell& cell, const Job& job, Time now);
--- a/tests/unit-recurring-jobs.cc
+++ b/tests/unit-recurring-jobs.cc
@@ -129,6 +129,8 @@
   CPPUNIT_TEST(OverduePlanUsesTheWholeCell);
   CPPUNIT_TEST(OverdueOccurrencesBeginInOrder);
   CPPUNIT_TEST(AllLastingOccurrencesBegin);
+  CPPUNIT_TEST(BlockedStepsHideNeitherOthersNorOtherJobs);
+  CPPUNIT_TEST(BlockedLaterStepsAreShelvedAndRunOnceThereIsRoom);
   CPPUNIT_TEST(BlockedGangsOfOccurrencesHoldNobodyBack);
   CPPUNIT_TEST(OwnerChangesSkipAndRepeatNothing);
   CPPUNIT_TEST(CancelEndsWhatHasNotBegun);
@@ -289,7 +291,43 @@
                          CountStarted(world, "plan", kCount));
   }
 
+  // The other side: waiting occurrences aren't bounded by number, since some
+  // may wait for room that never comes.
+  void BlockedStepsHideNeitherOthersNorOtherJobs() {
+    constexpr std::uint32_t kCount = 1500;
+    for (const bool in_row : {false, true}) {
+      World world(Options());
+      OpenWorld(world);
+      world.Submit(HalfBlocked(kCount, in_row));
+      Run(world, kMaxWait);
+      CPPUNIT_ASSERT_EQUAL(static_cast<int>(kCount),
+                           CountStarted(world, "plan", kCount));
+      CPPUNIT_ASSERT(OthersAreServed(world, "other-"));
+    }
+  }
 
+  // The same beyond the window, and what was shelved isn't forgotten.
+  void BlockedLaterStepsAreShelvedAndRunOnceThereIsRoom() {
+    constexpr std::uint32_t kCount = 1500;
+    World world(Options());
+    OpenWorld(world);
+    world.Submit(HalfBlocked(kCount, true));
+    Run(world, kMaxWait);
+    CPPUNIT_ASSERT(CountOpen(world, "plan") < kCount / 2);
+    world.ReplaceOwner(Millis(500));
+    Run(world, kMaxWait);
+    CPPUNIT_ASSERT(CountOpen(world, "plan") < kCount / 2);
+    for (int i = 0; i < kTargets; ++i) {
+      world.Target(i).entry.labels.emplace_back("rare");
+      world.Resize(i, world.Target(i).entry.capacity, Millis(0));
+    }
+    Run(world, kMaxWait);
+    CPPUNIT_ASSERT(world.PhaseOf("plan") == cell::JobPhase::kCompleted);
+    CPPUNIT_ASSERT_EQUAL(static_cast<int>(kCount),
+                         CountStarted(world, "plan", kCount, 1));
+    CPPUNIT_ASSERT_EQUAL(0, CountStartedTwice(world, "plan", kCount));
+    CPPUNIT_ASSERT(world.Breaches().empty());
+  }
 
   void BlockedGangsOfOccurrencesHoldNobodyBack() {
     World world(Options());
