Jobs beyond the memory of the cell are refused at once

What callers could see: 20,000 open jobs were allowed, whatever their size; a few hundred with 64 steps and long texts take a host over its memory, and so do tasks that need nothing, of which any number fits a target.

Cause: jobs were bounded by number only, runs by room only.

The sum is bounded by 30 % of the host's memory, 48 MB at most, since a host with less may be the next owner; one team may take three quarters of it, one job an eighth. Beyond it a submit is refused with 503 or 429 and Retry-After; a job that is too large at any time, or has more lasting tasks than the cell may ever run, with 413 or 422. What is accepted is never dropped, and ended jobs give their part back. Runs are bounded by 40,000, starts by 300 a round.

Result: unit-job-memory: 10,000 jobs of 64 steps and 640,000 tasks that need nothing stay under 80 MB; refused jobs fit once others have ended.

--- a/include/buckthornmux/detail/cell/state.h
+++ b/include/buckthornmux/detail/cell/state.h
@@ -44,6 +44,13 @@
   /// Maximum jobs in the cell, including ended ones that are still retained;
   /// submits beyond this are refused.
   std::size_t max_open_jobs = 20'000;
+  /// Maximum memory of jobs, open or retained, and of those of one team; submits
+  /// beyond this are refused, and a job that takes a large part of it.
+  std::size_t max_job_bytes = 48'000'000;
+  /// Maximum size of a record's value in the store, bytes.
+  std::size_t max_value_bytes = 1'000'000;
+  /// Maximum number of runs on all targets.
+  std::size_t max_runs = 40'000;
   /// Maximum steps of occurrences of recurring jobs that have objects. Beyond
   /// it, each job may have one occurrence with objects.
   std::size_t max_recurring_steps = 60'000;
@@ -253,6 +260,7 @@
   Time ended_at;
   bool excess = false;  ///< Beyond its team's share; others go first.
   int priority = 0;
+  std::size_t bytes = 0;  ///< Its part of Cell::job_bytes.
 
   [[nodiscard]] bool Ended() const {
     return phase == JobPhase::kCompleted || phase == JobPhase::kFailed ||
@@ -316,6 +324,7 @@
 
 struct TeamUsage {
   Resources used;     ///< By the runs that are known.
+  std::size_t job_bytes = 0;  ///< Part of Cell::job_bytes.
   double tokens = 0;  ///< Token bucket: jobs left in its share.
   Time tokens_at;
   bool tokens_set = false;
@@ -441,6 +450,8 @@
   JobId behind_last;  ///< The last of them that was looked at.
   /// Steps of all occurrences of recurring jobs that have objects.
   std::size_t recurring_steps = 0;
+  std::size_t job_bytes = 0;  ///< Approximate memory of all jobs.
+  std::size_t run_count = 0;  ///< Number of runs on all targets.
   std::vector<AdviceLane> lanes;
   std::map<std::uint64_t, OpenAdvice> open_advice;
   std::map<QueueName, AdviceStats> advice_stats;
--- a/include/buckthornmux/detail/cell/types.h
+++ b/include/buckthornmux/detail/cell/types.h
@@ -15,6 +15,9 @@
 using JobId = std::string;  ///< Chosen by the caller, unique in the cell.
 using QueueName = std::string;
 
+/// Maximum number of steps of a job.
+inline constexpr std::size_t kMaxSteps = 64;
+
 /// A step of a job: identical tasks that may start once earlier steps are done.
 struct StepSpec {
   std::uint32_t count = 1;  ///< Tasks of the step.
--- a/src/cell/gangs.cc
+++ b/src/cell/gangs.cc
@@ -260,7 +260,8 @@
 
 void StartGang(Round& round, const Candidate& candidate, const Queue& queue) {
   const Step& step = *candidate.step;
-  if (step.live > 0 || !MayUseMoreForGang(round, candidate)) {
+  if (step.live > 0 || round.starts_left == 0 ||
+      !MayUseMoreForGang(round, candidate)) {
     return;
   }
   const std::vector<Slot*> chosen = ChooseForGang(round, candidate, queue);
--- a/src/cell/internal.h
+++ b/src/cell/internal.h
@@ -55,6 +55,15 @@
 /// Makes an occurrence of which nothing has been started.
 [[nodiscard]] Occurrence MakeOccurrence(const Cell& cell, const Job& job);
 
+/// Memory that a job takes, bytes.
+[[nodiscard]] std::size_t BytesOf(const JobSpec& spec, bool ended);
+
+/// Brings the memory that is counted for a job up to date.
+void CountBytes(Cell& cell, Job& job);
+
+/// Forgets a job, if it is known.
+void DropJob(Cell& cell, const JobId& id);
+
 /// Number of the first run of a task that was never started.
 [[nodiscard]] std::uint32_t FirstRunOf(const Cell& cell, const Job& job);
 
--- a/src/cell/jobs.cc
+++ b/src/cell/jobs.cc
@@ -4,6 +4,7 @@
 #include "buckthornmux/detail/core/invariant.h"
 #include "permissions.h"
 #include "queues.h"
+#include "record_codec.h"
 #include "team_limits.h"
 
 namespace buckthornmux::cell {
@@ -11,6 +12,12 @@
 
 /// Priority of jobs whose queue isn't known.
 constexpr int kNoPriority = 9;
+/// One job may take one part of this many of the memory of all jobs, and its
+/// record one part of the maximum value.
+constexpr std::size_t kJobPart = 8;
+constexpr std::size_t kRecordPart = 2;
+/// The jobs of one team may take this part of the memory, in percent.
+constexpr std::size_t kTeamPercent = 75;
 
 void Refuse(Actions& actions, CallId call, const JobSpec& spec, ErrorKind kind,
             std::string message, bool exists = false) {
@@ -44,6 +51,53 @@
                   }));
 }
 
+/// Whether the tasks of a job that last could ever run all at once.
+bool MayAllLast(const Cell& cell, const JobSpec& spec) {
+  const std::uint64_t times = std::max(1U, spec.recurrence.count);
+  std::uint64_t lasting = 0;
+  for (const StepSpec& step : spec.steps) {
+    lasting += step.service ? step.count * times : 0;
+  }
+  return lasting <= cell.options.max_runs;
+}
+
+/// Returns the reason to refuse a job that is too large at any time.
+std::optional<Error> ReasonToRefuseSize(const Cell& cell, const JobSpec& spec) {
+  const Options& options = cell.options;
+  if (spec.steps.size() > kMaxSteps) {
+    return Error{ErrorKind::kTooLarge, "the job has too many steps", {}};
+  }
+  if (BytesOf(spec, false) > options.max_job_bytes / kJobPart) {
+    return Error{ErrorKind::kTooLarge, "the job takes too much memory", {}};
+  }
+  if (StoredBytes(spec) > options.max_value_bytes / kRecordPart) {
+    return Error{ErrorKind::kTooLarge, "the job doesn't fit in a record", {}};
+  }
+  if (!MayAllLast(cell, spec)) {
+    return Error{
+        ErrorKind::kNeverFits, "the cell could not run all lasting tasks", {}};
+  }
+  return std::nullopt;
+}
+
+/// Returns the reason to refuse a job while other jobs take the memory, if any.
+std::optional<Error> ReasonToRefuseNow(const Cell& cell, const JobSpec& spec) {
+  const std::size_t most = cell.options.max_job_bytes;
+  const std::size_t bytes = BytesOf(spec, false);
+  if (cell.job_bytes + bytes > most) {
+    return Error{ErrorKind::kQueueFull, "the open jobs take all memory", {}};
+  }
+  const auto usage = cell.usage.find(spec.team);
+  constexpr std::size_t kAllPercent = 100;
+  if (usage != cell.usage.end() && usage->second.job_bytes + bytes >
+                                       most / kAllPercent * kTeamPercent) {
+    return Error{ErrorKind::kTeamLimit,
+                 "the team's open jobs take most of the memory",
+                 {}};
+  }
+  return std::nullopt;
+}
+
 /// Returns the reason to refuse a new job, if any.
 std::optional<Error> ReasonToRefuse(const Cell& cell, const JobSpec& spec) {
   if (!cell.loaded) {
@@ -59,12 +113,15 @@
   if (cell.jobs.size() >= cell.options.max_open_jobs) {
     return Error{ErrorKind::kQueueFull, "too many jobs are open", {}};
   }
+  if (auto reason = ReasonToRefuseSize(cell, spec)) {
+    return reason;
+  }
   for (const StepSpec& step : spec.steps) {
     if (!CanEverFit(cell, *queue, step)) {
       return Error{ErrorKind::kNeverFits, "no target could hold a task", {}};
     }
   }
-  return std::nullopt;
+  return ReasonToRefuseNow(cell, spec);
 }
 
 /// Whether no write has been sent for a new job, so that it can still be
@@ -80,14 +137,13 @@
     if (found == nullptr) {
       continue;  // Listed twice if the job was refused and resubmitted.
     }
-    const Job job = std::move(*found);
-    cell.jobs.erase(id);
-    cell.writes.count -= job.unstored ? 1 : 0;
-    --cell.pending[job.spec.queue];
-    for (const CallId call : job.submit_calls) {
-      Refuse(actions, call, job.spec, ErrorKind::kStoreUnavailable,
+    for (const CallId call : found->submit_calls) {
+      Refuse(actions, call, found->spec, ErrorKind::kStoreUnavailable,
              std::string(reason));
     }
+    cell.writes.count -= found->unstored ? 1 : 0;
+    --cell.pending[found->spec.queue];
+    DropJob(cell, id);
   }
 }
 
@@ -309,6 +365,7 @@
   job.spec = std::move(spec);
   ++cell.pending[job.spec.queue];
   Job& kept = cell.jobs.emplace(job.spec.id, std::move(job)).first->second;
+  CountBytes(cell, kept);
   MarkChanged(cell, kept, true, now);
 }
 
@@ -364,6 +421,7 @@
   StopAll(cell, actions, job, PhaseName(phase), now);
   job.spec.payload.clear();
   job.spec.payload.shrink_to_fit();
+  CountBytes(cell, job);
   MarkChanged(cell, job, true, now);
   job.end_version = job.version;
   Note(actions, "job_ended",
--- a/src/cell/plan.cc
+++ b/src/cell/plan.cc
@@ -172,7 +172,8 @@
         (candidate.suspect && !IsSuspect(task))) {
       continue;
     }
-    if (!MayUseMore(round, candidate, spec.demand)) {
+    if (round.starts_left == 0 ||
+        !MayUseMore(round, candidate, spec.demand)) {
       return;
     }
     Slot* slot = BestSlot(round, candidate, queue, &task, allowed);
@@ -192,7 +193,8 @@
   }
   for (std::uint32_t i = step.tasks.NextUnstarted(0); i < step.tasks.Count();
        i = step.tasks.NextUnstarted(i + 1)) {
-    Slot* slot = MayUseMore(round, candidate, spec.demand)
+    Slot* slot = round.starts_left > 0 &&
+                         MayUseMore(round, candidate, spec.demand)
                      ? BestSlot(round, candidate, queue, nullptr, allowed)
                      : nullptr;
     if (slot == nullptr) {
@@ -398,6 +400,9 @@
     PlanStep(round, candidate);
   }
   NoteLimits(cell, actions, round.limited, now);
+  // Those that this round didn't get to start in the next one.
+  cell.plan_due = cell.plan_due || (round.starts_left == 0 &&
+                                    cell.run_count < cell.options.max_runs);
 }
 
 }  // namespace buckthornmux::cell
--- a/src/cell/record_load.cc
+++ b/src/cell/record_load.cc
@@ -92,6 +92,7 @@
     job.end_version = 1;
     job.end_stored = true;
     job.ended_at = now;
+    CountBytes(cell, job);
   }
   cell.bundles.ends.push_back(std::move(bundle));
 }
@@ -118,6 +119,7 @@
     job.arrived_wall = stored.arrived;
     job.arrived = Time(Millis(job.arrived_wall - cell.wall_offset));
     ++bundle.open;
+    CountBytes(cell, job);
   }
   cell.bundles.jobs[record.key] = std::move(bundle);
 }
--- a/src/cell/records.cc
+++ b/src/cell/records.cc
@@ -413,7 +413,7 @@
     }
   }
   for (const JobId& id : batch.forgotten) {
-    cell.jobs.erase(id);
+    DropJob(cell, id);
   }
   for (const TargetId& id : batch.targets) {
     if (Target* target = FindTarget(cell, id)) {
--- a/src/cell/round.cc
+++ b/src/cell/round.cc
@@ -12,6 +12,9 @@
 
 /// Hash table places per target; spare places keep collisions rare.
 constexpr std::size_t kTablePlacesPerTarget = 2;
+/// Maximum number of tasks that start in one round, but for the rest of a gang.
+/// It bounds the calls that are open at a time.
+constexpr std::size_t kMaxStartsPerRound = 300;
 
 /// Returns the hash table position of a target, or the free position for it.
 std::size_t PlaceOf(const Round& round, std::string_view id) {
@@ -88,6 +91,9 @@
 
 Round BeginRound(Cell& cell, Actions& actions, Time now) {
   Round round{cell, actions, now, {}, {}, {}, LaneCallTimes(cell)};
+  const std::size_t most = cell.options.max_runs;
+  round.starts_left =
+      std::min(kMaxStartsPerRound, most - std::min(most, cell.run_count));
   round.slots.reserve(cell.targets.size());
   for (auto& [id, target] : cell.targets) {
     if (target.reported && target.recorded && target.listed &&
--- a/src/cell/round.h
+++ b/src/cell/round.h
@@ -96,6 +96,7 @@
   std::size_t looks = 0;
   std::size_t gang_looks = 0;
   StepRef last_look;
+  std::size_t starts_left = 0;  ///< Tasks that may still start in the round.
 };
 
 /// @brief Begins a round with the targets that accept work.
--- a/src/cell/runs.cc
+++ b/src/cell/runs.cc
@@ -188,6 +188,7 @@
   target.unknown_runs += run.demand_unknown ? 1 : 0;
   const bool added = target.runs.emplace(id, std::move(run)).second;
   Invariant(added, "run_held_once", id.task.job);
+  ++cell.run_count;
 }
 
 Run MakeRun(const Job& job, std::uint32_t step, Time now) {
@@ -248,6 +249,7 @@
     ChargedTo(cell, run) -= run.charged;
     target.unknown_runs -= run.demand_unknown ? 1 : 0;
     target.runs.erase(found);
+    --cell.run_count;
     cell.targets_dirty =
         cell.targets_dirty || (target.entry.draining && target.runs.empty());
   }
--- a/src/cell/starts.cc
+++ b/src/cell/starts.cc
@@ -63,6 +63,7 @@
   run.estimate = spec.estimate;
   run.probation = candidate.suspect;
   AddRun(round.cell, target, id, run);
+  round.starts_left -= round.starts_left > 0 ? 1 : 0;
   slot.room -= run.demand;
   if (run.service) {
     slot.services += run.demand;
--- a/src/entry/cell_host.cc
+++ b/src/entry/cell_host.cc
@@ -28,9 +28,24 @@
 /// state within this time.
 constexpr Millis kMaxTargetLease{5000};
 
-cell::Options OptionsOf(const Bounds& bounds) {
+/// Memory of jobs on a host. It is bounded by what the smallest hosts have,
+/// since any of them may be the next owner.
+std::size_t MaxJobBytes(const HostCapacity& capacity) {
+  constexpr std::size_t kMegabyte = 1'000'000;
+  constexpr std::size_t kPercent = 30;
+  constexpr std::size_t kMost = 48 * kMegabyte;
+  if (capacity.memory_mb <= 0) {
+    return kMost;
+  }
+  const auto memory = static_cast<std::size_t>(capacity.memory_mb);
+  return std::min(kMost, memory * kMegabyte / 100 * kPercent);
+}
+
+cell::Options OptionsOf(const HostSettings& settings) {
   constexpr Millis kStatusSlack{10'000};
+  const Bounds& bounds = settings.bounds;
   cell::Options options;
+  options.max_job_bytes = MaxJobBytes(settings.capacity);
   options.lease = std::min(kMaxTargetLease, bounds.longest_lease);
   options.stop_time = bounds.stop_time;
   options.job_retention = bounds.status_kept + kStatusSlack;
@@ -72,7 +87,7 @@
   Close("reopened");
   m_owner = owner;
   m_cell = std::make_unique<cell::Cell>();
-  m_cell->options = OptionsOf(m_settings.bounds);
+  m_cell->options = OptionsOf(m_settings);
   m_cell->epoch = owner.epoch;
   m_cell->claimed_at = Now();
   m_cell->former_renewals_until = m_cell->claimed_at + former_lease_left;
--- a/tests/unit-job-memory.cc
+++ b/tests/unit-job-memory.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <string>
 
+#include "cell_owner.h"
 #include "cell_world.h"
 #include "heap_gauge.h"
 #include "plain_cell.h"
@@ -15,10 +16,12 @@
 constexpr int kTargets = 8;
 /// An eighth of the memory of an entry host of the users' first deployments.
 constexpr std::size_t kMaxMemory = 32 * kMegabyte;
+/// Half of the memory of the smallest entry hosts.
+constexpr std::size_t kMaxMemoryOfJobs = 80 * kMegabyte;
 /// Maximum size of a value in the users' store, bytes.
 constexpr std::size_t kMaxValue = 1'048'576;
 constexpr std::uint32_t kMaxTasks = 10'000;  ///< Of one step.
-constexpr std::size_t kMaxSteps = 64;
+constexpr Time kNow{Millis(1'000'000)};
 
 WorldOptions Options() {
   WorldOptions options;
@@ -40,7 +43,7 @@
                         std::int64_t cpu) {
   cell::JobSpec job = PlainJob(id, tasks, 500);
   job.steps[0].demand = {0, cpu, 0, 0};
-  job.steps.resize(kMaxSteps, job.steps[0]);
+  job.steps.resize(cell::kMaxSteps, job.steps[0]);
   return job;
 }
 
@@ -73,10 +76,38 @@
   return served == kJobs;
 }
 
+/// Submits a job; returns why it is refused, if it is.
+std::optional<ErrorKind> SubmitTo(cell::Cell& owned, const cell::JobSpec& job,
+                                  Time now = kNow) {
+  cell::Actions actions;
+  cell::Submit(owned, actions, 1, job, now);
+  for (const cell::Action& action : actions) {
+    const auto* answer = std::get_if<cell::AnswerSubmit>(&action);
+    if (answer != nullptr && answer->error) {
+      return answer->error->kind;
+    }
+  }
+  return std::nullopt;
+}
+
+/// A target with room for all that a test starts.
+cell::Cell OpenCell(const Records& stored = {}, Epoch epoch = 1) {
+  cell::TargetEntry entry = Entry("t1", "127.0.0.1:1");
+  entry.capacity = {0, 1'000'000, 1'000'000, 0};
+  return Open(epoch, stored, {entry}, kNow);
+}
+
 class JobMemoryTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(JobMemoryTest);
   CPPUNIT_TEST(ManyTasksTakeBoundedMemory);
+  CPPUNIT_TEST(TasksThatNeedNothingTakeBoundedMemory);
   CPPUNIT_TEST(WideStepRunsToItsEndOverSeveralOwners);
+  CPPUNIT_TEST(JobsBeyondTheMemoryAreRefused);
+  CPPUNIT_TEST(RefusedJobFitsOnceOthersHaveEnded);
+  CPPUNIT_TEST(OneTeamLeavesMemoryForOthers);
+  CPPUNIT_TEST(NextOwnerCountsTheSameMemory);
+  CPPUNIT_TEST(JobThatFitsInNoRecordIsRefusedAtOnce);
+  CPPUNIT_TEST(LastingTasksThatNoCellCouldRunAreRefusedAtOnce);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -98,6 +129,23 @@
     CPPUNIT_ASSERT(LargestRecord(world) < kMaxValue);
   }
 
+  // The same for tasks that any target has room for.
+  void TasksThatNeedNothingTakeBoundedMemory() {
+    cell::Cell owned = OpenCell();
+    Records stored;
+    Report(owned, "t1", kNow);
+    const HeapGauge heap;
+    SubmitTo(owned, ManySteps("wide", kMaxTasks, 0));
+    Store(owned, stored, kNow);
+    constexpr int kRounds = 1000;
+    for (int i = 0; i < kRounds; ++i) {
+      cell::Actions actions;
+      cell::Plan(owned, actions, kNow);
+    }
+    CPPUNIT_ASSERT(heap.Grown() < kMaxMemoryOfJobs);
+    CPPUNIT_ASSERT_EQUAL(owned.options.max_runs, owned.run_count);
+  }
+
   // The other side: all tasks run, each once.
   void WideStepRunsToItsEndOverSeveralOwners() {
     constexpr std::uint32_t kCount = 1500;
@@ -115,6 +163,111 @@
     }
     CPPUNIT_ASSERT(world.Breaches().empty());
   }
+
+  // Guards against many jobs, none of which is large.
+  void JobsBeyondTheMemoryAreRefused() {
+    const HeapGauge heap;
+    cell::Cell owned = OpenCell();
+    constexpr int kJobs = 10'000;
+    int refused = 0;
+    for (int i = 0; i < kJobs; ++i) {
+      cell::JobSpec job = ManySteps("job-" + std::to_string(i), 1, 1000);
+      job.team = "team-" + std::to_string(i % 5);
+      const auto error = SubmitTo(owned, job);
+      refused += error ? 1 : 0;
+      CPPUNIT_ASSERT(!error || *error == ErrorKind::kQueueFull);
+    }
+    CPPUNIT_ASSERT(refused > 0 && refused < kJobs);
+    Records stored;
+    Store(owned, stored, kNow);
+    for (int i = 0; i < 100; ++i) {
+      cell::Actions actions;
+      cell::Plan(owned, actions, kNow);
+    }
+    CPPUNIT_ASSERT(heap.Grown() < kMaxMemoryOfJobs);
+  }
+
+  // The other side: a refusal says "come back", and that is true.
+  void RefusedJobFitsOnceOthersHaveEnded() {
+    cell::Cell owned = OpenCell();
+    int accepted = 0;
+    while (!SubmitTo(owned, ManySteps("job-" + std::to_string(accepted), 1, 1),
+                     kNow)) {
+      ++accepted;
+    }
+    Records stored;
+    Store(owned, stored, kNow);
+    const std::size_t full = owned.job_bytes;
+    Time now = kNow;
+    for (int i = 0; i < accepted; ++i) {
+      cell::Actions actions;
+      cell::Cancel(owned, actions, 1, "job-" + std::to_string(i),
+                   {"plain", "team-0"}, now);
+    }
+    CPPUNIT_ASSERT(owned.job_bytes < full);
+    for (int i = 0; i < 50; ++i) {
+      now += owned.options.job_retention / 10;
+      Store(owned, stored, now);
+      cell::Actions actions;
+      cell::Tick(owned, actions, now);
+    }
+    CPPUNIT_ASSERT(owned.jobs.empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, owned.job_bytes);
+    CPPUNIT_ASSERT(!SubmitTo(owned, ManySteps("again", 1, 1), now));
+  }
+
+  void OneTeamLeavesMemoryForOthers() {
+    cell::Cell owned = OpenCell();
+    std::optional<ErrorKind> error;
+    for (int i = 0; !error; ++i) {
+      error = SubmitTo(owned, ManySteps("job-" + std::to_string(i), 1, 1));
+    }
+    CPPUNIT_ASSERT(*error == ErrorKind::kTeamLimit);
+    cell::JobSpec other = PlainJob("other");
+    other.team = "others";
+    CPPUNIT_ASSERT(!SubmitTo(owned, other));
+  }
+
+  void NextOwnerCountsTheSameMemory() {
+    Records stored;
+    std::size_t bytes = 0;
+    {
+      cell::Cell owned = OpenCell();
+      for (int i = 0; i < 50; ++i) {
+        SubmitTo(owned, ManySteps("job-" + std::to_string(i), 1, 1));
+      }
+      cell::Actions actions;
+      cell::Cancel(owned, actions, 1, "job-7", {"plain", "team-0"}, kNow);
+      Store(owned, stored, kNow);
+      bytes = owned.job_bytes;
+    }
+    const cell::Cell next = OpenCell(stored, 2);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{50}, next.jobs.size());
+    // The end of a job is stored without its steps.
+    CPPUNIT_ASSERT(next.job_bytes <= bytes && next.job_bytes > bytes / 10 * 9);
+  }
+
+  void JobThatFitsInNoRecordIsRefusedAtOnce() {
+    cell::Cell owned = OpenCell();
+    cell::JobSpec job = ManySteps("job", 1, 1);
+    for (std::size_t i = 0; i < job.steps.size(); ++i) {
+      job.steps[i].image = std::string(20'000, static_cast<char>('a' + i % 26));
+    }
+    CPPUNIT_ASSERT(SubmitTo(owned, job) == ErrorKind::kTooLarge);
+    job.steps.resize(2 * cell::kMaxSteps);
+    CPPUNIT_ASSERT(SubmitTo(owned, job) == ErrorKind::kTooLarge);
+    CPPUNIT_ASSERT(owned.jobs.empty());
+  }
+
+  void LastingTasksThatNoCellCouldRunAreRefusedAtOnce() {
+    cell::Cell owned = OpenCell();
+    cell::JobSpec job = PlainJob("job");
+    job.steps[0].service = true;
+    job.recurrence = {0, Millis(0), 4'000'000'000};
+    CPPUNIT_ASSERT(SubmitTo(owned, job) == ErrorKind::kNeverFits);
+    job.recurrence.count = 800;
+    CPPUNIT_ASSERT(!SubmitTo(owned, job));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(JobMemoryTest);
