Failures of a lasting task are remembered up to a number

Cause: each failed run of a task is kept, to count it once; a task that lasts may fail without limit, so that its list, its record and the search at each end grew for as long as it failed.

Change: of a task that lasts the latest 16 are kept; its failures have no limit to be counted against.

Result: unit-job-memory (FailuresOfALastingTaskAreBounded): 500 failures, each reported twice, in a record of under 200 bytes; without the change it is longer.

--- a/src/cell/steps.cc
+++ b/src/cell/steps.cc
@@ -8,6 +8,9 @@
 namespace buckthornmux::cell {
 namespace {
 
+/// Failed runs that are remembered of a task that lasts, which may fail without
+/// limit: enough to count each once.
+constexpr std::size_t kMaxFailuresOfService = 16;
 /// Epochs above this don't count in run numbers, which have 32 bits.
 constexpr Epoch kMaxNumberedEpoch = 10'000'000;
 
@@ -91,6 +94,9 @@
     return;
   }
   counted.failed_runs.push_back(run.number);
+  if (spec.service && counted.failed_runs.size() > kMaxFailuresOfService) {
+    counted.failed_runs.erase(counted.failed_runs.begin());
+  }
   counted.failed_on = target;
   counted.failed_at = now;
   MarkChanged(cell, job, false, now);
--- a/tests/unit-job-memory.cc
+++ b/tests/unit-job-memory.cc
@@ -108,6 +108,7 @@
   CPPUNIT_TEST(NextOwnerCountsTheSameMemory);
   CPPUNIT_TEST(JobThatFitsInNoRecordIsRefusedAtOnce);
   CPPUNIT_TEST(LastingTasksThatNoCellCouldRunAreRefusedAtOnce);
+  CPPUNIT_TEST(FailuresOfALastingTaskAreBounded);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -268,6 +269,38 @@
     job.recurrence.count = 800;
     CPPUNIT_ASSERT(!SubmitTo(owned, job));
   }
+
+  // Guards against a list of failures that grows for as long as a task fails.
+  void FailuresOfALastingTaskAreBounded() {
+    cell::Cell owned = OpenCell();
+    Records stored;
+    Report(owned, "t1", kNow);
+    cell::JobSpec job = PlainJob("job");
+    job.steps[0].service = true;
+    SubmitTo(owned, job);
+    Store(owned, stored, kNow);
+    Time now = kNow;
+    std::uint64_t sequence = 0;
+    constexpr int kFailures = 500;
+    for (int i = 0; i < kFailures; ++i) {
+      now += Millis(20'000);
+      Store(owned, stored, now);
+      Report(owned, "t1", now);
+      cell::Actions actions;
+      cell::Plan(owned, actions, now);
+      const cell::Target& target = owned.targets.at("t1");
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, target.runs.size());
+      const cell::RunId run = target.runs.begin()->first;
+      for (int twice = 0; twice < 2; ++twice) {
+        Report(owned, "t1", now, {},
+               {{++sequence, run, cell::RunEnd::kFailed, ""}});
+      }
+    }
+    CPPUNIT_ASSERT(owned.jobs.at("job").phase == cell::JobPhase::kRunning);
+    Store(owned, stored, now + Millis(1000));
+    constexpr std::size_t kMaxRecord = 200;
+    CPPUNIT_ASSERT(stored.at("progress/job").value.size() < kMaxRecord);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(JobMemoryTest);
