Checkpoints longer than 4000 bytes are not kept

Cause: a checkpoint is any string that a target reports. It was kept and stored at any length, so that one target could make a job's record longer than the store accepts.

Change: one place keeps checkpoints, for running and ended runs; a longer one is left out with a log line for each run, and the task goes on from its last shorter one.

Result: unit-job-memory (LongCheckpointIsNotKept).

--- a/include/buckthornmux/detail/cell/tasks.h
+++ b/include/buckthornmux/detail/cell/tasks.h
@@ -35,6 +35,8 @@
   TargetId target;  ///< Target of the live run.
   std::uint32_t run = 0;
   std::string checkpoint;
+  /// Run whose checkpoint was too long to be kept, for the log.
+  std::uint32_t checkpoint_refused = 0;
   /// Crashes of targets that ran it and of which it isn't cleared.
   std::vector<TaskCrash> crashes;
   std::uint64_t crash_version = 0;  ///< Job version with the last of them.
--- a/src/cell/internal.h
+++ b/src/cell/internal.h
@@ -100,6 +100,10 @@
 [[nodiscard]] std::uint64_t CountUnopened(const Cell& cell, const Job& job,
                                           Time now);
 
+/// Keeps the checkpoint that a target has reported, unless it is too long.
+void KeepCheckpoint(Actions& actions, Job& job, const RunId& id,
+                    const Target& target, const std::string& checkpoint);
+
 /// Puts steps whose predecessors are done into the ready set.
 void RefreshReady(Cell& cell, Job& job, std::uint32_t occurrence, Time now);
 
--- a/src/cell/reports.cc
+++ b/src/cell/reports.cc
@@ -171,8 +171,8 @@
         {"life", std::to_string(target.entry.life)}});
 }
 
-void UpdateProgress(Cell& cell, Run& run, const RunningReport& report,
-                    Time now) {
+void UpdateProgress(Cell& cell, Actions& actions, const Target& target,
+                    Run& run, const RunningReport& report, Time now) {
   if (run.phase == RunPhase::kSent) {
     run.phase = RunPhase::kRunning;
     run.confirmed_at = now;
@@ -190,13 +190,8 @@
   }
   Job* job = FindJob(cell, report.run.task.job);
   Task* task = job == nullptr ? nullptr : FindTask(*job, report.run.task);
-  if (task != nullptr && !report.checkpoint.empty() &&
-      task->run == report.run.number) {
-    const bool gang = job->spec.steps[report.run.task.step].gang;
-    Step& step =
-        *FindStep(*job, report.run.task.occurrence, report.run.task.step);
-    step.tasks.Get(gang ? 0 : report.run.task.index).checkpoint =
-        report.checkpoint;
+  if (task != nullptr && task->run == report.run.number) {
+    KeepCheckpoint(actions, *job, report.run, target, report.checkpoint);
   }
 }
 
@@ -479,7 +474,7 @@
       AdoptRun(cell, actions, *target, running, now);
     } else {
       const bool was_at_work = IsAtWork(found->second);
-      UpdateProgress(cell, found->second, running, now);
+      UpdateProgress(cell, actions, *target, found->second, running, now);
       if (!was_at_work && IsAtWork(found->second)) {
         HandleSuccess(actions, *target, running.run, now);
       }
--- a/src/cell/steps.cc
+++ b/src/cell/steps.cc
@@ -11,6 +11,8 @@
 /// Failed runs that are remembered of a task that lasts, which may fail without
 /// limit: enough to count each once.
 constexpr std::size_t kMaxFailuresOfService = 16;
+/// Longer checkpoints are not kept, bytes.
+constexpr std::size_t kMaxCheckpointBytes = 4000;
 /// Epochs above this don't count in run numbers, which have 32 bits.
 constexpr Epoch kMaxNumberedEpoch = 10'000'000;
 
@@ -109,13 +111,6 @@
   }
 }
 
-void KeepCheckpoint(Step& step, const StepSpec& spec, std::uint32_t index,
-                    const std::string& checkpoint) {
-  if (!checkpoint.empty()) {
-    step.tasks.Get(spec.gang ? 0 : index).checkpoint = checkpoint;
-  }
-}
-
 /// Draws conclusions about a target from the end of a run. A gang's failures
 /// are counted for its first task.
 void UpdateHealth(Cell& cell, Actions& actions, Target& target,
@@ -179,6 +174,28 @@
   return "unknown";
 }
 
+void KeepCheckpoint(Actions& actions, Job& job, const RunId& id,
+                    const Target& target, const std::string& checkpoint) {
+  Task* task = FindTask(job, id.task);
+  if (checkpoint.empty() || task == nullptr) {
+    return;
+  }
+  if (checkpoint.size() <= kMaxCheckpointBytes) {
+    const bool gang = job.spec.steps[id.task.step].gang;
+    Step& step = *FindStep(job, id.task.occurrence, id.task.step);
+    step.tasks.Get(gang ? 0 : id.task.index).checkpoint = checkpoint;
+  } else if (task->checkpoint_refused != id.number) {
+    task->checkpoint_refused = id.number;
+    Note(actions, "checkpoint_too_long",
+         {{"job", id.task.job},
+          {"task", TaskName(id.task)},
+          {"run", std::to_string(id.number)},
+          {"target", target.entry.id},
+          {"bytes", std::to_string(checkpoint.size())},
+          {"max_bytes", std::to_string(kMaxCheckpointBytes)}});
+  }
+}
+
 void RefreshStep(Cell& cell, Job& job, std::uint32_t occurrence,
                  std::uint32_t number) {
   const StepRef ref{job.spec.id, occurrence, number};
@@ -246,8 +263,7 @@
   ReleaseSupersededRun(cell, *job, end.run);
   task->next_run = std::max(task->next_run, end.run.number + 1);
   const StepSpec& spec = job->spec.steps[end.run.task.step];
-  Step& step = *FindStep(*job, end.run.task.occurrence, end.run.task.step);
-  KeepCheckpoint(step, spec, end.run.task.index, end.checkpoint);
+  KeepCheckpoint(actions, *job, end.run, target, end.checkpoint);
   if (end.end == RunEnd::kDone || end.end == RunEnd::kFailed) {
     ClearSuspicion(cell, actions, end.run, true, now);
   }
--- a/tests/unit-job-memory.cc
+++ b/tests/unit-job-memory.cc
@@ -21,6 +21,7 @@
 /// Maximum size of a value in the users' store, bytes.
 constexpr std::size_t kMaxValue = 1'048'576;
 constexpr std::uint32_t kMaxTasks = 10'000;  ///< Of one step.
+constexpr int kHour = 3'600'000;
 constexpr Time kNow{Millis(1'000'000)};
 
 WorldOptions Options() {
@@ -109,6 +110,7 @@
   CPPUNIT_TEST(JobThatFitsInNoRecordIsRefusedAtOnce);
   CPPUNIT_TEST(LastingTasksThatNoCellCouldRunAreRefusedAtOnce);
   CPPUNIT_TEST(FailuresOfALastingTaskAreBounded);
+  CPPUNIT_TEST(LongCheckpointIsNotKept);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -301,6 +303,36 @@
     constexpr std::size_t kMaxRecord = 200;
     CPPUNIT_ASSERT(stored.at("progress/job").value.size() < kMaxRecord);
   }
+
+  void LongCheckpointIsNotKept() {
+    cell::Cell owned = OpenCell();
+    Records stored;
+    const cell::RunId run = StartOne(owned, stored);
+    Report(owned, "t1", kNow, {{run, std::string(100, 'c'), 10, 0}});
+    Report(owned, "t1", kNow, {{run, std::string(500'000, 'c'), 20, 0}});
+    const cell::Job& job = owned.jobs.at("job");
+    CPPUNIT_ASSERT_EQUAL(
+        std::string(100, 'c'),
+        job.occurrences.at(0).steps.at(0).tasks.CheckpointOf(0));
+  }
+
+
+
+
+ private:
+  /// Starts a job; returns its first run.
+  static cell::RunId StartOne(cell::Cell& owned, Records& stored,
+                              std::uint32_t tasks = 1) {
+    Report(owned, "t1", kNow);
+    cell::JobSpec job = PlainJob("job", tasks, kHour);
+    SubmitTo(owned, job);
+    Store(owned, stored, kNow);
+    cell::Actions actions;
+    cell::Plan(owned, actions, kNow);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{tasks},
+                         owned.targets.at("t1").runs.size());
+    return {{"job", 0, 0, 0}, 1};
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(JobMemoryTest);
