A batch that the store rejects for good holds no other change back

Cause: the store's adapter told a rejection from no other failure, and nothing bounded a value.

Before that, progress that would be too long is written without checkpoints, or left out; the records of silent targets and of ended runs are bounded. Each record left out is logged with its key, bytes and reason and counted (records_omitted). Gauges tell overdue occurrences, jobs that are behind, waiting steps, runs and the memory of jobs.

--- a/include/buckthornmux/detail/cell/cell.h
+++ b/include/buckthornmux/detail/cell/cell.h
@@ -113,6 +113,11 @@
   std::size_t steps_waiting = 0;
   std::size_t steps_without_ticket = 0;
   std::size_t lanes_busy = 0;  ///< Hosts with open adviser calls.
+  /// Occurrences of recurring jobs that are due and wait without objects.
+  std::uint64_t occurrences_waiting = 0;
+  std::size_t jobs_behind = 0;  ///< Jobs with such occurrences.
+  std::size_t runs = 0;         ///< Runs on all targets.
+  std::size_t job_bytes = 0;    ///< Approximate memory of all jobs.
   /// Targets that have not reported to this owner yet and may still run tasks
   /// of a former owner, whose jobs wait for them.
   std::size_t unreported = 0;
@@ -212,6 +217,12 @@
 [[nodiscard]] std::optional<Batch> TakeBatch(Cell& cell, std::size_t max_writes,
                                              Time now);
 
+/// @brief Leaves out of a batch that the store rejects the longest record that
+///   may be left out: the progress of a job, which stays unstored until it
+///   changes again, or what only shortens the wait of a next owner.
+/// @return the record; nothing if there is none
+[[nodiscard]] std::optional<OmittedRecord> ShortenBatch(Batch& batch);
+
 /// @brief Handles the confirmation that a batch is durable.
 void OnBatchStored(Cell& cell, Actions& actions, const Batch& batch, Time now);
 
--- a/include/buckthornmux/detail/cell/state.h
+++ b/include/buckthornmux/detail/cell/state.h
@@ -410,12 +410,19 @@
   std::uint64_t next = 1;
 };
 
+/// A record that is not written although it has changed.
+struct OmittedRecord {
+  std::string key;
+  std::size_t bytes = 0;
+};
+
 /// A set of writes that become durable together.
 struct Batch {
   std::vector<RecordWrite> writes;
   std::vector<std::pair<JobId, std::uint64_t>> versions;
   std::vector<JobId> forgotten;
   std::vector<TargetId> targets;  ///< Stored target list, if in this batch.
+  std::vector<OmittedRecord> omitted;  ///< Longer than the store accepts.
 };
 
 struct Cell {
--- a/include/buckthornmux/detail/entry/cell_host.h
+++ b/include/buckthornmux/detail/entry/cell_host.h
@@ -117,6 +117,10 @@
   void SchedulePump();
   void Pump();
   void WriteBatch(Time now);
+  /// Leaves out a record of a batch that the store rejects; false if none may
+  /// be left out.
+  bool Shorten(cell::Batch& batch, std::string_view reason);
+  void NoteOmitted(const cell::OmittedRecord& omitted, std::string_view reason);
   void Report(const TargetId& id, const cell::Target& target, Time now);
   void HandleReport(const TargetId& id, Time sent_at,
                     const Outcome<net::HttpResponse>& answer);
--- a/include/buckthornmux/detail/entry/journal_writer.h
+++ b/include/buckthornmux/detail/entry/journal_writer.h
@@ -18,6 +18,9 @@
   std::function<void(const cell::Batch& batch)> stored;
   /// Another host owns the range.
   std::function<void()> lost;
+  /// The store rejects a batch whatever it holds. Leaves out the record that is
+  /// the likely cause; returns false if there is none that may be left out.
+  std::function<bool(cell::Batch& batch, std::string_view reason)> shorten;
 };
 
 /// @brief Reads a range's records and writes batches to it.
@@ -74,6 +77,7 @@
   void CheckHead();
   void HandleAnswer(const Outcome<store::TransactionEnd>& outcome);
   void OnApplied(Revision revision);
+  void OnRejected(std::string_view reason);
   [[nodiscard]] std::string Key(std::string_view name) const;
 
   const store::AsyncStore& m_store;
--- a/include/buckthornmux/detail/runtime/metrics.h
+++ b/include/buckthornmux/detail/runtime/metrics.h
@@ -30,6 +30,17 @@
   kRangesLost,      ///< Ranges lost or released.
   kPeerMessages,    ///< Messages received from entry hosts.
   kRingsFull,       ///< Messages refused by a full ring.
+  kRecordsOmitted,  ///< Records left out, since the store rejects them.
+  kCount,
+};
+
+/// Values that rise and fall, of the ranges that this process owns.
+enum class Gauge : std::uint8_t {
+  kOccurrencesWaiting,  ///< Occurrences of recurring jobs that are overdue.
+  kJobsBehind,          ///< Jobs with such occurrences.
+  kStepsWaiting,        ///< Steps with tasks that are ready to start.
+  kRuns,                ///< Runs on all targets.
+  kJobBytes,            ///< Approximate memory of all jobs, bytes.
   kCount,
 };
 
@@ -53,6 +64,9 @@
   /// @brief Adds to a counter.
   void Count(Counter counter, std::uint64_t amount = 1);
 
+  /// @brief Sets a gauge.
+  void Set(Gauge gauge, std::uint64_t value);
+
   /// @brief Records a span of time.
   void Record(Timing timing, std::chrono::nanoseconds span);
 
@@ -68,6 +82,9 @@
 /// @brief Name of a counter on /metrics.
 [[nodiscard]] std::string_view CounterName(Counter counter);
 
+/// @brief Name of a gauge on /metrics.
+[[nodiscard]] std::string_view GaugeName(Gauge gauge);
+
 /// @brief Name of a timing on /metrics.
 [[nodiscard]] std::string_view TimingName(Timing timing);
 
--- a/include/buckthornmux/detail/store/async_store.h
+++ b/include/buckthornmux/detail/store/async_store.h
@@ -50,8 +50,14 @@
 };
 
 struct TransactionEnd {
-  enum class Kind : std::uint8_t { kApplied, kConditionFailed, kLeaseGone };
+  enum class Kind : std::uint8_t {
+    kApplied,
+    kConditionFailed,
+    kLeaseGone,
+    kRejected,  ///< The service will never apply it, whatever is stored.
+  };
   Kind kind = Kind::kApplied;
+  std::string reason;          ///< If kRejected.
   Revision revision = 0;       ///< Revision of the writes, if kApplied.
   std::vector<Entry> current;  ///< Keys of the conditions, if kConditionFailed.
 };
--- a/src/cell/plan.cc
+++ b/src/cell/plan.cc
@@ -361,6 +361,14 @@
     }
   }
   load.steps_waiting = cell.ready.size();
+  load.jobs_behind = cell.behind.size();
+  for (const JobId& id : cell.behind) {
+    const Job* job = FindJob(cell, id);
+    load.occurrences_waiting +=
+        job == nullptr ? 0 : CountUnopened(cell, *job, now);
+  }
+  load.runs = cell.run_count;
+  load.job_bytes = cell.job_bytes;
   load.lanes_busy = static_cast<std::size_t>(std::ranges::count_if(
       cell.lanes, [](const AdviceLane& lane) { return lane.open > 0; }));
   return load;
--- a/src/cell/record_ended_runs.cc
+++ b/src/cell/record_ended_runs.cc
@@ -9,6 +9,13 @@
 
 using buckthornmux::serialize;
 
+namespace {
+
+/// Encoded numbers of the runs of one step.
+constexpr std::size_t kEndedRunsBytes = 56;
+
+}  // namespace
+
 void InheritEndedRuns(Cell& cell, std::span<const StoredEndedRuns> stored) {
   for (const StoredEndedRuns& runs : stored) {
     cell.unknown.of_ended_jobs[{runs.job, runs.step}] = {runs.count,
@@ -30,7 +37,13 @@
   cell.ended_runs_stored = !all.empty();
   std::vector<StoredEndedRuns> stored;
   stored.reserve(all.size());
+  std::size_t bytes = 0;
   for (const auto& [step, runs] : all) {
+    bytes += kEndedRunsBytes + step.first.size();
+    if (bytes > cell.options.max_value_bytes) {
+      batch.omitted.push_back({std::string(kEndedRunsKey), bytes});
+      break;
+    }
     stored.push_back({step.first, step.second, runs.count, runs.charged});
   }
   batch.writes.push_back(
--- a/src/cell/record_targets.cc
+++ b/src/cell/record_targets.cc
@@ -22,6 +22,9 @@
 /// A listed capacity of more than this multiple of the median of its service is
 /// taken for an error and isn't stored.
 constexpr std::int64_t kMaxTimesMedian = 64;
+/// Encoded numbers and lengths of a silent target and of one of its runs.
+constexpr std::size_t kTargetBytes = 40;
+constexpr std::size_t kRunBytes = 24;
 /// Maximum number of capacities stored for a service.
 constexpr std::size_t kMaxCapacities = 8;
 
@@ -56,12 +59,22 @@
   return stored;
 }
 
+/// Returns the silent targets whose runs are known, as many as a record holds. A
+/// next owner waits for the leases of the others.
 StoredSilentTargets SilentTargets(const Cell& cell) {
   StoredSilentTargets silent{cell.epoch, {}};
+  std::size_t bytes = 0;
   for (const auto& [id, target] : cell.targets) {
     if (!IsKnownSilent(target)) {
       continue;
     }
+    bytes += kTargetBytes + id.size() + target.confirmed_address.size();
+    for (const auto& [run_id, run] : target.runs) {
+      bytes += kRunBytes + run_id.task.job.size();
+    }
+    if (bytes > cell.options.max_value_bytes) {
+      break;
+    }
     StoredSilentTarget stored{
         id, target.confirmed_address, target.entry.life, {}};
     for (const auto& [run_id, run] : target.runs) {
--- a/src/cell/records.cc
+++ b/src/cell/records.cc
@@ -44,7 +44,7 @@
 }
 
 /// Returns the states of a step's tasks, in order.
-std::vector<StoredTasks> RowsOf(const TaskTable& tasks) {
+std::vector<StoredTasks> RowsOf(const TaskTable& tasks, bool checkpoints) {
   std::vector<StoredTasks> rows;
   auto done = tasks.Done().Ranges().begin();
   auto started = tasks.Started().begin();
@@ -57,7 +57,11 @@
       next = done->second + 1;
       ++done;
     } else if (any_started && started->first == next) {
-      AddRow(rows, StateOf(started->second));
+      StoredTasks row = StateOf(started->second);
+      if (!checkpoints) {
+        row.checkpoint.clear();
+      }
+      AddRow(rows, std::move(row));
       ++next;
       ++started;
     } else {
@@ -71,13 +75,15 @@
   return rows;
 }
 
-StoredProgress ProgressOf(const Job& job) {
+/// @param checkpoints whether the checkpoints of tasks are included; without
+///   them their tasks begin anew under a next owner
+StoredProgress ProgressOf(const Job& job, bool checkpoints) {
   StoredProgress stored{
       job.phase, job.occurrences_begun, job.occurrences_done, {}, job.shelved};
   for (const auto& [number, occurrence] : job.occurrences) {
     StoredOccurrence open{number, {}};
     for (const Step& step : occurrence.steps) {
-      open.steps.push_back(RowsOf(step.tasks));
+      open.steps.push_back(RowsOf(step.tasks, checkpoints));
     }
     stored.open.push_back(std::move(open));
   }
@@ -148,7 +154,8 @@
 }
 
 /// Adds the pending writes of one job.
-void WriteJob(Cell& cell, Batch& batch, Draft& draft, Job& job) {
+/// @return false if the batch doesn't have its latest version
+bool WriteJob(Cell& cell, Batch& batch, Draft& draft, Job& job) {
   const std::string progress_key = std::string(kProgressKey) + job.spec.id;
   if (job.Ended()) {
     if (job.progress_stored) {
@@ -160,18 +167,26 @@
       draft.ends.push_back(job.spec.id);
       ReleaseJobRecord(cell.bundles, job.stored_in);
     }
-    return;
+    return true;
   }
   if (job.stored_in.empty() && job.durable == 0) {
     draft.jobs.push_back(job.spec.id);
     draft.bytes += StoredBytes(job.spec);
   }
   if (job.version > 1) {
-    batch.writes.push_back(
-        {progress_key, EncodeProgress(ProgressOf(job)), false});
+    std::string value = EncodeProgress(ProgressOf(job, true));
+    if (value.size() > cell.options.max_value_bytes) {
+      value = EncodeProgress(ProgressOf(job, false));
+    }
+    if (value.size() > cell.options.max_value_bytes) {
+      batch.omitted.push_back({progress_key, value.size()});
+      return job.stored_in.empty() && job.durable == 0;
+    }
+    batch.writes.push_back({progress_key, std::move(value), false});
     draft.bytes += batch.writes.back().value.size();
     job.progress_stored = true;
   }
+  return true;
 }
 
 bool HasRoom(const Draft& draft, const Job& job) {
@@ -204,8 +219,9 @@
     job->unstored = false;
     job->urgent_write = false;
     --cell.writes.count;
-    WriteJob(cell, batch, draft, *job);
-    batch.versions.emplace_back(job->spec.id, job->version);
+    if (WriteJob(cell, batch, draft, *job)) {
+      batch.versions.emplace_back(job->spec.id, job->version);
+    }
   }
 }
 
@@ -399,6 +415,34 @@
   return batch;
 }
 
+std::optional<OmittedRecord> ShortenBatch(Batch& batch) {
+  auto longest = batch.writes.end();
+  for (auto write = batch.writes.begin(); write != batch.writes.end();
+       ++write) {
+    const bool optional =
+        write->key.starts_with(kProgressKey) || write->key == kSilentKey ||
+        write->key == kEndedRunsKey || write->key == kCapacitiesKey;
+    if (optional && !write->erase &&
+        (longest == batch.writes.end() ||
+         write->value.size() > longest->value.size())) {
+      longest = write;
+    }
+  }
+  if (longest == batch.writes.end()) {
+    return std::nullopt;
+  }
+  OmittedRecord omitted{longest->key, longest->value.size()};
+  if (longest->key.starts_with(kProgressKey)) {
+    const std::string_view job =
+        std::string_view(longest->key).substr(kProgressKey.size());
+    std::erase_if(batch.versions,
+                  [&](const auto& version) { return version.first == job; });
+  }
+  batch.writes.erase(longest);
+  batch.omitted.push_back(omitted);
+  return omitted;
+}
+
 void OnBatchStored(Cell& cell, Actions& actions, const Batch& batch, Time now) {
   for (const auto& [id, version] : batch.versions) {
     Job* job = FindJob(cell, id);
--- a/src/entry/cell_host.cc
+++ b/src/entry/cell_host.cc
@@ -10,6 +10,7 @@
 namespace {
 
 using runtime::Counter;
+using runtime::Gauge;
 using runtime::LogLine;
 using Level = runtime::LogLine::Level;
 
@@ -79,7 +80,10 @@
       m_events(std::move(events)),
       m_journal(store, {[this](auto records) { OnLoaded(std::move(records)); },
                         [this](const auto& batch) { OnStored(batch); },
-                        [this] { m_events.lost(); }}),
+                        [this] { m_events.lost(); },
+                        [this](auto& batch, std::string_view reason) {
+                          return Shorten(batch, reason);
+                        }}),
       m_pump_timer(io) {}
 
 void CellHost::Open(const member::OwnerRecord& owner,
@@ -116,6 +120,11 @@
   m_journal.Close();
   m_owner.reset();
   m_cell.reset();
+  for (const Gauge gauge :
+       {Gauge::kOccurrencesWaiting, Gauge::kJobsBehind, Gauge::kStepsWaiting,
+        Gauge::kRuns, Gauge::kJobBytes}) {
+    m_metrics.Set(gauge, 0);
+  }
   m_reports.clear();
   m_released = nullptr;
   for (const auto& [id, open] : std::exchange(m_open_calls, {})) {
@@ -418,12 +427,33 @@
 
 // ---- Time -------------------------------------------------------------------
 
+bool CellHost::Shorten(cell::Batch& batch, std::string_view reason) {
+  const auto omitted = cell::ShortenBatch(batch);
+  if (omitted) {
+    NoteOmitted(*omitted, reason);
+  }
+  return omitted.has_value();
+}
+
+void CellHost::NoteOmitted(const cell::OmittedRecord& omitted,
+                           std::string_view reason) {
+  m_metrics.Count(Counter::kRecordsOmitted);
+  LogLine("record_omitted", Level::kError)
+      .With("range", m_owner->range)
+      .With("key", omitted.key)
+      .With("bytes", static_cast<std::uint64_t>(omitted.bytes))
+      .With("reason", reason);
+}
+
 void CellHost::WriteBatch(Time now) {
   if (!m_journal.Ready()) {
     return;
   }
   auto batch = cell::TakeBatch(*m_cell, JournalWriter::MaxBatchWrites(), now);
   if (batch) {
+    for (const cell::OmittedRecord& omitted : batch->omitted) {
+      NoteOmitted(omitted, "longer than a value of the store");
+    }
     m_journal.Write(std::move(*batch), now);
   } else if (m_released && m_cell->writes.count == 0) {
     const auto done = std::exchange(m_released, nullptr);
@@ -473,6 +503,11 @@
 /// Logs the load of the cell, which gives context to the logged decisions.
 void CellHost::LogLoad() const {
   const cell::Load load = cell::LoadOf(*m_cell, Now());
+  m_metrics.Set(Gauge::kOccurrencesWaiting, load.occurrences_waiting);
+  m_metrics.Set(Gauge::kJobsBehind, load.jobs_behind);
+  m_metrics.Set(Gauge::kStepsWaiting, load.steps_waiting);
+  m_metrics.Set(Gauge::kRuns, load.runs);
+  m_metrics.Set(Gauge::kJobBytes, load.job_bytes);
   LogLine("cell_load")
       .With("epoch", m_cell->epoch)
       .With("targets", static_cast<std::uint64_t>(load.targets))
@@ -485,6 +520,12 @@
       .With("steps_without_ticket",
             static_cast<std::uint64_t>(load.steps_without_ticket))
       .With("lanes_busy", static_cast<std::uint64_t>(load.lanes_busy))
+      .With("occurrences_waiting", load.occurrences_waiting)
+      .With("jobs_behind", static_cast<std::uint64_t>(load.jobs_behind))
+      .With("runs", static_cast<std::uint64_t>(load.runs))
+      .With("job_bytes", static_cast<std::uint64_t>(load.job_bytes))
+      .With("max_job_bytes",
+            static_cast<std::uint64_t>(m_cell->options.max_job_bytes))
       .With("unstored_jobs", static_cast<std::uint64_t>(m_cell->writes.count))
       .With("unreported_targets", static_cast<std::uint64_t>(load.unreported))
       .With("unreported_last", load.unreported_last)
--- a/src/entry/journal_writer.cc
+++ b/src/entry/journal_writer.cc
@@ -18,6 +18,7 @@
 /// Entries besides the batch's records: two conditions and the head record.
 constexpr std::size_t kReservedEntries = 3;
 constexpr Millis kRetryDelay{100};
+constexpr Millis kRejectedRetryDelay{1000};
 /// Time until the head record is read for an unanswered write. A healthy store
 /// takes 4 ms for a write.
 constexpr Millis kHeadCheckDelay{80};
@@ -193,6 +194,10 @@
     OnApplied(end.revision);
     return;
   }
+  if (end.kind == store::TransactionEnd::Kind::kRejected) {
+    OnRejected(end.reason);
+    return;
+  }
   const std::string owner_key =
       std::string(store::kOwnersPrefix) + m_owner.range;
   for (const store::Entry& entry : end.current) {
@@ -216,6 +221,23 @@
   m_events.stored(batch);
 }
 
+/// Goes on without the record that the store rejects, so that other changes
+/// don't wait for it.
+void JournalWriter::OnRejected(std::string_view reason) {
+  LogLine("batch_rejected", Level::kError)
+      .With("range", m_owner.range)
+      .With("sequence", m_sequence)
+      .With("records", static_cast<std::uint64_t>(m_batch->writes.size()))
+      .With("reason", reason);
+  if (!m_events.shorten(*m_batch, reason)) {
+    m_resend_at = Now() + kRejectedRetryDelay;
+    return;
+  }
+  ++m_sequence;  // Answers to the rejected batch don't count.
+  m_in_flight = 0;
+  Send();
+}
+
 /// Reads the head record to find out whether the current batch has taken effect
 /// or another host has claimed the range.
 void JournalWriter::CheckHead() {
--- a/src/entry/repeated_commit.cc
+++ b/src/entry/repeated_commit.cc
@@ -53,6 +53,10 @@
 
 void RepeatedCommit::HandleAnswer(Outcome<store::TransactionEnd> outcome) {
   --m_unanswered;
+  if (const auto* end = std::get_if<store::TransactionEnd>(&outcome);
+      end != nullptr && end->kind == store::TransactionEnd::Kind::kRejected) {
+    outcome = Error{ErrorKind::kStoreUnavailable, "rejected: " + end->reason, {}};
+  }
   if (const auto* error = std::get_if<Error>(&outcome)) {
     m_may_have_applied =
         m_may_have_applied || error->kind != ErrorKind::kStoreUnavailable;
@@ -65,7 +69,7 @@
   } else if (auto& end = std::get<store::TransactionEnd>(outcome);
              end.kind == store::TransactionEnd::Kind::kConditionFailed) {
     if (const auto revision = AppliedBefore(end)) {
-      end = {store::TransactionEnd::Kind::kApplied, *revision, {}};
+      end = {store::TransactionEnd::Kind::kApplied, {}, *revision, {}};
     }
   }
   m_active = false;
--- a/src/runtime/metrics.cc
+++ b/src/runtime/metrics.cc
@@ -21,7 +21,12 @@
     "keys_refused",  "calls_rerouted", "tasks_started",   "tasks_ended",
     "tasks_stopped", "journal_writes", "journal_records", "store_errors",
     "ledger_writes", "ranges_gained",  "ranges_lost",     "peer_messages",
-    "rings_full"};
+    "rings_full",    "records_omitted"};
+
+constexpr auto kGauges = static_cast<std::size_t>(Gauge::kCount);
+constexpr std::array<std::string_view, kGauges> kGaugeNames = {
+    "occurrences_waiting", "jobs_behind", "steps_waiting", "runs",
+    "job_bytes"};
 
 constexpr std::array<std::string_view, kTimings> kTimingNames = {
     "urgent_answer_ms", "patient_accept_ms", "journal_write_ms",
@@ -50,6 +55,7 @@
 
 struct Metrics::Impl {
   std::array<std::atomic<std::uint64_t>, kCounters> counters{};
+  std::array<std::atomic<std::uint64_t>, kGauges> gauges{};
   mutable std::mutex mutex;  ///< Guards times.
   std::array<Histogram, kTimings> times{MakeTimes(), MakeTimes(), MakeTimes(),
                                         MakeTimes()};
@@ -62,6 +68,10 @@
   m_impl->counters.at(static_cast<std::size_t>(counter)) += amount;
 }
 
+void Metrics::Set(Gauge gauge, std::uint64_t value) {
+  m_impl->gauges.at(static_cast<std::size_t>(gauge)) = value;
+}
+
 void Metrics::Record(Timing timing, std::chrono::nanoseconds span) {
   const std::chrono::duration<double, std::milli> millis = span;
   const std::scoped_lock lock(m_impl->mutex);
@@ -74,6 +84,10 @@
     text << "buckthornmux_" << kCounterNames.at(i) << ' '
          << m_impl->counters.at(i).load() << '\n';
   }
+  for (std::size_t i = 0; i < kGauges; ++i) {
+    text << "buckthornmux_" << kGaugeNames.at(i) << ' '
+         << m_impl->gauges.at(i).load() << '\n';
+  }
   const std::scoped_lock lock(m_impl->mutex);
   for (std::size_t i = 0; i < kTimings; ++i) {
     const Histogram& histogram = m_impl->times.at(i);
@@ -91,6 +105,10 @@
   return kCounterNames.at(static_cast<std::size_t>(counter));
 }
 
+std::string_view GaugeName(Gauge gauge) {
+  return kGaugeNames.at(static_cast<std::size_t>(gauge));
+}
+
 std::string_view TimingName(Timing timing) {
   return kTimingNames.at(static_cast<std::size_t>(timing));
 }
--- a/tests/mock_async_store.h
+++ b/tests/mock_async_store.h
@@ -55,6 +55,8 @@
     return calls;
   }
 
+  std::size_t max_value_bytes = 1 << 20;
+
   void Put(const std::string& key, std::string value) {
     items[key] = {key, std::move(value), ++revision};
   }
@@ -157,6 +159,13 @@
 
   store::TransactionEnd Apply(const store::Transaction& transaction) {
     store::TransactionEnd end;
+    for (const store::ItemWrite& write : transaction.writes) {
+      if (write.value.size() > max_value_bytes) {
+        end.kind = store::TransactionEnd::Kind::kRejected;
+        end.reason = "value too long: " + write.key;
+        return end;
+      }
+    }
     for (const store::Condition& condition : transaction.conditions) {
       const auto found = items.find(condition.key);
       const Revision there =
--- a/tests/unit-job-memory.cc
+++ b/tests/unit-job-memory.cc
@@ -111,6 +111,9 @@
   CPPUNIT_TEST(LastingTasksThatNoCellCouldRunAreRefusedAtOnce);
   CPPUNIT_TEST(FailuresOfALastingTaskAreBounded);
   CPPUNIT_TEST(LongCheckpointIsNotKept);
+  CPPUNIT_TEST(ProgressIsStoredWithoutCheckpointsIfItIsTooLong);
+  CPPUNIT_TEST(ProgressThatIsTooLongHoldsNoOtherBack);
+  CPPUNIT_TEST(SilentTargetsFitInTheirRecord);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -316,8 +319,78 @@
         job.occurrences.at(0).steps.at(0).tasks.CheckpointOf(0));
   }
 
+  // Guards against progress that is longer than a value of the store.
+  void ProgressIsStoredWithoutCheckpointsIfItIsTooLong() {
+    cell::Cell owned = OpenCell();
+    owned.options.max_value_bytes = 2000;
+    Records stored;
+    constexpr std::uint32_t kTasks = 10;
+    std::vector<cell::RunningReport> running;
+    StartOne(owned, stored, kTasks);
+    for (std::uint32_t i = 0; i < kTasks; ++i) {
+      running.push_back(
+          {{{"job", 0, 0, i}, 1}, std::string(1000, static_cast<char>('a' + i)),
+           10,
+           0});
+    }
+    Report(owned, "t1", kNow, running);
+    Report(owned, "t1", kNow, running,
+           {{1, {{"job", 0, 0, 0}, 1}, cell::RunEnd::kDone, ""}});
+    Store(owned, stored, kNow + Millis(1000));
+    const cell::Cell next = OpenCell(stored, 2);
+    const cell::Step& step =
+        next.jobs.at("job").occurrences.at(0).steps.at(0);
+    CPPUNIT_ASSERT(step.tasks.IsDone(0));
+    CPPUNIT_ASSERT_EQUAL(1U, step.done);
+    CPPUNIT_ASSERT(step.tasks.CheckpointOf(1).empty());
+  }
 
+  void ProgressThatIsTooLongHoldsNoOtherBack() {
+    cell::Cell owned = OpenCell();
+    Records stored;
+    SubmitTo(owned, PlainJob("job", 100));
+    Store(owned, stored, kNow);
+    Report(owned, "t1", kNow);
+    cell::Actions actions;
+    cell::Plan(owned, actions, kNow);
+    std::vector<cell::EndReport> ended;
+    std::uint64_t sequence = 0;
+    for (std::uint32_t i = 0; i < 100; i += 2) {
+      ended.push_back(
+          {++sequence, {{"job", 0, 0, i}, 1}, cell::RunEnd::kDone, ""});
+    }
+    Report(owned, "t1", kNow, {}, ended);
+    const std::uint64_t durable = owned.jobs.at("job").durable;
+    SubmitTo(owned, PlainJob("other"));
+    owned.options.max_value_bytes = 100;
+    bool omitted = false;
+    while (auto batch = cell::TakeBatch(owned, 29, kNow + Millis(1000))) {
+      omitted = omitted || !batch->omitted.empty();
+      cell::OnBatchStored(owned, actions, *batch, kNow);
+    }
+    CPPUNIT_ASSERT(omitted);
+    CPPUNIT_ASSERT_EQUAL(durable, owned.jobs.at("job").durable);
+    CPPUNIT_ASSERT(owned.jobs.at("other").durable > 0);
+    // The target keeps the ends, which a next owner needs.
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, owned.targets.at("t1").acked_end);
+  }
 
+  // A next owner waits for the lease of a target that isn't in the record.
+  void SilentTargetsFitInTheirRecord() {
+    cell::Cell owned = OpenCell();
+    owned.options.max_value_bytes = 3000;
+    Records stored;
+    StartOne(owned, stored, 200);
+    const Time later = kNow + Millis(4000);
+    cell::Actions actions;
+    cell::ReportFailed(owned, actions, "t1", cell::OrderOutcome::kUnknown,
+                       later);
+    CPPUNIT_ASSERT(owned.targets.at("t1").silent);
+    owned.targets_dirty = true;
+    Store(owned, stored, later);
+    CPPUNIT_ASSERT(!stored.contains("silent"));
+    CPPUNIT_ASSERT(OpenCell(stored, 2).expected.contains("t1"));
+  }
 
  private:
   /// Starts a job; returns its first run.
--- a/tests/unit-journal-writer.cc
+++ b/tests/unit-journal-writer.cc
@@ -2,6 +2,7 @@
 // loses requests or answers.
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "buckthornmux/detail/cell/cell.h"
 #include "buckthornmux/detail/entry/clock.h"
 #include "buckthornmux/detail/entry/journal_writer.h"
 #include "mock_async_store.h"
@@ -23,11 +24,21 @@
   store::AsyncStore calls = store.Calls();
   int stored = 0;
   int lost = 0;
+  cell::Batch batch;  ///< The last that was stored.
+  std::vector<std::string> omitted;  ///< Keys; empty if there was none.
   std::vector<cell::RecordWrite> loaded;
   JournalWriter writer{
       calls,
       {[this](auto records) { loaded = std::move(records); },
-       [this](const cell::Batch&) { ++stored; }, [this] { ++lost; }}};
+       [this](const cell::Batch& written) {
+         ++stored;
+         batch = written;
+       }, [this] { ++lost; },
+       [this](cell::Batch& sent, std::string_view) {
+         const auto left_out = cell::ShortenBatch(sent);
+         omitted.push_back(left_out ? left_out->key : "");
+         return left_out.has_value();
+       }}};
 
   void Open() {
     store.Put("state/owners/cell/0", "owner");
@@ -55,6 +66,8 @@
   CPPUNIT_TEST(LostWriteIsRepeated);
   CPPUNIT_TEST(LateWriteTakesNoEffectAfterALaterOne);
   CPPUNIT_TEST(RefusedWriteIsRepeated);
+  CPPUNIT_TEST(RejectedRecordHoldsNoOtherBack);
+  CPPUNIT_TEST(BatchRejectedForNoKnownReasonIsRepeated);
   CPPUNIT_TEST(UnansweredBatchesDoNotDelayLaterOnes);
   CPPUNIT_TEST(NewOwnerStopsTheWriter);
   CPPUNIT_TEST(ErasuresAreWritten);
@@ -140,6 +153,42 @@
   }
 
   // The store loses answers for seconds, and no call has timed out yet.
+  // Guards against a batch that is rejected for its length and repeated for
+  // ever, while all other changes wait behind it.
+  void RejectedRecordHoldsNoOtherBack() {
+    Fixture f;
+    f.Open();
+    f.store.max_value_bytes = 100;
+    cell::Batch batch = BatchOf("jobs/1", "a");
+    batch.writes.push_back({"progress/x", std::string(300, 'x'), false});
+    batch.writes.push_back({"progress/y", std::string(50, 'y'), false});
+    batch.versions = {{"x", 7}, {"y", 5}};
+    f.writer.Write(batch, entry::Now());
+    CPPUNIT_ASSERT_EQUAL(1, f.stored);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), f.Value("jobs/1"));
+    CPPUNIT_ASSERT_EQUAL(std::string(50, 'y'), f.Value("progress/y"));
+    CPPUNIT_ASSERT(f.Value("progress/x").empty());
+    CPPUNIT_ASSERT(f.omitted == std::vector<std::string>{"progress/x"});
+    CPPUNIT_ASSERT(f.batch.versions ==
+                   (std::vector<std::pair<cell::JobId, std::uint64_t>>{
+                       {"y", 5}}));
+    f.writer.Write(BatchOf("jobs/2", "b"), entry::Now());
+    CPPUNIT_ASSERT_EQUAL(2, f.stored);
+  }
+
+  // The other side: a record that others depend on is never left out.
+  void BatchRejectedForNoKnownReasonIsRepeated() {
+    Fixture f;
+    f.Open();
+    f.store.max_value_bytes = 10;
+    f.writer.Write(BatchOf("jobs/1", std::string(20, 'a')), entry::Now());
+    CPPUNIT_ASSERT_EQUAL(0, f.stored);
+    f.store.max_value_bytes = 100;
+    f.Settle();
+    CPPUNIT_ASSERT_EQUAL(1, f.stored);
+    CPPUNIT_ASSERT_EQUAL(std::string(20, 'a'), f.Value("jobs/1"));
+  }
+
   void UnansweredBatchesDoNotDelayLaterOnes() {
     Fixture f;
     f.Open();
