Late work is shared among the jobs that wait for it

Cause: late steps were ordered by age alone, so that the oldest job started all its tasks first, however many; urgent occurrences kept their precedence however late; and an overdue occurrence's objective counted from the job's arrival, not from its due time as credit does.

Change: among late steps, a job falls behind others by one place for each 500 tasks that it has started late. An occurrence counts from its due time. Urgent occurrences beyond three times their objective are ordered like other work without value. Jobs that run once, with fewer tasks, keep their order.

--- a/include/buckthornmux/detail/cell/state.h
+++ b/include/buckthornmux/detail/cell/state.h
@@ -260,6 +260,7 @@
   Time ended_at;
   bool excess = false;  ///< Beyond its team's share; others go first.
   int priority = 0;
+  std::uint64_t late_starts = 0;  ///< Tasks that this owner started late.
   std::size_t bytes = 0;  ///< Its part of Cell::job_bytes.
 
   [[nodiscard]] bool Ended() const {
--- a/src/cell/plan.cc
+++ b/src/cell/plan.cc
@@ -14,6 +14,9 @@
 /// gangs among them. Steps that can't start for another reason don't count.
 constexpr std::size_t kMaxPlannedSteps = 150;
 constexpr std::size_t kMaxPlannedGangs = 100;
+/// A job with this many more late starts than another one comes after it, among
+/// late steps; far more than the tasks of usual jobs.
+constexpr std::uint64_t kLateStartsPerRank = 500;
 /// One job on probation at a time for this many targets, or for this many empty
 /// ones if that is more.
 constexpr std::size_t kTargetsPerProbation = 4;
@@ -28,7 +31,9 @@
   if (candidate.excess) {
     return kExcess;
   }
-  if (candidate.Urgent()) {
+  const bool far_behind =
+      candidate.hopeless && candidate.job->spec.recurrence.count > 0;
+  if (candidate.Urgent() && !far_behind) {
     return candidate.late ? kUrgentLate : kUrgent;
   }
   if (candidate.hopeless) {
@@ -40,7 +45,8 @@
 /// Planning order of steps. Late steps come after those that can still meet
 /// their objective; otherwise every job would be late under overload. Of those,
 /// each job's oldest occurrence comes first, so that a job that is far behind
-/// doesn't keep others waiting.
+/// doesn't keep others waiting. Urgent occurrences without any value left lose
+/// their precedence for the same reason.
 bool Before(const Candidate& a, const Candidate& b) {
   const int a_class = ClassOf(a);
   const int b_class = ClassOf(b);
@@ -67,7 +73,7 @@
   }
   const WallMillis due =
       recurrence.first + recurrence.interval.count() * occurrence;
-  return std::max(job.arrived, Time(Millis(due - cell.wall_offset)));
+  return Time(Millis(due - cell.wall_offset));
 }
 
 Candidate MakeCandidate(const Cell& cell, const StepRef& ref, Job& job,
@@ -308,7 +314,7 @@
     rank = same_job ? rank + (next ? 1 : 0) : 0;
     last = &ref;
     Candidate candidate = MakeCandidate(cell, ref, job, now);
-    candidate.rank = rank;
+    candidate.rank = rank + job.late_starts / kLateStartsPerRank;
     backlog += WaitingCpu(*candidate.step, candidate.Spec());
     candidates.push_back(std::move(candidate));
   }
--- a/src/cell/round.h
+++ b/src/cell/round.h
@@ -47,8 +47,9 @@
   /// Ends before a gang can start that room is reserved for.
   bool ends_before_gangs = false;
   Millis slack{0};  ///< Time left until its latest start.
-  /// Number of earlier occurrences of its job that wait too.
-  std::uint32_t rank = 0;
+  /// Order among late steps: by the earlier occurrences of the job that wait
+  /// too, and the late tasks that it has started.
+  std::uint64_t rank = 0;
 
   [[nodiscard]] bool Urgent() const { return priority == 0; }
   [[nodiscard]] bool IgnoresReservations() const {
--- a/src/cell/starts.cc
+++ b/src/cell/starts.cc
@@ -80,6 +80,7 @@
   task.run = number;
   task.next_run = number + 1;
   ++step.live;
+  job.late_starts += candidate.late || candidate.hopeless ? 1U : 0U;
   const auto ticket = step.advice.tickets.find(target.entry.id);
   const std::string checkpoint = step.tasks.CheckpointOf(spec.gang ? 0 : index);
   round.actions.emplace_back(SendStart{
