--- a/include/buckthornmux/detail/cell/state.h
+++ b/include/buckthornmux/detail/cell/state.h
@@ -44,8 +44,8 @@
   /// Maximum jobs in the cell, including ended ones that are still retained;
   /// submits beyond this are refused.
   std::size_t max_open_jobs = 20'000;
-  /// Maximum memory of jobs, open or retained, and of those of one team; submits
-  /// beyond this are refused, and a job that takes a large part of it.
+  /// Maximum memory of jobs, open or retained, and of those of one team;
+  /// submits beyond this are refused, and a job that takes a large part of it.
   std::size_t max_job_bytes = 48'000'000;
   /// Maximum size of a record's value in the store, bytes.
   std::size_t max_value_bytes = 1'000'000;
@@ -261,7 +261,7 @@
   bool excess = false;  ///< Beyond its team's share; others go first.
   int priority = 0;
   std::uint64_t late_starts = 0;  ///< Tasks that this owner started late.
-  std::size_t bytes = 0;  ///< Its part of Cell::job_bytes.
+  std::size_t bytes = 0;          ///< Its part of Cell::job_bytes.
 
   [[nodiscard]] bool Ended() const {
     return phase == JobPhase::kCompleted || phase == JobPhase::kFailed ||
@@ -324,9 +324,9 @@
 };
 
 struct TeamUsage {
-  Resources used;     ///< By the runs that are known.
+  Resources used;             ///< By the runs that are known.
   std::size_t job_bytes = 0;  ///< Part of Cell::job_bytes.
-  double tokens = 0;  ///< Token bucket: jobs left in its share.
+  double tokens = 0;          ///< Token bucket: jobs left in its share.
   Time tokens_at;
   bool tokens_set = false;
   /// What the log says of its limit: whether it holds work back, and if so,
--- a/src/cell/jobs.cc
+++ b/src/cell/jobs.cc
@@ -89,8 +89,8 @@
   }
   const auto usage = cell.usage.find(spec.team);
   constexpr std::size_t kAllPercent = 100;
-  if (usage != cell.usage.end() && usage->second.job_bytes + bytes >
-                                       most / kAllPercent * kTeamPercent) {
+  if (usage != cell.usage.end() &&
+      usage->second.job_bytes + bytes > most / kAllPercent * kTeamPercent) {
     return Error{ErrorKind::kTeamLimit,
                  "the team's open jobs take most of the memory",
                  {}};
--- a/src/cell/occurrences.cc
+++ b/src/cell/occurrences.cc
@@ -1,6 +1,6 @@
 // Occurrences of jobs: when they begin, and which of them have objects. Those
-// that wait alike are shelved as numbers, so that a job that is far behind needs
-// no more memory, time and storage than one that is not.
+// that wait alike are shelved as numbers, so that a job that is far behind
+// needs no more memory, time and storage than one that is not.
 #include <algorithm>
 #include <string>
 
@@ -244,8 +244,8 @@
   std::size_t left = kMaxOpenedPerRound;
   const std::size_t jobs = std::min(cell.behind.size(), kMaxJobsPerRound);
   // Each job may open its part of the round, so that none waits for another.
-  const std::size_t part =
-      std::max<std::size_t>(1, kMaxOpenedPerRound / std::max<std::size_t>(1, jobs));
+  const std::size_t part = std::max<std::size_t>(
+      1, kMaxOpenedPerRound / std::max<std::size_t>(1, jobs));
   for (std::size_t i = 0; i < jobs && left > 0; ++i) {
     auto next = cell.behind.upper_bound(cell.behind_last);
     if (next == cell.behind.end()) {
--- a/src/cell/plan.cc
+++ b/src/cell/plan.cc
@@ -178,8 +178,7 @@
         (candidate.suspect && !IsSuspect(task))) {
       continue;
     }
-    if (round.starts_left == 0 ||
-        !MayUseMore(round, candidate, spec.demand)) {
+    if (round.starts_left == 0 || !MayUseMore(round, candidate, spec.demand)) {
       return;
     }
     Slot* slot = BestSlot(round, candidate, queue, &task, allowed);
@@ -199,10 +198,10 @@
   }
   for (std::uint32_t i = step.tasks.NextUnstarted(0); i < step.tasks.Count();
        i = step.tasks.NextUnstarted(i + 1)) {
-    Slot* slot = round.starts_left > 0 &&
-                         MayUseMore(round, candidate, spec.demand)
-                     ? BestSlot(round, candidate, queue, nullptr, allowed)
-                     : nullptr;
+    Slot* slot =
+        round.starts_left > 0 && MayUseMore(round, candidate, spec.demand)
+            ? BestSlot(round, candidate, queue, nullptr, allowed)
+            : nullptr;
     if (slot == nullptr) {
       return;
     }
@@ -213,23 +212,21 @@
 /// Notes whether a step has suspected tasks. Done for planned steps only, since
 /// a long queue has many more.
 void FindSuspects(Candidate& candidate) {
-  candidate.suspect =
-      std::ranges::any_of(candidate.step->tasks.Started(), [](const auto& task) {
-        return IsSuspect(task.second);
-      });
-  candidate.slow_suspect =
-      std::ranges::any_of(candidate.step->tasks.Started(), [](const auto& task) {
-        return IsSlowSuspect(task.second);
-      });
+  candidate.suspect = std::ranges::any_of(
+      candidate.step->tasks.Started(),
+      [](const auto& task) { return IsSuspect(task.second); });
+  candidate.slow_suspect = std::ranges::any_of(
+      candidate.step->tasks.Started(),
+      [](const auto& task) { return IsSlowSuspect(task.second); });
 }
 
 /// Whether the crashes of a step's suspected tasks are stored.
 bool AreCrashesStored(const Candidate& candidate) {
   const Job& job = *candidate.job;
-  return std::ranges::all_of(
-      candidate.step->tasks.Started(), [&](const auto& task) {
-        return task.second.crash_version <= job.durable;
-      });
+  return std::ranges::all_of(candidate.step->tasks.Started(),
+                             [&](const auto& task) {
+                               return task.second.crash_version <= job.durable;
+                             });
 }
 
 std::size_t CountEmpty(const Round& round) {
@@ -393,9 +390,9 @@
   std::erase_if(candidates, [&](const Candidate& candidate) {
     return candidate.queue == nullptr || !MayStartNow(round, candidate);
   });
-  const auto first_part = candidates.begin() +
-                          static_cast<std::ptrdiff_t>(std::min(
-                              candidates.size(), kMaxPlannedSteps));
+  const auto first_part =
+      candidates.begin() + static_cast<std::ptrdiff_t>(
+                               std::min(candidates.size(), kMaxPlannedSteps));
   std::ranges::partial_sort(candidates, first_part, Before);
   std::vector<Candidate> held_back;
   for (auto next = candidates.begin();
--- a/src/cell/record_load.cc
+++ b/src/cell/record_load.cc
@@ -17,15 +17,15 @@
 /// Whether a task is as if it had never been started: the first run of this
 /// epoch has a higher number than any that a former owner can have used.
 bool IsUnstarted(const StoredTasks& stored, std::uint32_t first_run) {
-  return stored.next_run + kTakeoverRunNumberGap <= first_run && stored.failed_runs.empty() &&
-         stored.crashes.empty() && stored.checkpoint.empty();
+  return stored.next_run + kTakeoverRunNumberGap <= first_run &&
+         stored.failed_runs.empty() && stored.crashes.empty() &&
+         stored.checkpoint.empty();
 }
 
 void Restore(Step& step, const std::vector<StoredTasks>& stored) {
   std::uint32_t next = 0;
   for (const StoredTasks& from : stored) {
-    const std::uint32_t count =
-        std::min(from.count, step.tasks.Count() - next);
+    const std::uint32_t count = std::min(from.count, step.tasks.Count() - next);
     if (from.done && count > 0) {
       step.tasks.MarkDone(next, next + count - 1);
       step.done += count;
--- a/src/cell/record_targets.cc
+++ b/src/cell/record_targets.cc
@@ -59,8 +59,8 @@
   return stored;
 }
 
-/// Returns the silent targets whose runs are known, as many as a record holds. A
-/// next owner waits for the leases of the others.
+/// Returns the silent targets whose runs are known, as many as a record holds.
+/// A next owner waits for the leases of the others.
 StoredSilentTargets SilentTargets(const Cell& cell) {
   StoredSilentTargets silent{cell.epoch, {}};
   std::size_t bytes = 0;
--- a/src/cell/records.cc
+++ b/src/cell/records.cc
@@ -20,12 +20,8 @@
 constexpr Millis kMaxEndRecordAge{2000};
 
 StoredTasks StateOf(const Task& task) {
-  return {1,
-          false,
-          task.next_run,
-          task.failed_runs,
-          task.crashes,
-          task.checkpoint};
+  return {
+      1, false, task.next_run, task.failed_runs, task.crashes, task.checkpoint};
 }
 
 bool HaveSameState(const StoredTasks& left, const StoredTasks& right) {
--- a/src/cell/steps.cc
+++ b/src/cell/steps.cc
@@ -142,8 +142,9 @@
 
 std::uint32_t FirstRunOf(const Cell& cell, const Job& job) {
   // A former owner may have started any task of a job that was taken over.
-  return job.adopted ? std::max(FirstRunOf(cell.epoch), kTakeoverRunNumberGap + 1)
-                     : 1;
+  return job.adopted
+             ? std::max(FirstRunOf(cell.epoch), kTakeoverRunNumberGap + 1)
+             : 1;
 }
 
 std::vector<TargetId> Unreported(const Cell& cell, Time now) {
--- a/src/cell/team_limits.cc
+++ b/src/cell/team_limits.cc
@@ -111,7 +111,8 @@
     for (std::size_t i = 0; i < steps.size(); ++i) {
       const bool is_done = ((done >> i) & 1U) != 0;
       waiting[i] =
-          is_done ? 0 : Product(steps[i].count, static_cast<std::int64_t>(count));
+          is_done ? 0
+                  : Product(steps[i].count, static_cast<std::int64_t>(count));
     }
     add(waiting);
   };
--- a/src/entry/repeated_commit.cc
+++ b/src/entry/repeated_commit.cc
@@ -55,7 +55,8 @@
   --m_unanswered;
   if (const auto* end = std::get_if<store::TransactionEnd>(&outcome);
       end != nullptr && end->kind == store::TransactionEnd::Kind::kRejected) {
-    outcome = Error{ErrorKind::kStoreUnavailable, "rejected: " + end->reason, {}};
+    outcome =
+        Error{ErrorKind::kStoreUnavailable, "rejected: " + end->reason, {}};
   }
   if (const auto* error = std::get_if<Error>(&outcome)) {
     m_may_have_applied =
--- a/tests/unit-job-memory.cc
+++ b/tests/unit-job-memory.cc
@@ -69,10 +69,10 @@
   Run(world, Millis(2500));
   int served = 0;
   for (int i = 0; i < kJobs; ++i) {
-    served += world.PhaseOf(name + std::to_string(i)) ==
-                      cell::JobPhase::kCompleted
-                  ? 1
-                  : 0;
+    served +=
+        world.PhaseOf(name + std::to_string(i)) == cell::JobPhase::kCompleted
+            ? 1
+            : 0;
   }
   return served == kJobs;
 }
@@ -328,18 +328,17 @@
     std::vector<cell::RunningReport> running;
     StartOne(owned, stored, kTasks);
     for (std::uint32_t i = 0; i < kTasks; ++i) {
-      running.push_back(
-          {{{"job", 0, 0, i}, 1}, std::string(1000, static_cast<char>('a' + i)),
-           10,
-           0});
+      running.push_back({{{"job", 0, 0, i}, 1},
+                         std::string(1000, static_cast<char>('a' + i)),
+                         10,
+                         0});
     }
     Report(owned, "t1", kNow, running);
     Report(owned, "t1", kNow, running,
            {{1, {{"job", 0, 0, 0}, 1}, cell::RunEnd::kDone, ""}});
     Store(owned, stored, kNow + Millis(1000));
     const cell::Cell next = OpenCell(stored, 2);
-    const cell::Step& step =
-        next.jobs.at("job").occurrences.at(0).steps.at(0);
+    const cell::Step& step = next.jobs.at("job").occurrences.at(0).steps.at(0);
     CPPUNIT_ASSERT(step.tasks.IsDone(0));
     CPPUNIT_ASSERT_EQUAL(1U, step.done);
     CPPUNIT_ASSERT(step.tasks.CheckpointOf(1).empty());
--- a/tests/unit-journal-writer.cc
+++ b/tests/unit-journal-writer.cc
@@ -24,21 +24,21 @@
   store::AsyncStore calls = store.Calls();
   int stored = 0;
   int lost = 0;
-  cell::Batch batch;  ///< The last that was stored.
+  cell::Batch batch;                 ///< The last that was stored.
   std::vector<std::string> omitted;  ///< Keys; empty if there was none.
   std::vector<cell::RecordWrite> loaded;
-  JournalWriter writer{
-      calls,
-      {[this](auto records) { loaded = std::move(records); },
-       [this](const cell::Batch& written) {
-         ++stored;
-         batch = written;
-       }, [this] { ++lost; },
-       [this](cell::Batch& sent, std::string_view) {
-         const auto left_out = cell::ShortenBatch(sent);
-         omitted.push_back(left_out ? left_out->key : "");
-         return left_out.has_value();
-       }}};
+  JournalWriter writer{calls,
+                       {[this](auto records) { loaded = std::move(records); },
+                        [this](const cell::Batch& written) {
+                          ++stored;
+                          batch = written;
+                        },
+                        [this] { ++lost; },
+                        [this](cell::Batch& sent, std::string_view) {
+                          const auto left_out = cell::ShortenBatch(sent);
+                          omitted.push_back(left_out ? left_out->key : "");
+                          return left_out.has_value();
+                        }}};
 
   void Open() {
     store.Put("state/owners/cell/0", "owner");
@@ -169,9 +169,9 @@
     CPPUNIT_ASSERT_EQUAL(std::string(50, 'y'), f.Value("progress/y"));
     CPPUNIT_ASSERT(f.Value("progress/x").empty());
     CPPUNIT_ASSERT(f.omitted == std::vector<std::string>{"progress/x"});
-    CPPUNIT_ASSERT(f.batch.versions ==
-                   (std::vector<std::pair<cell::JobId, std::uint64_t>>{
-                       {"y", 5}}));
+    CPPUNIT_ASSERT(
+        f.batch.versions ==
+        (std::vector<std::pair<cell::JobId, std::uint64_t>>{{"y", 5}}));
     f.writer.Write(BatchOf("jobs/2", "b"), entry::Now());
     CPPUNIT_ASSERT_EQUAL(2, f.stored);
   }
--- a/tests/unit-odd-frames.cc
+++ b/tests/unit-odd-frames.cc
@@ -294,8 +294,7 @@
   }
 
   void Progress() {
-    Play<cell::StoredProgress>("progress", cell::EncodeProgress,
-                               DecodeWhole);
+    Play<cell::StoredProgress>("progress", cell::EncodeProgress, DecodeWhole);
   }
 
   void Targets() { PlayBinary<std::vector<cell::StoredTarget>>("targets"); }
@@ -318,11 +317,10 @@
  private:
   static Result<cell::StoredProgress> DecodeWhole(const std::string& bytes) {
     std::vector<cell::StoredOccurrence> open;
-    BOOST_LEAF_AUTO(
-        progress,
-        cell::DecodeProgress(bytes, "x", [&](cell::StoredOccurrence& one) {
-          open.push_back(std::move(one));
-        }));
+    BOOST_LEAF_AUTO(progress, cell::DecodeProgress(
+                                  bytes, "x", [&](cell::StoredOccurrence& one) {
+                                    open.push_back(std::move(one));
+                                  }));
     progress.open = std::move(open);
     return progress;
   }
--- a/tests/unit-planning-window.cc
+++ b/tests/unit-planning-window.cc
@@ -159,8 +159,8 @@
     OpenWorld(world);
     constexpr std::uint32_t kMaxTasks = 10'000;
     for (int i = 0; i < 3; ++i) {
-      world.Submit(JobOf("wide-" + std::to_string(i), "depots", kMaxTasks, 1000,
-                         500));
+      world.Submit(
+          JobOf("wide-" + std::to_string(i), "depots", kMaxTasks, 1000, 500));
     }
     Run(world, Millis(100));
     world.Submit(JobOf("job", "others", 2, 1000, 500));
--- a/tests/unit-recurring-jobs.cc
+++ b/tests/unit-recurring-jobs.cc
@@ -105,8 +105,7 @@
   }
   Run(world, Millis(2500));
   for (int i = 0; i < kJobs; ++i) {
-    if (world.PhaseOf(name + std::to_string(i)) !=
-        cell::JobPhase::kCompleted) {
+    if (world.PhaseOf(name + std::to_string(i)) != cell::JobPhase::kCompleted) {
       return false;
     }
   }
@@ -241,8 +240,8 @@
     CPPUNIT_ASSERT(LargestRecord(world) < kMaxValue);
     CPPUNIT_ASSERT(OthersAreServed(world, "other-"));
     for (int i = 0; i < kPlans; ++i) {
-      CPPUNIT_ASSERT(
-          world.StartsOf({"plan-" + std::to_string(i), 0, 0, 0}) > 0);
+      CPPUNIT_ASSERT(world.StartsOf({"plan-" + std::to_string(i), 0, 0, 0}) >
+                     0);
     }
   }
 
@@ -271,8 +270,8 @@
           world.State().jobs.at("plan").occurrences_begun;
       const int started = CountStarted(world, "plan", begun);
       CPPUNIT_ASSERT_EQUAL(
-          started, CountStarted(world, "plan",
-                                static_cast<std::uint32_t>(started)));
+          started,
+          CountStarted(world, "plan", static_cast<std::uint32_t>(started)));
     }
   }
 
