A gang's first hold follows the deployment's bound on waiting jobs

Change: the limit is an option of the cell, one second less than the bound.

Result: LimitOfTheHoldFollowsTheSettings (unit-gang-room), ParsesSettings (unit-platform). 14 s stays the default, so that the known deployments are as before.

--- a/include/buckthornmux/detail/cell/state.h
+++ b/include/buckthornmux/detail/cell/state.h
@@ -31,6 +31,10 @@
   /// A crash is put down to a task only if no other job's task had begun within
   /// this time before it.
   Millis crash_doubt{500};
+  /// Maximum length of the first period in which room is held for a gang; other
+  /// work may wait for it. Each further one may last twice as long, so that one
+  /// is long enough in the end.
+  Millis first_hold_limit{13'000};
   int start_tries = 3;  ///< Sends of a start before the run is stopped.
   Millis stop_retry_delay{250};  ///< Delay before an unanswered stop is resent.
   Millis write_delay{150};       ///< Batching delay of task ends.
--- a/include/buckthornmux/detail/entry/settings.h
+++ b/include/buckthornmux/detail/entry/settings.h
@@ -18,7 +18,8 @@
   Millis gang_timeout{3000};    ///< How long gang members wait for each other.
   Millis cancel_within{3000};   ///< Tasks of a cancelled job end within this.
   Millis status_kept{120'000};  ///< How long ended jobs can be queried.
-  double far_factor = 3;        ///< Slowdown of tasks far from their data.
+  Millis finish{14'000};  ///< Longest wait of a job that there is room for.
+  double far_factor = 3;  ///< Slowdown of tasks far from their data.
 };
 
 /// Resources of this process, as configured by the operators.
--- a/src/cell/gangs.cc
+++ b/src/cell/gangs.cc
@@ -14,9 +14,6 @@
 /// would leave too much of the cell idle.
 constexpr int kMaxGangsReservingAll = 4;
 
-/// Maximum length of the first period in which room is held for a gang. Each
-/// further one may last twice as long, so that one is long enough in the end.
-constexpr Millis kFirstHoldLimit{13'000};
 /// Pause between two periods, in which other work may use the room.
 constexpr Millis kHoldPause{1000};
 /// A period counts as ended if no room was held for this time.
@@ -240,8 +237,8 @@
   if (!HoldsRoom(*candidate.step, now)) {
     hold.since = now;
     // Waiting for anything but the end of other work isn't worth longer holds.
-    hold.limit = std::clamp(hold.limit, kFirstHoldLimit,
-                            kFirstHoldLimit + 2 * (starts_at - now));
+    const Millis first = round.cell.options.first_hold_limit;
+    hold.limit = std::clamp(hold.limit, first, first + 2 * (starts_at - now));
     hold.expected_start = starts_at;
     note("gang_holds_room", hold.limit);
   }
@@ -288,7 +285,8 @@
   // A gang that can start soon isn't put at risk for wrong estimates.
   return !spec.service && spec.estimate > Millis(0) &&
          round.gangs_start_at != Time::max() &&
-         round.gangs_start_at - round.now > kFirstHoldLimit &&
+         round.gangs_start_at - round.now >
+             round.cell.options.first_hold_limit &&
          round.now + lasts <= round.gangs_start_at;
 }
 
--- a/src/entry/cell_host.cc
+++ b/src/entry/cell_host.cc
@@ -49,6 +49,10 @@
   options.max_job_bytes = MaxJobBytes(settings.capacity);
   options.lease = std::min(kMaxTargetLease, bounds.longest_lease);
   options.stop_time = bounds.stop_time;
+  // Work that waited for a gang begins before it would count as lost.
+  constexpr Millis kStartSlack{1000};
+  options.first_hold_limit =
+      std::max(bounds.finish / 2, bounds.finish - kStartSlack);
   options.job_retention = bounds.status_kept + kStatusSlack;
   return options;
 }
--- a/tests/unit-gang-room.cc
+++ b/tests/unit-gang-room.cc
@@ -102,6 +102,7 @@
   CPPUNIT_TEST(ShortWorkRunsBeforeAGangThatWaitsForLongWork);
   CPPUNIT_TEST(WorkThatFitsBesideTheGangStartsAtOnce);
   CPPUNIT_TEST(LongWorkWaitsABoundedTimeForAGang);
+  CPPUNIT_TEST(LimitOfTheHoldFollowsTheSettings);
   CPPUNIT_TEST(WrongEstimatesDoNotProlongTheHold);
   CPPUNIT_TEST(GangWithoutTicketsHoldsRoomForABoundedTime);
   CPPUNIT_TEST(GangGetsItsRoomInASteadyFlow);
@@ -210,6 +211,24 @@
     CPPUNIT_ASSERT(HasStarted(world, "gang"));
   }
 
+  // Guards against a limit that doesn't follow a deployment's shorter bound on
+  // the wait of a job.
+  void LimitOfTheHoldFollowsTheSettings() {
+    constexpr Millis kShortWait{8000};
+    World world(Options());
+    OpenWorld(world);
+    world.State().options.first_hold_limit = kShortWait - Millis(1000);
+    cell::JobSpec blocking = Wide("long", "depots", kTargets, 7000, 60'000);
+    blocking.steps[0].max_per_target = 1;
+    world.Submit(blocking);
+    Run(world, Millis(1500));
+    world.Submit(Gang("gang", kGangCpu, 60'000));
+    Run(world, Millis(500));
+    world.Submit(Wide("other", "drivers", 2, 8000, 60'000));
+    Run(world, kShortWait);
+    CPPUNIT_ASSERT(HasStarted(world, "other"));
+  }
+
   // Guards against estimates that say that room comes soon, again and again.
   void WrongEstimatesDoNotProlongTheHold() {
     World world(Options());
--- a/tests/unit-platform.cc
+++ b/tests/unit-platform.cc
@@ -37,7 +37,8 @@
     "listen.frontend=10.1.0.17:8183\nlisten.readiness=10.1.0.17:8184\n"
     "internal_ports=7420,7435\nplatform.address=10.200.1.7:8182\n"
     "advice=10.200.1.9:8182\nbootstrap=true\nbounds.grace_s=6\n"
-    "bounds.hold_max_ms=10000\nbounds.far_x=1.5\nnew.field=whatever\n";
+    "bounds.hold_max_ms=10000\nbounds.far_x=1.5\nbounds.finish_s=8\n"
+    "new.field=whatever\n";
 
 class PlatformTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PlatformTest);
@@ -67,6 +68,7 @@
     CPPUNIT_ASSERT(settings.first_start);
     CPPUNIT_ASSERT(settings.bounds.shutdown == Millis(6000));
     CPPUNIT_ASSERT(settings.bounds.longest_lease == Millis(10'000));
+    CPPUNIT_ASSERT(settings.bounds.finish == Millis(8000));
     CPPUNIT_ASSERT_EQUAL(1.5, settings.bounds.far_factor);
     CPPUNIT_ASSERT(settings.bounds.status_kept == Millis(120'000));
   }
