Values follow the store's own limit; a batch of jobs stays under half of it

Cause: records of jobs were cut at 400,000 bytes, whatever platform.value_bytes says, so that a deployment with shorter values would have each batch rejected.

Change: the limit comes from the settings; jobs and progress of one batch take half of it at most.

Result: JobsFitInTheValuesOfTheStore (unit-job-memory), ParsesSettings. The default of 1 MiB changes nothing for the known deployments.

--- a/include/buckthornmux/detail/cell/state.h
+++ b/include/buckthornmux/detail/cell/state.h
@@ -52,7 +52,7 @@
   /// submits beyond this are refused, and a job that takes a large part of it.
   std::size_t max_job_bytes = 48'000'000;
   /// Maximum size of a record's value in the store, bytes.
-  std::size_t max_value_bytes = 1'000'000;
+  std::size_t max_value_bytes = 1'048'576;
   /// Maximum number of runs on all targets.
   std::size_t max_runs = 40'000;
   /// Maximum steps of occurrences of recurring jobs that have objects. Beyond
--- a/src/cell/records.cc
+++ b/src/cell/records.cc
@@ -185,14 +185,21 @@
   return true;
 }
 
-bool HasRoom(const Draft& draft, const Job& job) {
+/// Maximum bytes of jobs and progress in a batch, whose jobs are one record.
+std::size_t MaxBatchBytes(const Cell& cell) {
+  constexpr std::size_t kPart = 2;
+  return std::min(kMaxBatchBytes, cell.options.max_value_bytes / kPart);
+}
+
+bool HasRoom(const Cell& cell, const Draft& draft, const Job& job) {
   if (draft.jobs.size() >= kMaxJobsPerRecord ||
       draft.ends.size() >= kMaxEndsPerRecord) {
     return false;
   }
   const bool is_new = !job.Ended() && job.stored_in.empty();
   return draft.bytes == 0 ||
-         draft.bytes + (is_new ? StoredBytes(job.spec) : 0) < kMaxBatchBytes;
+         draft.bytes + (is_new ? StoredBytes(job.spec) : 0) <
+             MaxBatchBytes(cell);
 }
 
 /// Moves jobs from a write queue into the batch while it has room.
@@ -208,7 +215,7 @@
     const bool kept_first =
         job->durable == 0 && !(IsWritten(cell.kept_queues, job->spec.queue) &&
                                IsWritten(cell.kept_teams, job->spec.team));
-    if (kept_first || !HasRoom(draft, *job)) {
+    if (kept_first || !HasRoom(cell, draft, *job)) {
       return;
     }
     queue.pop_front();
@@ -237,7 +244,7 @@
     const JobBundle& bundle = bundles.jobs.at(key);
     const bool empty = draft.jobs.empty() && draft.bytes == 0;
     if (!empty && (draft.jobs.size() + bundle.open > kMaxJobsPerRecord ||
-                   draft.bytes + bundle.bytes > kMaxBatchBytes)) {
+                   draft.bytes + bundle.bytes > MaxBatchBytes(cell))) {
       continue;
     }
     // A small record without others to merge with stays if none of its jobs
@@ -405,7 +412,7 @@
                     AnyUnwritten(cell.kept_queues) ||
                     AnyUnwritten(cell.kept_teams);
   writes.since = more ? std::optional(now) : std::nullopt;
-  if (batch.writes.empty() && batch.versions.empty()) {
+  if (batch.writes.empty() && batch.versions.empty() && batch.omitted.empty()) {
     return std::nullopt;
   }
   return batch;
--- a/src/entry/cell_host.cc
+++ b/src/entry/cell_host.cc
@@ -47,6 +47,7 @@
   const Bounds& bounds = settings.bounds;
   cell::Options options;
   options.max_job_bytes = MaxJobBytes(settings.capacity);
+  options.max_value_bytes = settings.max_value_bytes;
   options.lease = std::min(kMaxTargetLease, bounds.longest_lease);
   options.stop_time = bounds.stop_time;
   // Work that waited for a gang begins before it would count as lost.
--- a/tests/unit-job-memory.cc
+++ b/tests/unit-job-memory.cc
@@ -22,6 +22,7 @@
 constexpr std::size_t kMaxValue = 1'048'576;
 constexpr std::uint32_t kMaxTasks = 10'000;  ///< Of one step.
 constexpr int kHour = 3'600'000;
+constexpr std::size_t kMaxWrites = 29;
 constexpr Time kNow{Millis(1'000'000)};
 
 WorldOptions Options() {
@@ -114,6 +115,7 @@
   CPPUNIT_TEST(ProgressIsStoredWithoutCheckpointsIfItIsTooLong);
   CPPUNIT_TEST(ProgressThatIsTooLongHoldsNoOtherBack);
   CPPUNIT_TEST(SilentTargetsFitInTheirRecord);
+  CPPUNIT_TEST(JobsFitInTheValuesOfTheStore);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -363,9 +365,12 @@
     SubmitTo(owned, PlainJob("other"));
     owned.options.max_value_bytes = 100;
     bool omitted = false;
-    while (auto batch = cell::TakeBatch(owned, 29, kNow + Millis(1000))) {
-      omitted = omitted || !batch->omitted.empty();
-      cell::OnBatchStored(owned, actions, *batch, kNow);
+    for (int i = 0; i < 5; ++i) {
+      const Time now = kNow + i * Millis(1000);
+      if (auto batch = cell::TakeBatch(owned, kMaxWrites, now)) {
+        omitted = omitted || !batch->omitted.empty();
+        cell::OnBatchStored(owned, actions, *batch, now);
+      }
     }
     CPPUNIT_ASSERT(omitted);
     CPPUNIT_ASSERT_EQUAL(durable, owned.jobs.at("job").durable);
@@ -374,6 +379,23 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, owned.targets.at("t1").acked_end);
   }
 
+  // Guards against records of jobs that are longer than a deployment's values.
+  void JobsFitInTheValuesOfTheStore() {
+    cell::Cell owned = OpenCell();
+    owned.options.max_value_bytes = 65'536;
+    Records stored;
+    for (int i = 0; i < 40; ++i) {
+      cell::JobSpec job = PlainJob("job-" + std::to_string(i));
+      job.payload = std::string(3900, static_cast<char>('a' + i % 26));
+      CPPUNIT_ASSERT(!SubmitTo(owned, job));
+    }
+    Store(owned, stored, kNow);
+    for (const auto& [key, write] : stored) {
+      CPPUNIT_ASSERT(write.value.size() <= 65'536);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{40}, OpenCell(stored, 2).jobs.size());
+  }
+
   // A next owner waits for the lease of a target that isn't in the record.
   void SilentTargetsFitInTheirRecord() {
     cell::Cell owned = OpenCell();
--- a/tests/unit-platform.cc
+++ b/tests/unit-platform.cc
@@ -38,6 +38,7 @@
     "internal_ports=7420,7435\nplatform.address=10.200.1.7:8182\n"
     "advice=10.200.1.9:8182\nbootstrap=true\nbounds.grace_s=6\n"
     "bounds.hold_max_ms=10000\nbounds.far_x=1.5\nbounds.finish_s=8\n"
+    "platform.value_bytes=65536\n"
     "new.field=whatever\n";
 
 class PlatformTest : public CppUnit::TestFixture {
@@ -69,6 +70,7 @@
     CPPUNIT_ASSERT(settings.bounds.shutdown == Millis(6000));
     CPPUNIT_ASSERT(settings.bounds.longest_lease == Millis(10'000));
     CPPUNIT_ASSERT(settings.bounds.finish == Millis(8000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{65'536}, settings.max_value_bytes);
     CPPUNIT_ASSERT_EQUAL(1.5, settings.bounds.far_factor);
     CPPUNIT_ASSERT(settings.bounds.status_kept == Millis(120'000));
   }
