--- a/src/cell/records.cc
+++ b/src/cell/records.cc
@@ -436,8 +436,8 @@
   }
   OmittedRecord omitted{longest->key, longest->value.size()};
   if (longest->key.starts_with(kProgressKey)) {
-    const std::string_view job =
-        std::string_view(longest->key).substr(kProgressKey.size());
+    std::string_view job = longest->key;
+    job.remove_prefix(kProgressKey.size());
     std::erase_if(batch.versions,
                   [&](const auto& version) { return version.first == job; });
   }
--- a/src/cell/team_limits.cc
+++ b/src/cell/team_limits.cc
@@ -132,8 +132,9 @@
       continue;
     }
     OpenDemand& demand = demands[job.spec.team];
+    const JobSpec& spec = job.spec;
     ForEachState(cell, job, now, [&](std::span<const std::int64_t> waiting) {
-      AddOpenDemand(job.spec, waiting, demand);
+      AddOpenDemand(spec, waiting, demand);
     });
   }
   for (const auto& [step, runs] : cell.unknown.of_ended_jobs) {
