Odd numbers in a progress record end no process

Cause (read again, not seen): an occurrence that a record lists twice, or above the number of those that have begun, would break an invariant and end each owner that reads the record.

Change: an occurrence is taken over only if it has begun and isn't known yet.

Result: OddNumbersInARecordEndNoProcess (unit-recurring-jobs); it was not run without the change. unit-odd-frames passes.

--- a/include/buckthornmux/detail/cell/number_ranges.h
+++ b/include/buckthornmux/detail/cell/number_ranges.h
@@ -54,6 +54,11 @@
     const auto after = m_ranges.upper_bound(number);
     return after != m_ranges.begin() && std::prev(after)->second >= number;
   }
+  /// @brief Whether any of the numbers from `first` to `last` is in the set.
+  [[nodiscard]] bool Overlaps(std::uint32_t first, std::uint32_t last) const {
+    const auto after = m_ranges.upper_bound(last);
+    return after != m_ranges.begin() && std::prev(after)->second >= first;
+  }
   /// @brief Returns the lowest number that is not below `from` and not in the
   ///   set.
   [[nodiscard]] std::uint64_t NextMissing(std::uint32_t from) const {
--- a/src/cell/internal.h
+++ b/src/cell/internal.h
@@ -79,7 +79,8 @@
 void OpenReported(Cell& cell, Job& job, const TaskId& task, Time now);
 
 /// Takes over an open occurrence, or occurrences of which nothing but the steps
-/// in `done` has been started, from a stored record.
+/// in `done` has been started, from a stored record. Occurrences that are known
+/// already, or haven't begun by Job::occurrences_begun, are ignored.
 void RestoreOccurrence(Cell& cell, Job& job, std::uint32_t number,
                        Occurrence occurrence);
 void RestoreShelf(Cell& cell, Job& job, DoneSteps done, std::uint32_t first,
--- a/src/cell/occurrences.cc
+++ b/src/cell/occurrences.cc
@@ -199,6 +199,16 @@
   return done;
 }
 
+/// Whether occurrences of a record have begun and are not known yet.
+bool MayRestore(const Job& job, std::uint32_t first, std::uint32_t last) {
+  const auto open = job.occurrences.lower_bound(first);
+  return last < job.occurrences_begun &&
+         (open == job.occurrences.end() || open->first > last) &&
+         std::ranges::none_of(job.shelved, [&](const auto& shelf) {
+           return shelf.second.Overlaps(first, last);
+         });
+}
+
 }  // namespace
 
 Occurrence MakeOccurrence(const Cell& cell, const Job& job) {
@@ -299,6 +309,9 @@
 
 void RestoreOccurrence(Cell& cell, Job& job, std::uint32_t number,
                        Occurrence occurrence) {
+  if (!MayRestore(job, number, number)) {
+    return;
+  }
   const auto idle =
       IsRecurring(job) ? IdleAfter(occurrence) : std::optional<DoneSteps>();
   if (idle) {
@@ -310,7 +323,9 @@
 
 void RestoreShelf(Cell& cell, Job& job, DoneSteps done, std::uint32_t first,
                   std::uint32_t last) {
-  Shelve(cell, job, done, first, last);
+  if (IsRecurring(job) && MayRestore(job, first, last)) {
+    Shelve(cell, job, done, first, last);
+  }
 }
 
 void CloseOccurrence(Cell& cell, Job& job, std::uint32_t number) {
--- a/src/cell/record_codec.cc
+++ b/src/cell/record_codec.cc
@@ -492,7 +492,7 @@
 
 Result<StoredProgress> DecodeProgress(
     std::string_view bytes, std::string_view what,
-    const std::function<void(StoredOccurrence&)>& open) {
+    const std::function<void(const StoredProgress&, StoredOccurrence&)>& open) {
   BOOST_LEAF_AUTO(in, Open(bytes, what));
   StoredProgress progress;
   progress.phase = ReadPhase(in);
@@ -511,7 +511,7 @@
       }
     }
     if (in.valid) {
-      open(occurrence);
+      open(progress, occurrence);
     }
   }
   if (in.valid && in.next < in.packed.numbers.size()) {
--- a/src/cell/record_codec.h
+++ b/src/cell/record_codec.h
@@ -65,11 +65,12 @@
                                                         std::string_view what);
 [[nodiscard]] Result<std::vector<StoredEnd>> DecodeEnds(std::string_view bytes,
                                                         std::string_view what);
-/// @param open receives the open occurrences, one at a time, since a record of
-///   an earlier build may have more of them than fit into memory
+/// @param open receives what was read so far and the open occurrences, one at a
+///   time, since a record of an earlier build may have more of them than fit
+///   into memory
 /// @return the progress without open occurrences
 [[nodiscard]] Result<StoredProgress> DecodeProgress(
     std::string_view bytes, std::string_view what,
-    const std::function<void(StoredOccurrence&)>& open);
+    const std::function<void(const StoredProgress&, StoredOccurrence&)>& open);
 
 }  // namespace buckthornmux::cell
--- a/src/cell/record_load.cc
+++ b/src/cell/record_load.cc
@@ -179,13 +179,15 @@
       // Progress of unknown or ended jobs is ignored.
       Job* job = FindJob(cell, key.substr(kProgressKey.size()));
       job = job != nullptr && job->Ended() ? nullptr : job;
-      BOOST_LEAF_AUTO(
-          progress,
-          DecodeProgress(record.value, key, [&](const StoredOccurrence& open) {
-            if (job != nullptr) {
-              Restore(cell, *job, open);
-            }
-          }));
+      BOOST_LEAF_AUTO(progress,
+                      DecodeProgress(record.value, key,
+                                     [&](const StoredProgress& read,
+                                         const StoredOccurrence& open) {
+                                       if (job != nullptr) {
+                                         job->occurrences_begun = read.begun;
+                                         Restore(cell, *job, open);
+                                       }
+                                     }));
       if (job != nullptr) {
         RestoreProgress(cell, *job, progress);
       }
--- a/tests/unit-odd-frames.cc
+++ b/tests/unit-odd-frames.cc
@@ -317,10 +317,12 @@
  private:
   static Result<cell::StoredProgress> DecodeWhole(const std::string& bytes) {
     std::vector<cell::StoredOccurrence> open;
-    BOOST_LEAF_AUTO(progress, cell::DecodeProgress(
-                                  bytes, "x", [&](cell::StoredOccurrence& one) {
-                                    open.push_back(std::move(one));
-                                  }));
+    BOOST_LEAF_AUTO(progress,
+                    cell::DecodeProgress(bytes, "x",
+                                         [&](const cell::StoredProgress&,
+                                             cell::StoredOccurrence& one) {
+                                           open.push_back(std::move(one));
+                                         }));
     progress.open = std::move(open);
     return progress;
   }
--- a/tests/unit-recurring-jobs.cc
+++ b/tests/unit-recurring-jobs.cc
@@ -3,6 +3,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <numeric>
 #include <string>
 
 #include "buckthornmux/detail/core/archive.h"
@@ -122,6 +123,7 @@
   CPPUNIT_TEST(OverduePlanTakesBoundedMemory);
   CPPUNIT_TEST(OverduePlanTakesBoundedMemoryAfterATakeover);
   CPPUNIT_TEST(RecordOfAnEarlierBuildTakesBoundedMemory);
+  CPPUNIT_TEST(OddNumbersInARecordEndNoProcess);
   CPPUNIT_TEST(OccurrencesAtOneMomentTakeBoundedMemory);
   CPPUNIT_TEST(OccurrencesThatBecomeDueTakeBoundedMemory);
   CPPUNIT_TEST(ManyModeratePlansTakeBoundedMemory);
@@ -198,6 +200,28 @@
         0U, std::get<cell::SendStart>(*started).run.task.occurrence);
   }
 
+  // Guards against a record that lists an occurrence twice, or one that has not
+  // begun.
+  void OddNumbersInARecordEndNoProcess() {
+    const Time now{Millis(1'000'000)};
+    Records stored;
+    {
+      cell::Cell owned = Open(1, {}, {Entry("t1", "127.0.0.1:1")}, now);
+      cell::Actions actions;
+      cell::Submit(owned, actions, 1, Overdue("plan", 1000, 500), now);
+      Store(owned, stored, now);
+    }
+    constexpr std::uint32_t kOpen = 3;
+    stored["progress/plan"] = {"progress/plan",
+                               EarlierProgress(kOpen, {0, 1, 1, 500}), false};
+    cell::Cell owned = Open(2, stored, {Entry("t1", "127.0.0.1:1")}, now);
+    Report(owned, "t1", now);
+    for (const std::uint32_t next : {0U, 1U, 3U, 4U}) {
+      CPPUNIT_ASSERT_EQUAL(next, StartsNext(owned, now + Millis(20)));
+      EndRun(owned, next, now + Millis(30));
+    }
+  }
+
   // Guards against interval_ms 0, for which nothing was bounded.
   void OccurrencesAtOneMomentTakeBoundedMemory() {
     World world(Options());
@@ -428,9 +452,14 @@
     return job;
   }
 
-  /// Progress of a job with one step of one task: `open` occurrences, none of
-  /// them started.
-  static std::string EarlierProgress(std::uint32_t open) {
+  /// Progress of a job with one step of one task: occurrences of which none has
+  /// been started, all that have begun if there are no numbers.
+  static std::string EarlierProgress(std::uint32_t begun,
+                                     std::vector<std::uint32_t> open = {}) {
+    if (open.empty()) {
+      open.resize(begun);
+      std::iota(open.begin(), open.end(), 0U);
+    }
     PackedRecord packed;
     const auto put = [&](std::uint32_t number) {
       for (; number >= 0x80; number >>= 7U) {
@@ -439,11 +468,11 @@
       packed.numbers.push_back(static_cast<std::uint8_t>(number));
     };
     put(0);  // Queued.
-    put(open);
+    put(begun);
     put(0);
-    put(open);
-    for (std::uint32_t i = 0; i < open; ++i) {
-      put(i);
+    put(static_cast<std::uint32_t>(open.size()));
+    for (const std::uint32_t number : open) {
+      put(number);
       put(1);  // One step.
       put(1);  // One row of tasks.
       put(0);  // No flags.
