--- a/include/buckthornmux/detail/entry/settings.h
+++ b/include/buckthornmux/detail/entry/settings.h
@@ -40,8 +40,8 @@
   std::string metrics_address;
   std::string store_address;
   std::size_t max_value_bytes = 1'048'576;  ///< Of a value in the store.
-  std::string adviser_address;  ///< Empty if there is no adviser.
-  bool first_start = false;     ///< First start of the whole system.
+  std::string adviser_address;              ///< Empty if there is no adviser.
+  bool first_start = false;  ///< First start of the whole system.
   HostCapacity capacity;
   Bounds bounds;
 };
