--- a/tests/unit-config-pages.cc
+++ b/tests/unit-config-pages.cc
@@ -108,6 +108,9 @@
     for (int i = 0; i < static_cast<int>(runtime::Counter::kCount); ++i) {
       add(CounterName(static_cast<runtime::Counter>(i)));
     }
+    for (int i = 0; i < static_cast<int>(runtime::Gauge::kCount); ++i) {
+      add(GaugeName(static_cast<runtime::Gauge>(i)));
+    }
     for (int i = 0; i < static_cast<int>(runtime::Timing::kCount); ++i) {
       add(TimingName(static_cast<runtime::Timing>(i)));
     }
