--- a/tests/unit-planning-window.cc
+++ b/tests/unit-planning-window.cc
@@ -178,7 +178,8 @@
     for (int i = 0; i < kPlans; ++i) {
       cell::JobSpec plan =
           JobOf("plan-" + std::to_string(i), "depots", 1, 1000, 500);
-      plan.recurrence = {now - 60'000 * (i + 1), Millis(1), 1'000'000};
+      plan.recurrence = {now - std::int64_t{60'000} * (i + 1), Millis(1),
+                         1'000'000};
       world.Submit(plan);
     }
     Run(world, kMaxStart);
--- a/tests/unit-recurring-random.cc
+++ b/tests/unit-recurring-random.cc
@@ -30,6 +30,10 @@
   return std::uniform_int_distribution<int>(low, high)(random);
 }
 
+std::string Text(std::string play, const std::string& what) {
+  return play.append(": ").append(what);
+}
+
 /// How often the plays met what they are about.
 struct Met {
   int shelved = 0;
@@ -43,7 +47,7 @@
   cell::StepSpec step =
       PlainStep(static_cast<std::uint32_t>(wide ? Pick(random, 100, 400)
                                                 : Pick(random, 1, 3)),
-                Pick(random, 1, 4) * 500, Pick(random, 50, 400));
+                std::int64_t{500} * Pick(random, 1, 4), Pick(random, 50, 400));
   if (number > 0 && Pick(random, 0, 1) == 0) {
     step.after = {number - 1};
   }
@@ -120,10 +124,10 @@
     // Less than the time for which ended jobs are kept, also the first of them.
     world.RunUntil(world.NowTime() + Millis(100'000));
     for (const std::string& breach : world.Breaches()) {
-      CPPUNIT_FAIL(name + ": " + breach);
+      CPPUNIT_FAIL(Text(name, breach));
     }
     for (const auto& [key, value] : world.Records()) {
-      CPPUNIT_ASSERT_MESSAGE(name + ": " + key, value.size() < kMaxValue);
+      CPPUNIT_ASSERT_MESSAGE(Text(name, key), value.size() < kMaxValue);
     }
     for (int i = 0; i < jobs; ++i) {
       Check(world, "job-" + std::to_string(i), name, met);
@@ -170,13 +174,13 @@
       met.cancelled += known.cancelled ? 1 : 0;
       return;
     }
-    CPPUNIT_ASSERT_MESSAGE(name + ": " + id,
+    CPPUNIT_ASSERT_MESSAGE(Text(name, id),
                            world.PhaseOf(id) == cell::JobPhase::kCompleted);
     const std::uint32_t times = std::max(1U, known.spec.recurrence.count);
     for (std::uint32_t k = 0; k < times; ++k) {
       for (std::uint32_t step = 0; step < known.spec.steps.size(); ++step) {
         for (std::uint32_t i = 0; i < known.spec.steps[step].count; ++i) {
-          CPPUNIT_ASSERT_MESSAGE(name + ": " + id,
+          CPPUNIT_ASSERT_MESSAGE(Text(name, id),
                                  world.StartsOf({id, k, step, i}) > 0);
           ++met.tasks;
         }
