The adviser's time goes to the first steps of the order, as before

Cause: since steps without room no longer fill the planning window, a round reached steps far behind, late ones too, and each of them asked the adviser; its lanes are the scarce part of the large deployment.

Change: the first 150 steps of the order may ask, those without room among them, as in former code; and of the steps that may start at least the first 15, so that none is hidden for good. Others start if they need no ticket or have one.

Result: LateStepsLeaveTheAdviserToOthers (unit-planning-window) fails without the change.

--- a/src/cell/plan.cc
+++ b/src/cell/plan.cc
@@ -14,6 +14,8 @@
 /// gangs among them. Steps that can't start for another reason don't count.
 constexpr std::size_t kMaxPlannedSteps = 150;
 constexpr std::size_t kMaxPlannedGangs = 100;
+/// Of the steps that may start, at least this many may ask the adviser.
+constexpr std::size_t kMinAskers = 15;
 /// A job with this many more late starts than another one comes after it, among
 /// late steps; far more than the tasks of usual jobs.
 constexpr std::uint64_t kLateStartsPerRank = 500;
@@ -263,7 +265,7 @@
       return;
     }
   }
-  if (queue->advice) {
+  if (queue->advice && candidate.may_ask) {
     AskAdviceIfUseful(round, candidate, *queue);
   }
   if (gang && candidate.step->live == 0) {
@@ -319,6 +321,17 @@
   return candidates;
 }
 
+/// Lets the first steps ask the adviser, also those without room.
+void MarkAskers(std::vector<Candidate>& candidates) {
+  const auto front =
+      candidates.begin() + static_cast<std::ptrdiff_t>(
+                               std::min(candidates.size(), kMaxPlannedSteps));
+  std::ranges::nth_element(candidates, front, Before);
+  for (auto next = candidates.begin(); next != front; ++next) {
+    next->may_ask = true;
+  }
+}
+
 /// Plans a step, unless its suspected tasks have to wait.
 /// @param held_back receives it if it has to wait for its turn
 void PlanUnlessSuspect(Round& round, Candidate& candidate,
@@ -388,18 +401,25 @@
   CountUnknownRuns(cell, now);
   Round round = BeginRound(cell, actions, now);
   std::erase_if(candidates, [&](const Candidate& candidate) {
-    return candidate.queue == nullptr || !MayStartNow(round, candidate);
+    return candidate.queue == nullptr || !TeamMayStart(round, candidate);
+  });
+  MarkAskers(candidates);
+  std::erase_if(candidates, [&](const Candidate& candidate) {
+    return !candidate.Spec().gang &&
+           !AnyHasRoom(round, candidate, *candidate.queue);
   });
   const auto first_part =
       candidates.begin() + static_cast<std::ptrdiff_t>(
                                std::min(candidates.size(), kMaxPlannedSteps));
   std::ranges::partial_sort(candidates, first_part, Before);
   std::vector<Candidate> held_back;
+  std::size_t planned = 0;
   for (auto next = candidates.begin();
        next != candidates.end() && round.looks < kMaxPlannedSteps; ++next) {
     if (next == first_part) {
       std::sort(first_part, candidates.end(), Before);
     }
+    next->may_ask = next->may_ask || planned++ < kMinAskers;
     PlanUnlessSuspect(round, *next, held_back);
   }
   const std::size_t spare = round.slots.size() / kTargetsPerSpare;
--- a/src/cell/round.cc
+++ b/src/cell/round.cc
@@ -206,18 +206,15 @@
           spec.demand.memory_mb * count, spec.demand.accelerators * count};
 }
 
-bool MayStartNow(Round& round, const Candidate& candidate) {
+bool TeamMayStart(Round& round, const Candidate& candidate) {
   const StepSpec& spec = candidate.Spec();
   const TeamName& team = candidate.job->spec.team;
   const auto [room, added] = round.team_room.try_emplace(team);
   if (added) {
     room->second = RoomOfTeam(round.cell, team);
   }
-  if (!HoldsOne(room->second, LeastDemand(spec)) &&
-      !MayUseMore(round, candidate, LeastDemand(spec))) {
-    return false;
-  }
-  return spec.gang || AnyHasRoom(round, candidate, *candidate.queue);
+  return HoldsOne(room->second, LeastDemand(spec)) ||
+         MayUseMore(round, candidate, LeastDemand(spec));
 }
 
 bool MayUseMore(Round& round, const Candidate& candidate,
--- a/src/cell/round.h
+++ b/src/cell/round.h
@@ -46,6 +46,8 @@
   bool slow_suspect = false;  ///< One is, whose crashes came late in its runs.
   /// Ends before a gang can start that room is reserved for.
   bool ends_before_gangs = false;
+  /// May ask the adviser, whose time late steps would take from others.
+  bool may_ask = false;
   Millis slack{0};  ///< Time left until its latest start.
   /// Order among late steps: by the earlier occurrences of the job that wait
   /// too, and the late tasks that it has started.
@@ -128,10 +130,8 @@
                                               const Candidate& candidate,
                                               const Queue& queue);
 
-/// @brief Whether a step may start tasks in this round, as far as that can be
-///   told without a look at each target: its team may use more, and some
-///   suitable target has room.
-[[nodiscard]] bool MayStartNow(Round& round, const Candidate& candidate);
+/// @brief Whether the limit of a step's team allows its next start.
+[[nodiscard]] bool TeamMayStart(Round& round, const Candidate& candidate);
 
 /// @brief Counts a step for which targets are looked at, once for each step in
 ///   a row.
--- a/tests/unit-planning-window.cc
+++ b/tests/unit-planning-window.cc
@@ -2,8 +2,10 @@
 // those behind them.
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <string>
 
+#include "cell_owner.h"
 #include "cell_world.h"
 #include "plain_cell.h"
 
@@ -55,6 +57,7 @@
   CPPUNIT_TEST(StepsThatFindNoRoomHideNobody);
   CPPUNIT_TEST(GangsThatFindNoRoomHideNobody);
   CPPUNIT_TEST(UrgentOverduePlanLeavesOthersTheirTurn);
+  CPPUNIT_TEST(LateStepsLeaveTheAdviserToOthers);
   CPPUNIT_TEST(UrgentPlanThatIsFarBehindSharesTheCell);
   CPPUNIT_TEST(PlansThatAreFarBehindShareTheCell);
   CPPUNIT_TEST(LateJobRunsBesideWideJobs);
@@ -136,6 +139,46 @@
     CPPUNIT_ASSERT(!HasStarted(world, "plan"));
   }
 
+  // Guards against late steps that fill the adviser's lanes as soon as the
+  // steps before them find no room; the first of them may ask.
+  void LateStepsLeaveTheAdviserToOthers() {
+    const Time now{Millis(1'000'000)};
+    const Time later = now + Millis(10'000);
+    Records stored;
+    cell::TargetEntry entry = Entry("t1", "127.0.0.1:1");
+    entry.capacity.cpu_milli = 4000;
+    cell::Cell owned = Open(1, {}, {entry}, now);
+    Report(owned, "t1", now);
+    SubmitTo(owned, JobOf("service", "depots", 1, 3500, kHour), now);
+    Store(owned, stored, now);
+    cell::Actions actions;
+    cell::Plan(owned, actions, now);
+    cell::Rules rules;
+    rules.queues = {PlainQueue("plain", 1)};
+    rules.queues[0].advice = cell::AdviceRules{Millis(5), 0.1, Millis(2500)};
+    cell::SetRules(owned, actions, rules, now);
+    std::vector<HostId> hosts;
+    for (int i = 0; i < kMany; ++i) {
+      hosts.push_back("host-" + std::to_string(i));
+      SubmitTo(owned, JobOf("late-" + std::to_string(i), "others", 1, 1, 100),
+               now);
+    }
+    cell::SetLanes(owned, hosts);
+    for (int i = 0; i < kMany; ++i) {
+      SubmitTo(owned,
+               JobOf("large-" + std::to_string(i), "depots", 1, 2000, 4000),
+               later);
+    }
+    Store(owned, stored, later);
+    Report(owned, "t1", later, {{{{"service", 0, 0, 0}, 1}, "", 1, 0}});
+    actions.clear();
+    cell::Plan(owned, actions, later);
+    const auto asked = std::ranges::count_if(actions, [](const auto& action) {
+      return std::holds_alternative<cell::AskAdvice>(action);
+    });
+    CPPUNIT_ASSERT(asked > 0 && asked < 20);
+  }
+
   // Guards against whole targets that go to overdue occurrences only, since
   // their queue has precedence.
   void UrgentPlanThatIsFarBehindSharesTheCell() {
@@ -209,6 +252,12 @@
   }
 
  private:
+  static void SubmitTo(cell::Cell& owned, const cell::JobSpec& job, Time now) {
+    cell::Actions actions;
+    cell::Submit(owned, actions, 1, job, now);
+    CPPUNIT_ASSERT(owned.jobs.contains(job.id));
+  }
+
   static void OpenWorld(World& world) {
     world.SetRules({PlainQueue("urgent", 0), PlainQueue("plain", 1)});
     Run(world, Millis(300));
