--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,7 +5,7 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 python3 -c 'import sys; sys.exit(sys.version_info < (3, 11))'
-for file in lib2/*.py 7/*.py 9/*.py; do
+for file in lib2/*.py 8/*.py 10/*.py; do
   python3 -c 'import sys; compile(open(sys.argv[1]).read(), sys.argv[1], "exec")' \
     "$file"
 done
