--- a/review/lib2/fleet.py
+++ b/review/lib2/fleet.py
@@ -9,6 +9,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -341,6 +342,7 @@
             process.kill()
         for process in self.processes.values():
             process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
     # ---- Clients ------------------------------------------------------------
 
