--- a/review/lib2/executor.py
+++ b/review/lib2/executor.py
@@ -16,7 +16,6 @@
 from http1 import serve
 
 START_UP_S = 0.2  # A lasting task is at work after this.
-GANG_TIMEOUT_S = 3.0
 
 
 class Executor:
@@ -25,7 +24,7 @@
         self.began = time.monotonic()
         self.fence = 0
         self.deadline = 0  # On the own clock, ms.
-        self.runs = {}  # task -> dict
+        self.runs = {}  # (task, run) -> dict
         self.highest = {}  # task -> highest run that was stopped or has ended
         self.ends = []
         self.next_end = 1
@@ -33,7 +32,7 @@
         self.unhealthy = False
 
     def clock(self):
-        return int((time.monotonic() - self.began) * 1000) + 1000
+        return int((time.monotonic() - self.began) * 1000)
 
     def note(self, event, **fields):
         line = {"at": int(time.time() * 1000), "executor": self.name,
@@ -41,12 +40,12 @@
         self.log.write(json.dumps(line) + "\n")
         self.log.flush()
 
-    def end(self, task, how):
-        run = self.runs.pop(task)
-        self.highest[task] = max(self.highest.get(task, 0), run["run"])
-        self.ends.append([self.next_end, task, run["run"], how, ""])
+    def end(self, task, number, how):
+        del self.runs[task, number]
+        self.highest[task] = max(self.highest.get(task, 0), number)
+        self.ends.append([self.next_end, task, number, how, ""])
         self.next_end += 1
-        self.note("end", task=task, run=run["run"], how=how)
+        self.note("end", task=task, run=number, how=how)
         self.changed.set()
 
     def percent(self, run):
@@ -59,13 +58,14 @@
         while True:
             await asyncio.sleep(0.01)
             if self.runs and self.clock() > self.deadline:
-                for task in list(self.runs):
-                    self.end(task, "lapsed")
-            for task, run in list(self.runs.items()):
+                for task, number in list(self.runs):
+                    self.end(task, number, "lapsed")
+            for (task, number), run in list(self.runs.items()):
                 spec = run["spec"]
                 worked = (time.monotonic() - run["at"]) * 1000
                 if not spec.get("lasts") and worked >= spec["ms"]:
-                    self.end(task, "failed" if spec.get("fail") else "done")
+                    self.end(task, number,
+                             "failed" if spec.get("fail") else "done")
 
     def extend(self, body):
         hold_max = 10_000
@@ -92,8 +92,8 @@
         if path == "/buckthornmux/run-stop":
             task, number = body["task"], body["run"]
             self.highest[task] = max(self.highest.get(task, 0), number)
-            if task in self.runs and self.runs[task]["run"] <= number:
-                self.end(task, "stopped")
+            if (task, number) in self.runs:
+                self.end(task, number, "stopped")
             return 200, answer
         if path == "/buckthornmux/hold":
             return await self.hold(body)
@@ -101,16 +101,17 @@
 
     def start(self, body, answer):
         task, number = body["task"], body["run"]
-        if task in self.runs and self.runs[task]["run"] == number:
+        if (task, number) in self.runs:
+            self.extend(body)
             return 200, answer
-        if number <= self.highest.get(task, 0) or task in self.runs:
+        if number <= self.highest.get(task, 0):
             self.extend(body)
             return 409, {**answer, "reason": "old"}
         if body.get("deadline_ms", 0) <= self.clock():
             return 409, {**answer, "reason": "late"}
         self.extend(body)
-        self.runs[task] = {"run": number, "spec": json.loads(body["spec"]),
-                           "at": time.monotonic()}
+        self.runs[task, number] = {"spec": json.loads(body["spec"]),
+                                   "at": time.monotonic()}
         self.note("start", task=task, run=number, token=body["fencing_token"])
         return 200, answer
 
@@ -125,8 +126,8 @@
                 await asyncio.wait_for(self.changed.wait(), wait)
             except asyncio.TimeoutError:
                 pass
-        running = [[task, run["run"], "", self.percent(run), 0]
-                   for task, run in self.runs.items()]
+        running = [[task, number, "", self.percent(run), 0]
+                   for (task, number), run in self.runs.items()]
         return 200, {"clock_ms": self.clock(), "born": self.born,
                      "running": running, "ended": self.ends[:500]}
 
--- a/review/lib2/fleet.py
+++ b/review/lib2/fleet.py
@@ -28,6 +28,14 @@
 KEY = "key-of-tenant-one"
 HOST_NAME = "jobs.example"
 PREFIX = "/queue/"
+METRICS_PORT = 7434  # deploy/system.toml
+INTERNAL_PORTS = 16
+# Limits of the store (PROTOCOL.md).
+MAX_PAGE_ITEMS = 500
+MAX_PAGE_BYTES = 1_000_000
+MAX_ENTRIES = 32
+MAX_KEY_BYTES = 200
+MAX_VALUE_BYTES = 1_048_576
 
 
 def now_ms():
@@ -43,7 +51,7 @@
         self.changed = asyncio.Condition()
 
     def put(self, key, text, lease=0):
-        self.revision += 1
+        """Writes a key at the current revision."""
         old = self.items.get(key)
         self.items[key] = {"key": key,
                            "value": base64.b64encode(text).decode(),
@@ -53,8 +61,8 @@
         self.events.append(dict(self.items[key]))
 
     def delete(self, key):
+        """Deletes a key at the current revision."""
         if self.items.pop(key, None):
-            self.revision += 1
             self.events.append({"key": key, "revision": self.revision,
                                 "deleted": True})
 
@@ -64,9 +72,15 @@
 
     async def write(self, key, value):
         """A write by the operator or by an executor."""
+        self.revision += 1
         self.put(key, json.dumps(value).encode())
         await self.notify()
 
+    async def remove(self, key):
+        self.revision += 1
+        self.delete(key)
+        await self.notify()
+
     async def expire(self):
         while True:
             await asyncio.sleep(0.02)
@@ -78,6 +92,7 @@
                 await self.notify()
 
     def end(self, lease):
+        self.revision += 1
         del self.leases[lease]
         for key in [k for k, item in self.items.items()
                     if item["lease"] == lease]:
@@ -93,12 +108,7 @@
             return ((200, {**item, "current_rev": self.revision}) if item else
                     (404, {"current_rev": self.revision}))
         if path == "kv-range":
-            keys = sorted(k for k in self.items
-                          if k.startswith(query["prefix"]) and
-                          k > query.get("after", ""))
-            return 200, {"items": [self.items[k] for k in keys[:500]],
-                         "has_more": len(keys) > 500,
-                         "current_rev": self.revision}
+            return 200, self.page(query["prefix"], query.get("after", ""))
         if path == "kv-watch":
             return await self.watch(query)
         if path == "kv-txn":
@@ -120,6 +130,18 @@
         await self.notify()
         return 200, {}
 
+    def page(self, prefix, after):
+        keys = sorted(key for key in self.items
+                      if key.startswith(prefix) and key > after)
+        items, size = [], 0
+        for key in keys[:MAX_PAGE_ITEMS]:
+            size += len(self.items[key]["value"])
+            if items and size > MAX_PAGE_BYTES:
+                break
+            items.append(self.items[key])
+        return {"items": items, "has_more": len(items) < len(keys),
+                "current_rev": self.revision}
+
     async def watch(self, query):
         until = time.monotonic() + min(int(query["wait_ms"]), 30_000) / 1000
         after, prefix = int(query["after"]), query["prefix"]
@@ -137,37 +159,39 @@
                     pass
 
     async def transaction(self, body):
-        for row in body.get("precondition", []):
-            item = self.items.get(row["key"])
-            if (item["revision"] if item else 0) != row["revision"]:
-                current = [self.items.get(r["key"])
-                           for r in body["precondition"]]
-                return 412, {"items": [i for i in current if i]}
+        conditions = body.get("precondition", [])
         writes, deletes = body.get("writes", []), body.get("deletes", [])
-        if any(w.get("lease", 0) and w["lease"] not in self.leases
-               for w in writes):
+        keys = [write["key"] for write in writes] + deletes
+        if (len(conditions) + len(keys) > MAX_ENTRIES or
+                any(len(key) > MAX_KEY_BYTES for key in keys) or
+                any(len(base64.b64decode(write["value"])) > MAX_VALUE_BYTES
+                    for write in writes)):
+            return 400, {}
+        if any(key.startswith(("op/", "servers/")) for key in keys):
+            return 403, {}
+        current = [self.items.get(row["key"]) for row in conditions]
+        if any((item["revision"] if item else 0) != row["revision"]
+               for item, row in zip(current, conditions)):
+            return 412, {"items": [item for item in current if item]}
+        if any(write.get("lease", 0) and write["lease"] not in self.leases
+               for write in writes):
             return 404, {}
-        # All changes of a transaction have one revision.
-        self.revision += 1
-        revision = self.revision
-        for w in writes:
-            self.put(w["key"], base64.b64decode(w["value"]), w.get("lease", 0))
+        self.revision += 1  # All changes of a transaction have one revision.
+        for write in writes:
+            self.put(write["key"], base64.b64decode(write["value"]),
+                     write.get("lease", 0))
         for key in deletes:
             self.delete(key)
-        for event in self.events:
-            if event["revision"] > revision:
-                event["revision"] = revision
-        for w in writes:
-            self.items[w["key"]]["revision"] = revision
-        self.revision = revision
         await self.notify()
-        return 200, {"revision": revision}
+        return 200, {"revision": self.revision}
 
 
 class Fleet:
     def __init__(self, record):
         self.record = open(record, "w", encoding="utf-8")
-        self.folder = tempfile.mkdtemp(prefix="review-")
+        # run.sh names the folder and removes it.
+        self.folder = (os.environ.get("REVIEW_FOLDER") or
+                       tempfile.mkdtemp(prefix="review-"))
         self.network = f"127.{random.randint(20, 250)}.{random.randint(1, 250)}"
         self.processes, self.executors, self.hosts = {}, {}, {}
         self.store = Store()
@@ -183,6 +207,24 @@
             probe.bind((ip, 0))
             return probe.getsockname()[1]
 
+    def free_ports(self, ip):
+        """Returns the first of INTERNAL_PORTS ports that are free for TCP and
+        UDP on an address; the port of the metrics has to be free too."""
+        def is_free(port):
+            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                with socket.socket(socket.AF_INET, kind) as probe:
+                    try:
+                        probe.bind((ip, port))
+                    except OSError:
+                        return False
+            return True
+        if not is_free(METRICS_PORT):
+            raise RuntimeError("the port of the metrics is taken")
+        for first in range(21000, 31000, INTERNAL_PORTS):
+            if all(is_free(first + n) for n in range(INTERNAL_PORTS)):
+                return first
+        raise RuntimeError("no ports are free")
+
     def address(self, number):
         ip = f"{self.network}.{number}"
         return f"{ip}:{self.port(ip)}"
@@ -249,7 +291,8 @@
             "version": "v1", "slots": 8, "state": executor["state"],
             "cold_remaining_ms": 0,
             "capacity": {"cpu": 16000, "mem_mb": 32768, "gpu": 0},
-            "labels": list(executor["labels"]), "clock_ms": 1000,
+            "labels": list(executor["labels"]),
+            "clock_ms": now_ms() - executor["born"],
             "sequence": executor["sequence"], "born": executor["born"]})
 
     async def beat(self):
@@ -263,15 +306,14 @@
                     await self.report(name)
                 elif executor["listed"] and silent >= 3 * HEARTBEAT_S:
                     executor["listed"] = False
-                    self.store.delete(f"servers/{name}")
-                    await self.store.notify()
+                    await self.store.remove(f"servers/{name}")
 
     # ---- Hosts and other processes ------------------------------------------
 
     def start_host(self, name, number):
         if name not in self.hosts:
             ip = f"{self.network}.{10 + number}"
-            first = 21000 + 50 * random.randint(0, 200)
+            first = self.free_ports(ip)
             self.hosts[name] = {"ip": ip, "number": number, "first": first,
                                 "frontend": f"{ip}:{self.port(ip)}",
                                 "readiness": f"{ip}:{self.port(ip)}"}
@@ -284,26 +326,59 @@
 serves=edge
 ip={host["ip"]}
 zone=zone-{host["number"]}
+region=here
+zones.zone-0=here
+zones.zone-1=here
+zones.zone-2=here
 listen.frontend={host["frontend"]}
 listen.readiness={host["readiness"]}
-internal_ports={host["first"]},{host["first"] + 15}
+internal_ports={host["first"]},{host["first"] + INTERNAL_PORTS - 1}
 bootstrap=true
+loss_counts=false
 limits.cpu_share=0.25
 limits.cores=1
 limits.memory_mb=260
+limits.file_descriptors=4200
 limits.link_mbps=1000.0
+limits.disk_mb=0
+discovery=platform
+entry=vip
+heartbeat_ms=1500
+fault_tolerance.machines=2
+bounds.seed_lag_s=3
+bounds.reuse_after_s=2
+bounds.stable_window_ms=3000
+bounds.ack_ms=4000
+bounds.catch_up_s=4
+bounds.drain_ms=2000
 bounds.grace_s=6
+bounds.loss_slack_ms=200
+bounds.config_ms=2000
+bounds.rollback_slack_ms=250
+bounds.max_skew_ms=5000
+bounds.strict_revocation=true
 bounds.revoke_ms=5000
+bounds.quota_overage=0.1
+bounds.recovery_s=12
 bounds.hold_max_ms=10000
 bounds.stop_ms=200
 bounds.gang_timeout_ms=3000
 bounds.cancel_ms=3000
-bounds.status_s=120
+bounds.visible_ms=3000
+bounds.early_ms=250
 bounds.finish_s=14
+bounds.status_s=120
 bounds.far_x=3
+bounds.checkpoint_interval_s=1
+bounds.restore_ms=250
+orders=call
 advice={self.network}.2:9
 platform.address={self.store_address}
-platform.value_bytes=1048576
+platform.form=kv
+platform.writes_per_s=400
+platform.reads_per_s=2000
+platform.history_s=20
+platform.value_bytes={MAX_VALUE_BYTES}
 platform.ttl_min_ms=1000
 """)
         self.spawn(name, [PROGRAM, "host"], {"BUCKTHORNMUX_CONFIG": path})
@@ -355,7 +430,7 @@
              "X-Deadline-Ms": str(int(timeout * 1000))}, value, timeout + 0.2)
         if not quiet:
             self.note("call", method=method, path=path, host=host, sent=began,
-                      status=status, answer=answer)
+                      body=value, status=status, answer=answer)
         return status, answer
 
     async def submit(self, job, steps, spec, prefix=PREFIX, tries=5):
@@ -437,7 +512,7 @@
             nonlocal fleet
             fleet = Fleet(sys.argv[1])
             trouble = os.environ.get("TROUBLE", "1") != "0"
-            async with asyncio.timeout(115):
+            async with asyncio.timeout(110):
                 return await case(fleet, trouble)
         broken, why = asyncio.run(run())
         fleet.finish(why, broken)
