Calls of other hosts that arrive too late are logged and counted

A call now carries the epoch of the owner that it was sent to, and a lower bound of the owner's clock at the time of sending. That bound comes from the owner's answers to pings, so no two clocks have to agree; a new connection learns it anew. The owner logs `call_stale` (reason, age, both epochs) and counts it. Nothing is dropped yet.

--- a/include/buckthornmux/detail/entry/callers.h
+++ b/include/buckthornmux/detail/entry/callers.h
@@ -49,8 +49,9 @@
 
 /// Functions of the surrounding process that Callers uses.
 struct CallerLinks {
-  /// Forwards a call to the owner of the cell; sets `to` to that host.
-  std::function<ForwardResult(const CellCall& call, HostId& to)> forward;
+  /// Forwards a call to the owner of the cell; sets `to` to that host, and the
+  /// call's epoch and time of sending.
+  std::function<ForwardResult(CellCall& call, HostId& to)> forward;
   /// Whether a new owner is expected to replace a lost one soon.
   std::function<bool()> owner_expected;
   /// Whether the store rejects this host and serves others. Responses then
--- a/include/buckthornmux/detail/entry/calls.h
+++ b/include/buckthornmux/detail/entry/calls.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "buckthornmux/detail/cell/state.h"
@@ -13,6 +14,8 @@
 
 enum class CallKind : std::uint8_t { kSubmit, kCancel, kQuery, kPending };
 
+[[nodiscard]] std::string_view NameOf(CallKind kind);
+
 /// A caller's request, forwarded to the cell's owner.
 struct CellCall {
   std::uint64_t call = 0;     ///< Id of the call at the sender.
@@ -23,6 +26,9 @@
   std::string job;
   cell::JobSpec spec;  ///< Set for a submit only.
   Millis patience{0};  ///< Time until the sender gives up.
+  Epoch epoch = 0;     ///< Of the owner that the call was sent to.
+  /// Lower bound of the time on the owner's clock when the call was sent.
+  Millis sent_at{0};
 };
 
 enum class CallResult : std::uint8_t {
--- a/include/buckthornmux/detail/entry/cell_host.h
+++ b/include/buckthornmux/detail/entry/cell_host.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "buckthornmux/detail/cell/cell.h"
+#include "buckthornmux/detail/entry/call_guard.h"
 #include "buckthornmux/detail/entry/calls.h"
 #include "buckthornmux/detail/entry/journal_writer.h"
 #include "buckthornmux/detail/entry/rules_reader.h"
@@ -67,6 +68,10 @@
   void SetLeaseHeld(bool held);
 
   [[nodiscard]] bool Owning() const { return m_owner.has_value(); }
+  /// @brief Epoch of the owned cell; 0 if there is none.
+  [[nodiscard]] Epoch OwnedEpoch() const {
+    return m_owner ? m_owner->epoch : 0;
+  }
   /// @brief When the last page of records arrived or the reading began; `now`
   ///   if no reading is in progress.
   [[nodiscard]] Time ReadingSince(Time now) const {
@@ -110,6 +115,9 @@
     std::uint32_t attempt = 0;
   };
 
+  /// Logs and counts a call that arrived too late to be of use.
+  void NoteStale(const HostId& from, const CellCall& call, StaleReason reason,
+                 Time now);
   void OnLoaded(std::vector<cell::RecordWrite> records);
   void ApplyFormerState();
   void OnStored(const cell::Batch& batch);
--- a/include/buckthornmux/detail/peer/messages.h
+++ b/include/buckthornmux/detail/peer/messages.h
@@ -21,7 +21,9 @@
 };
 /// Asks for a sign of life; answered by Pong on the same connection.
 struct Ping {};
-struct Pong {};
+struct Pong {
+  Millis clock{0};  ///< Time since the epoch of the answering host's clock.
+};
 
 /// A caller's submit, passed on to the home. `call` names it at the sender.
 struct CallSubmit {
--- a/include/buckthornmux/detail/peer/peer_links.h
+++ b/include/buckthornmux/detail/peer/peer_links.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 
@@ -23,6 +24,8 @@
   Millis silent_after{2000};  ///< No Pong for so long: reconnect.
   Millis reconnect_pause{200};
   std::size_t max_queued = 16'384;  ///< Messages for one peer.
+  /// Clock that peers learn, see PeerLinks::ClockOf; steady_clock if left out.
+  std::function<Time()> clock;
 };
 
 /// Another entry host.
@@ -62,6 +65,12 @@
   ///   queue full
   bool Send(const HostId& peer, const Message& message);
 
+  /// @brief Lower bound of the time that a peer's clock shows now, learnt from
+  ///   its Pongs on the current connection. It trusts no time of day, only that
+  ///   the clocks run at about the same rate. Callable from any thread.
+  /// @return nothing before the first Pong of a connection
+  [[nodiscard]] std::optional<Time> ClockOf(const HostId& peer) const;
+
   /// @brief Asks a peer to answer a ping now, from any thread. Nothing is
   ///   asked on a link that is down.
   void Probe(const HostId& peer);
--- a/include/buckthornmux/detail/runtime/metrics.h
+++ b/include/buckthornmux/detail/runtime/metrics.h
@@ -31,6 +31,7 @@
   kPeerMessages,    ///< Messages received from entry hosts.
   kRingsFull,       ///< Messages refused by a full ring.
   kRecordsOmitted,  ///< Records left out, since the store rejects them.
+  kCallsStale,      ///< Calls of other hosts that arrived too late.
   kCount,
 };
 
--- a/src/entry/callers.cc
+++ b/src/entry/callers.cc
@@ -6,6 +6,7 @@
 #include <random>
 #include <utility>
 
+#include "buckthornmux/detail/entry/call_guard.h"
 #include "buckthornmux/detail/entry/clock.h"
 #include "buckthornmux/detail/runtime/log_line.h"
 
@@ -20,8 +21,6 @@
 constexpr int kKeyTrustPercent = 70;
 /// Used if the request has no deadline.
 constexpr Millis kDefaultCallTimeout{3000};
-/// An owner that takes longer to reply is about to be replaced.
-constexpr Millis kMaxCallTimeout{2500};
 /// A call waits this long for an owner. A lost owner is replaced within its
 /// lease.
 constexpr Millis kOwnerWaitTimeout{1500};
@@ -65,20 +64,6 @@
   }
 }
 
-std::string_view KindName(CallKind kind) {
-  switch (kind) {
-    case CallKind::kSubmit:
-      return "submit";
-    case CallKind::kCancel:
-      return "cancel";
-    case CallKind::kQuery:
-      return "query";
-    case CallKind::kPending:
-      return "pending";
-  }
-  return "unknown";
-}
-
 /// Parses the caller's remaining time from the deadline header.
 Millis ParseTimeLeft(std::string_view text) {
   std::int64_t millis = 0;
@@ -314,7 +299,7 @@
   if (!good || kind == CallKind::kSubmit || kind == CallKind::kCancel) {
     LogLine("call_answered")
         .With("job", open.call.job)
-        .With("call", KindName(kind))
+        .With("call", NameOf(kind))
         .With("owner", open.sent_to)
         .With("status", static_cast<std::int64_t>(response.status))
         .With("reason", why)
--- a/src/entry/cell_host.cc
+++ b/src/entry/cell_host.cc
@@ -255,7 +255,25 @@
   }
 }
 
+void CellHost::NoteStale(const HostId& from, const CellCall& call,
+                         StaleReason reason, Time now) {
+  m_metrics.Count(Counter::kCallsStale);
+  LogLine("call_stale", Level::kWarning)
+      .With("job", call.job)
+      .With("call", NameOf(call.kind))
+      .With("from", from)
+      .With("attempt", std::uint64_t{call.attempt})
+      .With("reason", NameOf(reason))
+      .With("age_ms", (now - Time(call.sent_at)).count())
+      .With("call_epoch", call.epoch)
+      .With("epoch", OwnedEpoch());
+}
+
 void CellHost::HandleCall(const HostId& from, const CellCall& call) {
+  const Time now = Now();
+  if (const auto stale = ReasonStale(call, OwnedEpoch(), now)) {
+    NoteStale(from, call, *stale, now);
+  }
   CellReply reply;
   reply.call = call.call;
   reply.attempt = call.attempt;
--- a/src/entry/host.cc
+++ b/src/entry/host.cc
@@ -147,10 +147,9 @@
 }
 
 CallerLinks Host::CallersLinks() {
-  return {
-      [this](const CellCall& call, HostId& to) { return Forward(call, to); },
-      [this] { return m_relay.OwnerExpected(Now()); },
-      [this] { return m_relay.StoreServesOthers(Now()); }};
+  return {[this](CellCall& call, HostId& to) { return Forward(call, to); },
+          [this] { return m_relay.OwnerExpected(Now()); },
+          [this] { return m_relay.StoreServesOthers(Now()); }};
 }
 
 StoreRelayLinks Host::RelayLinks() {
@@ -196,6 +195,7 @@
   options.listen = SelfOf(m_settings).peer_address;
   options.ping_every = kPeerPingInterval;
   options.silent_after = kPeerSilenceTimeout;
+  options.clock = Now;
   return options;
 }
 
--- a/src/entry/host_calls.cc
+++ b/src/entry/host_calls.cc
@@ -138,9 +138,11 @@
   }
 }
 
-ForwardResult Host::Forward(const CellCall& call, HostId& to) {
+ForwardResult Host::Forward(CellCall& call, HostId& to) {
   if (m_cell.Owning()) {
     to = m_settings.host;
+    call.epoch = m_cell.OwnedEpoch();
+    call.sent_at = Now().time_since_epoch();
     HandleCall(to, call);
     return ForwardResult::kSent;
   }
@@ -148,6 +150,12 @@
   if (to.empty() || to == m_settings.host) {
     return ForwardResult::kNoOwner;
   }
+  const auto clock = m_peers.ClockOf(to);
+  if (!clock) {
+    return ForwardResult::kUnreachable;
+  }
+  call.epoch = m_members.KnownEpoch(std::string(kRange));
+  call.sent_at = clock->time_since_epoch();
   return m_peers.Send(to, call) ? ForwardResult::kSent
                                 : ForwardResult::kUnreachable;
 }
--- a/src/entry/host_process.h
+++ b/src/entry/host_process.h
@@ -76,7 +76,7 @@
   /// has been read again.
   [[nodiscard]] bool InDoubt(Time now) const;
   void HandleCall(const HostId& from, const CellCall& call);
-  ForwardResult Forward(const CellCall& call, HostId& to);
+  ForwardResult Forward(CellCall& call, HostId& to);
   [[nodiscard]] bool Ready() const;
 
   // The owner of the cell: host_ownership.cc.
--- a/src/peer/peer_links.cc
+++ b/src/peer/peer_links.cc
@@ -24,6 +24,9 @@
 using SteadyClock = std::chrono::steady_clock;
 
 constexpr std::size_t kMaxDatagramBytes = 60'000;
+/// The clocks of two hosts run at the same rate, but for one part of this many.
+constexpr int kMaxDriftDivisor = 50;
+constexpr Millis kClockResolution{1};
 
 net::Address MustParse(const std::string& text) {
   const auto outcome = Capture([&] { return net::ParseAddress(text); });
@@ -36,14 +39,27 @@
 
 using SocketPtr = std::shared_ptr<tcp::socket>;
 
+/// A peer's clock, as one of its Pongs has shown it.
+struct PeerClock {
+  Time shown;
+  Time received;  ///< On this host's clock.
+
+  /// Lower bound of the peer's clock at time `now` of this host.
+  [[nodiscard]] Time AtLeast(Time now) const {
+    const Millis passed = now - received;
+    return shown + passed - passed / kMaxDriftDivisor - kClockResolution;
+  }
+};
+
 /// One peer's outgoing connection.
 struct Link {
   Link(asio::io_context& io, PeerAddress peer_address)
       : peer(std::move(peer_address)), wake(io) {}
   PeerAddress peer;
-  std::mutex mutex;  ///< Guards queue and up.
+  std::mutex mutex;  ///< Guards queue, up and clock.
   std::deque<std::string> queue;
   bool up = false;
+  std::optional<PeerClock> clock;
   // Below: of the I/O thread only.
   bool ended = false;
   asio::steady_timer wake;
@@ -69,7 +85,13 @@
         options(std::move(link_options)),
         events(std::move(link_events)),
         acceptor(context),
-        datagrams(context) {}
+        datagrams(context) {
+    if (!options.clock) {
+      options.clock = [] {
+        return std::chrono::time_point_cast<Millis>(SteadyClock::now());
+      };
+    }
+  }
 
   void Listen() {
     const net::Address address = MustParse(options.listen);
@@ -88,6 +110,9 @@
   [[nodiscard]] std::string EncodeHello() const {
     return Encode(Message(Hello{options.self, options.incarnation}));
   }
+  [[nodiscard]] std::string EncodePong() const {
+    return Encode(Message(Pong{options.clock().time_since_epoch()}));
+  }
 
   // ---- Receiving ----------------------------------------------------------
 
@@ -120,7 +145,8 @@
       if (const auto* hello = std::get_if<Hello>(message)) {
         from = hello->host;
       } else if (std::holds_alternative<Ping>(*message)) {
-        if (!co_await WriteFrame(*socket, self->pong)) {
+        const std::string pong = self->EncodePong();
+        if (!co_await WriteFrame(*socket, pong)) {
           break;
         }
       } else if (!from.empty()) {
@@ -182,11 +208,31 @@
     co_return co_await WriteFrame(*socket, hello);
   }
 
+  /// Keeps the tighter of two lower bounds, since a Pong may be held up.
+  void LearnClock(Link& link, const Pong& pong) const {
+    const PeerClock learnt{Time(pong.clock), options.clock()};
+    const std::scoped_lock lock(link.mutex);
+    if (!link.clock || learnt.AtLeast(learnt.received) >=
+                           link.clock->AtLeast(learnt.received)) {
+      link.clock = learnt;
+    }
+  }
+
   /// Reads Pongs until the connection breaks.
   static asio::awaitable<void> WatchPongs(std::shared_ptr<Impl> self,
                                           LinkPtr link, SocketPtr socket) {
-    while (co_await ReadFrame(*socket)) {
+    while (const auto bytes = co_await ReadFrame(*socket)) {
+      const auto outcome = Capture([&] { return DecodeMessage(*bytes); });
+      const auto* message = std::get_if<Message>(&outcome);
+      const auto* pong =
+          message == nullptr ? nullptr : std::get_if<Pong>(message);
+      if (pong == nullptr) {
+        break;  // Another version or no peer: the connection ends.
+      }
       link->last_pong = SteadyClock::now();
+      if (link->socket == socket) {
+        self->LearnClock(*link, *pong);
+      }
       if (self->events.pong) {
         self->events.pong(link->peer.host);
       }
@@ -249,6 +295,8 @@
       }
       link.up = up;
       link.queue.clear();
+      // The peer may come back as another process, with another clock.
+      link.clock.reset();
     }
     events.link(link.peer.host, up);
   }
@@ -337,7 +385,6 @@
   PeerLinkOptions options;
   PeerEvents events;
   const std::string ping = Encode(Message(Ping{}));
-  const std::string pong = Encode(Message(Pong{}));
   tcp::acceptor acceptor;
   udp::socket datagrams;
   bool ended = false;
@@ -388,6 +435,23 @@
   return true;
 }
 
+std::optional<Time> PeerLinks::ClockOf(const HostId& peer) const {
+  LinkPtr link;
+  {
+    const std::scoped_lock lock(m_impl->mutex);
+    const auto found = m_impl->links.find(peer);
+    if (found == m_impl->links.end()) {
+      return std::nullopt;
+    }
+    link = found->second;
+  }
+  const std::scoped_lock lock(link->mutex);
+  if (!link->up || !link->clock) {
+    return std::nullopt;
+  }
+  return link->clock->AtLeast(m_impl->options.clock());
+}
+
 void PeerLinks::Probe(const HostId& peer) {
   asio::post(m_impl->io, [impl = m_impl, peer] {
     const std::scoped_lock lock(impl->mutex);
--- a/src/runtime/metrics.cc
+++ b/src/runtime/metrics.cc
@@ -17,11 +17,11 @@
 constexpr double kLongestMs = 1e7;
 
 constexpr std::array<std::string_view, kCounters> kCounterNames = {
-    "requests",      "jobs_submitted", "jobs_answered",   "jobs_refused",
-    "keys_refused",  "calls_rerouted", "tasks_started",   "tasks_ended",
-    "tasks_stopped", "journal_writes", "journal_records", "store_errors",
-    "ledger_writes", "ranges_gained",  "ranges_lost",     "peer_messages",
-    "rings_full",    "records_omitted"};
+    "requests",      "jobs_submitted",  "jobs_answered",   "jobs_refused",
+    "keys_refused",  "calls_rerouted",  "tasks_started",   "tasks_ended",
+    "tasks_stopped", "journal_writes",  "journal_records", "store_errors",
+    "ledger_writes", "ranges_gained",   "ranges_lost",     "peer_messages",
+    "rings_full",    "records_omitted", "calls_stale"};
 
 constexpr auto kGauges = static_cast<std::size_t>(Gauge::kCount);
 constexpr std::array<std::string_view, kGauges> kGaugeNames = {
--- a/tests/unit-peer.cc
+++ b/tests/unit-peer.cc
@@ -1,6 +1,7 @@
 // Peer messages and links over loopback.
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <condition_variable>
@@ -67,6 +68,7 @@
   CPPUNIT_TEST(SendsBothWays);
   CPPUNIT_TEST(SilentLinkGoesDown);
   CPPUNIT_TEST(ProbeBringsASignAndReconnectANewLink);
+  CPPUNIT_TEST(ClockOfAPeerIsNeverAhead);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -168,6 +170,53 @@
       return inbox.links.size() == 3 && !inbox.links[1] && inbox.links[2];
     }));
   }
+
+  // Guards against a call that looks fresher than it is to its receiver.
+  void ClockOfAPeerIsNeverAhead() {
+    Inbox inbox;
+    Inbox other;
+    int signs = 0;
+    std::atomic<int> here_ms = 1'000'000;
+    std::atomic<int> there_ms = 5000;
+    IoThread io;
+    const std::string address = FreeAddress();
+    PeerEvents events = inbox.Events();
+    events.pong = [&](const HostId&) { inbox.Note([&] { ++signs; }); };
+    PeerLinks a(io.io,
+                {.self = "a",
+                 .listen = FreeAddress(),
+                 .ping_every = Millis(60'000),
+                 .silent_after = Millis(120'000),
+                 .reconnect_pause = Millis(10),
+                 .clock = [&] { return Time(Millis(here_ms)); }},
+                events);
+    const PeerLinks b(io.io,
+                      {.self = "b",
+                       .listen = address,
+                       .clock = [&] { return Time(Millis(there_ms)); }},
+                      other.Events());
+    CPPUNIT_ASSERT(!a.ClockOf("b"));
+    const std::vector<PeerAddress> peers{{"b", address}};
+    a.SetPeers(peers);
+    CPPUNIT_ASSERT(inbox.WaitFor([&] { return signs == 1; }));
+    const auto clock = [&a] {
+      return a.ClockOf("b").value().time_since_epoch().count();
+    };
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{4999}, clock());
+    here_ms += 1000;
+    there_ms += 980;  // The slowest clock that is allowed for.
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{5979}, clock());
+    // A reading that was held up doesn't replace a better one.
+    there_ms -= 500;
+    a.Probe("b");
+    CPPUNIT_ASSERT(inbox.WaitFor([&] { return signs == 2; }));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{5979}, clock());
+    // A new connection may lead to another process.
+    there_ms = 70;
+    a.Reconnect("b");
+    CPPUNIT_ASSERT(inbox.WaitFor([&] { return signs == 3; }));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{69}, clock());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PeerTest);
