A call at its sender and at the owner is a struct with functions of the time

What a reply, a lost host or a time-out means for a call is now in open_call.h, and what the owner does with it in owner_calls.h, both without network or clock.

--- a/include/buckthornmux/detail/entry/callers.h
+++ b/include/buckthornmux/detail/entry/callers.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <string_view>
 
-#include "buckthornmux/detail/entry/calls.h"
+#include "buckthornmux/detail/entry/open_call.h"
 #include "buckthornmux/detail/entry/rules_reader.h"
 #include "buckthornmux/detail/net/http_server.h"
 #include "buckthornmux/detail/runtime/metrics.h"
@@ -44,9 +44,6 @@
 [[nodiscard]] const cell::Team* FindTeam(const cell::Rules& rules,
                                          std::string_view key);
 
-/// Result of forwarding a call to the owner of the cell.
-enum class ForwardResult : std::uint8_t { kSent, kNoOwner, kUnreachable };
-
 /// Functions of the surrounding process that Callers uses.
 struct CallerLinks {
   /// Forwards a call to the owner of the cell; sets `to` to that host, and the
@@ -94,18 +91,8 @@
   [[nodiscard]] std::uint16_t Port() const { return m_server->Port(); }
 
  private:
-  struct OpenCall {
-    CellCall call;
-    HostId sent_to;                ///< Empty while the call waits for an owner.
-    bool may_be_accepted = false;  ///< An owner may have accepted the call.
-    Time began;
-    Time deadline;
-    /// When the call ends if it still waits for an owner.
-    Time owner_deadline;
-    Time forward_at;  ///< Earliest time to forward it again.
-    Time sent_at;     ///< When the call was sent to `sent_to`.
-    /// Why no owner has accepted the call.
-    ErrorKind no_owner_reason = ErrorKind::kOwnerUnknown;
+  struct Request {
+    OpenCall open;
     net::Responder respond;
   };
 
@@ -114,9 +101,9 @@
   void Forward(CellCall call, Millis patience, const net::Responder& respond);
   void TryForward(std::uint64_t number, Time now);
   void EndOverdue(std::uint64_t number);
-  static void WaitForOwner(OpenCall& open, const CellReply& reply);
-  void Respond(const OpenCall& open, net::HttpResponse response,
+  void Respond(const Request& request, net::HttpResponse response,
                std::string_view why);
+  void Fail(const Request& request, const CallFailure& failure, int status);
   [[nodiscard]] net::HttpResponse Refusal(ErrorKind kind, int status) const;
 
   CallerCodec m_codec;
@@ -127,7 +114,7 @@
   /// Number of the next call. The first is random, since the owner may still
   /// reply to calls of this host's former process.
   std::uint64_t m_next;
-  std::map<std::uint64_t, OpenCall> m_open;
+  std::map<std::uint64_t, Request> m_open;
   std::unique_ptr<net::HttpServer> m_server;
 };
 
--- a/include/buckthornmux/detail/entry/cell_host.h
+++ b/include/buckthornmux/detail/entry/cell_host.h
@@ -16,6 +16,7 @@
 #include "buckthornmux/detail/entry/call_guard.h"
 #include "buckthornmux/detail/entry/calls.h"
 #include "buckthornmux/detail/entry/journal_writer.h"
+#include "buckthornmux/detail/entry/owner_calls.h"
 #include "buckthornmux/detail/entry/rules_reader.h"
 #include "buckthornmux/detail/entry/settings.h"
 #include "buckthornmux/detail/net/http_client.h"
@@ -109,11 +110,6 @@
     /// The next call must suit any process: it renews and acknowledges nothing.
     bool plain = false;
   };
-  struct OpenCall {
-    HostId from;
-    std::uint64_t call = 0;
-    std::uint32_t attempt = 0;
-  };
 
   /// Logs and counts a call that arrived too late to be of use.
   void NoteStale(const HostId& from, const CellCall& call, StaleReason reason,
@@ -136,7 +132,7 @@
       const cell::SendStart& start) const;
   void Send(const cell::SendStart& start);
   void Send(const cell::SendStop& stop);
-  void Reply(cell::CallId call, CellReply reply);
+  void Reply(const std::optional<AddressedReply>& reply);
   void LogLoad() const;
   [[nodiscard]] bool MayOrder() const { return m_cell && m_lease_held; }
 
@@ -155,8 +151,7 @@
   std::vector<cell::TargetEntry> m_entries;
   std::vector<HostId> m_lanes;
   std::map<TargetId, ReportLoop> m_reports;
-  std::map<cell::CallId, OpenCall> m_open_calls;
-  cell::CallId m_next_call = 1;
+  OwnerCalls m_owner_calls;
   std::function<void()> m_released;
   /// State of the targets when this host last closed the cell.
   std::optional<FormerOwnerState> m_final_state;
--- a/src/entry/callers.cc
+++ b/src/entry/callers.cc
@@ -21,11 +21,6 @@
 constexpr int kKeyTrustPercent = 70;
 /// Used if the request has no deadline.
 constexpr Millis kDefaultCallTimeout{3000};
-/// A call waits this long for an owner. A lost owner is replaced within its
-/// lease.
-constexpr Millis kOwnerWaitTimeout{1500};
-/// Delay before a call that no owner accepted is forwarded again.
-constexpr Millis kForwardRetryDelay{100};
 /// Time reserved for returning the response, at most a fourth of the time left.
 constexpr Millis kMaxResponseMargin{150};
 constexpr int kResponseMarginDivisor = 4;
@@ -232,22 +227,16 @@
   const Time now = Now();
   const std::uint64_t number = m_next++;
   call.call = number;
-  const Millis wait = m_links.owner_expected() ? kOwnerWaitTimeout : Millis(0);
-  OpenCall open;
-  open.call = std::move(call);
-  open.began = now;
-  open.deadline = now + patience;
-  open.owner_deadline = now + std::min(wait, patience);
-  open.respond = respond;
-  m_open.emplace(number, std::move(open));
+  m_open.emplace(number, Request{BeginCall(std::move(call), patience,
+                                           m_links.owner_expected(), now),
+                                 respond});
   TryForward(number, now);
 }
 
 /// Forwards a call. If that fails, the call waits until `owner_deadline`.
 void Callers::TryForward(std::uint64_t number, Time now) {
-  OpenCall& open = m_open.at(number);
-  ++open.call.attempt;
-  open.call.patience = open.deadline - now;
+  OpenCall& open = m_open.at(number).open;
+  BeginAttempt(open, now);
   HostId to;
   const ForwardResult result = m_links.forward(open.call, to);
   // The reply may arrive, and end the call, before `forward` returns.
@@ -255,40 +244,34 @@
   if (found == m_open.end()) {
     return;
   }
-  if (result != ForwardResult::kSent) {
-    found->second.no_owner_reason = result == ForwardResult::kNoOwner
-                                        ? ErrorKind::kOwnerUnknown
-                                        : ErrorKind::kPeerUnreachable;
-    if (now >= found->second.owner_deadline) {
-      EndOverdue(number);
-    }
-  } else if (found->second.forward_at <= now) {
-    // If `forward_at` is later, the owner has already refused the call.
-    found->second.sent_to = to;
-    found->second.sent_at = now;
+  EndAttempt(found->second.open, result, to, now);
+  if (result != ForwardResult::kSent &&
+      NextStep(found->second.open, now) == CallStep::kEnd) {
+    EndOverdue(number);
   }
 }
 
 /// Ends a call that got no owner or no reply in time.
 void Callers::EndOverdue(std::uint64_t number) {
   const auto found = m_open.find(number);
-  const OpenCall open = std::move(found->second);
+  const Request request = std::move(found->second);
   m_open.erase(found);
-  const bool unanswered = !open.sent_to.empty();
-  // A submit or cancel that was forwarded may have been accepted, so the
-  // response must not claim that it was not.
-  const bool changes = open.call.kind == CallKind::kSubmit ||
-                       open.call.kind == CallKind::kCancel;
-  const bool unknown = changes && (open.may_be_accepted || unanswered);
-  const ErrorKind kind =
-      unanswered ? ErrorKind::kOutcomeUnknown : open.no_owner_reason;
-  Respond(open, Refusal(kind, unknown ? kGatewayTimeout : kUnavailable),
-          unanswered ? "owner did not reply" : AnswerFor(kind).name);
+  Fail(request, OverdueFailure(request.open), kUnavailable);
+}
+
+/// Responds to a call that failed.
+/// @param status if it had no effect
+void Callers::Fail(const Request& request, const CallFailure& failure,
+                   int status) {
+  Respond(request,
+          Refusal(failure.error, failure.unknown ? kGatewayTimeout : status),
+          failure.reason);
 }
 
-void Callers::Respond(const OpenCall& open, net::HttpResponse response,
+void Callers::Respond(const Request& request, net::HttpResponse response,
                       std::string_view why) {
   const Time now = Now();
+  const OpenCall& open = request.open;
   response.close = response.close || m_links.store_serves_others();
   const bool good = response.status / 100 == 2;
   const CallKind kind = open.call.kind;
@@ -305,7 +288,7 @@
         .With("reason", why)
         .With("took_ms", (now - open.began).count());
   }
-  open.respond(std::move(response));
+  request.respond(std::move(response));
 }
 
 void Callers::HandleReply(const CellReply& reply) {
@@ -313,28 +296,13 @@
   if (found == m_open.end()) {
     return;  // The deadline has passed, and the caller has a response.
   }
-  const bool not_owner = reply.error == ErrorKind::kOwnerStale ||
-                         reply.error == ErrorKind::kOwnerUnknown ||
-                         reply.error == ErrorKind::kNotReady;
-  const bool unanswered =
-      reply.end == CallResult::kRefused || reply.end == CallResult::kUnknown;
-  // A negative reply of a former owner does not tell what the next owner has
-  // accepted.
-  const bool negative = unanswered || reply.end == CallResult::kNoSuchJob;
-  if (negative && reply.attempt != found->second.call.attempt) {
+  if (ApplyReply(found->second.open, reply, m_links.owner_expected(), Now()) !=
+      ReplyUse::kEnds) {
     return;
   }
-  // An owner that can't reach the store is replaced soon if another host can.
-  const bool to_be_replaced =
-      reply.error == ErrorKind::kStoreUnavailable && m_links.owner_expected();
-  if (unanswered && (not_owner || to_be_replaced)) {
-    WaitForOwner(found->second, reply);
-    return;
-  }
-  const OpenCall open = std::move(found->second);
+  const Request request = std::move(found->second);
   m_open.erase(found);
   net::HttpResponse response;
-  std::string_view why = "done";
   switch (reply.end) {
     case CallResult::kAccepted:
     case CallResult::kCancelled:
@@ -347,55 +315,32 @@
       response.body = m_codec.format_pending(reply.pending);
       break;
     case CallResult::kNoSuchJob:
-      response = Refusal(ErrorKind::kNotFound, kGone);
-      why = "no such job";
-      break;
-    case CallResult::kRefused: {
-      const int status = AnswerFor(reply.error).http_status;
-      response = Refusal(reply.error, status);
-      why = reply.message;
-      break;
-    }
+      Respond(request, Refusal(ErrorKind::kNotFound, kGone), "no such job");
+      return;
+    case CallResult::kRefused:
     case CallResult::kUnknown:
-      response = Refusal(reply.error, kGatewayTimeout);
-      why = reply.message;
-      break;
-  }
-  Respond(open, std::move(response), why);
-}
-
-/// Keeps a call until the next owner can accept it.
-void Callers::WaitForOwner(OpenCall& open, const CellReply& reply) {
-  const Time now = Now();
-  open.sent_to.clear();
-  open.forward_at = now + kForwardRetryDelay;
-  open.no_owner_reason = reply.error;
-  if (reply.end == CallResult::kUnknown) {
-    // The owner dropped the call without a result.
-    open.may_be_accepted = true;
-    open.owner_deadline = std::min(open.deadline, now + kOwnerWaitTimeout);
+      Fail(request, FailureOf(request.open, reply),
+           AnswerFor(reply.error).http_status);
+      return;
   }
+  Respond(request, std::move(response), "done");
 }
 
 void Callers::HostLost(const HostId& host) {
   const Time now = Now();
-  for (auto& [number, open] : m_open) {
-    if (open.sent_to == host) {
-      open.sent_to.clear();
-      open.may_be_accepted = true;
-      open.owner_deadline = std::min(open.deadline, now + kOwnerWaitTimeout);
-    }
+  for (auto& [number, request] : m_open) {
+    NoteHostLost(request.open, host, now);
   }
 }
 
 void Callers::Tick(Time now) {
   std::vector<std::uint64_t> overdue;
   std::vector<std::uint64_t> waiting;
-  for (const auto& [number, open] : m_open) {
-    const bool waits = open.sent_to.empty();
-    if (now >= open.deadline || (waits && now >= open.owner_deadline)) {
+  for (const auto& [number, request] : m_open) {
+    const CallStep step = NextStep(request.open, now);
+    if (step == CallStep::kEnd) {
       overdue.push_back(number);
-    } else if (waits && now >= open.forward_at) {
+    } else if (step == CallStep::kForward) {
       waiting.push_back(number);
     }
   }
@@ -409,7 +354,8 @@
 
 std::optional<Time> Callers::WaitingSince(const HostId& host) const {
   std::optional<Time> since;
-  for (const auto& [number, open] : m_open) {
+  for (const auto& [number, request] : m_open) {
+    const OpenCall& open = request.open;
     if (open.sent_to == host && !host.empty()) {
       since = std::min(since.value_or(open.sent_at), open.sent_at);
     }
--- a/src/entry/cell_host.cc
+++ b/src/entry/cell_host.cc
@@ -23,8 +23,6 @@
 constexpr Millis kLoadLogInterval{1000};
 /// If a write waits longer, the store counts as failing.
 constexpr Millis kStoreStallTimeout{500};
-/// Covers one tick on this host, one at the sender, and the network delay.
-constexpr Millis kReplyMargin{110};
 /// Upper bound of a target's lease. A new owner is elected and reads the cell's
 /// state within this time.
 constexpr Millis kMaxTargetLease{5000};
@@ -58,13 +56,6 @@
   return options;
 }
 
-/// Returns when a call must be answered at the latest. A refusal has to arrive
-/// before the sender gives up, since the caller would otherwise be told that
-/// the outcome is unknown.
-Time ReplyDeadline(const CellCall& call) {
-  return Now() + std::max(call.patience / 2, call.patience - kReplyMargin);
-}
-
 void Log(const cell::Decision& decision) {
   LogLine line(decision.event);
   for (const auto& [key, value] : decision.fields) {
@@ -114,7 +105,8 @@
       .With("range", m_owner->range)
       .With("epoch", m_owner->epoch)
       .With("reason", why)
-      .With("open_calls", static_cast<std::uint64_t>(m_open_calls.size()));
+      .With("open_calls",
+            static_cast<std::uint64_t>(m_owner_calls.open.size()));
   m_metrics.Count(Counter::kRangesLost);
   if (Serving()) {
     m_final_state_at = Now();
@@ -132,13 +124,8 @@
   }
   m_reports.clear();
   m_released = nullptr;
-  for (const auto& [id, open] : std::exchange(m_open_calls, {})) {
-    CellReply reply;
-    reply.call = open.call;
-    reply.attempt = open.attempt;
-    reply.error = ErrorKind::kOwnerStale;
-    reply.message = "the owner changed meanwhile";
-    m_events.reply(open.from, reply);
+  for (const AddressedReply& late : TakeAllReplies(m_owner_calls)) {
+    m_events.reply(late.to, late.reply);
   }
 }
 
@@ -274,63 +261,24 @@
   if (const auto stale = ReasonStale(call, OwnedEpoch(), now)) {
     NoteStale(from, call, *stale, now);
   }
-  CellReply reply;
-  reply.call = call.call;
-  reply.attempt = call.attempt;
   // Without a valid registration another host may already own the cell.
   if (!Serving() || m_released || !m_lease_held) {
-    reply.end = CallResult::kRefused;
-    reply.error = m_owner ? ErrorKind::kNotReady : ErrorKind::kOwnerUnknown;
-    reply.message = "this host does not serve the cell now";
-    m_events.reply(from, reply);
-    return;
-  }
-  if (call.kind == CallKind::kQuery) {
-    if (auto denied =
-            cell::ReasonToDeny(*m_cell, call.job, {call.queue, call.team})) {
-      reply.end = CallResult::kRefused;
-      reply.error = denied->kind;
-      reply.message = std::move(denied->message);
-      m_events.reply(from, reply);
-      return;
-    }
-    const auto phase = cell::PhaseOf(*m_cell, call.job);
-    reply.end = phase ? CallResult::kPhase : CallResult::kNoSuchJob;
-    reply.phase = phase.value_or(cell::JobPhase::kQueued);
-    m_events.reply(from, reply);
-    return;
-  }
-  if (call.kind == CallKind::kPending) {
-    reply.end = CallResult::kPending;
-    reply.pending = cell::PendingOf(*m_cell, call.queue);
-    m_events.reply(from, reply);
+    m_events.reply(from, RefuseCall(call,
+                                    m_owner ? ErrorKind::kNotReady
+                                            : ErrorKind::kOwnerUnknown,
+                                    "this host does not serve the cell now"));
     return;
   }
-  const cell::CallId id = m_next_call++;
-  m_open_calls.emplace(id, OpenCall{from, call.call, call.attempt});
   cell::Actions actions;
-  if (call.kind == CallKind::kSubmit) {
-    cell::Submit(*m_cell, actions, id, call.spec, Now(), ReplyDeadline(call));
-  } else {
-    cell::Cancel(*m_cell, actions, id, call.job, {call.queue, call.team},
-                 Now());
+  if (const auto reply =
+          ApplyCall(m_owner_calls, *m_cell, actions, from, call, now)) {
+    m_events.reply(from, *reply);
+    return;
   }
   RunActions(std::move(actions));
   SchedulePump();
 }
 
-void CellHost::Reply(cell::CallId call, CellReply reply) {
-  const auto found = m_open_calls.find(call);
-  if (found == m_open_calls.end()) {
-    return;
-  }
-  reply.call = found->second.call;
-  reply.attempt = found->second.attempt;
-  const HostId to = found->second.from;
-  m_open_calls.erase(found);
-  m_events.reply(to, std::move(reply));
-}
-
 void CellHost::OnAdviceAnswered(const AdviceReply& reply) {
   if (!Serving() || reply.epoch != m_cell->epoch) {
     return;
@@ -342,6 +290,12 @@
   SchedulePump();
 }
 
+void CellHost::Reply(const std::optional<AddressedReply>& reply) {
+  if (reply) {
+    m_events.reply(reply->to, reply->reply);
+  }
+}
+
 // ---- Actions ----------------------------------------------------------------
 
 void CellHost::RunActions(cell::Actions actions) {
@@ -349,26 +303,9 @@
     if (auto* decision = std::get_if<cell::Decision>(&action)) {
       Log(*decision);
     } else if (auto* submit = std::get_if<cell::AnswerSubmit>(&action)) {
-      CellReply reply;
-      reply.end = CallResult::kAccepted;
-      if (submit->error) {
-        const bool unclear =
-            submit->exists && submit->error->kind == ErrorKind::kNotReady;
-        reply.end = unclear ? CallResult::kUnknown : CallResult::kRefused;
-        reply.error = submit->error->kind;
-        reply.message = submit->error->message;
-      }
-      Reply(submit->call, std::move(reply));
+      Reply(TakeReply(m_owner_calls, *submit));
     } else if (auto* cancel = std::get_if<cell::AnswerCancel>(&action)) {
-      CellReply reply;
-      reply.end =
-          cancel->known ? CallResult::kCancelled : CallResult::kNoSuchJob;
-      if (cancel->error) {
-        reply.end = CallResult::kRefused;
-        reply.error = cancel->error->kind;
-        reply.message = cancel->error->message;
-      }
-      Reply(cancel->call, std::move(reply));
+      Reply(TakeReply(m_owner_calls, *cancel));
     } else if (auto* start = std::get_if<cell::SendStart>(&action)) {
       Send(*start);
     } else if (auto* stop = std::get_if<cell::SendStop>(&action)) {
--- a/src/entry/host_calls.cc
+++ b/src/entry/host_calls.cc
@@ -125,12 +125,9 @@
     m_cell.HandleCall(from, call);
     return;
   }
-  CellReply reply;
-  reply.call = call.call;
-  reply.attempt = call.attempt;
-  reply.end = CallResult::kRefused;
-  reply.error = ErrorKind::kNotReady;
-  reply.message = "the owner was paused and may have been replaced";
+  const CellReply reply =
+      RefuseCall(call, ErrorKind::kNotReady,
+                 "the owner was paused and may have been replaced");
   if (from == m_settings.host) {
     m_callers.HandleReply(reply);
   } else {
