The owner drops forwarded calls that a connection has held up

Cause: a host forwards a submit to the owner A, which has just been cut off, gives the link up, and refuses the call with the next owner's answer. TCP still delivers the first copy when the cut ends. By then A owns the cell again, in a later epoch, and CellHost accepted any call from any time: `patience` was counted from the arrival.

Change: the owner drops a call that was sent to another epoch, whose sender has given up by the owner's own clock, or that was sent before a refusal of the same job in this epoch (attempt 2 is refused, then attempt 1 arrives; or another host's try). A dropped call is refused with owner_stale, so a sender that still waits forwards it again. Queries and cancels are dropped likewise. An owner's time to answer counts from the sending.

The calls of unit-cell-host's fixture now carry an epoch, a time and a patience as those of real hosts do; no check is changed.

--- a/include/buckthornmux/detail/entry/call_guard.h
+++ b/include/buckthornmux/detail/entry/call_guard.h
@@ -1,9 +1,14 @@
 /// Recognizes forwarded calls that must have no effect any more.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
+#include <deque>
+#include <map>
 #include <optional>
+#include <string>
 #include <string_view>
+#include <utility>
 
 #include "buckthornmux/detail/entry/calls.h"
 
@@ -18,8 +23,27 @@
   kOtherEpoch,  ///< It was sent to the owner of another epoch.
   kOtherClock,  ///< It was sent to another process: its time is in the future.
   kExpired,     ///< Its sender has given up.
+  kOvertaken,   ///< A call for the same was refused after it was sent.
 };
 
+/// What the owner has refused in its epoch, for as long as a copy that was sent
+/// before the refusal may arrive.
+struct RefusedCalls {
+  using Key = std::pair<CallKind, std::string>;  ///< Kind of call, and job.
+  std::map<Key, Time> last;
+  std::deque<std::pair<Time, Key>> order;
+  /// Refusals up to this time may be missing.
+  Time forgotten_until;
+};
+
+/// Maximum number of refusals that are kept.
+inline constexpr std::size_t kMaxRefusedCalls = 4096;
+
+/// @brief Records that a submit or cancel was refused.
+/// @param now time on the owner's clock
+void NoteRefusal(RefusedCalls& refused, CallKind kind, const std::string& job,
+                 Time now);
+
 [[nodiscard]] std::string_view NameOf(StaleReason reason);
 
 /// @brief When a call expires on the owner's clock.
@@ -28,8 +52,8 @@
 /// @brief Checks whether a connection may have held a call up for too long.
 /// @param epoch of the owner that has received the call
 /// @param now time on the owner's clock
-/// @return nothing if the sender may still wait for the reply
-[[nodiscard]] std::optional<StaleReason> ReasonStale(const CellCall& call,
-                                                     Epoch epoch, Time now);
+/// @return nothing if the call may take effect
+[[nodiscard]] std::optional<StaleReason> ReasonStale(
+    const RefusedCalls& refused, const CellCall& call, Epoch epoch, Time now);
 
 }  // namespace buckthornmux::entry
--- a/include/buckthornmux/detail/entry/cell_host.h
+++ b/include/buckthornmux/detail/entry/cell_host.h
@@ -98,6 +98,9 @@
 
   /// @brief Handles a call. The reply goes to CellHostEvents::reply.
   void HandleCall(const HostId& from, const CellCall& call);
+  /// @brief Refuses a call without looking at the cell.
+  void Refuse(const HostId& from, const CellCall& call, ErrorKind error,
+              std::string_view message);
   void OnAdviceAnswered(const AdviceReply& reply);
 
   /// @brief Runs everything that is due.
@@ -111,9 +114,6 @@
     bool plain = false;
   };
 
-  /// Logs and counts a call that arrived too late to be of use.
-  void NoteStale(const HostId& from, const CellCall& call, StaleReason reason,
-                 Time now);
   void OnLoaded(std::vector<cell::RecordWrite> records);
   void ApplyFormerState();
   void OnStored(const cell::Batch& batch);
--- a/include/buckthornmux/detail/entry/owner_calls.h
+++ b/include/buckthornmux/detail/entry/owner_calls.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "buckthornmux/detail/cell/cell.h"
-#include "buckthornmux/detail/entry/calls.h"
+#include "buckthornmux/detail/entry/call_guard.h"
 
 namespace buckthornmux::entry {
 
@@ -16,11 +16,14 @@
   HostId from;
   std::uint64_t call = 0;
   std::uint32_t attempt = 0;
+  CallKind kind = CallKind::kSubmit;
+  std::string job;
 };
 
 struct OwnerCalls {
   std::map<cell::CallId, OwnerCall> open;
   cell::CallId next = 1;
+  RefusedCalls refused;
 };
 
 struct AddressedReply {
@@ -29,10 +32,13 @@
 };
 
 /// @brief Refuses a call that the cell must not see.
-[[nodiscard]] CellReply RefuseCall(const CellCall& call, ErrorKind error,
-                                   std::string message);
+[[nodiscard]] CellReply RefuseCall(OwnerCalls& calls, const CellCall& call,
+                                   ErrorKind error, std::string message,
+                                   Time now);
 
-/// @brief Applies a call to a cell that is loaded.
+/// @brief Applies a call to a cell that is loaded. A stale call is dropped: it
+///   is refused with kOwnerStale, so that a sender that still waits sends it
+///   anew.
 /// @return the reply; nothing if the cell answers later by an action
 [[nodiscard]] std::optional<CellReply> ApplyCall(
     OwnerCalls& calls, cell::Cell& cell, cell::Actions& actions,
@@ -41,11 +47,11 @@
 /// @brief Takes the reply that the cell's answer gives; nothing if the call has
 ///   a reply already.
 [[nodiscard]] std::optional<AddressedReply> TakeReply(
-    OwnerCalls& calls, const cell::AnswerSubmit& answer);
+    OwnerCalls& calls, const cell::AnswerSubmit& answer, Time now);
 [[nodiscard]] std::optional<AddressedReply> TakeReply(
-    OwnerCalls& calls, const cell::AnswerCancel& answer);
+    OwnerCalls& calls, const cell::AnswerCancel& answer, Time now);
 
 /// @brief Takes the replies to all calls when the cell is closed.
-[[nodiscard]] std::vector<AddressedReply> TakeAllReplies(OwnerCalls& calls);
+[[nodiscard]] std::vector<AddressedReply> CloseCalls(OwnerCalls& calls);
 
 }  // namespace buckthornmux::entry
--- a/src/entry/cell_host.cc
+++ b/src/entry/cell_host.cc
@@ -124,7 +124,7 @@
   }
   m_reports.clear();
   m_released = nullptr;
-  for (const AddressedReply& late : TakeAllReplies(m_owner_calls)) {
+  for (const AddressedReply& late : CloseCalls(m_owner_calls)) {
     m_events.reply(late.to, late.reply);
   }
 }
@@ -242,41 +242,32 @@
   }
 }
 
-void CellHost::NoteStale(const HostId& from, const CellCall& call,
-                         StaleReason reason, Time now) {
-  m_metrics.Count(Counter::kCallsStale);
-  LogLine("call_stale", Level::kWarning)
-      .With("job", call.job)
-      .With("call", NameOf(call.kind))
-      .With("from", from)
-      .With("attempt", std::uint64_t{call.attempt})
-      .With("reason", NameOf(reason))
-      .With("age_ms", (now - Time(call.sent_at)).count())
-      .With("call_epoch", call.epoch)
-      .With("epoch", OwnedEpoch());
+void CellHost::Refuse(const HostId& from, const CellCall& call, ErrorKind error,
+                      std::string_view message) {
+  m_events.reply(from, RefuseCall(m_owner_calls, call, error,
+                                  std::string(message), Now()));
 }
 
 void CellHost::HandleCall(const HostId& from, const CellCall& call) {
-  const Time now = Now();
-  if (const auto stale = ReasonStale(call, OwnedEpoch(), now)) {
-    NoteStale(from, call, *stale, now);
-  }
   // Without a valid registration another host may already own the cell.
   if (!Serving() || m_released || !m_lease_held) {
-    m_events.reply(from, RefuseCall(call,
-                                    m_owner ? ErrorKind::kNotReady
-                                            : ErrorKind::kOwnerUnknown,
-                                    "this host does not serve the cell now"));
+    Refuse(from, call,
+           m_owner ? ErrorKind::kNotReady : ErrorKind::kOwnerUnknown,
+           "this host does not serve the cell now");
     return;
   }
   cell::Actions actions;
-  if (const auto reply =
-          ApplyCall(m_owner_calls, *m_cell, actions, from, call, now)) {
+  const auto reply =
+      ApplyCall(m_owner_calls, *m_cell, actions, from, call, Now());
+  if (reply) {
+    m_metrics.Count(Counter::kCallsStale,
+                    reply->error == ErrorKind::kOwnerStale ? 1 : 0);
     m_events.reply(from, *reply);
-    return;
   }
   RunActions(std::move(actions));
-  SchedulePump();
+  if (!reply) {
+    SchedulePump();
+  }
 }
 
 void CellHost::OnAdviceAnswered(const AdviceReply& reply) {
@@ -303,9 +294,9 @@
     if (auto* decision = std::get_if<cell::Decision>(&action)) {
       Log(*decision);
     } else if (auto* submit = std::get_if<cell::AnswerSubmit>(&action)) {
-      Reply(TakeReply(m_owner_calls, *submit));
+      Reply(TakeReply(m_owner_calls, *submit, Now()));
     } else if (auto* cancel = std::get_if<cell::AnswerCancel>(&action)) {
-      Reply(TakeReply(m_owner_calls, *cancel));
+      Reply(TakeReply(m_owner_calls, *cancel, Now()));
     } else if (auto* start = std::get_if<cell::SendStart>(&action)) {
       Send(*start);
     } else if (auto* stop = std::get_if<cell::SendStop>(&action)) {
--- a/src/entry/host_calls.cc
+++ b/src/entry/host_calls.cc
@@ -121,18 +121,12 @@
 }
 
 void Host::HandleCall(const HostId& from, const CellCall& call) {
-  if (!InDoubt(Now())) {
-    m_cell.HandleCall(from, call);
+  if (InDoubt(Now())) {
+    m_cell.Refuse(from, call, ErrorKind::kNotReady,
+                  "the owner was paused and may have been replaced");
     return;
   }
-  const CellReply reply =
-      RefuseCall(call, ErrorKind::kNotReady,
-                 "the owner was paused and may have been replaced");
-  if (from == m_settings.host) {
-    m_callers.HandleReply(reply);
-  } else {
-    SendTo(from, reply);
-  }
+  m_cell.HandleCall(from, call);
 }
 
 ForwardResult Host::Forward(CellCall& call, HostId& to) {
--- a/src/entry/owner_calls.cc
+++ b/src/entry/owner_calls.cc
@@ -13,7 +13,8 @@
 /// before the sender gives up, since the caller would otherwise be told that
 /// the outcome is unknown.
 Time ReplyDeadline(const CellCall& call, Time now) {
-  return now + std::max(call.patience / 2, call.patience - kReplyMargin);
+  const Millis left = ExpiryOf(call) - now;
+  return now + std::max(left / 2, left - kReplyMargin);
 }
 
 CellReply ReplyTo(const CellCall& call) {
@@ -30,18 +31,36 @@
 }
 
 std::optional<AddressedReply> Take(OwnerCalls& calls, cell::CallId id,
-                                   CellReply reply) {
+                                   CellReply reply, Time now) {
   const auto found = calls.open.find(id);
   if (found == calls.open.end()) {
     return std::nullopt;
   }
   reply.call = found->second.call;
   reply.attempt = found->second.attempt;
+  if (reply.end == CallResult::kRefused) {
+    NoteRefusal(calls.refused, found->second.kind, found->second.job, now);
+  }
   HostId to = std::move(found->second.from);
   calls.open.erase(found);
   return AddressedReply{std::move(to), std::move(reply)};
 }
 
+void NoteStale(cell::Actions& actions, const HostId& from, const CellCall& call,
+               StaleReason reason, Epoch epoch, Time now) {
+  const Millis age = now - Time(call.sent_at);
+  actions.emplace_back(
+      cell::Decision{"call_stale",
+                     {{"job", call.job},
+                      {"call", std::string(NameOf(call.kind))},
+                      {"from", from},
+                      {"attempt", std::to_string(call.attempt)},
+                      {"reason", std::string(NameOf(reason))},
+                      {"age_ms", std::to_string(age.count())},
+                      {"call_epoch", std::to_string(call.epoch)},
+                      {"epoch", std::to_string(epoch)}}});
+}
+
 CellReply AnswerQuery(const cell::Cell& cell, const CellCall& call) {
   CellReply reply = ReplyTo(call);
   if (const auto denied =
@@ -57,8 +76,9 @@
 
 }  // namespace
 
-CellReply RefuseCall(const CellCall& call, ErrorKind error,
-                     std::string message) {
+CellReply RefuseCall(OwnerCalls& calls, const CellCall& call, ErrorKind error,
+                     std::string message, Time now) {
+  NoteRefusal(calls.refused, call.kind, call.job, now);
   CellReply reply = ReplyTo(call);
   SetError(reply, CallResult::kRefused, {error, std::move(message), {}});
   return reply;
@@ -67,6 +87,13 @@
 std::optional<CellReply> ApplyCall(OwnerCalls& calls, cell::Cell& cell,
                                    cell::Actions& actions, const HostId& from,
                                    const CellCall& call, Time now) {
+  if (const auto stale = ReasonStale(calls.refused, call, cell.epoch, now)) {
+    NoteStale(actions, from, call, *stale, cell.epoch, now);
+    CellReply reply = ReplyTo(call);
+    SetError(reply, CallResult::kRefused,
+             {ErrorKind::kOwnerStale, "the call arrived too late", {}});
+    return reply;
+  }
   if (call.kind == CallKind::kQuery) {
     return AnswerQuery(cell, call);
   }
@@ -77,7 +104,8 @@
     return reply;
   }
   const cell::CallId id = calls.next++;
-  calls.open.emplace(id, OwnerCall{from, call.call, call.attempt});
+  calls.open.emplace(
+      id, OwnerCall{from, call.call, call.attempt, call.kind, call.job});
   if (call.kind == CallKind::kSubmit) {
     cell::Submit(cell, actions, id, call.spec, now, ReplyDeadline(call, now));
   } else {
@@ -87,7 +115,8 @@
 }
 
 std::optional<AddressedReply> TakeReply(OwnerCalls& calls,
-                                        const cell::AnswerSubmit& answer) {
+                                        const cell::AnswerSubmit& answer,
+                                        Time now) {
   CellReply reply;
   reply.end = CallResult::kAccepted;
   if (answer.error) {
@@ -96,20 +125,22 @@
     SetError(reply, unclear ? CallResult::kUnknown : CallResult::kRefused,
              *answer.error);
   }
-  return Take(calls, answer.call, std::move(reply));
+  return Take(calls, answer.call, std::move(reply), now);
 }
 
 std::optional<AddressedReply> TakeReply(OwnerCalls& calls,
-                                        const cell::AnswerCancel& answer) {
+                                        const cell::AnswerCancel& answer,
+                                        Time now) {
   CellReply reply;
   reply.end = answer.known ? CallResult::kCancelled : CallResult::kNoSuchJob;
   if (answer.error) {
     SetError(reply, CallResult::kRefused, *answer.error);
   }
-  return Take(calls, answer.call, std::move(reply));
+  return Take(calls, answer.call, std::move(reply), now);
 }
 
-std::vector<AddressedReply> TakeAllReplies(OwnerCalls& calls) {
+std::vector<AddressedReply> CloseCalls(OwnerCalls& calls) {
+  calls.refused = {};
   std::vector<AddressedReply> replies;
   for (auto& [id, open] : std::exchange(calls.open, {})) {
     CellReply reply;
--- a/tests/unit-cell-host.cc
+++ b/tests/unit-cell-host.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <memory>
+#include <thread>
 
 #include "buckthornmux/detail/entry/cell_host.h"
 #include "buckthornmux/detail/entry/clock.h"
@@ -71,7 +72,8 @@
   }
 
   entry::CellReply Call(CallKind kind, const std::string& job,
-                        const std::string& team = "team-0") {
+                        const std::string& team = "team-0", Epoch epoch = 1,
+                        std::optional<Time> sent_at = std::nullopt) {
     entry::CellCall call;
     call.kind = kind;
     call.queue = "plain";
@@ -79,6 +81,9 @@
     call.job = job;
     call.spec = PlainJob(job);
     call.spec.team = team;
+    call.epoch = epoch;
+    call.sent_at = sent_at.value_or(entry::Now()).time_since_epoch();
+    call.patience = Millis(1000);
     replies.clear();
     host.HandleCall("b", call);
     Run();
@@ -200,6 +205,8 @@
   CPPUNIT_TEST(HostAheadOfTheOwnerGetsNoVerdict);
   CPPUNIT_TEST(HostWithoutRegistrationAnswersNoQuery);
   CPPUNIT_TEST(HostWithoutRegistrationAcceptsNothing);
+  CPPUNIT_TEST(HeldUpCallsHaveNoEffect);
+  CPPUNIT_TEST(RefusalWhileNotServingOvertakesEarlierCalls);
   CPPUNIT_TEST(NewProcessOfATargetGetsNoAcknowledgementOfTheFormerOne);
   CPPUNIT_TEST(StartReachesOnlyTheProcessItIsMeantFor);
   CPPUNIT_TEST_SUITE_END();
@@ -248,6 +255,43 @@
     CPPUNIT_ASSERT(submit.error == ErrorKind::kNotReady);
   }
 
+  // Guards against a held-up call that takes effect after its caller was told
+  // that it has none (review/7), also at the same host in its next epoch.
+  void HeldUpCallsHaveNoEffect() {
+    for (const auto& [epoch, age] :
+         {std::pair{Epoch{0}, Millis(0)}, std::pair{Epoch{2}, Millis(0)},
+          std::pair{Epoch{1}, Millis(1000)}}) {
+      Fixture f;
+      for (const CallKind kind : {CallKind::kSubmit, CallKind::kCancel}) {
+        const std::string job = kind == CallKind::kSubmit ? "j2" : "j1";
+        const auto reply =
+            f.Call(kind, job, "team-0", epoch, entry::Now() - age);
+        CPPUNIT_ASSERT(reply.end == CallResult::kRefused);
+        CPPUNIT_ASSERT(reply.error == ErrorKind::kOwnerStale);
+      }
+      CPPUNIT_ASSERT(f.Call(CallKind::kQuery, "j2").end ==
+                     CallResult::kNoSuchJob);
+      CPPUNIT_ASSERT(f.Call(CallKind::kQuery, "j1").phase ==
+                     cell::JobPhase::kQueued);
+      CPPUNIT_ASSERT(f.metrics.Text().find("calls_stale 2\n") !=
+                     std::string::npos);
+    }
+  }
+
+  // Attempt 2 is refused, then attempt 1 arrives within its time.
+  void RefusalWhileNotServingOvertakesEarlierCalls() {
+    Fixture f;
+    const Time sent_at = entry::Now();
+    f.host.SetLeaseHeld(false);
+    CPPUNIT_ASSERT(f.Call(CallKind::kSubmit, "j2").end == CallResult::kRefused);
+    f.host.SetLeaseHeld(true);
+    const auto late = f.Call(CallKind::kSubmit, "j2", "team-0", 1, sent_at);
+    CPPUNIT_ASSERT(late.error == ErrorKind::kOwnerStale);
+    std::this_thread::sleep_for(Millis(2));  // The clock counts milliseconds.
+    CPPUNIT_ASSERT(f.Call(CallKind::kSubmit, "j2").end ==
+                   CallResult::kAccepted);
+  }
+
   void HostWithoutRegistrationAnswersNoQuery() {
     Fixture f;
     f.host.SetLeaseHeld(false);
