A refusal settles a lost copy only if it comes from its owner or a later one

Cause: Callers passed a refusal on as it came although an earlier copy had been lost with its connection, and once a copy was lost no later refusal could settle it. A reply now carries the epoch of the owner whose cell gave it. An owner has read all that former owners stored, and drops copies that arrive after its refusal, so its refusal settles copies that were sent to it or to former owners; any other refusal leaves the outcome open (504). `call_answered` says how often the call was forwarded, and the epoch that is in doubt.

--- a/include/buckthornmux/detail/entry/calls.h
+++ b/include/buckthornmux/detail/entry/calls.h
@@ -50,6 +50,8 @@
   std::uint32_t pending = 0;
   ErrorKind error = ErrorKind::kInternal;
   std::string message;
+  /// Of the owner whose cell gave the reply; 0 if the cell wasn't looked at.
+  Epoch epoch = 0;
 };
 
 /// Request of the owner to the adviser, sent through another host.
--- a/include/buckthornmux/detail/entry/open_call.h
+++ b/include/buckthornmux/detail/entry/open_call.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "buckthornmux/detail/entry/calls.h"
@@ -15,8 +16,10 @@
 /// A request without a response.
 struct OpenCall {
   CellCall call;
-  HostId sent_to;                ///< Empty while the call waits for an owner.
-  bool may_be_accepted = false;  ///< An owner may have accepted the call.
+  HostId sent_to;  ///< Empty while the call waits for an owner.
+  /// Epoch of the last owner that may have applied a copy of the call without a
+  /// reply.
+  std::optional<Epoch> in_doubt;
   Time began;
   Time deadline;
   /// When the call ends if it still waits for an owner.
--- a/include/buckthornmux/detail/entry/owner_calls.h
+++ b/include/buckthornmux/detail/entry/owner_calls.h
@@ -18,6 +18,7 @@
   std::uint32_t attempt = 0;
   CallKind kind = CallKind::kSubmit;
   std::string job;
+  Epoch epoch = 0;
 };
 
 struct OwnerCalls {
--- a/src/entry/callers.cc
+++ b/src/entry/callers.cc
@@ -286,6 +286,8 @@
         .With("owner", open.sent_to)
         .With("status", static_cast<std::int64_t>(response.status))
         .With("reason", why)
+        .With("attempts", std::uint64_t{open.call.attempt})
+        .With("epoch_in_doubt", open.in_doubt.value_or(0))
         .With("took_ms", (now - open.began).count());
   }
   request.respond(std::move(response));
--- a/src/entry/open_call.cc
+++ b/src/entry/open_call.cc
@@ -17,10 +17,10 @@
   return kind == CallKind::kSubmit || kind == CallKind::kCancel;
 }
 
-/// An earlier copy of the call may have had an effect, or may yet. The call
-/// waits for the next owner, which knows.
+/// The copy that was sent last may have had an effect. The call waits for the
+/// next owner, which knows.
 void WaitInDoubt(OpenCall& open, Time now) {
-  open.may_be_accepted = true;
+  open.in_doubt = std::max(open.in_doubt.value_or(0), open.call.epoch);
   open.owner_deadline = std::min(open.deadline, now + kOwnerWaitTimeout);
 }
 
@@ -75,6 +75,12 @@
   if (negative && reply.attempt != open.call.attempt) {
     return ReplyUse::kIgnored;
   }
+  // An owner has read all that former owners have stored, and drops copies that
+  // arrive after its refusal; the store rejects writes of former owners.
+  if (reply.end == CallResult::kRefused && reply.epoch > 0 &&
+      reply.epoch >= open.in_doubt.value_or(0)) {
+    open.in_doubt.reset();
+  }
   // An owner that can't reach the store is replaced soon if another host can.
   const bool to_be_replaced =
       reply.error == ErrorKind::kStoreUnavailable && owner_expected;
@@ -102,8 +108,7 @@
   const bool unanswered = !open.sent_to.empty();
   // A submit or cancel that was forwarded may have been accepted, so the
   // response must not claim that it was not.
-  const bool unknown =
-      Changes(open.call.kind) && (open.may_be_accepted || unanswered);
+  const bool unknown = Changes(open.call.kind) && (open.in_doubt || unanswered);
   if (unanswered) {
     return {unknown, ErrorKind::kOutcomeUnknown, "owner did not reply"};
   }
@@ -111,8 +116,10 @@
           std::string(AnswerFor(open.no_owner_reason).name)};
 }
 
-CallFailure FailureOf(const OpenCall& /*open*/, const CellReply& reply) {
-  return {reply.end == CallResult::kUnknown, reply.error, reply.message};
+CallFailure FailureOf(const OpenCall& open, const CellReply& reply) {
+  const bool in_doubt = Changes(open.call.kind) && open.in_doubt;
+  return {reply.end == CallResult::kUnknown || in_doubt, reply.error,
+          reply.message};
 }
 
 }  // namespace buckthornmux::entry
--- a/src/entry/owner_calls.cc
+++ b/src/entry/owner_calls.cc
@@ -38,6 +38,7 @@
   }
   reply.call = found->second.call;
   reply.attempt = found->second.attempt;
+  reply.epoch = found->second.epoch;
   if (reply.end == CallResult::kRefused) {
     NoteRefusal(calls.refused, found->second.kind, found->second.job, now);
   }
@@ -63,6 +64,7 @@
 
 CellReply AnswerQuery(const cell::Cell& cell, const CellCall& call) {
   CellReply reply = ReplyTo(call);
+  reply.epoch = cell.epoch;
   if (const auto denied =
           cell::ReasonToDeny(cell, call.job, {call.queue, call.team})) {
     SetError(reply, CallResult::kRefused, *denied);
@@ -104,8 +106,8 @@
     return reply;
   }
   const cell::CallId id = calls.next++;
-  calls.open.emplace(
-      id, OwnerCall{from, call.call, call.attempt, call.kind, call.job});
+  calls.open.emplace(id, OwnerCall{from, call.call, call.attempt, call.kind,
+                                   call.job, cell.epoch});
   if (call.kind == CallKind::kSubmit) {
     cell::Submit(cell, actions, id, call.spec, now, ReplyDeadline(call, now));
   } else {
--- a/tests/unit-entry-callers.cc
+++ b/tests/unit-entry-callers.cc
@@ -33,6 +33,7 @@
   entry::RulesReader rules{calls, "rules", platform::ParseRules, [] {}};
   runtime::Metrics metrics;
   ForwardResult forward_result = ForwardResult::kSent;
+  Epoch epoch = 1;  ///< Of the owner that calls are forwarded to.
   bool owner_expected = true;
   bool serves_others = false;
   std::vector<entry::CellCall> forwarded;
@@ -44,8 +45,9 @@
       rules,
       Millis(5000),
       metrics,
-      {[this](const entry::CellCall& call, HostId& to) {
+      {[this](entry::CellCall& call, HostId& to) {
          to = "owner";
+         call.epoch = epoch;
          if (forward_result == ForwardResult::kSent) {
            forwarded.push_back(call);
          }
@@ -89,8 +91,9 @@
   }
 
   /// Sends a negative reply to the last forwarded call.
-  void Decline(CallResult end, ErrorKind error) {
+  void Decline(CallResult end, ErrorKind error, Epoch from = 0) {
     entry::CellReply reply;
+    reply.epoch = from;
     reply.call = forwarded.back().call;
     reply.attempt = forwarded.back().attempt;
     reply.end = end;
@@ -123,6 +126,8 @@
   CPPUNIT_TEST(CallDroppedByItsOwnerHasUnknownOutcome);
   CPPUNIT_TEST(ResponsesCloseIfTheStoreServesOnlyOthers);
   CPPUNIT_TEST(LateRefusalOfAFormerOwnerIsIgnored);
+  CPPUNIT_TEST(RefusalOfAnEarlierOwnerLeavesTheOutcomeOpen);
+  CPPUNIT_TEST(RefusalOfALaterOwnerSettlesALostCall);
   CPPUNIT_TEST(LastTryWithLittleTimeIsAnswered);
   CPPUNIT_TEST(ReplyToAFormerProcessIsIgnored);
   CPPUNIT_TEST(CallWithoutTimeIsRefusedImmediately);
@@ -294,6 +299,51 @@
     CPPUNIT_ASSERT_EQUAL(200, answer.status);
   }
 
+  // review/7: "not accepted and never runs" was said of a call of which another
+  // owner held a copy.
+  void RefusalOfAnEarlierOwnerLeavesTheOutcomeOpen() {
+    struct Case {
+      Epoch refused_by;
+      int status;
+    };
+    for (const std::string method : {"POST", "DELETE"}) {
+      for (const Case& each :
+           std::vector<Case>{{0, 504}, {1, 504}, {2, 429}, {3, 429}}) {
+        Fixture f;
+        f.epoch = 2;
+        const auto answer =
+            f.Send(method, kJob, "k1", R"({"steps":[{"count":1}]})", [&] {
+              f.callers.HostLost("owner");
+              f.callers.Tick(entry::Now());
+              f.Decline(CallResult::kRefused, ErrorKind::kTeamLimit,
+                        each.refused_by);
+            });
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, f.forwarded.size());
+        CPPUNIT_ASSERT_EQUAL(each.status, answer.status);
+      }
+    }
+  }
+
+  // A caller that is told that nothing ran may come back later.
+  void RefusalOfALaterOwnerSettlesALostCall() {
+    for (const auto& [refused_by, status] :
+         {std::pair{Epoch{2}, 503}, std::pair{Epoch{0}, 504}}) {
+      Fixture f;
+      const auto answer =
+          f.Send("POST", kJob, "k1", R"({"steps":[{"count":1}]})", [&] {
+            f.callers.HostLost("owner");
+            f.epoch = 2;
+            f.callers.Tick(entry::Now());
+            // It waits, since another owner may be able to store it.
+            f.Decline(CallResult::kRefused, ErrorKind::kStoreUnavailable,
+                      refused_by);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.callers.Open());
+            f.callers.Tick(entry::Now() + Millis(5000));
+          });
+      CPPUNIT_ASSERT_EQUAL(status, answer.status);
+    }
+  }
+
   void ResponsesCloseIfTheStoreServesOnlyOthers() {
     Fixture f;
     f.serves_others = true;
