An owner without a registration doesn't deny a job that it has

What callers saw: a submit was answered 504, the next try 503, "not accepted and never runs", and the job ran.

Cause: the owner accepts the submit, the store goes away before it answers the write, and the owner's registration becomes overdue. From then on it refused every call without a look at its cell, in which the job was, and whose write was stored when the store came back.

Change: a host that owns the cell and doesn't serve it answers a submit of a job that it has, and a cancel of a job that it has ended, as unknown.

--- a/include/buckthornmux/detail/entry/cell_host.h
+++ b/include/buckthornmux/detail/entry/cell_host.h
@@ -98,7 +98,7 @@
 
   /// @brief Handles a call. The reply goes to CellHostEvents::reply.
   void HandleCall(const HostId& from, const CellCall& call);
-  /// @brief Refuses a call without looking at the cell.
+  /// @brief Refuses a call that the cell must not see.
   void Refuse(const HostId& from, const CellCall& call, ErrorKind error,
               std::string_view message);
   void OnAdviceAnswered(const AdviceReply& reply);
--- a/include/buckthornmux/detail/entry/owner_calls.h
+++ b/include/buckthornmux/detail/entry/owner_calls.h
@@ -32,10 +32,12 @@
   CellReply reply;
 };
 
-/// @brief Refuses a call that the cell must not see.
-[[nodiscard]] CellReply RefuseCall(OwnerCalls& calls, const CellCall& call,
-                                   ErrorKind error, std::string message,
-                                   Time now);
+/// @brief Refuses a call that the cell must not see. The outcome is unknown if
+///   the cell has what the call asks for, since that may be stored.
+/// @param cell null if this host has no cell that is loaded
+[[nodiscard]] CellReply RefuseCall(OwnerCalls& calls, const cell::Cell* cell,
+                                   const CellCall& call, ErrorKind error,
+                                   std::string message, Time now);
 
 /// @brief Applies a call to a cell that is loaded. A stale call is dropped: it
 ///   is refused with kOwnerStale, so that a sender that still waits sends it
--- a/src/entry/cell_host.cc
+++ b/src/entry/cell_host.cc
@@ -244,8 +244,9 @@
 
 void CellHost::Refuse(const HostId& from, const CellCall& call, ErrorKind error,
                       std::string_view message) {
-  m_events.reply(from, RefuseCall(m_owner_calls, call, error,
-                                  std::string(message), Now()));
+  m_events.reply(
+      from, RefuseCall(m_owner_calls, Serving() ? m_cell.get() : nullptr, call,
+                       error, std::string(message), Now()));
 }
 
 void CellHost::HandleCall(const HostId& from, const CellCall& call) {
--- a/src/entry/owner_calls.cc
+++ b/src/entry/owner_calls.cc
@@ -62,6 +62,14 @@
                       {"epoch", std::to_string(epoch)}}});
 }
 
+/// Whether the cell is as a submit or cancel would leave it.
+bool HasEffect(const cell::Cell& cell, const CellCall& call) {
+  const auto job = cell.jobs.find(call.job);
+  return job != cell.jobs.end() &&
+         (call.kind == CallKind::kSubmit ||
+          (call.kind == CallKind::kCancel && job->second.Ended()));
+}
+
 CellReply AnswerQuery(const cell::Cell& cell, const CellCall& call) {
   CellReply reply = ReplyTo(call);
   reply.epoch = cell.epoch;
@@ -78,11 +86,16 @@
 
 }  // namespace
 
-CellReply RefuseCall(OwnerCalls& calls, const CellCall& call, ErrorKind error,
-                     std::string message, Time now) {
-  NoteRefusal(calls.refused, call.kind, call.job, now);
+CellReply RefuseCall(OwnerCalls& calls, const cell::Cell* cell,
+                     const CellCall& call, ErrorKind error, std::string message,
+                     Time now) {
   CellReply reply = ReplyTo(call);
-  SetError(reply, CallResult::kRefused, {error, std::move(message), {}});
+  const bool had_effect = cell != nullptr && HasEffect(*cell, call);
+  SetError(reply, had_effect ? CallResult::kUnknown : CallResult::kRefused,
+           {error, std::move(message), {}});
+  if (!had_effect) {
+    NoteRefusal(calls.refused, call.kind, call.job, now);
+  }
   return reply;
 }
 
--- a/tests/call_world.h
+++ b/tests/call_world.h
@@ -459,11 +459,17 @@
                   const entry::CellCall& call) {
     Host& host = m_hosts[at];
     if (!host.cell || !host.loaded || !LeaseHeld(host)) {
-      Reply(at, from,
-            entry::RefuseCall(
-                host.calls, call,
-                host.cell ? ErrorKind::kNotReady : ErrorKind::kOwnerUnknown,
-                "not serving", ClockOf(host)));
+      const auto refusal = entry::RefuseCall(
+          host.calls, host.loaded ? &*host.cell : nullptr, call,
+          host.cell ? ErrorKind::kNotReady : ErrorKind::kOwnerUnknown,
+          "not serving", ClockOf(host));
+      if (host.loaded && call.kind == entry::CallKind::kSubmit &&
+          refusal.end == entry::CallResult::kRefused &&
+          Find(*host.cell, call.job) != nullptr) {
+        Blame(m_jobs[m_tries.at({from, call.call}).first],
+              "is denied by the owner that has it");
+      }
+      Reply(at, from, refusal);
       return;
     }
     const cell::Job* before = Find(*host.cell, call.job);
--- a/tests/unit-cell-host.cc
+++ b/tests/unit-cell-host.cc
@@ -205,6 +205,7 @@
   CPPUNIT_TEST(HostAheadOfTheOwnerGetsNoVerdict);
   CPPUNIT_TEST(HostWithoutRegistrationAnswersNoQuery);
   CPPUNIT_TEST(HostWithoutRegistrationAcceptsNothing);
+  CPPUNIT_TEST(HostWithoutRegistrationDeniesNoJobThatItHas);
   CPPUNIT_TEST(HeldUpCallsHaveNoEffect);
   CPPUNIT_TEST(RefusalWhileNotServingOvertakesEarlierCalls);
   CPPUNIT_TEST(NewProcessOfATargetGetsNoAcknowledgementOfTheFormerOne);
@@ -255,6 +256,24 @@
     CPPUNIT_ASSERT(submit.error == ErrorKind::kNotReady);
   }
 
+  // Guards against "not accepted and never runs" from the owner that has the
+  // job: its write may be stored while the registration is overdue (review/7).
+  void HostWithoutRegistrationDeniesNoJobThatItHas() {
+    Fixture f;
+    (void)f.Call(CallKind::kSubmit, "j2");
+    (void)f.Call(CallKind::kCancel, "j2");
+    f.host.SetLeaseHeld(false);
+    const auto end = [&f](CallKind kind, const std::string& job) {
+      const auto reply = f.Call(kind, job);
+      CPPUNIT_ASSERT(reply.error == ErrorKind::kNotReady);
+      return reply.end;
+    };
+    CPPUNIT_ASSERT(end(CallKind::kSubmit, "j1") == CallResult::kUnknown);
+    CPPUNIT_ASSERT(end(CallKind::kCancel, "j1") == CallResult::kRefused);
+    CPPUNIT_ASSERT(end(CallKind::kCancel, "j2") == CallResult::kUnknown);
+    CPPUNIT_ASSERT(end(CallKind::kSubmit, "j3") == CallResult::kRefused);
+  }
+
   // Guards against a held-up call that takes effect after its caller was told
   // that it has none (review/7), also at the same host in its next epoch.
   void HeldUpCallsHaveNoEffect() {
