Replies wait for the connection to their host

What callers saw: 504 for jobs that the owner had accepted within milliseconds, in the second after a partition of the owner had ended.

Cause: a host sends on connections of its own and receives on those of its peers, and the two come back at different times.

--- a/src/entry/host.cc
+++ b/src/entry/host.cc
@@ -171,7 +171,7 @@
             if (to == m_settings.host) {
               m_callers.HandleReply(reply);
             } else {
-              SendTo(to, reply);
+              SendReply(to, reply);
             }
           },
           [this](const HostId& lane, const AdviceRequest& ask) {
@@ -207,6 +207,7 @@
             LogLine(up ? "peer_regained" : "peer_lost").With("peer", peer);
             if (up) {
               m_links_up.insert(peer);
+              SendPendingReplies(peer);
             } else {
               m_links_up.erase(peer);
               m_callers.HostLost(peer);
--- a/src/entry/host_calls.cc
+++ b/src/entry/host_calls.cc
@@ -19,6 +19,31 @@
   }
 }
 
+void Host::SendReply(const HostId& to, const CellReply& reply) {
+  if (!m_peers.Send(to, reply) &&
+      !KeepReply(m_pending_replies, to, reply, Now())) {
+    LogLine("message_not_sent", Level::kWarning)
+        .With("to", to)
+        .With("reason", "too many replies wait for the host");
+  }
+}
+
+void Host::SendPendingReplies(const HostId& to) {
+  const Time now = Now();
+  const std::vector<PendingReply> replies =
+      TakeReplies(m_pending_replies, to, now);
+  if (replies.empty()) {
+    return;
+  }
+  LogLine("replies_sent_late")
+      .With("to", to)
+      .With("replies", static_cast<std::uint64_t>(replies.size()))
+      .With("oldest_ms", (now - replies.front().since).count());
+  for (const PendingReply& each : replies) {
+    SendTo(to, each.reply);
+  }
+}
+
 void Host::HandleMessage(const HostId& from, const peer::Message& message) {
   m_metrics.Count(runtime::Counter::kPeerMessages);
   if (const auto* call = std::get_if<CellCall>(&message)) {
--- a/src/entry/host_process.h
+++ b/src/entry/host_process.h
@@ -22,6 +22,7 @@
 #include "buckthornmux/detail/entry/open_offer.h"
 #include "buckthornmux/detail/entry/owner_watch.h"
 #include "buckthornmux/detail/entry/pause_watch.h"
+#include "buckthornmux/detail/entry/pending_replies.h"
 #include "buckthornmux/detail/entry/rules_reader.h"
 #include "buckthornmux/detail/entry/settings.h"
 #include "buckthornmux/detail/entry/slowness.h"
@@ -66,6 +67,9 @@
 
   // Calls and messages: host_calls.cc.
   void SendTo(const HostId& to, const peer::Message& message);
+  /// Sends a reply as soon as its host can be reached.
+  void SendReply(const HostId& to, const CellReply& reply);
+  void SendPendingReplies(const HostId& to);
   void HandleMessage(const HostId& from, const peer::Message& message);
   void HandleView();
   void SetLanes();
@@ -156,6 +160,7 @@
   std::unique_ptr<net::HttpServer> m_readiness;
   std::unique_ptr<net::HttpServer> m_metrics_server;
   std::set<HostId> m_links_up;
+  PendingReplies m_pending_replies;
   std::map<HostId, std::string> m_peer_addresses;  ///< Known peer addresses.
   SlownessGauge m_slowness;
   SpeedGauge m_speed;
--- a/tests/call_world.h
+++ b/tests/call_world.h
@@ -16,6 +16,7 @@
 #include "buckthornmux/detail/entry/call_guard.h"
 #include "buckthornmux/detail/entry/open_call.h"
 #include "buckthornmux/detail/entry/owner_calls.h"
+#include "buckthornmux/detail/entry/pending_replies.h"
 #include "cell_owner.h"
 
 namespace buckthornmux::tests {
@@ -152,6 +153,7 @@
     Time batch_since;
     Time answer_at;
     std::map<std::size_t, Link> links;
+    entry::PendingReplies pending;
   };
 
   /// Message between hosts.
@@ -252,6 +254,10 @@
     if (!Cut(m_hosts[from]) && !Cut(m_hosts[to])) {
       m_hosts[from].links[to].up = true;
       m_hosts[from].links[to].last = m_now;
+      for (const auto& late :
+           entry::TakeReplies(m_hosts[from].pending, m_hosts[to].id, m_now)) {
+        (void)Send(from, to, late.reply);
+      }
     }
   }
 
@@ -299,8 +305,8 @@
     const std::size_t index = IndexOf(to);
     if (index == from) {
       HandleReply(from, reply);
-    } else {
-      (void)Send(from, index, reply);
+    } else if (!Send(from, index, reply)) {
+      CPPUNIT_ASSERT(entry::KeepReply(m_hosts[from].pending, to, reply, m_now));
     }
   }
 
