serve: a refusal after a lost copy doesn't say that nothing ran

A call that its owner has handed back (owner_stale) leaves no copy.

RefusalAfterALostCopyLeavesTheOutcomeOpen of unit-call-table fails without the change. Not done: a home accepts a submit however late it arrives; its messages carry neither an epoch nor a time.

--- a/include/buckthornmux/detail/front/call_table.h
+++ b/include/buckthornmux/detail/front/call_table.h
@@ -31,7 +31,8 @@
   Time deadline;   ///< Answered by then at the latest.
   HostId sent_to;  ///< Empty: not sent, or to be sent again.
   Epoch epoch = 0;
-  int sends = 0;  ///< That may have reached an owner.
+  int sends = 0;           ///< That may have reached an owner.
+  bool copy_lost = false;  ///< An owner may apply it, or have, without a reply.
   Time next_try;
 };
 
@@ -74,6 +75,11 @@
 /// @brief A link broke: calls sent over it are to be sent again.
 void LinkBroke(CallTable& table, const HostId& host, Time now);
 
+/// @brief What a home's answer tells the caller. A refusal doesn't tell what
+///   has become of a copy that was lost before.
+[[nodiscard]] home::Reply AnswerForCaller(const CallTable& table,
+                                          home::Reply reply);
+
 /// @brief Whether a home's answer is final for the caller.
 /// @return true where the call is closed now and the answer is the caller's;
 ///   false where the call is unknown, or goes to another owner
--- a/src/front/call_table.cc
+++ b/src/front/call_table.cc
@@ -40,6 +40,7 @@
   if (owner->owner == call.sent_to && owner->epoch == call.epoch) {
     return;
   }
+  call.copy_lost = call.copy_lost || !call.sent_to.empty();
   call.sent_to = owner->owner;
   call.epoch = owner->epoch;
   ++call.sends;
@@ -89,11 +90,26 @@
   for (auto& [id, call] : table.calls) {
     if (call.sent_to == host) {
       call.sent_to.clear();
+      call.copy_lost = true;
       call.next_try = now + kRetryPause;
     }
   }
 }
 
+home::Reply AnswerForCaller(const CallTable& table, home::Reply reply) {
+  const auto found = table.calls.find(reply.token);
+  const bool refused = !reply.accepted &&
+                       reply.status.phase == home::JobPhase::kFailed &&
+                       reply.status.ran == Ran::kNo;
+  if (found != table.calls.end() && found->second.copy_lost && refused &&
+      !std::holds_alternative<home::QueryJob>(found->second.work)) {
+    reply.status.error = ErrorKind::kOutcomeUnknown;
+    reply.status.ran = Ran::kUnknown;
+    reply.status.retry_after = Millis(0);
+  }
+  return reply;
+}
+
 bool TakeAnswer(CallTable& table, const home::Reply& reply, Time now) {
   const auto found = table.calls.find(reply.token);
   if (found == table.calls.end()) {
--- a/src/front/front.cc
+++ b/src/front/front.cc
@@ -350,6 +350,7 @@
 
   void Answer(const home::Reply& reply) {
     const Time now = wiring.Now();
+    const home::Reply answer = AnswerForCaller(table, reply);
     if (!TakeAnswer(table, reply, now)) {
       if (table.calls.contains(reply.token)) {
         wiring.metrics.Count(Counter::kCallsRerouted);
@@ -361,7 +362,7 @@
     if (caller == callers.end()) {
       return;
     }
-    net::HttpResponse response = ToResponse(caller->second, reply);
+    net::HttpResponse response = ToResponse(caller->second, answer);
     const bool good = response.status < 400;
     wiring.metrics.Count(good ? Counter::kJobsAnswered : Counter::kJobsRefused);
     if (good && caller->second.wants == Caller::Wants::kSubmit) {
--- a/tests/unit-call-table.cc
+++ b/tests/unit-call-table.cc
@@ -39,6 +39,7 @@
   CPPUNIT_TEST(MovedAnswerIsNotTheCallers);
   CPPUNIT_TEST(NeverSentFromHereMayHaveRun);
   CPPUNIT_TEST(SentButUnansweredIsUnknown);
+  CPPUNIT_TEST(RefusalAfterALostCopyLeavesTheOutcomeOpen);
   CPPUNIT_TEST(LateAnswerIsDropped);
   CPPUNIT_TEST_SUITE_END();
 
@@ -100,6 +101,27 @@
     CPPUNIT_ASSERT(given_up.ran == Ran::kUnknown);
   }
 
+  // Guards against "ran: no" for a job of which a former owner holds a copy, as
+  // in review/7.
+  void RefusalAfterALostCopyLeavesTheOutcomeOpen() {
+    const auto refusal = ReplyWith(m_call, ErrorKind::kCellFull);
+    CPPUNIT_ASSERT_EQUAL(std::string("b"),
+                         SentTo(RoutesTo("b", 1, m_partition), kStart));
+    CPPUNIT_ASSERT(AnswerForCaller(m_table, refusal).status.ran == Ran::kNo);
+    CPPUNIT_ASSERT(!TakeAnswer(
+        m_table, ReplyWith(m_call, ErrorKind::kOwnerStale), kStart));
+    const Time later = kStart + kPause;
+    CPPUNIT_ASSERT_EQUAL(std::string("c"),
+                         SentTo(RoutesTo("c", 2, m_partition), later));
+    CPPUNIT_ASSERT(AnswerForCaller(m_table, refusal).status.ran == Ran::kNo);
+    // The next owner is known before the former one has replied.
+    CPPUNIT_ASSERT_EQUAL(std::string("d"),
+                         SentTo(RoutesTo("d", 3, m_partition), later));
+    const auto told = AnswerForCaller(m_table, refusal);
+    CPPUNIT_ASSERT(told.status.ran == Ran::kUnknown);
+    CPPUNIT_ASSERT(told.status.error == ErrorKind::kOutcomeUnknown);
+  }
+
   void LateAnswerIsDropped() {
     GivenUp({}, kStart + kDeadline);
     CPPUNIT_ASSERT(!TakeAnswer(m_table, ReplyWith(m_call, ErrorKind::kCellFull),
