Hosts open fewer connections to targets, and close idle ones

Cause: an owner opened up to 8 connections to each target and closed none.

Change: 4 connections at most; the idle one that was used last is closed after 10 s, others after 2 s.

--- a/include/buckthornmux/detail/net/http_client.h
+++ b/include/buckthornmux/detail/net/http_client.h
@@ -19,6 +19,11 @@
   std::size_t max_connections_per_peer = 16;  ///< Further calls are queued.
   std::size_t max_waiting_per_peer = 1024;    ///< Further calls fail at once.
   Millis connect_timeout{1000};
+  /// The idle connection that was used last is closed after `idle_timeout`, the
+  /// others of that peer after `surplus_idle_timeout`; 0: never. Peers may have
+  /// room for few connections, and keep those of a lost host.
+  Millis idle_timeout{0};
+  Millis surplus_idle_timeout{0};
   std::uint64_t max_body_bytes = 8 << 20;
   /// Clock of HttpRequest::connected_by; empty: the steady clock.
   std::function<Time()> clock;
--- a/src/entry/host.cc
+++ b/src/entry/host.cc
@@ -9,6 +9,7 @@
 #include "buckthornmux/detail/entry/fitness.h"
 #include "buckthornmux/detail/entry/settings_file.h"
 #include "buckthornmux/detail/entry/status_server.h"
+#include "buckthornmux/detail/entry/target_connections.h"
 #include "host_process.h"
 #include "platform/jobs.h"
 #include "platform/kv_store.h"
@@ -27,15 +28,14 @@
 constexpr Millis kTickInterval{50};
 constexpr Millis kPeerPingInterval{300};
 constexpr Millis kPeerSilenceTimeout{900};
-constexpr std::size_t kConnectionsPerPeer = 8;
 /// Enough for three watches and the repeated calls to a store that loses
 /// answers. Each of these calls keeps its connection until it times out.
 constexpr std::size_t kStoreConnections = 24;
 constexpr Millis kConnectTimeout{400};
 
-net::HttpClientOptions ClientOptions(std::size_t connections) {
+net::HttpClientOptions StoreClientOptions() {
   net::HttpClientOptions options;
-  options.max_connections_per_peer = connections;
+  options.max_connections_per_peer = kStoreConnections;
   options.connect_timeout = kConnectTimeout;
   options.clock = Now;
   return options;
@@ -73,8 +73,8 @@
       m_signals(m_io, SIGTERM, SIGINT, SIGHUP),
       m_timer(m_io),
       m_log(STDOUT_FILENO),
-      m_client(m_io, ClientOptions(kConnectionsPerPeer)),
-      m_store_client(m_io, ClientOptions(kStoreConnections)),
+      m_client(m_io, TargetClientOptions(kConnectTimeout)),
+      m_store_client(m_io, StoreClientOptions()),
       m_store(MakeStore()),
       m_rules(m_store, std::string(platform::kRulesKey), platform::ParseRules,
               [this] { m_cell.SetRules(m_rules.Current()); }),
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -40,6 +40,7 @@
   beast::tcp_stream stream;
   SteadyClock::time_point opened = SteadyClock::now();
   Time opened_by;  ///< The same on the clock of HttpRequest::connected_by.
+  SteadyClock::time_point idle_since;
   /// Process that it leads to, by a ConnectionCheck; empty if not checked.
   std::string process;
 };
@@ -53,10 +54,12 @@
 
 struct Peer {
   explicit Peer(const asio::any_io_executor& executor)
-      : queue_timer(executor) {}
+      : queue_timer(executor), idle_timer(executor) {}
   std::string address;
   asio::steady_timer queue_timer;  ///< Expires with the earliest queued call.
-  std::vector<ConnectionPtr> idle;
+  asio::steady_timer idle_timer;   ///< Expires with the first idle connection.
+  SteadyClock::time_point idle_timer_at = SteadyClock::time_point::max();
+  std::vector<ConnectionPtr> idle;  ///< The one that was used last at the end.
   std::deque<PendingCall> waiting;
   std::size_t active = 0;
   SteadyClock::time_point last_answer;
@@ -141,6 +144,50 @@
     }
   }
 
+  void KeepIdle(const std::shared_ptr<Peer>& peer, ConnectionPtr connection) {
+    connection->idle_since = SteadyClock::now();
+    peer->idle.push_back(std::move(connection));
+    ScheduleIdleTimeout(peer);
+  }
+
+  /// When an idle connection is to be closed.
+  [[nodiscard]] SteadyClock::time_point IdleUntil(
+      const Peer& peer, const ConnectionPtr& connection) const {
+    const bool last = connection == peer.idle.back();
+    const Millis timeout =
+        last ? options.idle_timeout : options.surplus_idle_timeout;
+    return timeout == Millis(0) ? SteadyClock::time_point::max()
+                                : connection->idle_since + timeout;
+  }
+
+  /// Closes the connections that have been idle for too long, and sets the
+  /// timer for the next one.
+  void ScheduleIdleTimeout(const std::shared_ptr<Peer>& peer) {
+    const auto now = SteadyClock::now();
+    auto next = SteadyClock::time_point::max();
+    std::vector<ConnectionPtr> kept;
+    for (const ConnectionPtr& connection : peer->idle) {
+      const auto until = IdleUntil(*peer, connection);
+      if (until > now) {
+        kept.push_back(connection);
+        next = std::min(next, until);
+      }
+    }
+    peer->idle = std::move(kept);
+    if (next >= peer->idle_timer_at) {
+      return;
+    }
+    peer->idle_timer_at = next;
+    peer->idle_timer.expires_at(next);
+    peer->idle_timer.async_wait(
+        [self = shared_from_this(), peer](error_code cancelled) {
+          if (!cancelled) {
+            peer->idle_timer_at = SteadyClock::time_point::max();
+            self->ScheduleIdleTimeout(peer);
+          }
+        });
+  }
+
   [[nodiscard]] Time Clock() const {
     return options.clock
                ? options.clock()
@@ -258,10 +305,10 @@
   /// Opens a connection for a request and makes the request's check on it.
   /// @return the connection, or why the request can't be sent
   asio::awaitable<Outcome<ConnectionPtr>> OpenFor(const PendingCall& call,
-                                                  Peer& peer) {
-    ConnectionPtr connection = co_await Open(peer, call.deadline);
+                                                  std::shared_ptr<Peer> peer) {
+    ConnectionPtr connection = co_await Open(*peer, call.deadline);
     if (!connection) {
-      co_return PeerUnreachable("can't connect to " + peer.address);
+      co_return PeerUnreachable("can't connect to " + peer->address);
     }
     if (const auto check = call.request.check) {
       bool reusable = false;
@@ -271,9 +318,9 @@
       if (response == nullptr || !reusable) {
         co_return PeerUnreachable("connection not confirmed");
       }
-      peer.last_answer = SteadyClock::now();
+      peer->last_answer = SteadyClock::now();
       if (!check->accepts(*response)) {
-        peer.idle.push_back(std::move(connection));
+        KeepIdle(peer, std::move(connection));
         co_return PeerUnreachable("another process answers");
       }
       connection->process = check->process;
@@ -284,12 +331,12 @@
   /// Finds a connection for a request.
   /// @return the connection, or why the request can't be sent
   asio::awaitable<Outcome<ConnectionPtr>> Connect(const PendingCall& call,
-                                                  Peer& peer) {
+                                                  std::shared_ptr<Peer> peer) {
     if (SteadyClock::now() >= call.deadline) {
-      CloseSuspectConnections(peer);
+      CloseSuspectConnections(*peer);
       co_return PeerUnreachable("timed out in the call queue");
     }
-    if (ConnectionPtr idle = TakeIdle(peer, call.request)) {
+    if (ConnectionPtr idle = TakeIdle(*peer, call.request)) {
       co_return idle;
     }
     if (call.request.connected_by != Time::max() && !call.request.check) {
@@ -297,7 +344,7 @@
     }
     auto opened = co_await OpenFor(call, peer);
     if (std::holds_alternative<Error>(opened)) {
-      CloseSuspectConnections(peer);
+      CloseSuspectConnections(*peer);
     }
     co_return opened;
   }
@@ -306,7 +353,7 @@
                                    std::shared_ptr<Peer> peer,
                                    PendingCall call) {
     Outcome<HttpResponse> outcome = PeerUnreachable("send_by has passed");
-    const auto connected = co_await self->Connect(call, *peer);
+    const auto connected = co_await self->Connect(call, peer);
     if (const auto* error = std::get_if<Error>(&connected)) {
       outcome = *error;
     } else {
@@ -324,7 +371,7 @@
         CloseSuspectConnections(*peer);
       }
       if (reusable) {
-        peer->idle.push_back(connection);
+        self->KeepIdle(peer, connection);
       }
     }
     --peer->active;
