A host that stops answers all open calls before it ends

Cause: 0.8 s before the kill a host ended its registration and left the event loop with the store's answer, whatever was open; while all hosts are leaving requests wait for an owner that doesn't come. A second SIGTERM left at once.

The steps are a function of plain values.

--- a/include/buckthornmux/detail/entry/callers.h
+++ b/include/buckthornmux/detail/entry/callers.h
@@ -85,9 +85,14 @@
 
   /// @brief Makes each response from now on close its connection.
   void Leave();
+  /// @brief Ends all open calls; further requests are refused immediately.
   void Stop();
   /// @brief Number of calls without a response.
   [[nodiscard]] std::size_t Open() const { return m_open.size(); }
+  /// @brief Number of requests whose response isn't completely written.
+  [[nodiscard]] std::size_t OpenResponses() const {
+    return m_server->OpenRequests();
+  }
   [[nodiscard]] std::uint16_t Port() const { return m_server->Port(); }
 
  private:
@@ -115,6 +120,7 @@
   /// reply to calls of this host's former process.
   std::uint64_t m_next;
   std::map<std::uint64_t, Request> m_open;
+  bool m_stopped = false;
   std::unique_ptr<net::HttpServer> m_server;
 };
 
--- a/src/entry/callers.cc
+++ b/src/entry/callers.cc
@@ -165,7 +165,7 @@
                                                    : Counter::kJobsRefused);
     respond(Refusal(kind, status));
   };
-  if (!m_rules.Current()) {
+  if (m_stopped || !m_rules.Current()) {
     return refuse(ErrorKind::kNotReady, kUnavailable);
   }
   if (!RulesTrusted(now)) {
@@ -367,6 +367,12 @@
 
 void Callers::Leave() { m_server->CloseAfterAnswers(); }
 
-void Callers::Stop() { m_server->Drain(); }
+void Callers::Stop() {
+  m_stopped = true;
+  m_server->Drain();
+  while (!m_open.empty()) {
+    EndOverdue(m_open.begin()->first);
+  }
+}
 
 }  // namespace buckthornmux::entry
--- a/src/entry/host_lifecycle.cc
+++ b/src/entry/host_lifecycle.cc
@@ -2,6 +2,7 @@
 #include <csignal>
 
 #include "buckthornmux/detail/entry/settings_file.h"
+#include "buckthornmux/detail/entry/shutdown.h"
 #include "host_process.h"
 #include "platform/settings.h"
 
@@ -12,10 +13,6 @@
 using Level = runtime::LogLine::Level;
 
 constexpr Millis kSettingsInterval{2000};
-/// A leaving host continues to serve until the load balancer has removed it,
-/// which takes two health checks, one second apart.
-constexpr Millis kLeaveDelay{3500};
-constexpr Millis kShutdownMargin{800};  ///< Time left before SIGKILL.
 
 }  // namespace
 
@@ -29,7 +26,8 @@
       AwaitSignal();
     } else if (m_leaving) {
       LogLine("stop_forced", Level::kWarning).With("host", m_settings.host);
-      m_io.stop();
+      m_shutdown.forced = true;
+      AwaitSignal();
     } else {
       Leave();
       AwaitSignal();
@@ -77,7 +75,7 @@
 
 void Host::Leave() {
   m_leaving = true;
-  m_leave_at = Now();
+  m_shutdown.began = Now();
   LogLine("leaving")
       .With("host", m_settings.host)
       .With("open_calls", static_cast<std::uint64_t>(m_callers.Open()));
@@ -86,22 +84,35 @@
 }
 
 void Host::LeaveWhenDone(Time now) {
-  if (!m_leaving || m_unregistering) {
+  if (!m_leaving) {
     return;
   }
-  const Millis since = now - m_leave_at;
-  const Millis max_time = m_settings.bounds.shutdown - kShutdownMargin;
-  const bool done = since >= std::min(kLeaveDelay, max_time) &&
-                    m_callers.Open() == 0 && m_members.OwnsNothing();
-  if (!done && since < max_time) {
-    return;
+  m_shutdown.owns_nothing = m_members.OwnsNothing();
+  m_shutdown.open_calls = m_callers.Open();
+  m_shutdown.open_responses = m_callers.OpenResponses();
+  switch (NextShutdownStep(m_shutdown, m_settings.bounds.shutdown, now)) {
+    case ShutdownStep::kServe:
+    case ShutdownStep::kFlush:
+      break;
+    case ShutdownStep::kEndCalls:
+      LogLine("draining")
+          .With("host", m_settings.host)
+          .With("open_calls", static_cast<std::uint64_t>(m_callers.Open()));
+      m_shutdown.calls_ended = now;
+      m_callers.Stop();
+      // Another host may claim the cell as soon as the registration has ended.
+      m_cell.Close("this host stops");
+      m_members.Unregister([this] { m_shutdown.registered = false; });
+      break;
+    case ShutdownStep::kExit:
+      if (m_shutdown.open_responses > 0) {
+        LogLine("responses_not_written", Level::kWarning)
+            .With("open",
+                  static_cast<std::uint64_t>(m_shutdown.open_responses));
+      }
+      m_io.stop();
+      break;
   }
-  m_unregistering = true;
-  LogLine("draining")
-      .With("host", m_settings.host)
-      .With("open_calls", static_cast<std::uint64_t>(m_callers.Open()));
-  m_callers.Stop();
-  m_members.Unregister([this] { m_io.stop(); });
 }
 
 }  // namespace buckthornmux::entry
--- a/src/entry/host_process.h
+++ b/src/entry/host_process.h
@@ -25,6 +25,7 @@
 #include "buckthornmux/detail/entry/pending_replies.h"
 #include "buckthornmux/detail/entry/rules_reader.h"
 #include "buckthornmux/detail/entry/settings.h"
+#include "buckthornmux/detail/entry/shutdown.h"
 #include "buckthornmux/detail/entry/slowness.h"
 #include "buckthornmux/detail/entry/speed_gauge.h"
 #include "buckthornmux/detail/entry/store_gauge.h"
@@ -135,7 +136,8 @@
   /// Reloads settings that changed without a signal.
   void WatchSettings(Time now);
   void Leave();
-  /// Ends the process once it owns nothing and has answered all calls.
+  /// Ends the process once it owns nothing and has answered all calls, or
+  /// shortly before it would be killed.
   void LeaveWhenDone(Time now);
 
   HostSettings m_settings;
@@ -174,8 +176,7 @@
   Time m_passive_until;
   Time m_late_logged;
   bool m_leaving = false;
-  bool m_unregistering = false;
-  Time m_leave_at;
+  ShutdownState m_shutdown;
   Time m_settings_at;  ///< When the settings file is read next.
 };
 
--- a/tests/unit-entry-callers.cc
+++ b/tests/unit-entry-callers.cc
@@ -128,6 +128,7 @@
   CPPUNIT_TEST(LateRefusalOfAFormerOwnerIsIgnored);
   CPPUNIT_TEST(RefusalOfAnEarlierOwnerLeavesTheOutcomeOpen);
   CPPUNIT_TEST(RefusalOfALaterOwnerSettlesALostCall);
+  CPPUNIT_TEST(StoppingHostAnswersOpenCalls);
   CPPUNIT_TEST(LastTryWithLittleTimeIsAnswered);
   CPPUNIT_TEST(ReplyToAFormerProcessIsIgnored);
   CPPUNIT_TEST(CallWithoutTimeIsRefusedImmediately);
@@ -344,6 +345,26 @@
     }
   }
 
+  // Guards against LOST (review/10): calls that waited for an owner were cut
+  // without an answer at the end of a shutdown.
+  void StoppingHostAnswersOpenCalls() {
+    struct Case {
+      ForwardResult result;
+      int status;
+    };
+    for (const Case& each : std::vector<Case>{{ForwardResult::kNoOwner, 503},
+                                              {ForwardResult::kSent, 504}}) {
+      Fixture f;
+      f.forward_result = each.result;
+      const std::string body = R"({"steps":[{"count":1}]})";
+      const auto answer =
+          f.Send("POST", kJob, "k1", body, [&f] { f.callers.Stop(); });
+      CPPUNIT_ASSERT_EQUAL(each.status, answer.status);
+      CPPUNIT_ASSERT_EQUAL(each.status == 503, answer.retry_after > Millis(0));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, f.callers.Open());
+    }
+  }
+
   void ResponsesCloseIfTheStoreServesOnlyOthers() {
     Fixture f;
     f.serves_others = true;
