A job begins when a target confirms a start, not when it is sent

Cause: StartTask counted the job as begun when the start was sent. Change: it begins with the answer to a start, a report that lists a run, or an end.

Evidence: RejectedStartLeavesTheJobPending and ReportBeginsTheJob of unit-pending fail without the change. The other unit programs of the cell that were run pass (unit-cell, -records, -removed-queues, -takeover, -recurring-jobs, -crash-isolation, -deadly-tasks).

--- a/include/buckthornmux/detail/cell/state.h
+++ b/include/buckthornmux/detail/cell/state.h
@@ -239,7 +239,7 @@
 struct Job {
   JobSpec spec;
   JobPhase phase = JobPhase::kQueued;
-  bool started = false;  ///< At least one task has been started.
+  bool started = false;  ///< A target has begun a task of it.
   Time arrived;
   WallMillis arrived_wall = 0;
   Millis objective{0};  ///< Target time from arrival to completion.
--- a/src/cell/internal.h
+++ b/src/cell/internal.h
@@ -124,6 +124,10 @@
 /// Makes a run that a target has confirmed.
 [[nodiscard]] Run MakeRun(const Job& job, std::uint32_t step, Time now);
 
+/// Marks a job as running: a target has begun a task of it. A start that was
+/// sent may still be refused.
+void NoteBegun(Cell& cell, Job& job);
+
 /// Marks the task of a run as live, and its job as running.
 void HoldTask(Cell& cell, Job& job, const RunId& id, const Target& target);
 
--- a/src/cell/reports.cc
+++ b/src/cell/reports.cc
@@ -192,6 +192,9 @@
     run.progress_at = now;
   }
   Job* job = FindJob(cell, report.run.task.job);
+  if (job != nullptr) {
+    NoteBegun(cell, *job);
+  }
   Task* task = job == nullptr ? nullptr : FindTask(*job, report.run.task);
   if (task != nullptr && task->run == report.run.number) {
     KeepCheckpoint(actions, *job, report.run, target, report.checkpoint);
--- a/src/cell/runs.cc
+++ b/src/cell/runs.cc
@@ -210,6 +210,14 @@
   return run;
 }
 
+void NoteBegun(Cell& cell, Job& job) {
+  if (!job.started) {
+    job.started = true;
+    job.phase = JobPhase::kRunning;
+    --cell.pending[job.spec.queue];
+  }
+}
+
 void HoldTask(Cell& cell, Job& job, const RunId& id, const Target& target) {
   Task& task = *FindTask(job, id.task);
   task.phase = TaskPhase::kLive;
@@ -218,11 +226,7 @@
   task.next_run = std::max(task.next_run, id.number + 1);
   ++FindStep(job, id.task.occurrence, id.task.step)->live;
   RefreshStep(cell, job, id.task.occurrence, id.task.step);
-  if (!job.started) {
-    job.started = true;
-    --cell.pending[job.spec.queue];
-  }
-  job.phase = JobPhase::kRunning;
+  NoteBegun(cell, job);
 }
 
 void ReleaseSupersededRun(Cell& cell, Job& job, const RunId& later) {
@@ -327,6 +331,9 @@
         run.confirmed_at = now;
         run.progress_at = now;
       }
+      if (Job* job = FindJob(cell, id.task.job)) {
+        NoteBegun(cell, *job);
+      }
       return;
     case OrderOutcome::kUnknown:
       run.unsure = true;
--- a/src/cell/starts.cc
+++ b/src/cell/starts.cc
@@ -103,11 +103,6 @@
         {"slack_ms", std::to_string(candidate.slack.count())}});
   EndHold(round, id.task,
           run.probation && !spec.gang ? task.hold : step.crash_hold);
-  if (!job.started) {
-    job.started = true;
-    job.phase = JobPhase::kRunning;
-    --round.cell.pending[job.spec.queue];
-  }
 }
 
 }  // namespace buckthornmux::cell
--- a/src/cell/steps.cc
+++ b/src/cell/steps.cc
@@ -241,6 +241,7 @@
                   const EndReport& end, Time now) {
   Job* job = FindJob(cell, end.run.task.job);
   if (job != nullptr) {
+    NoteBegun(cell, *job);
     OpenReported(cell, *job, end.run.task, now);
   }
   Task* task =
