--- a/include/buckthornmux/detail/entry/call_guard.h
+++ b/include/buckthornmux/detail/entry/call_guard.h
@@ -23,7 +23,7 @@
   kOtherEpoch,  ///< It was sent to the owner of another epoch.
   kOtherClock,  ///< It was sent to another process: its time is in the future.
   kExpired,     ///< Its sender has given up.
-  kOvertaken,   ///< A call for the same was refused after it was sent.
+  kOvertaken,   ///< After it was sent, a call like it was refused.
 };
 
 /// What the owner has refused in its epoch, for as long as a copy that was sent
