Folders for admission, placement, advice, runs and records of a cell

Change: files move with git mv into folders by concern; includes name the path. No line of code changes.

--- a/src/cell/jobs.cc
+++ b/src/cell/admission/jobs.cc
@@ -2,10 +2,10 @@
 #include <utility>
 
 #include "buckthornmux/detail/core/invariant.h"
-#include "permissions.h"
-#include "queues.h"
-#include "record_codec.h"
-#include "team_limits.h"
+#include "src/cell/admission/permissions.h"
+#include "src/cell/admission/queues.h"
+#include "src/cell/admission/team_limits.h"
+#include "src/cell/records/record_codec.h"
 
 namespace buckthornmux::cell {
 namespace {
--- a/src/cell/memory.cc
+++ b/src/cell/admission/memory.cc
@@ -1,7 +1,7 @@
 // Memory that jobs take. What a job may take at most is known when it is
 // submitted: its occurrences and tasks without objects take none.
 #include "buckthornmux/detail/core/invariant.h"
-#include "internal.h"
+#include "src/cell/internal.h"
 
 namespace buckthornmux::cell {
 namespace {
--- a/src/cell/permissions.cc
+++ b/src/cell/admission/permissions.cc
@@ -1,12 +1,12 @@
-#include "permissions.h"
+#include "src/cell/admission/permissions.h"
 
 #include <algorithm>
 #include <string>
 #include <vector>
 
 #include "buckthornmux/detail/config/keys.h"
-#include "kept.h"
-#include "queues.h"
+#include "src/cell/admission/kept.h"
+#include "src/cell/admission/queues.h"
 
 namespace buckthornmux::cell {
 namespace {
--- a/src/cell/permissions.h
+++ b/src/cell/admission/permissions.h
@@ -1,7 +1,7 @@
 /// Who may act on a job. All kinds of call ask here.
 #pragma once
 
-#include "internal.h"
+#include "src/cell/internal.h"
 
 namespace buckthornmux::cell {
 
--- a/src/cell/queues.cc
+++ b/src/cell/admission/queues.cc
@@ -1,4 +1,4 @@
-#include "queues.h"
+#include "src/cell/admission/queues.h"
 
 #include <algorithm>
 #include <set>
@@ -6,8 +6,8 @@
 #include <unordered_set>
 #include <utility>
 
-#include "kept.h"
-#include "record_layout.h"
+#include "src/cell/admission/kept.h"
+#include "src/cell/records/record_layout.h"
 
 namespace buckthornmux::cell {
 
--- a/src/cell/queues.h
+++ b/src/cell/admission/queues.h
@@ -5,7 +5,7 @@
 
 #include <string_view>
 
-#include "internal.h"
+#include "src/cell/internal.h"
 
 namespace buckthornmux::cell {
 
--- a/src/cell/team_limits.cc
+++ b/src/cell/admission/team_limits.cc
@@ -1,11 +1,11 @@
-#include "team_limits.h"
+#include "src/cell/admission/team_limits.h"
 
 #include <algorithm>
 #include <limits>
 #include <span>
 #include <utility>
 
-#include "verdicts.h"
+#include "src/cell/runs/verdicts.h"
 
 namespace buckthornmux::cell {
 namespace {
--- a/src/cell/team_limits.h
+++ b/src/cell/admission/team_limits.h
@@ -3,7 +3,7 @@
 /// itself.
 #pragma once
 
-#include "internal.h"
+#include "src/cell/internal.h"
 
 namespace buckthornmux::cell {
 
--- a/src/cell/advice.cc
+++ b/src/cell/advice/advice.cc
@@ -1,8 +1,8 @@
 #include <algorithm>
 #include <cmath>
 
-#include "queues.h"
-#include "round.h"
+#include "src/cell/admission/queues.h"
+#include "src/cell/placement/round.h"
 
 namespace buckthornmux::cell {
 namespace {
--- a/src/cell/evacuation.cc
+++ b/src/cell/placement/evacuation.cc
@@ -1,4 +1,4 @@
-#include "internal.h"
+#include "src/cell/internal.h"
 
 namespace buckthornmux::cell {
 namespace {
--- a/src/cell/gangs.cc
+++ b/src/cell/placement/gangs.cc
@@ -5,7 +5,7 @@
 #include <string>
 #include <utility>
 
-#include "isolation.h"
+#include "src/cell/placement/isolation.h"
 
 namespace buckthornmux::cell {
 namespace {
--- a/src/cell/health.cc
+++ b/src/cell/placement/health.cc
@@ -1,4 +1,4 @@
-#include "health.h"
+#include "src/cell/placement/health.h"
 
 #include <algorithm>
 #include <string>
--- a/src/cell/health.h
+++ b/src/cell/placement/health.h
@@ -5,7 +5,7 @@
 /// of what was started after the last failure, or with time.
 #pragma once
 
-#include "internal.h"
+#include "src/cell/internal.h"
 
 namespace buckthornmux::cell {
 
--- a/src/cell/isolation.cc
+++ b/src/cell/placement/isolation.cc
@@ -1,4 +1,4 @@
-#include "isolation.h"
+#include "src/cell/placement/isolation.h"
 
 #include <algorithm>
 #include <string>
--- a/src/cell/isolation.h
+++ b/src/cell/placement/isolation.h
@@ -5,7 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 
-#include "round.h"
+#include "src/cell/placement/round.h"
 
 namespace buckthornmux::cell {
 
--- a/src/cell/plan.cc
+++ b/src/cell/placement/plan.cc
@@ -1,9 +1,9 @@
 #include <algorithm>
 
-#include "isolation.h"
-#include "queues.h"
-#include "team_limits.h"
-#include "verdicts.h"
+#include "src/cell/admission/queues.h"
+#include "src/cell/admission/team_limits.h"
+#include "src/cell/placement/isolation.h"
+#include "src/cell/runs/verdicts.h"
 
 namespace buckthornmux::cell {
 namespace {
--- a/src/cell/round.cc
+++ b/src/cell/placement/round.cc
@@ -1,12 +1,12 @@
-#include "round.h"
+#include "src/cell/placement/round.h"
 
 #include <algorithm>
 #include <bit>
 #include <functional>
 
-#include "health.h"
-#include "isolation.h"
-#include "team_limits.h"
+#include "src/cell/admission/team_limits.h"
+#include "src/cell/placement/health.h"
+#include "src/cell/placement/isolation.h"
 
 namespace buckthornmux::cell {
 namespace {
--- a/src/cell/round.h
+++ b/src/cell/placement/round.h
@@ -10,7 +10,7 @@
 #include <utility>
 #include <vector>
 
-#include "internal.h"
+#include "src/cell/internal.h"
 
 namespace buckthornmux::cell {
 
--- a/src/cell/starts.cc
+++ b/src/cell/placement/starts.cc
@@ -1,6 +1,6 @@
 // Placement restrictions for retried tasks, and the start of tasks.
-#include "health.h"
-#include "isolation.h"
+#include "src/cell/placement/health.h"
+#include "src/cell/placement/isolation.h"
 
 namespace buckthornmux::cell {
 namespace {
--- a/src/cell/record_codec.cc
+++ b/src/cell/records/record_codec.cc
@@ -1,4 +1,4 @@
-#include "record_codec.h"
+#include "src/cell/records/record_codec.h"
 
 #include <algorithm>
 #include <charconv>
--- a/src/cell/record_ended_runs.cc
+++ b/src/cell/records/record_ended_runs.cc
@@ -3,7 +3,7 @@
 #include <vector>
 
 #include "buckthornmux/detail/core/archive.h"
-#include "record_layout.h"
+#include "src/cell/records/record_layout.h"
 
 namespace buckthornmux::cell {
 
--- a/src/cell/record_load.cc
+++ b/src/cell/records/record_load.cc
@@ -1,12 +1,12 @@
 #include <algorithm>
 
 #include "buckthornmux/detail/core/archive.h"
-#include "internal.h"
-#include "kept.h"
-#include "permissions.h"
-#include "queues.h"
-#include "record_codec.h"
-#include "record_layout.h"
+#include "src/cell/admission/kept.h"
+#include "src/cell/admission/permissions.h"
+#include "src/cell/admission/queues.h"
+#include "src/cell/internal.h"
+#include "src/cell/records/record_codec.h"
+#include "src/cell/records/record_layout.h"
 
 namespace buckthornmux::cell {
 
--- a/src/cell/record_targets.cc
+++ b/src/cell/records/record_targets.cc
@@ -3,9 +3,9 @@
 #include <utility>
 
 #include "buckthornmux/detail/core/archive.h"
-#include "record_layout.h"
-#include "team_limits.h"
-#include "verdicts.h"
+#include "src/cell/admission/team_limits.h"
+#include "src/cell/records/record_layout.h"
+#include "src/cell/runs/verdicts.h"
 
 namespace buckthornmux::cell {
 
--- a/src/cell/records.cc
+++ b/src/cell/records/records.cc
@@ -1,10 +1,10 @@
 #include <algorithm>
 
 #include "buckthornmux/detail/core/invariant.h"
-#include "internal.h"
-#include "kept.h"
-#include "record_codec.h"
-#include "record_layout.h"
+#include "src/cell/admission/kept.h"
+#include "src/cell/internal.h"
+#include "src/cell/records/record_codec.h"
+#include "src/cell/records/record_layout.h"
 
 namespace buckthornmux::cell {
 namespace {
--- a/src/cell/crashes.cc
+++ b/src/cell/runs/crashes.cc
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "internal.h"
+#include "src/cell/internal.h"
 
 namespace buckthornmux::cell {
 namespace {
--- a/src/cell/occurrences.cc
+++ b/src/cell/runs/occurrences.cc
@@ -5,7 +5,7 @@
 #include <string>
 
 #include "buckthornmux/detail/core/invariant.h"
-#include "internal.h"
+#include "src/cell/internal.h"
 
 namespace buckthornmux::cell {
 namespace {
--- a/src/cell/reports.cc
+++ b/src/cell/runs/reports.cc
@@ -3,9 +3,9 @@
 #include <optional>
 #include <set>
 
-#include "health.h"
-#include "team_limits.h"
-#include "verdicts.h"
+#include "src/cell/admission/team_limits.h"
+#include "src/cell/placement/health.h"
+#include "src/cell/runs/verdicts.h"
 
 namespace buckthornmux::cell {
 namespace {
--- a/src/cell/runs.cc
+++ b/src/cell/runs/runs.cc
@@ -2,8 +2,8 @@
 #include <utility>
 
 #include "buckthornmux/detail/core/invariant.h"
-#include "team_limits.h"
-#include "verdicts.h"
+#include "src/cell/admission/team_limits.h"
+#include "src/cell/runs/verdicts.h"
 
 namespace buckthornmux::cell {
 namespace {
--- a/src/cell/steps.cc
+++ b/src/cell/runs/steps.cc
@@ -1,9 +1,9 @@
 #include <algorithm>
 
 #include "buckthornmux/detail/core/invariant.h"
-#include "health.h"
-#include "queues.h"
-#include "verdicts.h"
+#include "src/cell/admission/queues.h"
+#include "src/cell/placement/health.h"
+#include "src/cell/runs/verdicts.h"
 
 namespace buckthornmux::cell {
 namespace {
--- a/src/cell/verdicts.cc
+++ b/src/cell/runs/verdicts.cc
@@ -1,4 +1,4 @@
-#include "verdicts.h"
+#include "src/cell/runs/verdicts.h"
 
 namespace buckthornmux::cell {
 namespace {
--- a/src/cell/verdicts.h
+++ b/src/cell/runs/verdicts.h
@@ -6,7 +6,7 @@
 #include <string_view>
 #include <variant>
 
-#include "internal.h"
+#include "src/cell/internal.h"
 
 namespace buckthornmux::cell {
 
--- a/src/cell/tick.cc
+++ b/src/cell/tick.cc
@@ -1,8 +1,8 @@
 #include <algorithm>
 
-#include "health.h"
-#include "internal.h"
-#include "queues.h"
+#include "src/cell/admission/queues.h"
+#include "src/cell/internal.h"
+#include "src/cell/placement/health.h"
 
 namespace buckthornmux::cell {
 namespace {
--- a/tests/unit-odd-frames.cc
+++ b/tests/unit-odd-frames.cc
@@ -16,8 +16,8 @@
 #include "buckthornmux/detail/core/archive.h"
 #include "buckthornmux/detail/member/records.h"
 #include "buckthornmux/detail/peer/messages.h"
-#include "src/cell/record_codec.h"
-#include "src/cell/record_layout.h"
+#include "src/cell/records/record_codec.h"
+#include "src/cell/records/record_layout.h"
 
 namespace {
 
