Headroom and advice for urgent work in a full cell

Cause: on the two new deployments all lanes of the adviser are busy with calls of 0.13 to 1.4 s for work that can't start within a ticket's life, urgent steps ask only once a target has room, and all room is taken when they arrive. A stop takes 900 ms there, longer than urgent jobs may wait. Change: where a stop takes longer than urgent jobs may wait, room for the urgent arrivals of 300 ms is kept from other work, other steps ask the adviser only for room that tickets can be used for, lanes are kept from long calls by the work of urgent ones, and urgent steps ask ahead and name fast targets first.

--- a/include/buckthornmux/detail/cell/state.h
+++ b/include/buckthornmux/detail/cell/state.h
@@ -10,6 +10,7 @@
 #include <variant>
 #include <vector>
 
+#include "buckthornmux/detail/cell/gauges.h"
 #include "buckthornmux/detail/cell/tasks.h"
 #include "buckthornmux/detail/cell/types.h"
 #include "buckthornmux/detail/core/error.h"
@@ -482,6 +483,16 @@
   std::map<std::uint64_t, OpenAdvice> open_advice;
   std::map<QueueName, AdviceStats> advice_stats;
   std::uint64_t next_ask = 1;
+  UrgentArrivals urgent_arrivals;
+  RateGauge freed_cpu;                 ///< Released by runs, in millicores.
+  std::int64_t freed_since_round = 0;  ///< Not in `freed_cpu` yet.
+  RateGauge urgent_advice;             ///< Adviser time of urgent calls, in ms.
+  /// Processor that is kept free for urgent work, in millicores.
+  std::int64_t headroom_cpu = 0;
+  /// Since when work has waited that fits into room that is free; empty if
+  /// there is none.
+  std::optional<Time> idle_since;
+  Millis idle_longest{0};  ///< Longest such time since the last report.
   WriteQueues writes;
   Bundles bundles;
   /// Unstarted jobs by the queue that accepted them.
--- a/src/cell/admission/jobs.cc
+++ b/src/cell/admission/jobs.cc
@@ -175,6 +175,27 @@
   return false;
 }
 
+/// Notes the arrival of an urgent job that ends by itself and starts now.
+void NoteIfUrgent(Cell& cell, const Queue& queue, const JobSpec& spec,
+                  Time now) {
+  if (queue.priority != 0 || spec.recurrence.count > 0) {
+    return;
+  }
+  std::int64_t cpu = 0;
+  std::int64_t tasks = 0;
+  for (const StepSpec& step : spec.steps) {
+    if (!step.service) {
+      cpu += ReservedBy(step).cpu_milli * step.count;
+      tasks += step.count;
+    }
+  }
+  if (tasks == 0) {
+    return;
+  }
+  NoteUrgentArrival(cell.urgent_arrivals, cpu, tasks, ObjectiveOf(queue, spec),
+                    ChainFrom(spec, 0), now);
+}
+
 /// Stops the runs of a job that has ended.
 void StopAll(Cell& cell, Actions& actions, const Job& job, std::string_view why,
              Time now) {
@@ -354,6 +375,7 @@
   const Queue& queue = *FindQueue(cell, spec.queue);
   KeepQueue(cell, queue, now);
   KeepTeam(cell, spec.team, now);
+  NoteIfUrgent(cell, queue, spec, now);
   Job job;
   job.excess = excess;
   job.objective = ObjectiveOf(queue, spec);
--- a/src/cell/advice/advice.cc
+++ b/src/cell/advice/advice.cc
@@ -40,19 +40,34 @@
                                [&](Millis takes) { return takes > length; });
 }
 
+/// Lanes that long calls leave free for shorter ones.
+std::ptrdiff_t LanesForUrgentCalls(const Round& round) {
+  if (!round.overload_control) {
+    return kLanesForShorterCalls;
+  }
+  constexpr double kMillisPerSecond = 1000;
+  const double work = static_cast<double>(PerSecond(round.cell.urgent_advice)) /
+                      kMillisPerSecond;
+  return LanesForUrgent(work,
+                        static_cast<std::ptrdiff_t>(round.cell.lanes.size()),
+                        kLanesForShorterCalls);
+}
+
 /// Finds a lane that can answer a call of this length soon, or null. Calls are
 /// sent slightly before the adviser is free, so that it is never idle.
 AdviceLane* FreeLane(Round& round, Millis time) {
   Cell& cell = round.cell;
   const Time now = round.now;
   const auto count = static_cast<std::ptrdiff_t>(cell.lanes.size());
-  const std::ptrdiff_t long_lanes =
-      std::max(count / 2, count - kLanesForShorterCalls);
+  const std::ptrdiff_t urgent_lanes = LanesForUrgentCalls(round);
+  const std::ptrdiff_t long_lanes = std::max(count / 2, count - urgent_lanes);
+  const std::ptrdiff_t medium_lanes =
+      round.overload_control ? long_lanes : count - 1;
   if (count > 1 &&
       ((time > kLongCallThreshold &&
         CountLanesAbove(round, kLongCallThreshold) >= long_lanes) ||
        (time > kMediumCallThreshold &&
-        CountLanesAbove(round, kMediumCallThreshold) >= count - 1))) {
+        CountLanesAbove(round, kMediumCallThreshold) >= medium_lanes))) {
     return nullptr;
   }
   AdviceLane* best = nullptr;
@@ -264,6 +279,52 @@
   return std::ranges::any_of(Suited(round, queue, spec).places, lacks_ticket);
 }
 
+/// Chooses targets for urgent single tasks: fast ones with room first, then
+/// those with the most room. The time for more names than needed is short
+/// compared with that of the call.
+std::vector<TargetId> ChooseUrgentNames(std::vector<Option> options,
+                                        std::uint32_t waiting, double good_rate,
+                                        const AdviceRules& rules) {
+  std::ranges::sort(options, [](const Option& a, const Option& b) {
+    if ((a.count > 0) != (b.count > 0)) {
+      return a.count > 0;
+    }
+    if (a.count > 0) {
+      return a.target->health.slowness < b.target->health.slowness;
+    }
+    return a.left > b.left;
+  });
+  for (Option& option : options) {
+    option.count = std::min(option.count, waiting);
+  }
+  std::vector<TargetId> names =
+      NameFor(options, waiting * kNamesFactor, good_rate);
+  constexpr double kFixedTimePart = 3;
+  const auto cheap = static_cast<std::size_t>(
+      static_cast<double>(rules.decide.count()) / kFixedTimePart /
+      std::max(rules.each_ms, kMinEachMs));
+  const std::size_t most = std::min(options.size(), kMaxNamedTargets);
+  for (std::size_t i = names.size(); i < std::min(cheap, most); ++i) {
+    names.push_back(options[i].target->entry.id);
+  }
+  names.resize(std::min(names.size(), std::max<std::size_t>(1, cheap)));
+  return names;
+}
+
+std::vector<TargetId> NamesFor(const PlacementEstimate& placement,
+                               const Candidate& candidate, const Queue& queue,
+                               bool overload_control, double rate) {
+  const Step& step = *candidate.step;
+  const std::uint32_t waiting = candidate.Spec().count - step.done - step.live;
+  if (candidate.Spec().gang) {
+    return ChooseGangNames(placement, waiting, rate);
+  }
+  if (overload_control && candidate.Urgent()) {
+    return ChooseUrgentNames(placement.options, waiting, rate, *queue.advice);
+  }
+  return ChooseNames(placement.options, waiting, rate, *queue.advice);
+}
+
 void DropOldTickets(AdviceState& advice, Time now) {
   std::erase_if(advice.tickets,
                 [&](const auto& entry) { return entry.second.until <= now; });
@@ -271,6 +332,14 @@
 
 }  // namespace
 
+bool MayAskAhead(const Round& round, const Candidate& candidate) {
+  /// Enough for room to come free on one of them soon.
+  constexpr std::size_t kTicketsAhead = 8;
+  const AdviceState& advice = candidate.step->advice;
+  return round.overload_control && candidate.Urgent() && !advice.asking &&
+         candidate.queue->advice && advice.tickets.size() < kTicketsAhead;
+}
+
 void SetLanes(Cell& cell, std::span<const HostId> hosts) {
   std::erase_if(cell.lanes, [&](const AdviceLane& lane) {
     return std::ranges::count(hosts, lane.host) == 0;
@@ -299,7 +368,8 @@
   if (!MayUseMore(round, candidate, spec.demand)) {
     return;
   }
-  if (!spec.gang && !AnyTicketUseful(round, candidate, queue)) {
+  if (!spec.gang && !AnyTicketUseful(round, candidate, queue) &&
+      !MayAskAhead(round, candidate)) {
     return;
   }
   const std::uint32_t waiting = spec.count - step.done - step.live;
@@ -312,8 +382,7 @@
     return;
   }
   std::vector<TargetId> names =
-      spec.gang ? ChooseGangNames(placement, waiting, rate)
-                : ChooseNames(placement.options, waiting, rate, *queue.advice);
+      NamesFor(placement, candidate, queue, round.overload_control, rate);
   if (names.empty()) {
     return;
   }
@@ -327,6 +396,9 @@
   Millis& takes = round.lane_call_times[static_cast<std::size_t>(
       std::distance(cell.lanes.data(), lane))];
   takes = std::max(takes, time);
+  if (candidate.Urgent()) {
+    AddAmount(cell.urgent_advice, time.count(), now);
+  }
   advice.asking = true;
   advice.ask = cell.next_ask++;
   const Millis timeout = time + cell.options.advice_timeout;
--- a/src/cell/placement/gangs.cc
+++ b/src/cell/placement/gangs.cc
@@ -193,6 +193,35 @@
   return start;
 }
 
+/// Keeps the places that are expected to have room for a gang first. Holding
+/// all places that it may use would leave many times its room idle.
+void KeepEarliest(Round& round, std::vector<Place>& places,
+                  std::uint32_t wanted) {
+  /// Some runs take longer than expected.
+  constexpr std::uint32_t kSpareDivisor = 2;
+  const std::uint32_t enough = wanted + wanted / kSpareDivisor;
+  std::vector<std::pair<Time, Place>> order;
+  order.reserve(places.size());
+  for (const Place& place : places) {
+    order.emplace_back(
+        place.count >= place.possible
+            ? round.now
+            : PredictDrained(round.cell, *place.slot->target, round.now),
+        place);
+  }
+  std::ranges::stable_sort(
+      order, [](const auto& a, const auto& b) { return a.first < b.first; });
+  places.clear();
+  std::uint32_t total = 0;
+  for (const auto& [drained, place] : order) {
+    if (total >= enough) {
+      break;
+    }
+    total += place.possible;
+    places.push_back(place);
+  }
+}
+
 /// Logs that a gang can't get room until services end, or that this is over.
 void NoteBlocked(Round& round, const Candidate& candidate,
                  const std::vector<Place>& places, bool has_room) {
@@ -360,6 +389,9 @@
   // Wrong estimates must not put the start off for ever.
   round.gangs_start_at = std::min(
       {round.gangs_start_at, starts_at, candidate.step->hold.expected_start});
+  if (!covered && round.overload_control) {
+    KeepEarliest(round, places, wanted);
+  }
   std::ranges::sort(places, std::ranges::greater{}, &Place::count);
   const Resources need = ReservedBy(candidate.Spec());
   std::uint32_t reserved = 0;
--- a/src/cell/placement/plan.cc
+++ b/src/cell/placement/plan.cc
@@ -158,6 +158,10 @@
         SlotsOn(target, room, spec, candidate.ref) == 0) {
       continue;
     }
+    const std::int64_t taken = HeadroomTakenBy(round, candidate, *slot);
+    if (taken > 0 && taken > round.beyond_headroom) {
+      continue;
+    }
     const double score = Score(*slot, room, spec, task, candidate);
     if (best == nullptr || score < best_score) {
       best = slot;
@@ -467,6 +471,39 @@
   PlanStep(round, candidate);
 }
 
+/// Counts the waiting tasks of a step that has tickets or waits for them.
+void CoverByAdvice(Round& round, const Candidate& candidate) {
+  const Step& step = *candidate.step;
+  if (round.cell.ready.contains(candidate.ref) &&
+      (step.advice.asking || !step.advice.tickets.empty())) {
+    round.advice_limit.covered += WaitingCpu(step, candidate.Spec());
+  }
+}
+
+/// Notes since when room has been free beside waiting single tasks that fit
+/// into it and whose team is within its limit.
+void NoteIdleRoom(Round& round, const std::vector<Candidate>& candidates) {
+  Cell& cell = round.cell;
+  std::int64_t free = 0;
+  for (const Slot& slot : round.slots) {
+    free += std::max<std::int64_t>(0, slot.room.cpu_milli);
+  }
+  free -= cell.headroom_cpu;
+  constexpr std::int64_t kIdlePart = 20;  // 5 % of the cell.
+  const bool idle =
+      free > cell.capacity_cpu / kIdlePart &&
+      std::ranges::any_of(candidates, [&](const Candidate& candidate) {
+        return !candidate.Spec().gang && cell.ready.contains(candidate.ref) &&
+               AnyHasRoom(round, candidate, *candidate.queue);
+      });
+  if (!idle) {
+    cell.idle_since.reset();
+    return;
+  }
+  cell.idle_since = cell.idle_since.value_or(round.now);
+  cell.idle_longest = std::max(cell.idle_longest, round.now - *cell.idle_since);
+}
+
 std::size_t CountReserved(const Cell& cell, Time now) {
   return static_cast<std::size_t>(
       std::ranges::count_if(cell.targets, [&](const auto& entry) {
@@ -522,6 +559,8 @@
     load.occurrences_waiting +=
         job == nullptr ? 0 : CountUnopened(cell, *job, now);
   }
+  load.headroom_cpu_milli = cell.headroom_cpu;
+  load.idle_beside_work = cell.idle_since ? now - *cell.idle_since : Millis(0);
   load.runs = cell.run_count;
   load.job_bytes = cell.job_bytes;
   load.lanes_busy = static_cast<std::size_t>(std::ranges::count_if(
@@ -545,7 +584,7 @@
   });
   MarkAskers(candidates);
   std::erase_if(candidates, [&](const Candidate& candidate) {
-    return !candidate.Spec().gang &&
+    return !candidate.Spec().gang && !MayAskAhead(round, candidate) &&
            !AnyHasRoom(round, candidate, *candidate.queue);
   });
   // Those that may ask come before all others, whose order is rarely needed.
@@ -559,9 +598,12 @@
     if (next == first_part) {
       std::sort(first_part, candidates.end(), Before);
     }
-    next->may_ask = next->may_ask || planned++ < kMinAskers;
+    next->may_ask = (next->may_ask || planned++ < kMinAskers) &&
+                    MayAsk(round.advice_limit, next->Urgent());
     PlanWithSuspects(round, *next, held_back);
+    CoverByAdvice(round, *next);
   }
+  NoteIdleRoom(round, candidates);
   const std::size_t spare = round.slots.size() / kTargetsPerSpare;
   for (Candidate& candidate : held_back) {
     if (CountEmpty(round) <= spare) {
--- a/src/cell/placement/round.cc
+++ b/src/cell/placement/round.cc
@@ -2,9 +2,12 @@
 
 #include <algorithm>
 #include <bit>
+#include <cmath>
 #include <functional>
+#include <utility>
 
 #include "src/cell/admission/team_limits.h"
+#include "src/cell/placement/headroom.h"
 #include "src/cell/placement/health.h"
 #include "src/cell/placement/isolation.h"
 
@@ -90,6 +93,49 @@
   return reserved;
 }
 
+namespace {
+
+/// Returns the longest time that a ticket of any queue is valid.
+Millis LongestTicket(const Cell& cell) {
+  Millis longest{0};
+  for (const auto& [name, queue] : cell.queues) {
+    longest = std::max(longest, queue.advice ? queue.advice->valid : Millis(0));
+  }
+  return longest;
+}
+
+/// Sets the headroom and the limit on advice.
+void ControlOverload(Round& round) {
+  Cell& cell = round.cell;
+  AddAmount(cell.freed_cpu, std::exchange(cell.freed_since_round, 0),
+            round.now);
+  AdvanceTo(cell.urgent_arrivals.cpu, round.now);
+  AdvanceTo(cell.urgent_advice, round.now);
+  cell.headroom_cpu = 0;
+  round.overload_control =
+      OverloadControlOn(cell.options.stop_time, cell.urgent_arrivals);
+  if (!round.overload_control) {
+    return;
+  }
+  cell.headroom_cpu =
+      HeadroomFor(cell.urgent_arrivals, cell.capacity_cpu, round.now);
+  round.urgent_task_cpu =
+      std::max<std::int64_t>(1, std::llround(cell.urgent_arrivals.task_cpu));
+  std::int64_t usable = 0;
+  std::int64_t free = 0;
+  for (const Slot& slot : round.slots) {
+    usable += UsableByUrgent(slot.room.cpu_milli, round.urgent_task_cpu);
+    free += std::max<std::int64_t>(0, slot.room.cpu_milli);
+  }
+  round.beyond_headroom = usable - cell.headroom_cpu;
+  constexpr double kMillisPerSecond = 1000;
+  round.advice_limit = MakeAdviceLimit(
+      free - cell.headroom_cpu, PerSecond(cell.freed_cpu),
+      static_cast<double>(LongestTicket(cell).count()) / kMillisPerSecond);
+}
+
+}  // namespace
+
 Round BeginRound(Cell& cell, Actions& actions, Time now) {
   Round round{cell, actions, now, {}, {}, {}, LaneCallTimes(cell)};
   const std::size_t most = cell.options.max_runs;
@@ -116,6 +162,7 @@
     round.by_id[PlaceOf(round, round.slots[i].target->entry.id)] =
         static_cast<std::uint32_t>(i + 1);
   }
+  ControlOverload(round);
   return round;
 }
 
@@ -245,6 +292,15 @@
   return room;
 }
 
+std::int64_t HeadroomTakenBy(const Round& round, const Candidate& candidate,
+                             const Slot& slot) {
+  return round.overload_control && !candidate.Urgent()
+             ? HeadroomTaken(slot.room.cpu_milli,
+                             ReservedBy(candidate.Spec()).cpu_milli,
+                             round.urgent_task_cpu)
+             : 0;
+}
+
 std::uint32_t SlotsOn(const Target& target, const Resources& room,
                       const StepSpec& spec, const StepRef& ref) {
   const Resources need = ReservedBy(spec);
--- a/src/cell/placement/round.h
+++ b/src/cell/placement/round.h
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "src/cell/advice/advice_limit.h"
 #include "src/cell/internal.h"
 
 namespace buckthornmux::cell {
@@ -120,6 +121,13 @@
   std::size_t gang_looks = 0;
   StepRef last_look;
   std::size_t starts_left = 0;  ///< Tasks that may still start in the round.
+  bool overload_control = false;
+  /// Processor of a typical urgent task, in millicores.
+  std::int64_t urgent_task_cpu = 0;
+  /// Free processor beyond the headroom that urgent tasks could use, which
+  /// other work may still take, in millicores.
+  std::int64_t beyond_headroom = 0;
+  AdviceLimit advice_limit;
 };
 
 /// @brief Begins a round with the targets that accept work.
@@ -180,6 +188,12 @@
 /// @brief Returns the resources that a step may use at a target.
 [[nodiscard]] Resources RoomFor(const Slot& slot, const Candidate& candidate);
 
+/// @brief Headroom that the start of a task of a step takes; 0 for urgent work,
+///   which it is for.
+[[nodiscard]] std::int64_t HeadroomTakenBy(const Round& round,
+                                           const Candidate& candidate,
+                                           const Slot& slot);
+
 /// @brief Whether one task of this demand fits.
 [[nodiscard]] inline bool HoldsOne(const Resources& room,
                                    const Resources& need) {
@@ -213,6 +227,11 @@
 void ReserveForGang(Round& round, const Candidate& candidate,
                     const Queue& queue);
 
+/// @brief Whether a step queries the adviser although no target has room for it
+///   yet. An urgent step that waited for room first would find it taken by work
+///   that has tickets.
+[[nodiscard]] bool MayAskAhead(const Round& round, const Candidate& candidate);
+
 /// @brief Queries the adviser if a step lacks tickets and a lane is free.
 void AskAdviceIfUseful(Round& round, const Candidate& candidate,
                        const Queue& queue);
--- a/src/cell/placement/starts.cc
+++ b/src/cell/placement/starts.cc
@@ -68,6 +68,7 @@
   }
   AddRun(round.cell, target, id, run);
   round.starts_left -= round.starts_left > 0 ? 1 : 0;
+  round.beyond_headroom -= HeadroomTakenBy(round, candidate, slot);
   slot.room -= run.demand;
   if (run.service) {
     slot.services += run.demand;
--- a/src/cell/runs/runs.cc
+++ b/src/cell/runs/runs.cc
@@ -250,6 +250,7 @@
     DiscountEndedRun(cell, id);
     const Run& run = found->second;
     target.used -= run.demand;
+    cell.freed_since_round += run.demand.cpu_milli;
     ChargedTo(cell, run) -= run.charged;
     target.unknown_runs -= run.demand_unknown ? 1 : 0;
     target.runs.erase(found);
--- a/src/entry/cell_host.cc
+++ b/src/entry/cell_host.cc
@@ -482,6 +482,8 @@
       .With("job_bytes", static_cast<std::uint64_t>(load.job_bytes))
       .With("max_job_bytes",
             static_cast<std::uint64_t>(m_cell->options.max_job_bytes))
+      .With("headroom_cpu_milli", load.headroom_cpu_milli)
+      .With("idle_beside_work_ms", load.idle_beside_work.count())
       .With("unstored_jobs", static_cast<std::uint64_t>(m_cell->writes.count))
       .With("unreported_targets", static_cast<std::uint64_t>(load.unreported))
       .With("unreported_last", load.unreported_last)
