--- a/src/entry/host_ownership.cc
+++ b/src/entry/host_ownership.cc
@@ -113,14 +113,12 @@
 }
 
 std::vector<HostId> Host::Replacements(const HostId& former) const {
-  std::vector<HostId> hosts =
-      member::OwnersInOrder(std::string(kRange), m_members.Members());
-  std::erase_if(hosts, [&](const HostId& host) {
-    const bool here = host == m_settings.host;
-    return host == former ||
-           (here ? m_leaving || m_passive : !m_links_up.contains(host));
-  });
-  return hosts;
+  return SuccessorsInOrder(
+      std::string(kRange), m_members.Members(), [&](const HostId& host) {
+        const bool here = host == m_settings.host;
+        return host != former &&
+               (here ? !m_leaving && !m_passive : m_links_up.contains(host));
+      });
 }
 
 void Host::ReplaceOwner(const HostId& owner) {
