Hand over for a rejecting store only to the best host that the store serves

Cause: in an outage of the store that affected all hosts, the owner handed over to a host that never gained the cell, which had no owner for 6.6 s. One store call of the other host that began just after the owner's first failed call counted as proof that the store serves that host, and the first host to report got the cell whatever its capacity.

Change: the other host's answered call must have begun 300 ms after the first failed call of this host or later, and a host says that it may own only while its own calls succeed. The four preferred hosts are queried every 300 ms, since a round-robin over 42 hosts returned to them only after 2 s. A hand-over for a store that rejects only this host is delayed by up to 300 ms; that was not measured.

--- a/include/buckthornmux/detail/entry/fitness.h
+++ b/include/buckthornmux/detail/entry/fitness.h
@@ -40,6 +40,13 @@
   return static_cast<std::uint32_t>(weight);
 }
 
+/// @brief Returns the weight in the record of a host; 0 if there is none.
+[[nodiscard]] inline std::uint32_t WeightIn(
+    std::span<const member::Member> members, const HostId& host) {
+  const auto found = std::ranges::find(members, host, &member::Member::id);
+  return found == members.end() ? 0 : found->weight;
+}
+
 /// @brief Lists the hosts that can take a range over, the one with the highest
 ///   weight first. Unlike a host that claims a free range, the successor in an
 ///   immediate hand-over gets all traffic of the cell and its backlog at once.
@@ -52,9 +59,8 @@
   std::vector<HostId> hosts = member::OwnersInOrder(range, members);
   std::erase_if(hosts, [&](const HostId& host) { return !usable(host); });
   std::ranges::stable_sort(
-      hosts, std::ranges::greater{}, [&](const HostId& host) {
-        return std::ranges::find(members, host, &member::Member::id)->weight;
-      });
+      hosts, std::ranges::greater{},
+      [&](const HostId& host) { return WeightIn(members, host); });
   return hosts;
 }
 
--- a/include/buckthornmux/detail/entry/store_relay.h
+++ b/include/buckthornmux/detail/entry/store_relay.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <span>
 #include <vector>
 
 #include "buckthornmux/detail/entry/calls.h"
@@ -24,7 +25,7 @@
   /// Whether this host would claim the cell.
   std::function<bool()> may_own;
   /// Called if the store serves `to`, which would claim the cell, but not this
-  /// host.
+  /// host. Not called in an outage of the store that affects all hosts.
   std::function<void(const HostId& to)> store_serves_peer;
 };
 
@@ -52,13 +53,17 @@
   [[nodiscard]] bool StoreServesOthers(Time now) const;
 
  private:
+  void QuerySome(std::span<const HostId> hosts, std::size_t count,
+                 std::size_t& next, Time now);
+
   RulesReader& m_rules;
   const StoreGauge& m_gauge;
   StoreRelayLinks m_links;
   std::optional<Time> m_failing_since;   ///< FailingSince at the last tick.
   std::map<std::uint64_t, Time> m_asks;  ///< Open queries and their send times.
   std::uint64_t m_next_ask = 1;
-  std::size_t m_next_peer = 0;
+  std::size_t m_next_preferred = 0;
+  std::size_t m_next_other = 0;
   Time m_ask_at;  ///< When the next round of queries is sent.
   /// Start of the latest call that the store answered for another host.
   Time m_others_served_at;
--- a/src/entry/host.cc
+++ b/src/entry/host.cc
@@ -162,7 +162,11 @@
           [this](const auto& record) { m_members.ReceiveOwnerRecord(record); },
           [this] { return !m_leaving && !m_passive; },
           [this](const HostId& to) {
-            HandOverTo(to, "the store serves the other host but not this one");
+            const Time now = Now();
+            // The time of the first report is kept, so that reports which are
+            // repeated do not prolong the wait for a better host.
+            m_served_peers.try_emplace(to, now);
+            CheckServedPeers(now);
           }};
 }
 
@@ -246,6 +250,7 @@
   CheckOwnership(now);
   CheckRelease(now);
   CheckOffer(now);
+  CheckServedPeers(now);
   SendStateToNextOwner(now);
   m_relay.Tick(now);
   m_rules.Tick(now);
--- a/src/entry/host_ownership.cc
+++ b/src/entry/host_ownership.cc
@@ -58,6 +58,19 @@
          HandOverTo(successors.front(), why);
 }
 
+void Host::CheckServedPeers(Time now) {
+  if (!m_relay.StoreServesOthers(now) || !m_cell.Owning()) {
+    m_served_peers.clear();
+    return;
+  }
+  const auto to =
+      ChooseServedPeer(m_served_peers, Successors(), m_members.Members(), now);
+  if (to &&
+      HandOverTo(*to, "the store serves the other host but not this one")) {
+    m_served_peers.clear();
+  }
+}
+
 void Host::CheckOffer(Time now) {
   if (!m_offer) {
     return;
--- a/src/entry/host_process.h
+++ b/src/entry/host_process.h
@@ -24,6 +24,7 @@
 #include "buckthornmux/detail/entry/pause_watch.h"
 #include "buckthornmux/detail/entry/pending_replies.h"
 #include "buckthornmux/detail/entry/rules_reader.h"
+#include "buckthornmux/detail/entry/served_peers.h"
 #include "buckthornmux/detail/entry/settings.h"
 #include "buckthornmux/detail/entry/shutdown.h"
 #include "buckthornmux/detail/entry/slowness.h"
@@ -95,6 +96,9 @@
   /// Hands the cell over without a complete release if the release takes too
   /// long because this host is slow.
   void CheckRelease(Time now);
+  /// Hands the cell over to the best host that the store serves while it
+  /// rejects this one.
+  void CheckServedPeers(Time now);
   /// Moves an offer that was not accepted on to another host.
   void CheckOffer(Time now);
   /// Tells the next owner on which targets tasks may still run.
@@ -171,6 +175,7 @@
   Time m_gained_at;       ///< When this host last became the owner.
   Epoch m_suspected = 0;  ///< Epoch of the last suspected owner.
   std::optional<OpenOffer> m_offer;
+  ServedPeers m_served_peers;
   std::optional<Time> m_release_began;  ///< Start of an unfinished release.
   bool m_passive = false;  ///< Owns nothing because this host is slow.
   Time m_passive_until;
--- a/src/entry/store_relay.cc
+++ b/src/entry/store_relay.cc
@@ -13,14 +13,25 @@
 
 /// Interval between rounds of queries. Relayed data is up to this much older.
 constexpr Millis kQueryInterval{150};
+/// Preferred hosts, which come first in StoreRelayLinks::peers. They are
+/// queried at least every 300 ms, so that the cell goes to one of them soon
+/// after the store has served it again.
+constexpr std::size_t kPreferredHosts = 4;
 /// Hosts queried in one round; several, since the store may reject one of them
 /// as well.
-constexpr std::size_t kMaxHostsPerRound = 3;
+constexpr std::size_t kPreferredPerRound = 2;
+constexpr std::size_t kOthersPerRound = 3;
 /// Queries that are unanswered for longer are dropped.
 constexpr Millis kQueryTimeout{2000};
 /// How long the store counts as serving others after the last call that it
 /// answered for another host.
 constexpr Millis kServedTimeout{1500};
+/// How much later than this host's first failed call another host's answered
+/// call must have begun for a hand-over. An outage of the store that affects
+/// all hosts may begin for some of them up to this much earlier than for
+/// others. Each host calls the store every 300 ms, so a hand-over for which the
+/// store does serve another host is delayed by about as much.
+constexpr Millis kMinServedLead{300};
 
 }  // namespace
 
@@ -34,7 +45,8 @@
     LogLine("store_not_served", Level::kWarning)
         .With("for_ms", (now - *failing_since).count())
         .With("rules_age_ms", (now - m_rules.ConfirmedAt()).count());
-    m_next_peer = 0;
+    m_next_preferred = 0;
+    m_next_other = 0;
   } else if (!failing_since && m_failing_since) {
     LogLine("store_served_again")
         .With("after_ms", (now - *m_failing_since).count());
@@ -48,10 +60,19 @@
   }
   m_ask_at = now + kQueryInterval;
   const std::vector<HostId> peers = m_links.peers();
-  for (std::size_t i = 0; i < std::min(kMaxHostsPerRound, peers.size()); ++i) {
+  const std::span<const HostId> all = peers;
+  const std::size_t preferred = std::min(kPreferredHosts, peers.size());
+  QuerySome(all.first(preferred), kPreferredPerRound, m_next_preferred, now);
+  QuerySome(all.subspan(preferred), kOthersPerRound, m_next_other, now);
+}
+
+/// Queries up to `count` of the hosts, beginning after those of the last round.
+void StoreRelay::QuerySome(std::span<const HostId> hosts, std::size_t count,
+                           std::size_t& next, Time now) {
+  for (std::size_t i = 0; i < std::min(count, hosts.size()); ++i) {
     const std::uint64_t ask = m_next_ask++;
     m_asks.emplace(ask, now);
-    m_links.send_query(peers[m_next_peer++ % peers.size()],
+    m_links.send_query(hosts[next++ % hosts.size()],
                        {ask, m_rules.Latest().revision});
   }
 }
@@ -62,7 +83,7 @@
   status.ask = query.ask;
   status.served_age = now - m_gauge.answered;
   status.answer_time = m_gauge.answer_time;
-  status.may_own = m_links.may_own();
+  status.may_own = m_links.may_own() && ServesNow(m_gauge, now);
   status.rules_revision = m_rules.Latest().revision;
   status.rules_age = now - m_rules.ConfirmedAt();
   if (status.rules_revision > query.rules_known) {
@@ -92,8 +113,8 @@
       now - *m_failing_since <= ResponseTimeout(status.answer_time)) {
     return;
   }
-  m_others_served_at =
-      std::max(m_others_served_at, asked_at - status.served_age);
+  const Time served_at = asked_at - status.served_age;
+  m_others_served_at = std::max(m_others_served_at, served_at);
   if (!StoreServesOthers(now)) {
     return;
   }
@@ -106,7 +127,7 @@
   if (!status.owner.range.empty()) {
     m_links.owner_reported(status.owner);
   }
-  if (status.may_own) {
+  if (status.may_own && served_at - *m_failing_since >= kMinServedLead) {
     m_links.store_serves_peer(from);
   }
 }
--- a/tests/unit-store-relay.cc
+++ b/tests/unit-store-relay.cc
@@ -35,6 +35,7 @@
   store::AsyncStore calls = store.Calls();
   entry::RulesReader rules{calls, "rules", ParseVersion, [] {}};
   StoreGauge gauge = SilentSince(kStart + Millis(100));
+  std::vector<HostId> peers{"b", "c"};
   std::vector<std::pair<HostId, entry::StoreQuery>> queries;
   std::vector<StoreStatus> statuses;
   std::vector<member::OwnerRecord> owners;
@@ -42,9 +43,7 @@
   entry::StoreRelay relay{
       rules,
       gauge,
-      {[] {
-         return std::vector<HostId>{"b", "c"};
-       },
+      {[this] { return peers; },
        [this](const HostId& to, const auto& ask) {
          queries.emplace_back(to, ask);
        },
@@ -81,6 +80,9 @@
   CPPUNIT_TEST(RulesHaveTheAgeThatAPeerReports);
   CPPUNIT_TEST(OlderRulesOfAPeerConfirmNothing);
   CPPUNIT_TEST(NoHandoverIfTheStoreServesNoHost);
+  CPPUNIT_TEST(NoHandoverIfTheOutageBeginsLaterForOthers);
+  CPPUNIT_TEST(HostWithFailingStoreMayNotOwn);
+  CPPUNIT_TEST(PreferredHostsAreQueriedAgainSoon);
   CPPUNIT_TEST(CellMovesToAHostThatTheStoreServes);
   CPPUNIT_TEST(CellStaysIfTheStoreIsAsSlowForOthers);
   CPPUNIT_TEST(PeerWithoutTheRulesReceivesThem);
@@ -179,6 +181,53 @@
     CPPUNIT_ASSERT(!f.relay.OwnerExpected(kStart + Millis(505)));
   }
 
+  // In an outage that affected all hosts, the owner handed the cell to a host
+  // whose last call had begun shortly after the owner's first failed one. That
+  // host could not claim it, and the cell had no owner for 6.6 s.
+  void NoHandoverIfTheOutageBeginsLaterForOthers() {
+    Fixture f;
+    f.relay.Tick(kStart + Millis(500));
+    // The peer's call began 250 ms after this host's, at kStart + 350 ms.
+    f.relay.HandleStatus("c", f.Status(Millis(150)), kStart + Millis(505));
+    CPPUNIT_ASSERT(f.served_hosts.empty());
+    for (int i = 13; i < 40; ++i) {
+      const Time now = kStart + Millis(50 * i);
+      f.relay.Tick(now);
+      f.relay.HandleStatus("c", f.Status(now - kStart - Millis(350)), now);
+    }
+    CPPUNIT_ASSERT(f.served_hosts.empty());
+  }
+
+  // A host whose own store calls failed said that it would claim the cell.
+  void HostWithFailingStoreMayNotOwn() {
+    Fixture f;
+    f.relay.HandleQuery("b", entry::StoreQuery{1, 0}, kStart + Millis(150));
+    entry::CallEnded(f.gauge, kStart + Millis(100), kStart + Millis(160),
+                     false);
+    f.relay.HandleQuery("b", entry::StoreQuery{2, 0}, kStart + Millis(170));
+    CPPUNIT_ASSERT(f.statuses.at(0).may_own);
+    CPPUNIT_ASSERT(!f.statuses.at(1).may_own);
+  }
+
+  // With 42 hosts a host that could own the cell was queried every 2 s only, so
+  // that a weak host reported first.
+  void PreferredHostsAreQueriedAgainSoon() {
+    Fixture f;
+    for (int i = 0; i < 40; ++i) {
+      f.peers.push_back("small-" + std::to_string(i));
+    }
+    std::map<HostId, int> asked;
+    for (int i = 0; i < 17; ++i) {
+      f.relay.Tick(kStart + Millis(500 + 150 * i));
+    }
+    for (const auto& [host, query] : f.queries) {
+      ++asked[host];
+    }
+    CPPUNIT_ASSERT(asked["b"] >= 8 && asked["c"] >= 8);
+    // Every other host is queried as well, since the store may serve no other.
+    CPPUNIT_ASSERT_EQUAL(std::size_t{42}, asked.size());
+  }
+
   void CellMovesToAHostThatTheStoreServes() {
     Fixture f;
     f.relay.Tick(kStart + Millis(500));
