Measure the load of an owner, and hand over from one that is overloaded

Cause: an owner with 0.3 core and 10 Mbit/s kept the cell for 30 s while its messages waited in its link; its peers suspected it 523 times although its frames arrived. Which host is fit was a constant for all traffic.

Change: the owner measures bytes, processor time, and the delays of its links and starts every 250 ms (OwnerLoadGauge). Its own hand-overs use the need at the peak of the last minute instead of the default. If 6 of 8 samples have a delay over 250 ms and half of a resource is used, ChooseSuccessor picks a host with twice the capacity of that resource; all hosts are told (OwnerOverloaded), so that the cell does not return within 30 s. A host that received a frame of a connected owner within 900 ms does not suspect it. All this applies only among hosts with unlike links or processors, which member records now contain.

--- a/include/buckthornmux/detail/entry/calls.h
+++ b/include/buckthornmux/detail/entry/calls.h
@@ -92,6 +92,12 @@
   bool suspected = false;
 };
 
+/// Sent to all hosts by an owner that hands the cell over because it is
+/// overloaded.
+struct OwnerOverloaded {
+  Epoch epoch = 0;
+};
+
 /// Tells the next owner on which targets tasks may still run. Sent by the
 /// former owner, which takes no further action.
 struct FormerOwnerState {
--- a/include/buckthornmux/detail/entry/cell_host.h
+++ b/include/buckthornmux/detail/entry/cell_host.h
@@ -17,6 +17,7 @@
 #include "buckthornmux/detail/entry/calls.h"
 #include "buckthornmux/detail/entry/journal_writer.h"
 #include "buckthornmux/detail/entry/owner_calls.h"
+#include "buckthornmux/detail/entry/owner_load.h"
 #include "buckthornmux/detail/entry/rules_reader.h"
 #include "buckthornmux/detail/entry/settings.h"
 #include "buckthornmux/detail/net/http_client.h"
@@ -103,6 +104,11 @@
               std::string_view message);
   void OnAdviceAnswered(const AdviceReply& reply);
 
+  /// @brief Typical time that targets take to answer starts.
+  [[nodiscard]] Millis StartDelay(Time now) {
+    return m_start_delays.Typical(now);
+  }
+
   /// @brief Runs everything that is due.
   void Tick(Time now);
 
@@ -152,6 +158,7 @@
   std::vector<HostId> m_lanes;
   std::map<TargetId, ReportLoop> m_reports;
   OwnerCalls m_owner_calls;
+  CallDelays m_start_delays;
   std::function<void()> m_released;
   /// State of the targets when this host last closed the cell.
   std::optional<FormerOwnerState> m_final_state;
--- a/include/buckthornmux/detail/entry/owner_watch.h
+++ b/include/buckthornmux/detail/entry/owner_watch.h
@@ -37,6 +37,13 @@
  public:
   explicit OwnerWatch(OwnerWatchLinks links) : m_links(std::move(links)) {}
 
+  /// @brief Sets how long a connected owner must send no frame before it can
+  ///   count as failed. An owner whose link is full answers no ping in time,
+  ///   but its frames arrive. 0: frames are not considered.
+  void SetSilenceBound(Millis bound) { m_silence_bound = bound; }
+  /// @brief Handles the arrival of a frame of any kind.
+  void OnFrame(const HostId& host, Time now) { m_last_frame[host] = now; }
+
   /// @brief Runs the checks that are due.
   /// @param owner of the cell; empty if there is none or it is this host
   /// @param waiting_since when the oldest unanswered call was sent to it
@@ -61,6 +68,9 @@
     Time since;
   };
   [[nodiscard]] bool AliveSince(const HostId& host, Time since) const;
+  /// Whether a frame of the host has arrived since then; false without a
+  /// silence bound.
+  [[nodiscard]] bool FrameSince(const HostId& host, Time since) const;
   void QueryOtherHosts(Time now);
   void ReplyToQueries(Time now);
   void Reset(Time suspect_after);
@@ -70,6 +80,8 @@
 
   OwnerWatchLinks m_links;
   std::map<HostId, Time> m_last_alive;
+  std::map<HostId, Time> m_last_frame;
+  Millis m_silence_bound{0};
   HostId m_owner;
   /// Until this time an owner that has not replied to a call counts as reading
   /// the cell.
@@ -77,7 +89,8 @@
   /// Since when this host has no connection to the owner.
   std::optional<Time> m_disconnected_since;
   Stage m_stage = Stage::kIdle;
-  Time m_since;  ///< Start of the stage.
+  Time m_since;       ///< Start of the stage.
+  Time m_queried_at;  ///< Start of the last queries.
   Time m_suspect_after;
   std::uint64_t m_next_ask = 1;
   /// Unanswered queries to other hosts.
--- a/include/buckthornmux/detail/member/ownership.h
+++ b/include/buckthornmux/detail/member/ownership.h
@@ -22,8 +22,10 @@
   std::string peer_address;  ///< IP:port, TCP and UDP.
   std::string http_address;  ///< IP:port.
   DataCentre data_centre;
-  bool leaving = false;      ///< Claims no ranges and hands over its own.
-  std::uint32_t weight = 0;  ///< Relative capacity; 0: unknown.
+  bool leaving = false;           ///< Claims no ranges and hands over its own.
+  std::uint32_t weight = 0;       ///< Relative capacity; 0: unknown.
+  std::uint32_t cores_milli = 0;  ///< Processor share; 0: unknown.
+  std::uint32_t link_kbps = 0;    ///< Network link; 0: unknown.
 };
 
 /// Owner record of a range, which is a shard of targets or a request partition.
--- a/include/buckthornmux/detail/net/http_client.h
+++ b/include/buckthornmux/detail/net/http_client.h
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "buckthornmux/detail/net/http_types.h"
+#include "buckthornmux/detail/net/traffic.h"
 
 namespace boost::asio {
 class io_context;
@@ -27,6 +28,7 @@
   std::uint64_t max_body_bytes = 8 << 20;
   /// Clock of HttpRequest::connected_by; empty: the steady clock.
   std::function<Time()> clock;
+  Traffic* traffic = nullptr;  ///< Outlives the client; null: not counted.
 };
 
 /// @brief Calls peers by "IP:port" over persistent connections.
--- a/include/buckthornmux/detail/peer/peer_links.h
+++ b/include/buckthornmux/detail/peer/peer_links.h
@@ -6,7 +6,9 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <vector>
 
+#include "buckthornmux/detail/net/traffic.h"
 #include "buckthornmux/detail/peer/messages.h"
 
 namespace boost::asio {
@@ -26,6 +28,7 @@
   std::size_t max_queued = 16'384;  ///< Messages for one peer.
   /// Clock that peers learn, see PeerLinks::ClockOf; steady_clock if left out.
   std::function<Time()> clock;
+  net::Traffic* traffic = nullptr;  ///< Outlives the links; null: not counted.
 };
 
 /// Another entry host.
@@ -43,6 +46,9 @@
   std::function<void(Heartbeat)> heartbeat;
   /// The peer has answered a Ping; may be left out.
   std::function<void(const HostId& peer)> pong;
+  /// A frame of any kind has arrived on a connection that the peer opened; may
+  /// be left out.
+  std::function<void(const HostId& peer)> frame;
 };
 
 /// @brief One outgoing connection per peer for what this host sends; what it
@@ -79,6 +85,11 @@
   ///   any thread.
   void Reconnect(const HostId& peer);
 
+  /// @brief Delay of each link that is up: the largest of the age of its oldest
+  ///   unsent message, the age of its oldest unanswered Ping and the time that
+  ///   the last Ping took. Callable on the I/O thread only.
+  [[nodiscard]] std::vector<Millis> Delays() const;
+
   /// @brief Sends a heartbeat to every peer, from any thread.
   void SendHeartbeat(const Heartbeat& heartbeat);
 
--- a/include/buckthornmux/detail/runtime/metrics.h
+++ b/include/buckthornmux/detail/runtime/metrics.h
@@ -45,6 +45,8 @@
   kTargetsReserved,     ///< Targets reserved for a task on probation.
   kSuspectsWaiting,     ///< Waiting tasks that may have crashed targets.
   kLongestCrashHold,    ///< Longest wait that such tasks cause, ms.
+  kOwnerLinkKbps,       ///< Link rate of the owner, the larger direction.
+  kOwnerBusyPermille,   ///< Processor use of the owner, of its share.
   kCount,
 };
 
--- a/src/entry/cell_host.cc
+++ b/src/entry/cell_host.cc
@@ -350,8 +350,11 @@
   net::HttpRequest request = m_calls.start(start, m_cell->epoch);
   request.connected_by = start.connected_by;
   request.check = CheckOf(start);
+  const Time began = Now();
+  m_start_delays.Began(began);
   m_client.Call(target->second.entry.address, std::move(request), kOrderTimeout,
-                [this, answered](const auto& answer) {
+                [this, answered, began](const auto& answer) {
+                  m_start_delays.Ended(began, Now());
                   answered(m_calls.outcome(answer));
                 });
 }
--- a/src/entry/host.cc
+++ b/src/entry/host.cc
@@ -27,12 +27,17 @@
 
 constexpr Millis kTickInterval{50};
 constexpr Millis kPeerPingInterval{300};
-constexpr Millis kPeerSilenceTimeout{900};
 /// Enough for three watches and the repeated calls to a store that loses
 /// answers. Each of these calls keeps its connection until it times out.
 constexpr std::size_t kStoreConnections = 24;
 constexpr Millis kConnectTimeout{400};
 
+net::HttpClientOptions WithTraffic(net::HttpClientOptions options,
+                                   net::Traffic& traffic) {
+  options.traffic = &traffic;
+  return options;
+}
+
 net::HttpClientOptions StoreClientOptions() {
   net::HttpClientOptions options;
   options.max_connections_per_peer = kStoreConnections;
@@ -58,13 +63,16 @@
 }  // namespace
 
 member::Member SelfOf(const HostSettings& settings) {
+  constexpr double kMilli = 1000;
   return {settings.host,
           {},
           settings.ip + ":" + std::to_string(settings.peer_port),
           settings.callers_address,
           settings.data_centre,
           false,
-          WeightOf(settings.capacity)};
+          WeightOf(settings.capacity),
+          static_cast<std::uint32_t>(settings.capacity.cores * kMilli),
+          static_cast<std::uint32_t>(settings.capacity.link_mbps * kMilli)};
 }
 
 Host::Host(HostSettings settings, std::string settings_path)
@@ -73,8 +81,9 @@
       m_signals(m_io, SIGTERM, SIGINT, SIGHUP),
       m_timer(m_io),
       m_log(STDOUT_FILENO),
-      m_client(m_io, TargetClientOptions(kConnectTimeout)),
-      m_store_client(m_io, StoreClientOptions()),
+      m_client(m_io,
+               WithTraffic(TargetClientOptions(kConnectTimeout), m_traffic)),
+      m_store_client(m_io, WithTraffic(StoreClientOptions(), m_traffic)),
       m_store(MakeStore()),
       m_rules(m_store, std::string(platform::kRulesKey), platform::ParseRules,
               [this] { m_cell.SetRules(m_rules.Current()); }),
@@ -120,6 +129,7 @@
 MembershipEvents Host::MembershipHandlers() {
   return {[this](const member::OwnerRecord& record) {
             m_gained_at = Now();
+            m_owner_load.Restart();
             m_targets.SetActive(true);
             m_cell.Open(record, FormerLeaseLeft(record));
           },
@@ -192,7 +202,7 @@
           }};
 }
 
-peer::PeerLinkOptions Host::PeerOptions() const {
+peer::PeerLinkOptions Host::PeerOptions() {
   peer::PeerLinkOptions options;
   options.self = m_settings.host;
   options.incarnation = m_settings.host;
@@ -200,6 +210,7 @@
   options.ping_every = kPeerPingInterval;
   options.silent_after = kPeerSilenceTimeout;
   options.clock = Now;
+  options.traffic = &m_traffic;
   return options;
 }
 
@@ -224,7 +235,8 @@
             if (m_offer && m_offer->suspect == peer) {
               m_offer.reset();  // The suspected owner is alive.
             }
-          }};
+          },
+          [this](const HostId& peer) { m_owner_watch.OnFrame(peer, Now()); }};
 }
 
 OwnerWatchLinks Host::OwnerWatchHandlers() {
@@ -247,6 +259,8 @@
   HandlePause(m_pauses.TickBegan(now));
   MeasureSpeed(now);
   CheckSlowness(late, now);
+  MeasureLoad(now);
+  CheckLoad(now);
   CheckOwnership(now);
   CheckRelease(now);
   CheckOffer(now);
--- a/src/entry/host_calls.cc
+++ b/src/entry/host_calls.cc
@@ -68,6 +68,8 @@
     m_owner_watch.HandleQuery(from, *question, Now());
   } else if (const auto* liveness = std::get_if<LivenessReply>(&message)) {
     m_owner_watch.HandleReply(*liveness, Now());
+  } else if (std::holds_alternative<OwnerOverloaded>(message)) {
+    m_overloaded[from] = Now();
   } else if (const auto* state = std::get_if<FormerOwnerState>(&message)) {
     m_cell.HandleFinalState(*state);
   } else {
@@ -90,6 +92,8 @@
     }
   }
   m_peer_addresses = std::move(addresses);
+  m_owner_watch.SetSilenceBound(
+      HasUnlikeHosts(m_members.Members()) ? kPeerSilenceTimeout : Millis(0));
   std::vector<peer::PeerAddress> peers;
   for (const auto& [host, address] : m_peer_addresses) {
     peers.push_back({host, address});
--- a/src/entry/host_ownership.cc
+++ b/src/entry/host_ownership.cc
@@ -64,7 +64,7 @@
     return;
   }
   const auto to =
-      ChooseServedPeer(m_served_peers, Successors(), m_members.Members(), now);
+      ChooseServedPeer(m_served_peers, Successors(), WeighedMembers(), now);
   if (to &&
       HandOverTo(*to, "the store serves the other host but not this one")) {
     m_served_peers.clear();
@@ -121,8 +121,19 @@
   }
 }
 
+std::vector<member::Member> Host::WeighedMembers() const {
+  return Weighed(m_members.Members(), m_owner_load.Peak().value_or(HostNeed{}));
+}
+
 std::vector<HostId> Host::Successors() const {
-  return Replacements(m_settings.host);
+  std::vector<HostId> hosts = SuccessorsInOrder(
+      std::string(kRange), WeighedMembers(), [&](const HostId& host) {
+        return host != m_settings.host && m_links_up.contains(host);
+      });
+  std::ranges::stable_partition(hosts, [&, now = Now()](const HostId& host) {
+    return !OverloadedLately(m_overloaded, host, now);
+  });
+  return hosts;
 }
 
 std::vector<HostId> Host::Replacements(const HostId& former) const {
@@ -171,14 +182,16 @@
     (void)HandOver("reading the records makes no progress");
     return;
   }
-  const std::uint32_t own = WeightOf(m_settings.capacity);
+  const auto peak = m_owner_load.Peak();
+  if (peak && Carries(m_settings.capacity, *peak)) {
+    return;
+  }
+  const std::uint32_t own =
+      WeightOf(m_settings.capacity, peak.value_or(HostNeed{}));
   const std::vector<HostId> hosts = Successors();
-  const auto& members = m_members.Members();
-  const auto best = std::ranges::find_if(members, [&](const auto& known) {
-    return !hosts.empty() && known.id == hosts.front();
-  });
-  if (best != members.end() &&
-      member::HasInsufficientWeight(own, best->weight)) {
+  if (!hosts.empty() && !OverloadedLately(m_overloaded, hosts.front(), now) &&
+      member::HasInsufficientWeight(
+          own, WeightIn(WeighedMembers(), hosts.front()))) {
     (void)HandOver("the other host has more capacity");
   }
 }
--- a/src/entry/host_process.h
+++ b/src/entry/host_process.h
@@ -1,6 +1,7 @@
 /// Process of an entry host. Its source files are host.cc (wiring and timer),
-/// host_calls.cc (calls and messages), host_ownership.cc (owner of the cell)
-/// and host_lifecycle.cc (signals, settings and shutdown).
+/// host_calls.cc (calls and messages), host_ownership.cc (owner of the cell),
+/// host_load.cc (load of the owner) and host_lifecycle.cc (signals, settings
+/// and shutdown).
 #pragma once
 
 #include <boost/asio/io_context.hpp>
@@ -20,6 +21,7 @@
 #include "buckthornmux/detail/entry/log_buffer.h"
 #include "buckthornmux/detail/entry/membership.h"
 #include "buckthornmux/detail/entry/open_offer.h"
+#include "buckthornmux/detail/entry/owner_load.h"
 #include "buckthornmux/detail/entry/owner_watch.h"
 #include "buckthornmux/detail/entry/pause_watch.h"
 #include "buckthornmux/detail/entry/pending_replies.h"
@@ -42,6 +44,9 @@
 /// fleet would be divided into several ranges.
 inline constexpr std::string_view kRange = "cell/0";
 
+/// A connection to a peer that answers no ping for this long is replaced.
+inline constexpr Millis kPeerSilenceTimeout{900};
+
 /// Returns the member record that this host registers.
 [[nodiscard]] member::Member SelfOf(const HostSettings& settings);
 
@@ -62,7 +67,7 @@
   CallerLinks CallersLinks();
   StoreRelayLinks RelayLinks();
   CellHostEvents CellHandlers();
-  peer::PeerLinkOptions PeerOptions() const;
+  peer::PeerLinkOptions PeerOptions();
   peer::PeerEvents PeerHandlers();
   OwnerWatchLinks OwnerWatchHandlers();
   void Tick();
@@ -99,10 +104,18 @@
   /// Hands the cell over to the best host that the store serves while it
   /// rejects this one.
   void CheckServedPeers(Time now);
+  /// Measures what the cell needs of this host while it is the owner.
+  void MeasureLoad(Time now);
+  /// Hands the cell over to a host with more capacity if this one is
+  /// overloaded.
+  void CheckLoad(Time now);
   /// Moves an offer that was not accepted on to another host.
   void CheckOffer(Time now);
   /// Tells the next owner on which targets tasks may still run.
   void SendStateToNextOwner(Time now);
+  /// Members with the weights that the measured need of the cell gives them, or
+  /// their registered weights before it is measured.
+  [[nodiscard]] std::vector<member::Member> WeighedMembers() const;
   /// Other hosts that can claim the cell, the preferred one first.
   [[nodiscard]] std::vector<HostId> Successors() const;
   /// Hosts other than `former` that can claim its cell, the preferred one
@@ -151,6 +164,7 @@
   boost::asio::steady_timer m_timer;
   LogBuffer m_log;
   runtime::Metrics m_metrics;
+  net::Traffic m_traffic;    ///< Of all connections but those of callers.
   net::HttpClient m_client;  ///< For targets and the adviser.
   net::HttpClient m_store_client;
   StoreGauge m_gauge;
@@ -176,6 +190,16 @@
   Epoch m_suspected = 0;  ///< Epoch of the last suspected owner.
   std::optional<OpenOffer> m_offer;
   ServedPeers m_served_peers;
+  struct LoadCounters {
+    std::uint64_t sent = 0;
+    std::uint64_t received = 0;
+    std::chrono::microseconds busy{0};
+  };
+  LoadCounters m_load_counters;  ///< At m_load_at.
+  Time m_load_at;
+  OwnerLoadGauge m_owner_load;
+  OverloadedHosts m_overloaded;
+  Time m_overload_logged;
   std::optional<Time> m_release_began;  ///< Start of an unfinished release.
   bool m_passive = false;  ///< Owns nothing because this host is slow.
   Time m_passive_until;
--- a/src/entry/owner_watch.cc
+++ b/src/entry/owner_watch.cc
@@ -28,6 +28,9 @@
 /// The connection to an owner that reads the cell may have been closed because
 /// it sent nothing. An owner that is alive accepts a new one immediately.
 constexpr Millis kReconnectTimeout{400};
+/// An owner sends each host a ping every 300 ms. A host that received a frame
+/// within this time tells another one that the owner is alive.
+constexpr Millis kPeerFrameTimeout{400};
 /// Maximum number of hosts queried about one suspected owner.
 constexpr std::size_t kMaxHostsQueried = 4;
 
@@ -38,6 +41,12 @@
   return found != m_last_alive.end() && found->second >= since;
 }
 
+bool OwnerWatch::FrameSince(const HostId& host, Time since) const {
+  const auto found = m_last_frame.find(host);
+  return m_silence_bound > Millis(0) && found != m_last_frame.end() &&
+         found->second >= since;
+}
+
 void OwnerWatch::Reset(Time suspect_after) {
   m_stage = Stage::kIdle;
   m_suspect_after = suspect_after;
@@ -69,12 +78,14 @@
       }
     } else if (waiting_since &&
                now - *waiting_since >= TimeoutFor(kCallTimeout, now) &&
-               !AliveSince(m_owner, now - TimeoutFor(kCallTimeout, now))) {
+               !AliveSince(m_owner, now - TimeoutFor(kCallTimeout, now)) &&
+               !FrameSince(m_owner, now - m_silence_bound + kProbeTimeout)) {
       m_stage = Stage::kProbing;
       m_since = now;
       m_links.probe(m_owner);
     }
-  } else if (AliveSince(m_owner, m_since)) {
+  } else if (AliveSince(m_owner, m_since) ||
+             FrameSince(m_owner, std::max(m_since, m_queried_at))) {
     Reset(now);
   } else if (m_stage == Stage::kProbing &&
              now - m_since >= TimeoutFor(kProbeTimeout, now)) {
@@ -94,6 +105,7 @@
 void OwnerWatch::QueryOtherHosts(Time now) {
   m_stage = Stage::kQuerying;
   m_since = now;
+  m_queried_at = now;
   for (const HostId& peer : m_links.peers()) {
     if (peer != m_owner && m_open_queries.size() < kMaxHostsQueried) {
       const std::uint64_t ask = m_next_ask++;
@@ -140,7 +152,8 @@
 /// Replies to queries whose ping was answered or timed out.
 void OwnerWatch::ReplyToQueries(Time now) {
   std::erase_if(m_pending_queries, [&](const PendingQuery& query) {
-    const bool alive = AliveSince(query.ask.host, query.since);
+    const bool alive = AliveSince(query.ask.host, query.since) ||
+                       FrameSince(query.ask.host, now - kPeerFrameTimeout);
     const Millis timeout = query.ask.host == m_owner
                                ? TimeoutFor(kProbeTimeout, now)
                                : kProbeTimeout;
--- a/src/member/records.cc
+++ b/src/member/records.cc
@@ -35,13 +35,15 @@
   return number;
 }
 
-/// Parses the weight; 0 if it is missing, as in records of earlier releases.
-Result<std::uint32_t> ParseWeight(const json::object& object) {
-  if (!object.contains("weight")) {
+/// Parses a measure of capacity; 0 if it is missing, as in records of earlier
+/// releases.
+Result<std::uint32_t> ParseCapacity(const json::object& object,
+                                    std::string_view name) {
+  if (!object.contains(name)) {
     return 0U;
   }
-  BOOST_LEAF_AUTO(weight, ParseNumber(object, "weight"));
-  return static_cast<std::uint32_t>(weight);
+  BOOST_LEAF_AUTO(number, ParseNumber(object, name));
+  return static_cast<std::uint32_t>(number);
 }
 
 }  // namespace
@@ -53,7 +55,9 @@
                                       {"http_address", member.http_address},
                                       {"data_centre", member.data_centre},
                                       {"leaving", member.leaving},
-                                      {"weight", member.weight}});
+                                      {"weight", member.weight},
+                                      {"cores_milli", member.cores_milli},
+                                      {"link_kbps", member.link_kbps}});
 }
 
 Result<Member> DecodeMember(std::string_view text) {
@@ -69,7 +73,9 @@
     return Fail(ErrorKind::kMalformed, "expected true or false", "leaving");
   }
   member.leaving = leaving->as_bool();
-  BOOST_LEAF_ASSIGN(member.weight, ParseWeight(object));
+  BOOST_LEAF_ASSIGN(member.weight, ParseCapacity(object, "weight"));
+  BOOST_LEAF_ASSIGN(member.cores_milli, ParseCapacity(object, "cores_milli"));
+  BOOST_LEAF_ASSIGN(member.link_kbps, ParseCapacity(object, "link_kbps"));
   return member;
 }
 
@@ -89,7 +95,7 @@
   BOOST_LEAF_ASSIGN(record.owner, ParseText(object, "owner"));
   BOOST_LEAF_ASSIGN(record.incarnation, ParseText(object, "incarnation"));
   BOOST_LEAF_ASSIGN(record.epoch, ParseNumber(object, "epoch"));
-  BOOST_LEAF_ASSIGN(record.weight, ParseWeight(object));
+  BOOST_LEAF_ASSIGN(record.weight, ParseCapacity(object, "weight"));
   record.revision = revision;
   return record;
 }
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -235,9 +235,12 @@
     message.prepare_payload();
     connection.stream.expires_at(deadline);
     error_code error;
-    co_await http::async_write(
+    const std::size_t written = co_await http::async_write(
         connection.stream, message,
         asio::redirect_error(asio::use_awaitable, error));
+    if (options.traffic != nullptr) {
+      options.traffic->sent += written;
+    }
     if (error) {
       co_return OutcomeUnknown("sending: " + error.message());
     }
@@ -246,9 +249,12 @@
     parser.body_limit(options.max_body_bytes);
     const Millis stall = request.stall_timeout;
     while (!error && !parser.is_done()) {
-      co_await http::async_read_some(
+      const std::size_t parsed = co_await http::async_read_some(
           connection.stream, buffer, parser,
           asio::redirect_error(asio::use_awaitable, error));
+      if (options.traffic != nullptr) {
+        options.traffic->received += parsed;
+      }
       if (stall > Millis(0)) {
         connection.stream.expires_at(std::clamp(SteadyClock::now() + stall,
                                                 deadline,
--- a/src/peer/peer_links.cc
+++ b/src/peer/peer_links.cc
@@ -56,8 +56,9 @@
   Link(asio::io_context& io, PeerAddress peer_address)
       : peer(std::move(peer_address)), wake(io) {}
   PeerAddress peer;
-  std::mutex mutex;  ///< Guards queue, up and clock.
+  std::mutex mutex;  ///< Guards queue, queued_since, up and clock.
   std::deque<std::string> queue;
+  SteadyClock::time_point queued_since;  ///< Of the oldest message in queue.
   bool up = false;
   std::optional<PeerClock> clock;
   // Below: of the I/O thread only.
@@ -66,6 +67,10 @@
   SocketPtr socket;  ///< Of the current connection; coroutines hold their own.
   SteadyClock::time_point last_pong;
   bool ping_now = false;
+  std::optional<SteadyClock::time_point> ping_sent;  ///< Oldest unanswered one.
+  SteadyClock::duration ping_took{};
+  /// When the oldest of the messages that are being written was queued.
+  std::optional<SteadyClock::time_point> writing_since;
 
   void CloseSocket() const {
     error_code ignored;
@@ -105,6 +110,17 @@
     datagrams.bind(datagram_endpoint);
   }
 
+  void CountReceived(std::size_t bytes) const {
+    if (options.traffic != nullptr) {
+      options.traffic->received += bytes;
+    }
+  }
+  void CountSent(std::size_t bytes) const {
+    if (options.traffic != nullptr) {
+      options.traffic->sent += bytes;
+    }
+  }
+
   // The frames below are encoded outside of co_await expressions: g++ 12
   // destroys aggregate temporaries inside them twice.
   [[nodiscard]] std::string EncodeHello() const {
@@ -142,6 +158,10 @@
       if (message == nullptr) {
         break;  // Another version or no peer: the connection ends.
       }
+      self->CountReceived(bytes->size());
+      if (self->events.frame && !from.empty()) {
+        self->events.frame(from);
+      }
       if (const auto* hello = std::get_if<Hello>(message)) {
         from = hello->host;
       } else if (std::holds_alternative<Ping>(*message)) {
@@ -231,6 +251,10 @@
       }
       link->last_pong = SteadyClock::now();
       if (link->socket == socket) {
+        if (link->ping_sent) {
+          link->ping_took = link->last_pong - *link->ping_sent;
+          link->ping_sent.reset();
+        }
         self->LearnClock(*link, *pong);
       }
       if (self->events.pong) {
@@ -247,12 +271,17 @@
     {
       const std::scoped_lock lock(link.mutex);
       taken.swap(link.queue);
+      if (!taken.empty()) {
+        link.writing_since = link.queued_since;
+      }
     }
     for (const std::string& bytes : taken) {
       if (!co_await WriteFrame(*link.socket, bytes)) {
         co_return false;
       }
+      CountSent(bytes.size());
     }
+    link.writing_since.reset();
     co_return true;
   }
 
@@ -266,6 +295,7 @@
       if (now >= next_ping || link->ping_now) {
         link->ping_now = false;
         next_ping = now + options.ping_every;
+        link->ping_sent = link->ping_sent.value_or(now);
         if (!co_await WriteFrame(*link->socket, ping)) {
           co_return;
         }
@@ -295,6 +325,9 @@
       }
       link.up = up;
       link.queue.clear();
+      link.ping_sent.reset();
+      link.ping_took = {};
+      link.writing_since.reset();
       // The peer may come back as another process, with another clock.
       link.clock.reset();
     }
@@ -429,6 +462,9 @@
     if (!link->up || link->queue.size() >= m_impl->options.max_queued) {
       return false;
     }
+    if (link->queue.empty()) {
+      link->queued_since = SteadyClock::now();
+    }
     link->queue.push_back(std::move(bytes));
   }
   asio::post(m_impl->io, [link] { link->wake.cancel(); });
@@ -474,6 +510,26 @@
   });
 }
 
+std::vector<Millis> PeerLinks::Delays() const {
+  const auto now = SteadyClock::now();
+  std::vector<Millis> delays;
+  const std::scoped_lock lock(m_impl->mutex);
+  for (const auto& [host, link] : m_impl->links) {
+    const std::scoped_lock link_lock(link->mutex);
+    if (!link->up) {
+      continue;
+    }
+    SteadyClock::duration delay = link->ping_took;
+    delay = std::max(delay, now - link->ping_sent.value_or(now));
+    delay = std::max(delay, now - link->writing_since.value_or(now));
+    if (!link->queue.empty()) {
+      delay = std::max(delay, now - link->queued_since);
+    }
+    delays.push_back(std::chrono::duration_cast<Millis>(delay));
+  }
+  return delays;
+}
+
 void PeerLinks::SendHeartbeat(const Heartbeat& heartbeat) {
   asio::post(m_impl->io, [impl = m_impl, bytes = Encode(heartbeat)] {
     const std::scoped_lock lock(impl->mutex);
--- a/tests/unit-fit-owner.cc
+++ b/tests/unit-fit-owner.cc
@@ -344,10 +344,16 @@
   }
 
   void WeightsAreStored() {
-    const Member host = MakeHost("a", kLarge);
+    Member host = MakeHost("a", kLarge);
+    host.cores_milli = 500;
+    host.link_kbps = 200'000;
     const auto decoded = Capture(
         [&] { return member::DecodeMember(member::EncodeMember(host)); });
     CPPUNIT_ASSERT_EQUAL(kLarge, std::get<Member>(decoded).weight);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{500},
+                         std::get<Member>(decoded).cores_milli);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{200'000},
+                         std::get<Member>(decoded).link_kbps);
     const OwnerRecord record{"cell/0", "a", "a-1", 4, 7, kLarge};
     const auto read = Capture([&] {
       return member::DecodeOwnerRecord(member::EncodeOwnerRecord(record), 7);
--- a/tests/unit-owner-watch.cc
+++ b/tests/unit-owner-watch.cc
@@ -67,6 +67,9 @@
   CPPUNIT_TEST(NewOwnerIsNotSuspectedForTheOldOne);
   CPPUNIT_TEST(QueriedHostProbesBeforeItReplies);
   CPPUNIT_TEST(UnclaimedOfferGoesToAnotherHost);
+  CPPUNIT_TEST(OwnerOnAFullLinkIsNotSuspected);
+  CPPUNIT_TEST(SilentOwnerIsDetectedAfterTheSilenceBound);
+  CPPUNIT_TEST(QueriedHostCountsFrames);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -172,6 +175,56 @@
     CPPUNIT_ASSERT(!entry::NextOffer(offer, 5, hosts, now + Millis(5000)));
     CPPUNIT_ASSERT(!offer.has_value());
   }
+
+  // An owner whose link was full was suspected 523 times, since its answers to
+  // pings came late although its other frames arrived.
+  void OwnerOnAFullLinkIsNotSuspected() {
+    Fixture f;
+    f.watch.SetSilenceBound(Millis(900));
+    for (int i = 0; i < 10; ++i) {
+      f.watch.OnFrame("o", f.now);
+      f.Pass(Millis(750));
+      f.AllReplyNotAlive();
+    }
+    CPPUNIT_ASSERT(f.queries.empty());
+    CPPUNIT_ASSERT(f.failed.empty());
+  }
+
+  // The bound must not keep an owner that has failed.
+  void SilentOwnerIsDetectedAfterTheSilenceBound() {
+    Fixture f;
+    f.watch.SetSilenceBound(Millis(900));
+    f.watch.OnFrame("o", f.now);
+    f.Pass(Millis(900));
+    CPPUNIT_ASSERT(f.queries.empty());
+    f.Pass(Millis(100));
+    f.AllReplyNotAlive();
+    f.Pass(kTick);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.failed.size());
+    // The connections of a killed process are reset, which needs no bound.
+    Fixture killed;
+    killed.watch.SetSilenceBound(Millis(900));
+    killed.watch.OnFrame("o", killed.now);
+    killed.linked = {"b", "c"};
+    killed.Pass(kTick);
+    killed.AllReplyNotAlive();
+    killed.Pass(kTick);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, killed.failed.size());
+  }
+
+  // A queried host said that an owner on a full link is not alive.
+  void QueriedHostCountsFrames() {
+    Fixture f;
+    f.watch.SetSilenceBound(Millis(900));
+    f.watch.OnFrame("o", f.now);
+    f.watch.HandleQuery("b", LivenessQuery{7, "o"}, f.now + Millis(300));
+    f.watch.Tick("o", std::nullopt, f.now + Millis(400));
+    f.watch.HandleQuery("b", LivenessQuery{8, "o"}, f.now + Millis(450));
+    f.watch.Tick("o", std::nullopt, f.now + Millis(550));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, f.replies.size());
+    CPPUNIT_ASSERT(f.replies[0].second.alive);
+    CPPUNIT_ASSERT(!f.replies[1].second.alive);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(OwnerWatchTest);
--- a/tests/unit-peer.cc
+++ b/tests/unit-peer.cc
@@ -4,7 +4,9 @@
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <condition_variable>
+#include <future>
 #include <mutex>
 #include <thread>
 
@@ -67,6 +69,7 @@
   CPPUNIT_TEST(RefusesForeignBytes);
   CPPUNIT_TEST(SendsBothWays);
   CPPUNIT_TEST(SilentLinkGoesDown);
+  CPPUNIT_TEST(UnansweredPingIsADelay);
   CPPUNIT_TEST(ProbeBringsASignAndReconnectANewLink);
   CPPUNIT_TEST(ClockOfAPeerIsNeverAhead);
   CPPUNIT_TEST_SUITE_END();
@@ -142,6 +145,36 @@
     }));
   }
 
+  // An owner did not notice that the answers to its pings came late.
+  void UnansweredPingIsADelay() {
+    Inbox inbox;
+    IoThread io;
+    asio::ip::tcp::acceptor silent(io.io,
+                                   {asio::ip::make_address("127.0.0.1"), 0});
+    net::Traffic traffic;
+    PeerLinks links(io.io,
+                    {.self = "a",
+                     .listen = FreeAddress(),
+                     .ping_every = Millis(60'000),
+                     .silent_after = Millis(120'000),
+                     .traffic = &traffic},
+                    inbox.Events());
+    const std::vector<PeerAddress> peers{
+        {"b", "127.0.0.1:" + std::to_string(silent.local_endpoint().port())}};
+    links.SetPeers(peers);
+    CPPUNIT_ASSERT(inbox.WaitFor([&] { return !inbox.links.empty(); }));
+    CPPUNIT_ASSERT(links.Send("b", CallGone{1}));
+    constexpr Millis kDelay{60};
+    std::this_thread::sleep_for(kDelay);
+    std::promise<std::vector<Millis>> measured;
+    asio::post(io.io, [&] { measured.set_value(links.Delays()); });
+    const std::vector<Millis> delays = measured.get_future().get();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, delays.size());
+    // The ping that is sent once the link is up is not answered.
+    CPPUNIT_ASSERT(delays[0] >= kDelay / 2);
+    CPPUNIT_ASSERT(traffic.sent > 0);
+  }
+
   void ProbeBringsASignAndReconnectANewLink() {
     Inbox inbox;
     Inbox other;
