Evacuation of a data centre on request of the operators

Cause: operators need to keep new work off the targets of a data centre for a while; so far only single targets could drain.

A target of such a data centre gets no start and no repeated one, takes no part in planning rounds, gang reservations and requests for tickets, and its tickets are dropped. A new owner starts nothing before its first list. An owner that the store rejects asks other hosts, which then read the list for it. If all targets are evacuated, the cell refuses as a full one. With the setting, urgent tasks prefer warm targets. Without the setting nothing changes: no additional store call or message is sent.

--- a/include/buckthornmux/detail/cell/cell.h
+++ b/include/buckthornmux/detail/cell/cell.h
@@ -130,6 +130,8 @@
   std::size_t suspects_waiting = 0;
   /// Longest current wait that such a suspicion causes, for any task.
   Millis longest_crash_hold{0};
+  /// Listed targets of evacuated data centres; not part of `targets`.
+  std::size_t targets_evacuated = 0;
 };
 [[nodiscard]] Load LoadOf(const Cell& cell, Time now);
 
@@ -172,6 +174,13 @@
 void SetTargets(Cell& cell, Actions& actions,
                 std::span<const TargetEntry> entries, Time now);
 
+/// @brief Sets the data centres that are being evacuated. From now on no start
+///   is sent to their targets, neither a first nor a repeated one; their runs
+///   continue. Their tickets are dropped.
+/// @param data_centres the complete list; it replaces the former one
+void SetEvacuated(Cell& cell, Actions& actions,
+                  std::vector<DataCentre> data_centres, Time now);
+
 /// @brief Sets the hosts through which the adviser can be queried.
 void SetLanes(Cell& cell, std::span<const HostId> hosts);
 
--- a/include/buckthornmux/detail/cell/state.h
+++ b/include/buckthornmux/detail/cell/state.h
@@ -68,6 +68,12 @@
   double busy_backlog = 0.3;
   /// Maximum free fraction of the CPU capacity at which such jobs are refused.
   double busy_free = 0.15;
+  /// Nothing starts before the first SetEvacuated: the former owner may have
+  /// known of evacuations that this one doesn't.
+  bool await_evacuations = false;
+  /// Urgent tasks start on targets that still warm up only if no other target
+  /// has room.
+  bool avoid_cold = false;
 };
 
 enum class RunPhase : std::uint8_t {
@@ -478,6 +484,9 @@
   std::size_t recurring_steps = 0;
   std::size_t job_bytes = 0;  ///< Approximate memory of all jobs.
   std::size_t run_count = 0;  ///< Number of runs on all targets.
+  /// Data centres whose targets get no starts. Some may have no targets.
+  std::set<DataCentre> evacuated;
+  bool evacuated_known = false;  ///< SetEvacuated has been called.
   std::vector<AdviceLane> lanes;
   std::map<std::uint64_t, OpenAdvice> open_advice;
   std::map<QueueName, AdviceStats> advice_stats;
--- a/include/buckthornmux/detail/entry/calls.h
+++ b/include/buckthornmux/detail/entry/calls.h
@@ -83,6 +83,25 @@
   member::OwnerRecord owner;  ///< The range is empty if no owner is registered.
 };
 
+/// The data centres that operators want to be evacuated.
+struct EvacuationList {
+  std::vector<DataCentre> data_centres;
+  Revision revision = 0;  ///< Of the store as the list was read.
+};
+
+/// Sent by an owner that the store rejects: asks another host for the
+/// evacuation requests.
+struct EvacuationQuery {
+  std::uint64_t ask = 0;
+};
+
+/// Reply to an EvacuationQuery.
+struct EvacuationStatus {
+  std::uint64_t ask = 0;
+  EvacuationList list;
+  Millis age{0};  ///< Time since the list was certainly the latest.
+};
+
 /// Asks the receiver to claim a range that the sender has abandoned or whose
 /// owner no host can reach.
 struct RangeOffer {
--- a/include/buckthornmux/detail/entry/cell_host.h
+++ b/include/buckthornmux/detail/entry/cell_host.h
@@ -93,6 +93,9 @@
 
   void SetRules(const RulesPtr& rules);
   void SetTargets(std::span<const cell::TargetEntry> entries);
+  /// @brief Sets the data centres that are being evacuated, as read since the
+  ///   cell was opened.
+  void SetEvacuated(std::span<const DataCentre> data_centres);
   /// @brief Sets the hosts through which requests to the adviser are sent.
   void SetLanes(std::span<const HostId> hosts);
 
@@ -150,6 +153,8 @@
   RulesPtr m_rules;
   std::vector<cell::TargetEntry> m_entries;
   std::vector<HostId> m_lanes;
+  /// Empty until a list was read since the cell was opened.
+  std::optional<std::vector<DataCentre>> m_evacuated;
   std::map<TargetId, ReportLoop> m_reports;
   OwnerCalls m_owner_calls;
   std::function<void()> m_released;
--- a/include/buckthornmux/detail/entry/settings.h
+++ b/include/buckthornmux/detail/entry/settings.h
@@ -20,6 +20,12 @@
   Millis status_kept{120'000};  ///< How long ended jobs can be queried.
   Millis finish{14'000};  ///< Longest wait of a job that there is room for.
   double far_factor = 3;  ///< Slowdown of tasks far from their data.
+  /// From this time after the request, no task begins on a target of an
+  /// evacuated data centre; 0: requests aren't read.
+  Millis evacuate_within{0};
+  /// Not used: no page of the platform explains how it is counted.
+  double cold_overage = 1.5;
+  double cold_slack = 5;  ///< Not used, for the same reason.
 };
 
 /// Resources of this process, as configured by the operators.
--- a/include/buckthornmux/detail/peer/messages.h
+++ b/include/buckthornmux/detail/peer/messages.h
@@ -73,7 +73,8 @@
                  ConfigText, ConfigWanted, entry::CellCall, entry::CellReply,
                  entry::AdviceRequest, entry::AdviceReply, entry::StoreQuery,
                  entry::StoreStatus, entry::RangeOffer, entry::LivenessQuery,
-                 entry::LivenessReply, entry::FormerOwnerState>;
+                 entry::LivenessReply, entry::FormerOwnerState,
+                 entry::EvacuationQuery, entry::EvacuationStatus>;
 
 /// State of one shard in a heartbeat.
 struct ShardBeat {
--- a/src/cell/advice/advice.cc
+++ b/src/cell/advice/advice.cc
@@ -396,6 +396,9 @@
     }
     advice.unusable.erase(ticket.target);
     advice.usable.insert(ticket.target);
+    if (IsEvacuated(cell, *target)) {
+      continue;  // The evacuation began while the call was open.
+    }
     advice.tickets[ticket.target] = {
         ticket.text, now + queue->advice->valid - cell.options.ticket_margin,
         target->entry.life};
--- a/src/cell/internal.h
+++ b/src/cell/internal.h
@@ -145,8 +145,8 @@
 void SendStopNow(Cell& cell, Actions& actions, Target& target, const RunId& id,
                  Run& run, Time now);
 
-/// Sends unanswered starts again, or stops them, that a shrunk room or a
-/// lowered team limit held back.
+/// Sends unanswered starts again, or stops them, that a shrunk room, a lowered
+/// team limit or an evacuation held back.
 void SettleHeldStarts(Cell& cell, Actions& actions, Target& target, Time now);
 
 /// Repeats the stops that were not answered.
@@ -199,7 +199,15 @@
 /// Stops the runs on a draining target that won't end before it leaves, so that
 /// their tasks continue elsewhere from a fresh checkpoint. Without a stop they
 /// would be lost, and their tasks would wait for the end of the lease.
-void EvacuateTarget(Cell& cell, Actions& actions, Target& target, Time now);
+void StopRunsThatOutlast(Cell& cell, Actions& actions, Target& target,
+                         Time now);
+
+/// Whether a target is in a data centre that is being evacuated.
+[[nodiscard]] bool IsEvacuated(const Cell& cell, const Target& target);
+
+/// Whether a start, a first or a repeated one, may be sent to a target. It may
+/// not if the target is evacuated, or while that isn't known.
+[[nodiscard]] bool MayStartOn(const Cell& cell, const Target& target);
 
 /// Advances the acknowledged end up to the first whose job isn't stored.
 void AdvanceAcks(Cell& cell, Target& target);
--- a/src/cell/placement/evacuation.cc
+++ b/src/cell/placement/evacuation.cc
@@ -1,53 +1,88 @@
+// Evacuation of data centres: which targets get no starts.
+#include <algorithm>
+#include <iterator>
+#include <string>
+#include <string_view>
+#include <unordered_set>
+#include <utility>
+
 #include "src/cell/internal.h"
 
 namespace buckthornmux::cell {
 namespace {
 
-/// Time for the order of a stop and for the report of its end, on top of the
-/// time that a stop takes.
-constexpr Millis kEvacuationMargin{300};
+/// Logs that the evacuation of a data centre began or ended.
+void NoteEvacuation(const Cell& cell, Actions& actions, std::string event,
+                    const DataCentre& data_centre) {
+  std::size_t targets = 0;
+  std::size_t runs = 0;
+  for (const auto& [id, target] : cell.targets) {
+    if (target.entry.data_centre == data_centre) {
+      targets += target.listed ? 1 : 0;
+      runs += target.runs.size();
+    }
+  }
+  Note(actions, std::move(event),
+       {{"data_centre", data_centre},
+        {"targets", std::to_string(targets)},
+        {"runs", std::to_string(runs)}});
+}
 
-/// Estimates when a run ends, from its progress or else from its declared run
-/// time; never for tasks of a service.
-Time ExpectedEnd(const Run& run, bool service, Time now) {
-  if (service) {
-    return Time::max();
+/// Drops the tickets for evacuated targets. Which targets a step may use stays
+/// known, since that holds after the evacuation too.
+void DropTickets(Cell& cell) {
+  std::unordered_set<std::string_view> evacuated;
+  for (const auto& [id, target] : cell.targets) {
+    if (IsEvacuated(cell, target)) {
+      evacuated.insert(id);
+    }
+  }
+  if (evacuated.empty()) {
+    return;
   }
-  if (const auto run_time = EstimateRunTime(run, now)) {
-    constexpr int kAllPercent = 100;
-    return now + *run_time * (kAllPercent - run.percent) / kAllPercent;
+  for (auto& [id, job] : cell.jobs) {
+    for (auto& [number, occurrence] : job.occurrences) {
+      for (Step& step : occurrence.steps) {
+        std::erase_if(step.advice.tickets, [&](const auto& ticket) {
+          return evacuated.contains(ticket.first);
+        });
+      }
+    }
   }
-  const Time began = run.phase == RunPhase::kSent ? now : run.confirmed_at;
-  return std::max(now, began + run.estimate);
 }
 
-bool IsService(const Cell& cell, const RunId& id) {
-  const Job* job = FindJob(cell, id.task.job);
-  return job != nullptr && id.task.step < job->spec.steps.size() &&
-         job->spec.steps[id.task.step].service;
+}  // namespace
+
+bool IsEvacuated(const Cell& cell, const Target& target) {
+  return cell.evacuated.contains(target.entry.data_centre);
 }
 
-}  // namespace
+bool MayStartOn(const Cell& cell, const Target& target) {
+  return (cell.evacuated_known || !cell.options.await_evacuations) &&
+         !IsEvacuated(cell, target);
+}
 
-void EvacuateTarget(Cell& cell, Actions& actions, Target& target, Time now) {
-  if (!target.leaves_at || target.silent) {
+void SetEvacuated(Cell& cell, Actions& actions,
+                  std::vector<DataCentre> data_centres, Time /*now*/) {
+  const std::set<DataCentre> former = std::exchange(
+      cell.evacuated, {std::make_move_iterator(data_centres.begin()),
+                       std::make_move_iterator(data_centres.end())});
+  const bool first = !std::exchange(cell.evacuated_known, true);
+  if (!first && former == cell.evacuated) {
     return;
   }
-  const Time last_stop =
-      *target.leaves_at - cell.options.stop_time - kEvacuationMargin;
-  if (now < last_stop || now >= *target.leaves_at) {
-    return;
-  }
-  std::vector<RunId> lost;
-  for (const auto& [id, run] : target.runs) {
-    if (run.phase != RunPhase::kStopping &&
-        ExpectedEnd(run, IsService(cell, id), now) > *target.leaves_at) {
-      lost.push_back(id);
+  for (const DataCentre& ended : former) {
+    if (!cell.evacuated.contains(ended)) {
+      NoteEvacuation(cell, actions, "evacuation_ended", ended);
     }
   }
-  for (const RunId& id : lost) {
-    StopRun(cell, actions, target, id, "target leaves", now);
+  for (const DataCentre& began : cell.evacuated) {
+    if (!former.contains(began)) {
+      NoteEvacuation(cell, actions, "evacuation_began", began);
+    }
   }
+  DropTickets(cell);
+  cell.plan_due = true;
 }
 
 }  // namespace buckthornmux::cell
--- a/src/cell/placement/plan.cc
+++ b/src/cell/placement/plan.cc
@@ -120,11 +120,14 @@
 constexpr double kFailedTargetPenalty = 5;
 /// Urgent work on a target that is reserved for a gang delays the gang.
 constexpr double kReservedTargetPenalty = 1;
+/// A cold target gets urgent work only if no warm one near the data has room.
+constexpr double kColdTargetPenalty = 4;
 
 /// Scores a slot for a task; lower is better.
-double Score(const Slot& slot, const Resources& room, const StepSpec& spec,
+double Score(const Options& options, const Slot& slot, const Resources& room,
              const Task* task, const Candidate& candidate) {
   const Target& target = *slot.target;
+  const StepSpec& spec = candidate.Spec();
   const auto total = static_cast<double>(
       std::max<std::int64_t>(1, target.entry.capacity.cpu_milli));
   const double left =
@@ -134,6 +137,10 @@
   if (slot.reserved.cpu_milli > 0) {
     score += kReservedTargetPenalty;
   }
+  if (options.avoid_cold && candidate.Urgent() &&
+      target.entry.cold > Millis(0)) {
+    score += kColdTargetPenalty;
+  }
   if (!spec.data_rack.empty() &&
       std::ranges::count(target.entry.labels, spec.data_rack) == 0) {
     score += kRemoteDataPenalty;
@@ -158,7 +165,8 @@
         SlotsOn(target, room, spec, candidate.ref) == 0) {
       continue;
     }
-    const double score = Score(*slot, room, spec, task, candidate);
+    const double score =
+        Score(round.cell.options, *slot, room, task, candidate);
     if (best == nullptr || score < best_score) {
       best = slot;
       best_score = score;
@@ -397,7 +405,9 @@
 
 void AddTargets(const Cell& cell, Load& load) {
   for (const auto& [id, target] : cell.targets) {
-    if (target.reported && target.listed && !target.entry.draining) {
+    if (target.listed && IsEvacuated(cell, target)) {
+      ++load.targets_evacuated;
+    } else if (target.reported && target.listed && !target.entry.draining) {
       ++load.targets;
       load.capacity += target.entry.capacity;
       load.free += RoomOf(target);
@@ -411,6 +421,14 @@
   AddTargets(cell, load);
   cell.capacity_cpu = load.capacity.cpu_milli;
   cell.free_cpu = load.free.cpu_milli;
+  if (load.targets > 0 || load.targets_evacuated == 0) {
+    return;
+  }
+  // If all targets are evacuated, the cell counts as a full one and not as one
+  // without targets, so that jobs beyond a team's share are refused.
+  for (const auto& [id, target] : cell.targets) {
+    cell.capacity_cpu += target.listed ? target.entry.capacity.cpu_milli : 0;
+  }
 }
 
 /// Returns the waiting steps, and updates the backlog of the cell.
--- a/src/cell/placement/round.cc
+++ b/src/cell/placement/round.cc
@@ -100,7 +100,8 @@
     if (target.reported && target.recorded && target.listed &&
         target.listed_life == target.entry.life && !target.entry.draining &&
         !target.silent && !target.failing_since && target.unknown_runs == 0 &&
-        now >= target.health.suspended_until && MayTry(target, now)) {
+        now >= target.health.suspended_until && MayTry(target, now) &&
+        MayStartOn(cell, target)) {
       round.slots.push_back({&target, RoomOf(target), {}});
       MarkRecentRuns(cell, round.slots.back(), now);
     }
--- a/src/cell/runs/runs.cc
+++ b/src/cell/runs/runs.cc
@@ -43,10 +43,12 @@
   }
 }
 
-/// Whether a start may be sent again. The target's room may have shrunk, or the
-/// team's limit may have been lowered, since the run was reserved.
+/// Whether a start may be sent again. Since the run was reserved, the target's
+/// room may have shrunk, the team's limit may have been lowered, or the
+/// evacuation of the target's data centre may have begun.
 bool MayResendStart(const Cell& cell, const Target& target, const Run& run) {
-  return target.used.FitsIn(target.entry.capacity) &&
+  return MayStartOn(cell, target) &&
+         target.used.FitsIn(target.entry.capacity) &&
          TeamAllows(cell, run.team, {});
 }
 
@@ -432,9 +434,8 @@
   }
 }
 
-/// Decides unanswered starts that were not sent again because their target's
-/// room had shrunk or their team's limit was lowered: it may have grown again,
-/// or a report tells that they don't run.
+/// Decides unanswered starts that were held back by MayResendStart: they may be
+/// sent again now, or a report tells that they don't run.
 void SettleHeldStarts(Cell& cell, Actions& actions, Target& target, Time now) {
   std::vector<RunId> held;
   for (const auto& [id, run] : target.runs) {
--- a/src/cell/tick.cc
+++ b/src/cell/tick.cc
@@ -50,7 +50,7 @@
 
 void Tick(Cell& cell, Actions& actions, Time now) {
   for (auto& [id, target] : cell.targets) {
-    EvacuateTarget(cell, actions, target, now);
+    StopRunsThatOutlast(cell, actions, target, now);
     SettleHeldStarts(cell, actions, target, now);
     ResendStops(cell, actions, target, now);
     ExpireTarget(cell, actions, target, now);
--- a/src/entry/cell_host.cc
+++ b/src/entry/cell_host.cc
@@ -52,6 +52,8 @@
   constexpr Millis kStartSlack{1000};
   options.first_hold_limit =
       std::max(bounds.finish / 2, bounds.finish - kStartSlack);
+  options.await_evacuations = bounds.evacuate_within > Millis(0);
+  options.avoid_cold = options.await_evacuations;
   options.job_retention = bounds.status_kept + kStatusSlack;
   return options;
 }
@@ -117,9 +119,10 @@
   m_journal.Close();
   m_owner.reset();
   m_cell.reset();
+  m_evacuated.reset();
   for (const Gauge gauge :
        {Gauge::kOccurrencesWaiting, Gauge::kJobsBehind, Gauge::kStepsWaiting,
-        Gauge::kRuns, Gauge::kJobBytes}) {
+        Gauge::kRuns, Gauge::kJobBytes, Gauge::kTargetsEvacuated}) {
     m_metrics.Set(gauge, 0);
   }
   m_reports.clear();
@@ -167,6 +170,9 @@
       .With("failures", m_journal.LastReading().failures)
       .With("took_ms", (now - m_cell->claimed_at).count());
   cell::SetTargets(*m_cell, actions, m_entries, now);
+  if (m_evacuated) {
+    cell::SetEvacuated(*m_cell, actions, *m_evacuated, now);
+  }
   cell::SetLanes(*m_cell, m_lanes);
   cell::StartService(*m_cell, actions, now);
   RunActions(std::move(actions));
@@ -235,6 +241,19 @@
   }
 }
 
+void CellHost::SetEvacuated(std::span<const DataCentre> data_centres) {
+  if (!m_cell) {
+    return;  // A later term of ownership needs a later list.
+  }
+  m_evacuated.emplace(data_centres.begin(), data_centres.end());
+  if (Serving()) {
+    cell::Actions actions;
+    cell::SetEvacuated(*m_cell, actions, *m_evacuated, Now());
+    RunActions(std::move(actions));
+    SchedulePump();
+  }
+}
+
 void CellHost::SetLanes(std::span<const HostId> hosts) {
   m_lanes.assign(hosts.begin(), hosts.end());
   if (m_cell) {
@@ -461,6 +480,7 @@
   m_metrics.Set(Gauge::kRuns, load.runs);
   m_metrics.Set(Gauge::kJobBytes, load.job_bytes);
   m_metrics.Set(Gauge::kTargetsReserved, load.targets_reserved);
+  m_metrics.Set(Gauge::kTargetsEvacuated, load.targets_evacuated);
   m_metrics.Set(Gauge::kSuspectsWaiting, load.suspects_waiting);
   m_metrics.Set(Gauge::kLongestCrashHold,
                 static_cast<std::uint64_t>(load.longest_crash_hold.count()));
--- a/src/entry/host.cc
+++ b/src/entry/host.cc
@@ -11,6 +11,7 @@
 #include "buckthornmux/detail/entry/status_server.h"
 #include "buckthornmux/detail/entry/target_connections.h"
 #include "host_process.h"
+#include "platform/evacuations.h"
 #include "platform/jobs.h"
 #include "platform/kv_store.h"
 #include "platform/names.h"
@@ -28,7 +29,7 @@
 constexpr Millis kTickInterval{50};
 constexpr Millis kPeerPingInterval{300};
 constexpr Millis kPeerSilenceTimeout{900};
-/// Enough for three watches and the repeated calls to a store that loses
+/// Enough for four watches and the repeated calls to a store that loses
 /// answers. Each of these calls keeps its connection until it times out.
 constexpr std::size_t kStoreConnections = 24;
 constexpr Millis kConnectTimeout{400};
@@ -81,11 +82,17 @@
       m_targets(m_store, std::string(platform::kTargetsPrefix),
                 platform::ParseTarget,
                 [this](const auto& entries) { m_cell.SetTargets(entries); }),
+      m_evacuations(m_store, std::string(platform::kEvacuationsPrefix),
+                    platform::ParseEvacuation,
+                    [this](const auto& data_centres) {
+                      m_cell.SetEvacuated(data_centres);
+                    }),
       m_members(m_store, SelfOf(m_settings), {{std::string(kRange), {}}},
                 MembershipHandlers()),
       m_cell(m_io, m_settings, m_store, m_client, m_metrics, MakeTargetCalls(),
              CellHandlers()),
       m_relay(m_rules, m_gauge, RelayLinks()),
+      m_evacuation_relay(m_evacuations, EvacuationLinks()),
       m_callers(m_io, m_settings.callers_address, MakeCallerCodec(), m_rules,
                 m_settings.bounds.key_trust, m_metrics, CallersLinks()),
       m_owner_watch(OwnerWatchHandlers()),
@@ -120,18 +127,18 @@
 MembershipEvents Host::MembershipHandlers() {
   return {[this](const member::OwnerRecord& record) {
             m_gained_at = Now();
-            m_targets.SetActive(true);
+            SetReadersActive(true);
             m_cell.Open(record, FormerLeaseLeft(record));
           },
           [this](const std::string& /*range*/) {
-            m_targets.SetActive(false);
+            SetReadersActive(false);
             m_cell.Close("owned by another host");
           },
           [this](const std::string& range) {
             m_release_began = Now();
             m_cell.Release([this, range] {
               if (!HandOver("released")) {
-                m_targets.SetActive(false);
+                SetReadersActive(false);
                 m_members.Released(range);
               }
             });
@@ -166,6 +173,21 @@
           }};
 }
 
+EvacuationRelayLinks Host::EvacuationLinks() {
+  return {[this] { return Successors(); },
+          [this](const HostId& to, const EvacuationQuery& query) {
+            SendTo(to, query);
+          },
+          [this](const HostId& to, const EvacuationStatus& status) {
+            SendTo(to, status);
+          }};
+}
+
+void Host::SetReadersActive(bool active) {
+  m_targets.SetActive(active);
+  m_evacuations.SetActive(active && EvacuationsOn(), Now());
+}
+
 CellHostEvents Host::CellHandlers() {
   return {[this](const HostId& to, const CellReply& reply) {
             if (to == m_settings.host) {
@@ -250,6 +272,8 @@
   m_relay.Tick(now);
   m_rules.Tick(now);
   m_targets.Tick(now);
+  m_evacuations.Tick(now);
+  m_evacuation_relay.Tick(FailingSince(m_gauge, now).has_value(), now);
   m_members.Tick(now);
   m_cell.Tick(now);
   m_callers.Tick(now);
--- a/src/entry/host_calls.cc
+++ b/src/entry/host_calls.cc
@@ -70,6 +70,12 @@
     m_owner_watch.HandleReply(*liveness, Now());
   } else if (const auto* state = std::get_if<FormerOwnerState>(&message)) {
     m_cell.HandleFinalState(*state);
+  } else if (const auto* query = std::get_if<EvacuationQuery>(&message)) {
+    if (EvacuationsOn()) {
+      m_evacuation_relay.HandleQuery(from, *query, Now());
+    }
+  } else if (const auto* list = std::get_if<EvacuationStatus>(&message)) {
+    m_evacuation_relay.HandleStatus(*list);
   } else {
     LogLine("message_unexpected", Level::kWarning)
         .With("from", from)
--- a/src/entry/host_process.h
+++ b/src/entry/host_process.h
@@ -17,6 +17,8 @@
 #include "buckthornmux/detail/entry/callers.h"
 #include "buckthornmux/detail/entry/cell_host.h"
 #include "buckthornmux/detail/entry/clock.h"
+#include "buckthornmux/detail/entry/evacuation_reader.h"
+#include "buckthornmux/detail/entry/evacuation_relay.h"
 #include "buckthornmux/detail/entry/log_buffer.h"
 #include "buckthornmux/detail/entry/membership.h"
 #include "buckthornmux/detail/entry/open_offer.h"
@@ -60,6 +62,13 @@
   store::AsyncStore MakeStore();
   CallerLinks CallersLinks();
   StoreRelayLinks RelayLinks();
+  EvacuationRelayLinks EvacuationLinks();
+  /// Starts or stops what only the cell's owner reads from the store.
+  void SetReadersActive(bool active);
+  /// Whether operators may request evacuations in this deployment.
+  [[nodiscard]] bool EvacuationsOn() const {
+    return m_settings.bounds.evacuate_within > Millis(0);
+  }
   CellHostEvents CellHandlers();
   peer::PeerLinkOptions PeerOptions() const;
   peer::PeerEvents PeerHandlers();
@@ -153,9 +162,11 @@
   store::AsyncStore m_store;
   RulesReader m_rules;
   TargetReader m_targets;
+  EvacuationReader m_evacuations;
   Membership m_members;
   CellHost m_cell;
   StoreRelay m_relay;
+  EvacuationRelay m_evacuation_relay;
   Callers m_callers;
   OwnerWatch m_owner_watch;
   peer::PeerLinks m_peers;
--- a/tests/unit-platform.cc
+++ b/tests/unit-platform.cc
@@ -5,6 +5,7 @@
 #include <boost/json.hpp>
 
 #include "platform/adviser.h"
+#include "platform/evacuations.h"
 #include "platform/jobs.h"
 #include "platform/orders.h"
 #include "platform/rules.h"
@@ -45,6 +46,8 @@
   CPPUNIT_TEST_SUITE(PlatformTest);
   CPPUNIT_TEST(ParsesSettings);
   CPPUNIT_TEST(RefusesInvalidSettings);
+  CPPUNIT_TEST(EvacuationsAreOffUnlessTheirBoundIsSet);
+  CPPUNIT_TEST(ParsesEvacuations);
   CPPUNIT_TEST(ParsesRules);
   CPPUNIT_TEST(RefusesInvalidRules);
   CPPUNIT_TEST(ParsesTargets);
@@ -75,6 +78,39 @@
     CPPUNIT_ASSERT(settings.bounds.status_kept == Millis(120'000));
   }
 
+  // Guards against evacuations in deployments that didn't ask for them.
+  void EvacuationsAreOffUnlessTheirBoundIsSet() {
+    const auto off = ValueOf([] { return ParseSettings(kSettings); });
+    CPPUNIT_ASSERT(off.bounds.evacuate_within == Millis(0));
+    const std::string text = std::string(kSettings) +
+                             "bounds.evacuate_ms=5000\nbounds.cold_slack=7\n";
+    const auto on = ValueOf([&] { return ParseSettings(text); });
+    CPPUNIT_ASSERT(on.bounds.evacuate_within == Millis(5000));
+    CPPUNIT_ASSERT_EQUAL(7.0, on.bounds.cold_slack);
+    for (const char* field : {"evacuate_ms", "cold_overage", "cold_slack"}) {
+      const std::string odd =
+          std::string(kSettings) + "bounds." + field + "=-1\n";
+      CPPUNIT_ASSERT(KindOf([&] { return ParseSettings(odd); }) ==
+                     ErrorKind::kMalformed);
+    }
+  }
+
+  // Guards against names that no data centre has, and against refusing others.
+  void ParsesEvacuations() {
+    const std::string prefix = "op/evacuate/";
+    for (const std::string& name :
+         {std::string("zone-a"), std::string("a b/c"), std::string(200, 'x')}) {
+      CPPUNIT_ASSERT_EQUAL(
+          name, ValueOf([&] { return ParseEvacuation(prefix + name); }));
+    }
+    for (const std::string& key :
+         {prefix, prefix + std::string(201, 'x'), prefix + "a\n", prefix + '\0',
+          prefix + '\x7f', std::string("op/config")}) {
+      CPPUNIT_ASSERT(KindOf([&] { return ParseEvacuation(key); }) ==
+                     ErrorKind::kMalformed);
+    }
+  }
+
   void RefusesInvalidSettings() {
     for (const std::string_view text :
          {"node", "node=a\n", "node=edge\nip=1\nzone=a\n"}) {
