Urgent gangs prefer warm targets; a test of each term's list of evacuations

Cause: urgent gangs are placed by room and not by score, so that the score's term for cold targets didn't reach them; and nothing tested that a new term of ownership waits for a list of its own.

Change: with the setting, an urgent gang takes places on warm targets first. unit-cell-host opens the cell twice and sees no start before each list.

--- a/src/cell/placement/gangs.cc
+++ b/src/cell/placement/gangs.cc
@@ -35,8 +35,14 @@
 }
 
 /// Assigns tasks to places, largest place first, up to `wanted` tasks.
-std::vector<Slot*> Fill(std::vector<Place> places, std::size_t wanted) {
-  std::ranges::sort(places, std::ranges::greater{}, &Place::count);
+/// @param cold_last whether places on cold targets come after all others
+std::vector<Slot*> Fill(std::vector<Place> places, std::size_t wanted,
+                        bool cold_last) {
+  std::ranges::sort(places, [&](const Place& a, const Place& b) {
+    const bool a_cold = cold_last && a.slot->target->entry.cold > Millis(0);
+    const bool b_cold = cold_last && b.slot->target->entry.cold > Millis(0);
+    return a_cold != b_cold ? b_cold : a.count > b.count;
+  });
   std::vector<Slot*> chosen;
   for (const Place& place : places) {
     for (std::uint32_t i = 0; i < place.count && chosen.size() < wanted; ++i) {
@@ -94,8 +100,9 @@
   if (spec.same_rack) {
     RestrictToOneRack(places, candidate);
   }
+  const bool cold_last = round.cell.options.avoid_cold && candidate.Urgent();
   return Total(places) < wanted ? std::vector<Slot*>()
-                                : Fill(std::move(places), wanted);
+                                : Fill(std::move(places), wanted, cold_last);
 }
 
 Resources Times(const Resources& one, std::size_t count) {
--- a/tests/unit-cell-host.cc
+++ b/tests/unit-cell-host.cc
@@ -31,9 +31,16 @@
           }};
 }
 
+entry::HostSettings SettingsWith(Millis evacuate_within) {
+  entry::HostSettings settings;
+  settings.bounds.evacuate_within = evacuate_within;
+  return settings;
+}
+
 /// A host that owns a cell with one stored job.
 struct Fixture {
   entry::TargetCalls target_calls = NoTargets();
+  entry::HostSettings settings;
   boost::asio::io_context io;
   MockAsyncStore store;
   store::AsyncStore calls = store.Calls();
@@ -42,7 +49,7 @@
   std::vector<entry::CellReply> replies;
   entry::CellHost host{
       io,
-      {},
+      settings,
       calls,
       client,
       metrics,
@@ -51,8 +58,10 @@
        [](const HostId&, const auto&) {}, [] {}, [] {}}};
 
   explicit Fixture(std::optional<entry::TargetCalls> used = std::nullopt,
-                   std::vector<cell::Team> teams = {})
-      : target_calls(used ? std::move(*used) : NoTargets()) {
+                   std::vector<cell::Team> teams = {},
+                   Millis evacuate_within = Millis(0))
+      : target_calls(used ? std::move(*used) : NoTargets()),
+        settings(SettingsWith(evacuate_within)) {
     cell::Rules rules;
     rules.version = 1;
     rules.queues = {PlainQueue("plain")};
@@ -210,6 +219,7 @@
   CPPUNIT_TEST(RefusalWhileNotServingOvertakesEarlierCalls);
   CPPUNIT_TEST(NewProcessOfATargetGetsNoAcknowledgementOfTheFormerOne);
   CPPUNIT_TEST(StartReachesOnlyTheProcessItIsMeantFor);
+  CPPUNIT_TEST(EachTermWaitsForItsOwnListOfEvacuations);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -405,6 +415,44 @@
     const auto& received = target.Received();
     CPPUNIT_ASSERT(std::ranges::find(received, "start 1") == received.end());
   }
+
+  // Guards against a new term of ownership that starts tasks by the list of an
+  // earlier one, or before it has any.
+  void EachTermWaitsForItsOwnListOfEvacuations() {
+    entry::TargetCalls calls = ReportsOnly();
+    int starts = 0;
+    calls.start = [&starts](const cell::SendStart&, Epoch) {
+      ++starts;
+      return net::HttpRequest();
+    };
+    Fixture f(calls, {}, Millis(5000));
+    const TargetProcess process(f.io, 0, 1);
+    cell::TargetEntry entry;
+    entry.id = "t1";
+    entry.service = "service";
+    entry.address = "127.0.0.1:" + std::to_string(process.Port());
+    entry.data_centre = "a";
+    entry.life = 1;
+    entry.capacity = {0, 16'000, 32'768, 0};
+    f.host.SetTargets(std::vector{entry});
+    const auto starts_after_ticks = [&] {
+      for (int i = 0; i < 20; ++i) {
+        f.host.Tick(entry::Now());
+        f.Run();
+      }
+      return starts;
+    };
+    CPPUNIT_ASSERT_EQUAL(0, starts_after_ticks());
+    f.host.SetEvacuated(std::vector<DataCentre>{"a"});
+    CPPUNIT_ASSERT_EQUAL(0, starts_after_ticks());
+    CPPUNIT_ASSERT(f.metrics.Text().find("targets_evacuated 1\n") !=
+                   std::string::npos);
+    f.host.SetEvacuated({});
+    f.host.Open({.range = "cell/0", .owner = "a", .epoch = 2}, Millis(0));
+    CPPUNIT_ASSERT_EQUAL(0, starts_after_ticks());
+    f.host.SetEvacuated({});
+    CPPUNIT_ASSERT(starts_after_ticks() > 0);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CellHostTest);
--- a/tests/unit-evacuation.cc
+++ b/tests/unit-evacuation.cc
@@ -298,7 +298,7 @@
     f.Evacuate({"a"});
     f.begun = f.starts;
     f.AnswerAll(OrderOutcome::kUnknown);
-    f.now += Millis(10);
+    f.Tick(Millis(10));
     const TargetId id = f.starts[0].target;
     Report(*f.owned, id, f.now, f.Listing(id));
     f.Tick(Millis(500));
@@ -488,6 +488,13 @@
     f.Submit(JobOf("second", "plain", 2));
     f.Plan();
     CPPUNIT_ASSERT_EQUAL(std::string("a0 a1 b0 b1 "), f.TargetsOf(f.starts));
+    Fixture gangs("ab");
+    gangs.entries = f.entries;
+    cell::SetTargets(*gangs.owned, actions, f.entries, gangs.now);
+    gangs.Evacuate({});
+    gangs.Submit(JobOf("gang", "plain", 2, true));
+    gangs.Plan();
+    CPPUNIT_ASSERT_EQUAL(std::string("b0 b1 "), gangs.TargetsOf(gangs.starts));
   }
 
   // Guards against any path on which a start, a first or a repeated one, gets
