--- a/tests/unit-evacuation.cc
+++ b/tests/unit-evacuation.cc
@@ -427,6 +427,13 @@
     f.AnswerAdvice(late);
     CPPUNIT_ASSERT(f.StepOf(late.step.job).advice.tickets.empty());
     CPPUNIT_ASSERT(!f.StepOf(late.step.job).advice.usable.empty());
+
+    Fixture half("ab");
+    half.Evacuate({"a"});
+    half.Submit(JobOf("job", "advised", 4));
+    half.Plan();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, half.asks.size());
+    CPPUNIT_ASSERT(half.asks[0].targets == std::vector<TargetId>({"b0", "b1"}));
   }
 
   // Guards against room that stays reserved for a gang that can't start in the
