--- a/tests/unit-evacuation-reader.cc
+++ b/tests/unit-evacuation-reader.cc
@@ -83,7 +83,7 @@
     Ticks(m_side, Millis(1000));
     m_store.Put("op/evacuate/a", "{}");
     Ticks(m_side, Millis(650));
-    CPPUNIT_ASSERT(m_side.lists.back() == Names({"a"}));
+    CPPUNIT_ASSERT(Last(m_side) == Names({"a"}));
   }
 
   // Guards against a watch that isn't listened to, or isn't repeated.
@@ -97,7 +97,7 @@
     batch.puts.push_back(m_store.items.at("op/evacuate/b"));
     m_side.watches[0](batch);
     Ticks(m_side, Millis(50));
-    CPPUNIT_ASSERT(m_side.lists.back() == Names({"a", "b"}));
+    CPPUNIT_ASSERT(Last(m_side) == Names({"a", "b"}));
     Ticks(m_side, Millis(300));
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_side.watches.size());
     m_side.watches[1](Error{ErrorKind::kStoreUnknown, "no answer", {}});
@@ -119,7 +119,7 @@
     CPPUNIT_ASSERT(m_side.lists.empty());
     m_store.away = false;
     Ticks(m_side, Millis(250));
-    CPPUNIT_ASSERT(m_side.lists.front() == Names({"a"}));
+    CPPUNIT_ASSERT(First(m_side) == Names({"a"}));
   }
 
   // Guards against a new owner that gives up, or waits without a word.
@@ -143,7 +143,7 @@
     Ticks(m_side, Millis(100));
     m_store.away = true;
     Ticks(m_side, Millis(60'000));
-    CPPUNIT_ASSERT(m_side.lists.back() == Names({"a"}));
+    CPPUNIT_ASSERT(Last(m_side) == Names({"a"}));
     CPPUNIT_ASSERT(m_side.reader.Current().data_centres == Names({"a"}));
   }
 
@@ -154,7 +154,7 @@
     m_store.Put("op/evacuate/b", "{}");
     m_side.reader.SetActive(true, m_now);
     Ticks(m_side, Millis(50));
-    CPPUNIT_ASSERT(m_side.lists.back() == Names({"a", "b"}));
+    CPPUNIT_ASSERT(Last(m_side) == Names({"a", "b"}));
     m_store.list_failure_interval = 2;
     Ticks(m_side, Millis(3000));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_side.lists.size());
@@ -168,8 +168,8 @@
     m_store.items.erase("op/evacuate/a");
     ++m_store.revision;
     Ticks(m_side, Millis(700));
-    CPPUNIT_ASSERT(m_side.lists.front() == Names({"a"}));
-    CPPUNIT_ASSERT(m_side.lists.back().empty());
+    CPPUNIT_ASSERT(First(m_side) == Names({"a"}));
+    CPPUNIT_ASSERT(Last(m_side).empty());
   }
 
   // Guards against a bad key that hides the other requests, or fills the log.
@@ -181,7 +181,7 @@
     m_store.Put("op/evacuate/" + std::string(200, 'y'), "{}");
     m_side.reader.SetActive(true, m_now);
     Ticks(m_side, Millis(3000));
-    CPPUNIT_ASSERT(m_side.lists.back() == Names({"a", std::string(200, 'y')}));
+    CPPUNIT_ASSERT(Last(m_side) == Names({"a", std::string(200, 'y')}));
     CPPUNIT_ASSERT_EQUAL(std::size_t{3}, Lines("evacuation_unreadable"));
   }
 
@@ -206,7 +206,7 @@
         CPPUNIT_ASSERT(*owner.reader.ConfirmedAt() <= asked_at);
       }
     }
-    CPPUNIT_ASSERT(owner.lists.back() == Names({"a"}));
+    CPPUNIT_ASSERT(Last(owner) == Names({"a"}));
     CPPUNIT_ASSERT(*owner.reader.ConfirmedAt() >= m_now - Millis(1000));
     // The peer stops reading once nobody asks any more.
     Ticks(m_side, Millis(3000));
@@ -226,7 +226,7 @@
     CPPUNIT_ASSERT(m_side.reader.Current().data_centres == Names({"a"}));
     m_side.reader.AdoptRemote({{"b"}, m_store.revision + 1},
                               m_now + Millis(100));
-    CPPUNIT_ASSERT(m_side.lists.back() == Names({"b"}));
+    CPPUNIT_ASSERT(Last(m_side) == Names({"b"}));
   }
 
   // Guards against a field that is lost between hosts.
@@ -248,6 +248,15 @@
     return names;
   }
 
+  static const std::vector<DataCentre>& First(const Side& side) {
+    CPPUNIT_ASSERT(!side.lists.empty());
+    return side.lists.front();
+  }
+  static const std::vector<DataCentre>& Last(const Side& side) {
+    CPPUNIT_ASSERT(!side.lists.empty());
+    return side.lists.back();
+  }
+
   /// Ticks every 50 ms, as the host does.
   void Ticks(Side& side, Millis lasts) {
     const Time end = m_now + lasts;
