--- a/tests/unit-evacuation.cc
+++ b/tests/unit-evacuation.cc
@@ -20,7 +20,6 @@
 using cell::SendStart;
 
 constexpr Time kStart{Millis(1'000'000)};
-constexpr std::int64_t kCpu = 1000;  ///< Of a target: one task of PlainJob.
 
 /// Two targets, a0 and a1, in data centre "a", and so on.
 std::vector<cell::TargetEntry> Entries(const std::string& data_centres) {
@@ -162,6 +161,7 @@
   [[nodiscard]] std::string TargetsOf(
       const std::vector<SendStart>& sent) const {
     std::vector<TargetId> ids;
+    ids.reserve(sent.size());
     for (const SendStart& start : sent) {
       ids.push_back(start.target);
     }
