--- a/include/buckthornmux/detail/peer/messages.h
+++ b/include/buckthornmux/detail/peer/messages.h
@@ -74,7 +74,8 @@
                  entry::AdviceRequest, entry::AdviceReply, entry::StoreQuery,
                  entry::StoreStatus, entry::RangeOffer, entry::LivenessQuery,
                  entry::LivenessReply, entry::FormerOwnerState,
-                 entry::OwnerOverloaded>;
+                 entry::OwnerOverloaded,
+                 entry::EvacuationQuery, entry::EvacuationStatus>;
 
 /// State of one shard in a heartbeat.
 struct ShardBeat {
--- a/include/buckthornmux/detail/runtime/metrics.h
+++ b/include/buckthornmux/detail/runtime/metrics.h
@@ -47,6 +47,7 @@
   kLongestCrashHold,    ///< Longest wait that such tasks cause, ms.
   kOwnerLinkKbps,       ///< Link rate of the owner, the larger direction.
   kOwnerBusyPermille,   ///< Processor use of the owner, of its share.
+  kTargetsEvacuated,    ///< Targets of evacuated data centres.
   kCount,
 };
 
--- a/src/runtime/metrics.cc
+++ b/src/runtime/metrics.cc
@@ -29,7 +29,8 @@
     "steps_waiting",       "runs",
     "job_bytes",           "targets_reserved",
     "suspects_waiting",    "longest_crash_hold_ms",
-    "owner_link_kbps",     "owner_busy_permille"};
+    "owner_link_kbps",     "owner_busy_permille",
+    "targets_evacuated"};
 
 constexpr std::array<std::string_view, kTimings> kTimingNames = {
     "urgent_answer_ms", "patient_accept_ms", "journal_write_ms",
