--- a/tests/standins/day_command.cc
+++ b/tests/standins/day_command.cc
@@ -31,6 +31,8 @@
       cxxopts::value<double>()->default_value("0.5"))(
       "answers-lost", "share of starts done but not answered",
       cxxopts::value<double>()->default_value("0"))(
+      "max-body-bytes", "of callers; 0: not configured",
+      cxxopts::value<std::uint64_t>()->default_value("0"))(
       "odd-entries", "another writer leaves odd entries of targets");
   const auto given = options.parse(argc, argv);
   DayOptions day;
@@ -46,6 +48,7 @@
   day.store_loses_for = Millis(given["store-loses-for-ms"].as<int>());
   day.store_losses = given["store-losses"].as<double>();
   day.answers_lost = given["answers-lost"].as<double>();
+  day.max_body_bytes = given["max-body-bytes"].as<std::uint64_t>();
   day.odd_entries = given.count("odd-entries") > 0;
   boost::asio::io_context io(1);
   const PlatformDay played(io, day);
--- a/tests/standins/platform_day.cc
+++ b/tests/standins/platform_day.cc
@@ -92,7 +92,7 @@
   for (const cell::Queue& queue : Queues()) {
     routes.push_back(QueueJson(queue));
   }
-  const json::object rules{
+  json::object rules{
       {"version", 1},
       {"routes", std::move(routes)},
       {"services", json::array{json::object{{"name", kService},
@@ -102,6 +102,10 @@
                       {"api_keys", json::array{kKey}},
                       {"weight", 1000},
                       {"maximum", {{"cpu", 16'000L * m_options.targets}}}}}}};
+  if (m_options.max_body_bytes > 0) {
+    rules["limits"] =
+        json::object{{"max_body_bytes", m_options.max_body_bytes}};
+  }
   m_store.Put("op/config", json::serialize(rules));
 }
 
--- a/tests/standins/platform_day.h
+++ b/tests/standins/platform_day.h
@@ -32,9 +32,10 @@
   Millis store_away_for{0};
   Millis store_loses_at{0};  ///< From the start of the load.
   Millis store_loses_for{0};
-  double store_losses = 0;   ///< Share of writes that are not answered then.
-  double answers_lost = 0;   ///< Share of starts done but not answered.
-  bool odd_entries = false;  ///< Some beside those of the targets.
+  double store_losses = 0;  ///< Share of writes that are not answered then.
+  double answers_lost = 0;  ///< Share of starts done but not answered.
+  std::uint64_t max_body_bytes = 0;  ///< In the configuration; 0: left out.
+  bool odd_entries = false;          ///< Some beside those of the targets.
 };
 
 /// @brief Plays the day; its summary and verdict go to standard output.
