HTTP servers bound all input and decide on a request's head first

Cause: the parser's limits didn't bound the read buffer, so trailers and chunk extensions accumulated there; bodies were kept whole before key, route and the configured limit were compared; nothing bounded their sum.

Change: the read buffer holds at most 16 KB; heads have at most 128 fields, and chunked bodies at most 256 KB of framing. The head is read first, and Callers refuses by route, key and limit before the body. All servers of a host share a budget of an eighth of limits.memory_mb (RequestBudget), of which callers without a key may use an eighth and holders over 32 KB three quarters; shares are returned by destructors. At max_connections the longest idle connection is closed for a new one. Small bodies of refused requests are skipped, so that their connections stay open as before. New: client_over_limit, buckthornmux_requests_over_limit, buckthornmux_request_bytes.

--- a/include/buckthornmux/detail/entry/callers.h
+++ b/include/buckthornmux/detail/entry/callers.h
@@ -8,7 +8,9 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <variant>
 
+#include "buckthornmux/detail/entry/client_limits.h"
 #include "buckthornmux/detail/entry/open_call.h"
 #include "buckthornmux/detail/entry/rules_reader.h"
 #include "buckthornmux/detail/net/http_server.h"
@@ -61,9 +63,11 @@
 ///   immediately.
 class Callers {
  public:
+  /// @param limits shared by the servers of the process; null: the server's own
   Callers(boost::asio::io_context& io, const std::string& address,
           CallerCodec codec, const RulesReader& rules, Millis key_trust,
-          runtime::Metrics& metrics, CallerLinks links);
+          runtime::Metrics& metrics, CallerLinks links,
+          ClientLimits* limits = nullptr);
 
   /// @brief Handles a reply of the owner.
   void HandleReply(const CellReply& reply);
@@ -101,6 +105,26 @@
     net::Responder respond;
   };
 
+  /// Why a request is refused.
+  struct Denial {
+    ErrorKind kind;
+    int status;
+  };
+  /// What the head of a request is for.
+  struct HeadMatch {
+    const cell::Rules* rules;
+    RouteMatch route;
+    const cell::Team* team;  ///< Null: no key, and the queue is open to all.
+  };
+
+  /// Checks what doesn't depend on the body.
+  [[nodiscard]] std::variant<Denial, HeadMatch> CheckHead(
+      const net::HttpRequest& request, Time now) const;
+  /// Decides on a request whose body isn't read yet.
+  [[nodiscard]] net::HeadDecision DecideHead(const net::HttpRequest& head);
+  /// Logs and counts a refusal, and returns its response.
+  [[nodiscard]] net::HttpResponse Deny(const net::HttpRequest& request,
+                                       const Denial& denial, Time now) const;
   void HandleRequest(const net::HttpRequest& request,
                      const net::Responder& respond);
   void Forward(CellCall call, Millis patience, const net::Responder& respond);
--- a/src/entry/callers.cc
+++ b/src/entry/callers.cc
@@ -34,7 +34,10 @@
 constexpr Millis kBusyRetryAfter{1000};
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
+constexpr int kUnauthorized = 401;
 constexpr int kForbidden = 403;
+constexpr int kNotFound = 404;
+constexpr int kTooLarge = 413;
 constexpr int kConflict = 409;
 constexpr int kGone = 410;
 
@@ -77,6 +80,12 @@
   return std::clamp(left - margin, Millis(1), kMaxCallTimeout);
 }
 
+/// Path of a request without its query.
+std::string_view PathOf(const net::HttpRequest& request) {
+  const std::string_view target = request.target;
+  return target.substr(0, target.find('?'));
+}
+
 std::string_view WithoutPort(std::string_view host) {
   return host.substr(0, host.find(':'));
 }
@@ -108,7 +117,8 @@
 
 Callers::Callers(boost::asio::io_context& io, const std::string& address,
                  CallerCodec codec, const RulesReader& rules, Millis key_trust,
-                 runtime::Metrics& metrics, CallerLinks links)
+                 runtime::Metrics& metrics, CallerLinks links,
+                 ClientLimits* limits)
     : m_codec(std::move(codec)),
       m_rules(rules),
       m_key_trust(key_trust * kKeyTrustPercent / 100),
@@ -118,6 +128,12 @@
   net::HttpServerOptions options;
   options.address = address;
   options.kept_headers = {"Host", m_codec.key_header, m_codec.deadline_header};
+  options.decide_head = [this](const net::HttpRequest& head) {
+    return DecideHead(head);
+  };
+  if (limits != nullptr) {
+    limits->Apply("callers", options);
+  }
   m_server = std::make_unique<net::HttpServer>(
       io, options,
       [this](const net::HttpRequest& request, const net::Responder& respond) {
@@ -148,47 +164,77 @@
   return response;
 }
 
-void Callers::HandleRequest(const net::HttpRequest& request,
-                            const net::Responder& respond) {
-  m_metrics.Count(Counter::kRequests);
-  const Time now = Now();
-  const std::string_view target = request.target;
-  const std::string_view path = target.substr(0, target.find('?'));
-  const auto refuse = [&](ErrorKind kind, int status) {
-    LogLine("call_refused")
-        .With("method", request.method)
-        .With("path", path)
-        .With("error", AnswerFor(kind).name)
-        .With("rules", m_rules.Current() ? m_rules.Current()->version : 0)
-        .With("rules_age_ms", (now - m_rules.ConfirmedAt()).count());
-    m_metrics.Count(kind == ErrorKind::kKeyRefused ? Counter::kKeysRefused
-                                                   : Counter::kJobsRefused);
-    respond(Refusal(kind, status));
-  };
+std::variant<Callers::Denial, Callers::HeadMatch> Callers::CheckHead(
+    const net::HttpRequest& request, Time now) const {
   if (m_stopped || !m_rules.Current()) {
-    return refuse(ErrorKind::kNotReady, kUnavailable);
+    return Denial{ErrorKind::kNotReady, kUnavailable};
   }
   if (!RulesTrusted(now)) {
-    return refuse(ErrorKind::kConfigStale, kUnavailable);
+    return Denial{ErrorKind::kConfigStale, kUnavailable};
   }
   const cell::Rules& rules = *m_rules.Current();
-  if (request.body.size() > rules.max_body_bytes) {
-    return refuse(ErrorKind::kTooLarge, 413);
-  }
-  const auto route =
-      FindRoute(rules, WithoutPort(request.HeaderValue("Host")), path);
+  const auto route = FindRoute(rules, WithoutPort(request.HeaderValue("Host")),
+                               PathOf(request));
   if (!route) {
-    return refuse(ErrorKind::kNotFound, 404);
+    return Denial{ErrorKind::kNotFound, kNotFound};
   }
   const cell::Team* team =
       FindTeam(rules, request.HeaderValue(m_codec.key_header));
   if (team == nullptr && !route->queue->open_to_all) {
-    return refuse(ErrorKind::kKeyRefused, 401);
+    return Denial{ErrorKind::kKeyRefused, kUnauthorized};
+  }
+  return HeadMatch{&rules, *route, team};
+}
+
+net::HttpResponse Callers::Deny(const net::HttpRequest& request,
+                                const Denial& denial, Time now) const {
+  LogLine("call_refused")
+      .With("method", request.method)
+      .With("path", PathOf(request))
+      .With("error", AnswerFor(denial.kind).name)
+      .With("rules", m_rules.Current() ? m_rules.Current()->version : 0)
+      .With("rules_age_ms", (now - m_rules.ConfirmedAt()).count());
+  m_metrics.Count(denial.kind == ErrorKind::kKeyRefused
+                      ? Counter::kKeysRefused
+                      : Counter::kJobsRefused);
+  return Refusal(denial.kind, denial.status);
+}
+
+net::HeadDecision Callers::DecideHead(const net::HttpRequest& head) {
+  const Time now = Now();
+  const auto checked = CheckHead(head, now);
+  net::HeadDecision decision;
+  if (const auto* denial = std::get_if<Denial>(&checked)) {
+    m_metrics.Count(Counter::kRequests);
+    decision.refusal = Deny(head, *denial, now);
+    return decision;
+  }
+  const auto& match = std::get<HeadMatch>(checked);
+  decision.max_body_bytes = match.rules->max_body_bytes;
+  decision.known_caller = match.team != nullptr;
+  return decision;
+}
+
+void Callers::HandleRequest(const net::HttpRequest& request,
+                            const net::Responder& respond) {
+  m_metrics.Count(Counter::kRequests);
+  const Time now = Now();
+  const auto refuse = [&](ErrorKind kind, int status) {
+    respond(Deny(request, {kind, status}, now));
+  };
+  // The configuration may have changed since the head was decided on.
+  const auto checked = CheckHead(request, now);
+  if (const auto* denial = std::get_if<Denial>(&checked)) {
+    return refuse(denial->kind, denial->status);
+  }
+  const auto& [rules, route, team] = std::get<HeadMatch>(checked);
+  if (request.body.size() > rules->max_body_bytes) {
+    return refuse(ErrorKind::kTooLarge, kTooLarge);
   }
   CellCall call;
-  call.queue = route->queue->name;
+  call.queue = route.queue->name;
   call.team = team == nullptr ? TeamName() : team->name;
-  call.job = std::string(route->rest);
+  call.job = std::string(route.rest);
   const Millis left =
       ParseTimeLeft(request.HeaderValue(m_codec.deadline_header));
   if (call.job.empty() && request.method == "GET") {
--- a/src/entry/host.cc
+++ b/src/entry/host.cc
@@ -73,6 +73,7 @@
       m_signals(m_io, SIGTERM, SIGINT, SIGHUP),
       m_timer(m_io),
       m_log(STDOUT_FILENO),
+      m_client_limits(m_settings.capacity.memory_mb, m_metrics),
       m_client(m_io, TargetClientOptions(kConnectTimeout)),
       m_store_client(m_io, StoreClientOptions()),
       m_store(MakeStore()),
@@ -87,14 +88,16 @@
              CellHandlers()),
       m_relay(m_rules, m_gauge, RelayLinks()),
       m_callers(m_io, m_settings.callers_address, MakeCallerCodec(), m_rules,
-                m_settings.bounds.key_trust, m_metrics, CallersLinks()),
+                m_settings.bounds.key_trust, m_metrics, CallersLinks(),
+                &m_client_limits),
       m_owner_watch(OwnerWatchHandlers()),
       m_peers(m_io, PeerOptions(), PeerHandlers()) {
   runtime::SetLogSink([this](std::string_view line) { m_log.Append(line); });
-  m_readiness =
-      ServeReadiness(m_io, m_settings.readiness_address,
-                     platform::kReadinessPath, [this] { return Ready(); });
-  m_metrics_server = ServeMetrics(m_io, m_settings.metrics_address, m_metrics);
+  m_readiness = ServeReadiness(
+      m_io, m_settings.readiness_address, platform::kReadinessPath,
+      [this] { return Ready(); }, m_client_limits);
+  m_metrics_server = ServeMetrics(m_io, m_settings.metrics_address, m_metrics,
+                                  m_client_limits);
 }
 
 int Host::Run() {
@@ -253,6 +256,7 @@
   m_members.Tick(now);
   m_cell.Tick(now);
   m_callers.Tick(now);
+  m_client_limits.Tick();
   CheckOwner(now);
   WatchSettings(now);
   LeaveWhenDone(now);
--- a/src/entry/host_process.h
+++ b/src/entry/host_process.h
@@ -147,6 +147,7 @@
   boost::asio::steady_timer m_timer;
   LogBuffer m_log;
   runtime::Metrics m_metrics;
+  ClientLimits m_client_limits;
   net::HttpClient m_client;  ///< For targets and the adviser.
   net::HttpClient m_store_client;
   StoreGauge m_gauge;
--- a/src/entry/status_server.cc
+++ b/src/entry/status_server.cc
@@ -8,9 +8,18 @@
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 
-net::HttpServerOptions OptionsAt(const std::string& address) {
+/// Requests of these servers have no body, and come from a few monitors.
+constexpr std::uint64_t kMaxBodyBytes = 1024;
+constexpr std::size_t kMaxConnections = 256;
+
+net::HttpServerOptions OptionsAt(std::string_view port,
+                                 const std::string& address,
+                                 ClientLimits& limits) {
   net::HttpServerOptions options;
   options.address = address;
+  options.max_body_bytes = kMaxBodyBytes;
+  options.max_connections = kMaxConnections;
+  limits.Apply(port, options);
   return options;
 }
 
@@ -19,9 +28,10 @@
 std::unique_ptr<net::HttpServer> ServeReadiness(boost::asio::io_context& io,
                                                 const std::string& address,
                                                 std::string_view path,
-                                                std::function<bool()> ready) {
+                                                std::function<bool()> ready,
+                                                ClientLimits& limits) {
   return std::make_unique<net::HttpServer>(
-      io, OptionsAt(address),
+      io, OptionsAt("readiness", address, limits),
       [path = std::string(path), ready = std::move(ready)](
           const net::HttpRequest& request, const net::Responder& respond) {
         net::HttpResponse response;
@@ -36,9 +46,10 @@
 
 std::unique_ptr<net::HttpServer> ServeMetrics(boost::asio::io_context& io,
                                               const std::string& address,
-                                              const runtime::Metrics& metrics) {
+                                              const runtime::Metrics& metrics,
+                                              ClientLimits& limits) {
   return std::make_unique<net::HttpServer>(
-      io, OptionsAt(address),
+      io, OptionsAt("metrics", address, limits),
       [&metrics](const net::HttpRequest&, const net::Responder& respond) {
         net::HttpResponse response;
         response.content_type = "text/plain";
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -1,5 +1,6 @@
 #include "buckthornmux/detail/net/http_server.h"
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -12,6 +13,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <chrono>
+#include <iterator>
+#include <list>
 #include <optional>
 #include <utility>
 
@@ -26,8 +29,38 @@
 using boost::system::error_code;
 using tcp = asio::ip::tcp;
 
+/// Bound of the request line with all header fields, and of what the parser
+/// needs as a whole later: a chunk header with its extensions, all trailers.
 constexpr std::uint32_t kMaxHeaderBytes = 16 * 1024;
+/// Usual HTTP clients send under 30 fields.
+constexpr std::ptrdiff_t kMaxHeaderFields = 128;
+/// Bytes of a chunked body that aren't content. Chunks of 1 KB need under 2 KB
+/// for a body of 262,144 bytes.
+constexpr std::uint64_t kMaxFramingBytes = 256 * 1024;
+/// Buffer of a connection that waits for a request; holds most requests whole.
+/// It is bounded by max_connections, larger buffers by the budget.
+constexpr std::size_t kIdleBufferBytes = 4 * 1024;
+constexpr std::size_t kMinReadBytes = 512;
+/// A refused body of up to this size is skipped, so that its connection can be
+/// kept.
+constexpr std::uint64_t kMaxSkippedBytes = 64 * 1024;
+/// After a refusal the rest of the input is read for this long and this far: a
+/// client that is still sending would otherwise get a reset in place of the
+/// answer.
+constexpr Millis kLingerTime{500};
+constexpr std::uint64_t kMaxLingerBytes = 256 * 1024;
+constexpr std::uint64_t kMinBudgetBytes = 64 << 20;
+constexpr std::uint64_t kBodiesPerBudget = 8;
 constexpr Millis kAcceptRetryDelay{50};
+constexpr Millis kOverloadRetryAfter{1000};
+
+// Names of limits in HttpServerOptions::over_limit.
+constexpr std::string_view kHeaderBytes = "header_bytes";
+constexpr std::string_view kHeaderFields = "header_fields";
+constexpr std::string_view kFramingBytes = "framing_bytes";
+constexpr std::string_view kBodyBytes = "body_bytes";
+constexpr std::string_view kBudget = "request_bytes";
+constexpr std::string_view kConnections = "connections";
 
 /// Passes the answer from any thread to the coroutine of the connection.
 struct PendingAnswer {
@@ -57,10 +90,6 @@
 }
 
 std::optional<ErrorKind> ErrorKindOf(const error_code& error) {
-  if (error == http::error::body_limit || error == http::error::header_limit ||
-      error == http::error::buffer_overflow) {
-    return ErrorKind::kTooLarge;
-  }
   if (error.category() == make_error_code(http::error::bad_method).category() &&
       error != http::error::end_of_stream &&
       error != http::error::partial_message) {
@@ -69,6 +98,79 @@
   return std::nullopt;
 }
 
+/// Name of the limit that an error of the parser stands for; empty if none.
+std::string_view LimitOf(const error_code& error) {
+  if (error == http::error::header_limit) {
+    return kHeaderBytes;
+  }
+  if (error == http::error::buffer_overflow) {
+    return kFramingBytes;
+  }
+  return error == http::error::body_limit ? kBodyBytes : std::string_view();
+}
+
+/// Outcome of reading a part of a request.
+struct ReadResult {
+  error_code error;
+  std::string_view limit;  ///< Limit that the client exceeded; empty if none.
+  [[nodiscard]] bool Good() const { return !error && limit.empty(); }
+};
+
+HttpResponse LimitResponse(std::string_view limit) {
+  if (limit != kBudget) {
+    return ErrorResponse(ErrorKind::kTooLarge);
+  }
+  HttpResponse response = ErrorResponse(ErrorKind::kQueueFull);
+  constexpr int kUnavailable = 503;
+  response.status = kUnavailable;
+  response.retry_after = kOverloadRetryAfter;
+  return response;
+}
+
+/// Input of one connection.
+struct Connection {
+  Connection(tcp::socket socket, const std::shared_ptr<RequestBudget>& budget,
+             bool known)
+      : stream(std::move(socket)), share(budget, known) {}
+
+  /// Accounts for the buffer and for `bytes` beside it.
+  [[nodiscard]] bool Hold(std::uint64_t bytes) {
+    const std::size_t capacity = buffer.capacity();
+    return share.Resize(bytes + (capacity > kIdleBufferBytes ? capacity : 0));
+  }
+
+  beast::tcp_stream stream;
+  beast::flat_buffer buffer{kMaxHeaderBytes};
+  BudgetShare share;
+  std::uint64_t number = 0;
+  std::uint64_t parsed = 0;  ///< Bytes of the current request.
+  bool evicted = false;  ///< Closed to make room, removed from the idle ones.
+};
+
+/// Number of bytes to read next: as many as fit, else the buffer grows.
+std::size_t NextReadSize(const beast::flat_buffer& buffer) {
+  const std::size_t room = buffer.max_size() - buffer.size();
+  const std::size_t spare = buffer.capacity() - buffer.size();
+  const std::size_t wanted =
+      spare >= kMinReadBytes ? spare : std::max(buffer.size(), kMinReadBytes);
+  return std::min(room, wanted);
+}
+
+HttpRequest HeadOf(const http::request_header<>& head,
+                   const std::vector<std::string>& kept_headers) {
+  HttpRequest request;
+  request.method = std::string(head.method_string());
+  request.target = std::string(head.target());
+  request.authorization = std::string(head[http::field::authorization]);
+  for (const std::string& name : kept_headers) {
+    const auto found = head.find(name);
+    if (found != head.end()) {
+      request.headers.push_back({name, std::string(found->value())});
+    }
+  }
+  return request;
+}
+
 http::response<http::string_body> ToBeast(HttpResponse response,
                                           unsigned version, bool keep_alive) {
   http::response<http::string_body> message(
@@ -93,7 +195,13 @@
       : io(context),
         options(std::move(server_options)),
         handler(std::move(request_handler)),
-        acceptor(context) {}
+        acceptor(context) {
+    if (!options.budget) {
+      options.budget = std::make_shared<RequestBudget>();
+      options.budget->limits = LimitsOf(
+          std::max(kMinBudgetBytes, kBodiesPerBudget * options.max_body_bytes));
+    }
+  }
 
   void Listen() {
     const auto outcome =
@@ -127,7 +235,13 @@
         continue;
       }
       if (connections >= options.max_connections) {
-        continue;  // The destructor closes the socket.
+        ReportLimit(kConnections);
+        if (idle.empty()) {
+          continue;  // The destructor closes the socket.
+        }
+        idle.front()->evicted = true;
+        idle.front()->stream.cancel();
+        idle.pop_front();
       }
       socket.set_option(tcp::no_delay(true), error);
       asio::co_spawn(io, Serve(shared_from_this(), std::move(socket)),
@@ -161,23 +275,186 @@
     co_return !error && keep_alive;
   }
 
-  asio::awaitable<bool> ServeOne(beast::tcp_stream& stream,
-                                 beast::flat_buffer& buffer,
-                                 std::uint64_t connection) {
+  void ReportLimit(std::string_view limit) const {
+    if (options.over_limit) {
+      options.over_limit(limit);
+    }
+  }
+
+  /// Waits for the first bytes of a request, in a small buffer.
+  asio::awaitable<bool> AwaitRequest(Connection& connection) {
+    if (connection.buffer.capacity() > kIdleBufferBytes) {
+      connection.buffer.shrink_to_fit();
+    }
+    connection.stream.expires_after(options.idle_timeout);
+    const auto place = idle.insert(idle.end(), &connection);
     error_code error;
-    if (buffer.size() == 0) {
-      stream.expires_after(options.idle_timeout);
-      const std::size_t count = co_await stream.async_read_some(
-          buffer.prepare(kMaxHeaderBytes),
-          asio::redirect_error(asio::use_awaitable, error));
-      if (error) {
-        co_return false;
+    const std::size_t count = co_await connection.stream.async_read_some(
+        connection.buffer.prepare(kIdleBufferBytes),
+        asio::redirect_error(asio::use_awaitable, error));
+    if (connection.evicted) {
+      co_return false;
+    }
+    idle.erase(place);
+    connection.buffer.commit(count);
+    co_return !error;
+  }
+
+  /// Reads until the head, or the whole request, is parsed. `check` returns the
+  /// name of a limit that is exceeded, or nothing.
+  template <class Parser, class Check>
+  static asio::awaitable<ReadResult> ReadParts(Connection& connection,
+                                               Parser& parser, bool whole,
+                                               Check check) {
+    beast::flat_buffer& buffer = connection.buffer;
+    error_code error;
+    bool needs_more = buffer.size() == 0;
+    while (whole ? !parser.is_done() : !parser.is_header_done()) {
+      if (needs_more) {
+        const std::size_t size = NextReadSize(buffer);
+        if (size == 0) {
+          co_return ReadResult{{}, kFramingBytes};
+        }
+        const auto space = buffer.prepare(size);
+        const std::string_view grown = check();
+        if (!grown.empty()) {
+          co_return ReadResult{{}, grown};
+        }
+        const std::size_t count = co_await connection.stream.async_read_some(
+            space, asio::redirect_error(asio::use_awaitable, error));
+        if (error) {
+          co_return ReadResult{error, {}};
+        }
+        buffer.commit(count);
+      }
+      const std::size_t parsed = parser.put(buffer.data(), error);
+      buffer.consume(parsed);
+      connection.parsed += parsed;
+      needs_more = error == http::error::need_more || buffer.size() == 0;
+      if (error && error != http::error::need_more) {
+        co_return ReadResult{error, LimitOf(error)};
+      }
+      error = {};
+      const std::string_view exceeded = check();
+      if (!exceeded.empty()) {
+        co_return ReadResult{{}, exceeded};
       }
-      buffer.commit(count);
     }
-    http::request_parser<http::string_body> parser;
+    co_return ReadResult{};
+  }
+
+  static asio::awaitable<ReadResult> ReadHead(
+      Connection& connection, http::request_parser<http::empty_body>& parser) {
     parser.header_limit(kMaxHeaderBytes);
-    parser.body_limit(options.max_body_bytes);
+    parser.body_limit(boost::none);  // DecideBody compares it.
+    const auto check = [&connection] {
+      return connection.Hold(connection.parsed) ? std::string_view() : kBudget;
+    };
+    ReadResult result = co_await ReadParts(connection, parser, false, check);
+    const auto& message = parser.get();
+    if (result.Good() &&
+        std::distance(message.begin(), message.end()) > kMaxHeaderFields) {
+      result.limit = kHeaderFields;
+    }
+    co_return result;
+  }
+
+  /// Reads the body that follows a head that was let through.
+  static asio::awaitable<ReadResult> ReadBody(
+      Connection& connection, http::request_parser<http::string_body>& parser) {
+    const std::uint64_t head_bytes = connection.parsed;
+    // The parser reserves the memory of an announced body.
+    const std::uint64_t announced = parser.content_length().value_or(0);
+    const auto check = [&parser, &connection, head_bytes, announced] {
+      const std::string& body = parser.get().body();
+      if (connection.parsed - head_bytes > body.size() + kMaxFramingBytes) {
+        return kFramingBytes;
+      }
+      const std::uint64_t reserved =
+          std::max<std::uint64_t>(body.capacity(), announced);
+      return connection.Hold(head_bytes + reserved) ? std::string_view()
+                                                    : kBudget;
+    };
+    const std::string_view exceeded = check();
+    if (!exceeded.empty()) {
+      co_return ReadResult{{}, exceeded};
+    }
+    parser.eager(true);
+    co_return co_await ReadParts(connection, parser, true, check);
+  }
+
+  /// Reads and discards input, up to a number of bytes.
+  static asio::awaitable<bool> Skip(Connection& connection,
+                                    std::uint64_t bytes) {
+    beast::flat_buffer& buffer = connection.buffer;
+    error_code error;
+    while (!error) {
+      const std::size_t part = std::min<std::uint64_t>(bytes, buffer.size());
+      buffer.consume(part);
+      bytes -= part;
+      if (bytes == 0) {
+        co_return true;
+      }
+      const std::size_t count = co_await connection.stream.async_read_some(
+          buffer.prepare(kIdleBufferBytes),
+          asio::redirect_error(asio::use_awaitable, error));
+      buffer.commit(count);
+    }
+    co_return false;
+  }
+
+  /// Answers a request that is not read to its end, and closes the connection.
+  asio::awaitable<void> Refuse(Connection& connection, HttpResponse response) {
+    connection.share.Release();
+    connection.buffer.clear();
+    connection.buffer.shrink_to_fit();
+    co_await Write(connection.stream, std::move(response), 11, false);
+    error_code ignored;
+    connection.stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    connection.stream.expires_after(kLingerTime);
+    co_await Skip(connection, kMaxLingerBytes);
+  }
+
+  asio::awaitable<void> RefuseUnread(Connection& connection, ReadResult result,
+                                     bool timed_out) {
+    if (!result.limit.empty()) {
+      ReportLimit(result.limit);
+      HttpResponse response = LimitResponse(result.limit);
+      co_await Refuse(connection, std::move(response));
+      co_return;
+    }
+    const auto kind = timed_out ? std::optional(ErrorKind::kTooSlow)
+                                : ErrorKindOf(result.error);
+    if (kind) {
+      HttpResponse response = ErrorResponse(*kind);
+      co_await Refuse(connection, std::move(response));
+    }
+  }
+
+  /// Decides on a request whose head is read and whose body isn't.
+  ReadResult DecideBody(Connection& connection, const HeadDecision& decision,
+                        std::uint64_t announced) const {
+    if (announced > std::min(options.max_body_bytes, decision.max_body_bytes)) {
+      return {{}, kBodyBytes};
+    }
+    return {{},
+            connection.share.SetKnown(decision.known_caller)
+                ? std::string_view()
+                : kBudget};
+  }
+
+  /// A request that was read, and what its answer needs.
+  struct ReadRequest {
+    HttpRequest request;
+    std::optional<HttpResponse> refusal;  ///< Its body was skipped.
+    unsigned version = 11;
+    bool keep_alive = false;
+  };
+
+  /// Reads a request. Returns nothing if the connection is to be closed.
+  asio::awaitable<std::optional<ReadRequest>> Read(Connection& connection) {
+    connection.parsed = 0;
+    beast::tcp_stream& stream = connection.stream;
     // The stream's own time-out would close the socket. Cancelling the read
     // leaves it open, so that the client still receives the typed error.
     stream.expires_never();
@@ -189,58 +466,97 @@
         stream.cancel();
       }
     });
-    co_await http::async_read(stream, buffer, parser,
-                              asio::redirect_error(asio::use_awaitable, error));
+    http::request_parser<http::empty_body> head;
+    ReadResult result = co_await ReadHead(connection, head);
+    std::optional<ReadRequest> read;
+    if (result.Good()) {
+      const auto& message = head.get();
+      read.emplace();
+      read->request = HeadOf(message.base(), options.kept_headers);
+      read->request.connection = connection.number;
+      read->version = message.version();
+      read->keep_alive = message.keep_alive();
+    }
+    if (read && !head.is_done()) {
+      HeadDecision decision;
+      decision.known_caller = true;
+      if (options.decide_head) {
+        decision = options.decide_head(read->request);
+      }
+      const auto announced = head.content_length();
+      if (decision.refusal) {
+        read->refusal = std::move(decision.refusal);
+        const bool skipped = announced && *announced <= kMaxSkippedBytes &&
+                             co_await Skip(connection, *announced);
+        if (!skipped && !timeout_state->timed_out) {
+          HttpResponse response = std::move(*read->refusal);
+          timeout_state->read_ended = true;
+          co_await Refuse(connection, std::move(response));
+          co_return std::nullopt;
+        }
+        if (!skipped) {
+          result.error = asio::error::operation_aborted;
+        }
+      } else {
+        result = DecideBody(connection, decision, announced.value_or(0));
+        if (result.Good()) {
+          http::request_parser<http::string_body> body(std::move(head));
+          body.body_limit(
+              std::min(options.max_body_bytes, decision.max_body_bytes));
+          result = co_await ReadBody(connection, body);
+          read->request.body = std::move(body.get().body());
+        }
+      }
+    }
     timeout_state->read_ended = true;
     timer.cancel();
-    if (error) {
-      const auto kind = timeout_state->timed_out
-                            ? std::optional(ErrorKind::kTooSlow)
-                            : ErrorKindOf(error);
-      if (kind) {
-        co_await Write(stream, ErrorResponse(*kind), 11, false);
-      }
+    if (!result.Good()) {
+      read.reset();  // Frees the body that its share no longer covers.
+      co_await RefuseUnread(connection, result, timeout_state->timed_out);
+      co_return std::nullopt;
+    }
+    co_return read;
+  }
+
+  asio::awaitable<bool> ServeOne(Connection& connection) {
+    if (connection.buffer.size() == 0 && !co_await AwaitRequest(connection)) {
       co_return false;
     }
-    const auto& message = parser.get();
-    HttpRequest request;
-    request.method = std::string(message.method_string());
-    request.target = std::string(message.target());
-    request.authorization = std::string(message[http::field::authorization]);
-    request.body = message.body();
-    request.connection = connection;
-    for (const std::string& name : options.kept_headers) {
-      const auto found = message.find(name);
-      if (found != message.end()) {
-        request.headers.push_back({name, std::string(found->value())});
-      }
+    std::optional<ReadRequest> read = co_await Read(connection);
+    if (!read) {
+      co_return false;
     }
-    const bool keep_alive = message.keep_alive();
-    const unsigned version = message.version();
-    stream.expires_never();
+    connection.stream.expires_never();
     ++open_requests;
-    HttpResponse response = co_await Answer(std::move(request));
-    if (response.status == 0) {
-      --open_requests;
-      co_return false;
+    HttpResponse response;
+    if (read->refusal) {
+      response = std::move(*read->refusal);
+    } else {
+      response = co_await Answer(std::move(read->request));
+    }
+    bool more = false;
+    if (response.status != 0) {
+      const bool close_after = closing || response.close;
+      more = co_await Write(connection.stream, std::move(response),
+                            read->version, read->keep_alive && !close_after);
     }
-    const bool close_after = closing || response.close;
-    const bool more = co_await Write(stream, std::move(response), version,
-                                     keep_alive && !close_after);
     --open_requests;
+    connection.share.Release();
+    // The next request's caller is unknown until its head is read.
+    more = more && connection.share.SetKnown(!options.decide_head);
     co_return more;
   }
 
   static asio::awaitable<void> Serve(std::shared_ptr<Impl> self,
                                      tcp::socket socket) {
     ++self->connections;
-    const std::uint64_t connection = ++self->connections_accepted;
-    beast::tcp_stream stream(std::move(socket));
-    beast::flat_buffer buffer;
-    while (co_await self->ServeOne(stream, buffer, connection)) {
+    Connection connection(std::move(socket), self->options.budget,
+                          !self->options.decide_head);
+    connection.number = ++self->connections_accepted;
+    while (co_await self->ServeOne(connection)) {
     }
     error_code ignored;
-    stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+    connection.stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
     --self->connections;
   }
 
@@ -254,6 +570,8 @@
   std::atomic<std::size_t> connections = 0;
   std::atomic<std::size_t> open_requests = 0;
   std::uint64_t connections_accepted = 0;
+  /// Connections that wait for a request, the longest waiting first.
+  std::list<Connection*> idle;
 };
 
 HttpServer::HttpServer(asio::io_context& io, HttpServerOptions options,
--- a/src/runtime/metrics.cc
+++ b/src/runtime/metrics.cc
@@ -17,18 +17,21 @@
 constexpr double kLongestMs = 1e7;
 
 constexpr std::array<std::string_view, kCounters> kCounterNames = {
-    "requests",      "jobs_submitted",  "jobs_answered",   "jobs_refused",
-    "keys_refused",  "calls_rerouted",  "tasks_started",   "tasks_ended",
-    "tasks_stopped", "journal_writes",  "journal_records", "store_errors",
-    "ledger_writes", "ranges_gained",   "ranges_lost",     "peer_messages",
-    "rings_full",    "records_omitted", "calls_stale"};
+    "requests",       "jobs_submitted",     "jobs_answered",
+    "jobs_refused",   "keys_refused",       "calls_rerouted",
+    "tasks_started",  "tasks_ended",        "tasks_stopped",
+    "journal_writes", "journal_records",    "store_errors",
+    "ledger_writes",  "ranges_gained",      "ranges_lost",
+    "peer_messages",  "rings_full",         "records_omitted",
+    "calls_stale",    "requests_over_limit"};
 
 constexpr auto kGauges = static_cast<std::size_t>(Gauge::kCount);
 constexpr std::array<std::string_view, kGauges> kGaugeNames = {
     "occurrences_waiting", "jobs_behind",
     "steps_waiting",       "runs",
     "job_bytes",           "targets_reserved",
-    "suspects_waiting",    "longest_crash_hold_ms"};
+    "suspects_waiting",    "longest_crash_hold_ms",
+    "request_bytes"};
 
 constexpr std::array<std::string_view, kTimings> kTimingNames = {
     "urgent_answer_ms", "patient_accept_ms", "journal_write_ms",
