Bounds on frames of peers and on answers of called processes

Cause: a frame was allocated as announced, on any number of connections; the client's read buffer was unbounded, so trailers and chunk extensions of an answer accumulated there.

Before its Hello a connection may send 4 KB for 5 s; there are at most 256. An answer's head, chunk header and trailers have 16 KB each, its framing 1 MB; answers of targets and adviser share a budget. A refusal for want of budget says ran: no, which unit-request-limits found to be 'unknown'.

--- a/include/buckthornmux/detail/net/http_client.h
+++ b/include/buckthornmux/detail/net/http_client.h
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "buckthornmux/detail/net/http_types.h"
+#include "buckthornmux/detail/net/request_budget.h"
 
 namespace boost::asio {
 class io_context;
@@ -24,7 +25,10 @@
   /// room for few connections, and keep those of a lost host.
   Millis idle_timeout{0};
   Millis surplus_idle_timeout{0};
-  std::uint64_t max_body_bytes = 8 << 20;
+  std::uint64_t max_body_bytes = 8 << 20;  ///< Of an answer.
+  /// Bounds the answers that are being read; several clients may share one.
+  /// Null: no bound of their sum.
+  std::shared_ptr<RequestBudget> budget;
   /// Clock of HttpRequest::connected_by; empty: the steady clock.
   std::function<Time()> clock;
 };
--- a/include/buckthornmux/detail/peer/peer_links.h
+++ b/include/buckthornmux/detail/peer/peer_links.h
@@ -6,7 +6,9 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 
+#include "buckthornmux/detail/net/request_budget.h"
 #include "buckthornmux/detail/peer/messages.h"
 
 namespace boost::asio {
@@ -24,6 +26,10 @@
   Millis silent_after{2000};  ///< No Pong for so long: reconnect.
   Millis reconnect_pause{200};
   std::size_t max_queued = 16'384;  ///< Messages for one peer.
+  std::size_t max_incoming = 256;   ///< Further connections are closed.
+  Millis hello_within{5000};  ///< A new connection's Hello arrives within this.
+  /// Memory of the process, which bounds unfinished frames; 0: not configured.
+  std::int64_t memory_mb = 0;
   /// Clock that peers learn, see PeerLinks::ClockOf; steady_clock if left out.
   std::function<Time()> clock;
 };
@@ -43,6 +49,8 @@
   std::function<void(Heartbeat)> heartbeat;
   /// The peer has answered a Ping; may be left out.
   std::function<void(const HostId& peer)> pong;
+  /// A connection was closed, since it exceeded a limit; may be left out.
+  std::function<void(std::string_view limit)> over_limit;
 };
 
 /// @brief One outgoing connection per peer for what this host sends; what it
--- a/src/entry/client_limits.cc
+++ b/src/entry/client_limits.cc
@@ -8,9 +8,9 @@
 namespace buckthornmux::entry {
 namespace {
 
-/// An idle connection takes under 8 KB; all of them take at most a quarter of
+/// An idle connection takes under 8 KB; all of them take at most an eighth of
 /// the process's memory.
-constexpr std::int64_t kConnectionsPerMb = 32;
+constexpr std::int64_t kConnectionsPerMb = 16;
 constexpr Millis kReportInterval{1000};
 
 std::size_t MaxConnections(std::int64_t memory_mb) {
--- a/src/entry/host.cc
+++ b/src/entry/host.cc
@@ -74,7 +74,8 @@
       m_timer(m_io),
       m_log(STDOUT_FILENO),
       m_client_limits(m_settings.capacity.memory_mb, m_metrics),
-      m_client(m_io, TargetClientOptions(kConnectTimeout)),
+      m_client(m_io, TargetClientOptions(kConnectTimeout,
+                                         m_settings.capacity.memory_mb)),
       m_store_client(m_io, StoreClientOptions()),
       m_store(MakeStore()),
       m_rules(m_store, std::string(platform::kRulesKey), platform::ParseRules,
@@ -198,6 +199,7 @@
   options.listen = SelfOf(m_settings).peer_address;
   options.ping_every = kPeerPingInterval;
   options.silent_after = kPeerSilenceTimeout;
+  options.memory_mb = m_settings.capacity.memory_mb;
   options.clock = Now;
   return options;
 }
@@ -223,6 +225,9 @@
             if (m_offer && m_offer->suspect == peer) {
               m_offer.reset();  // The suspected owner is alive.
             }
+          },
+          [this](std::string_view limit) {
+            m_client_limits.Report("peers", limit, Now());
           }};
 }
 
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -31,6 +31,12 @@
 using tcp = asio::ip::tcp;
 using SteadyClock = std::chrono::steady_clock;
 
+/// Bound of an answer's head, and of what the parser needs as a whole later: a
+/// chunk header with its extensions, all trailers. Larger parts of a body are
+/// read in pieces of this size.
+constexpr std::size_t kMaxAnswerHeadBytes = 16 * 1024;
+/// Bytes of a chunked answer that aren't content.
+constexpr std::uint64_t kMaxAnswerFramingBytes = 1 << 20;
 /// Maximum time by which a stall time-out extends a call beyond its time-out.
 constexpr std::chrono::seconds kMaxStallExtension{10};
 
@@ -241,14 +247,24 @@
     if (error) {
       co_return OutcomeUnknown("sending: " + error.message());
     }
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(kMaxAnswerHeadBytes);
     http::response_parser<http::string_body> parser;
+    parser.header_limit(kMaxAnswerHeadBytes);
     parser.body_limit(options.max_body_bytes);
+    BudgetShare share(options.budget, true);
+    std::uint64_t parsed = 0;
     const Millis stall = request.stall_timeout;
     while (!error && !parser.is_done()) {
-      co_await http::async_read_some(
+      parsed += co_await http::async_read_some(
           connection.stream, buffer, parser,
           asio::redirect_error(asio::use_awaitable, error));
+      const std::string& body = parser.get().body();
+      if (!share.Resize(body.capacity())) {
+        co_return OutcomeUnknown("answers exceed the budget");
+      }
+      if (parsed > body.size() + kMaxAnswerHeadBytes + kMaxAnswerFramingBytes) {
+        co_return OutcomeUnknown("the answer's framing exceeds its limit");
+      }
       if (stall > Millis(0)) {
         connection.stream.expires_at(std::clamp(SteadyClock::now() + stall,
                                                 deadline,
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -79,16 +79,20 @@
   bool timed_out = false;
 };
 
-HttpResponse ErrorResponse(ErrorKind kind) {
+HttpResponse ErrorResponse(ErrorKind kind, Ran ran) {
   const ErrorAnswer& answer = AnswerFor(kind);
   HttpResponse response;
   response.status = answer.http_status;
   response.body = R"({"error":")" + std::string(answer.name) + R"(","ran":")" +
-                  std::string(RanName(answer.ran)) + R"("})";
+                  std::string(RanName(ran)) + R"("})";
   response.retry_after = answer.retry_after;
   return response;
 }
 
+HttpResponse ErrorResponse(ErrorKind kind) {
+  return ErrorResponse(kind, AnswerFor(kind).ran);
+}
+
 std::optional<ErrorKind> ErrorKindOf(const error_code& error) {
   if (error.category() == make_error_code(http::error::bad_method).category() &&
       error != http::error::end_of_stream &&
@@ -120,9 +124,8 @@
   if (limit != kBudget) {
     return ErrorResponse(ErrorKind::kTooLarge);
   }
-  HttpResponse response = ErrorResponse(ErrorKind::kQueueFull);
-  constexpr int kUnavailable = 503;
-  response.status = kUnavailable;
+  // The request was not handled.
+  HttpResponse response = ErrorResponse(ErrorKind::kQueueFull, Ran::kNo);
   response.retry_after = kOverloadRetryAfter;
   return response;
 }
--- a/src/peer/peer_links.cc
+++ b/src/peer/peer_links.cc
@@ -24,6 +24,8 @@
 using SteadyClock = std::chrono::steady_clock;
 
 constexpr std::size_t kMaxDatagramBytes = 60'000;
+/// Least bound of all unfinished frames: the largest one, and half as much.
+constexpr std::uint64_t kMinFrameBudgetBytes = kMaxFrameBytes / 2 * 3;
 /// The clocks of two hosts run at the same rate, but for one part of this many.
 constexpr int kMaxDriftDivisor = 50;
 constexpr Millis kClockResolution{1};
@@ -86,6 +88,11 @@
         events(std::move(link_events)),
         acceptor(context),
         datagrams(context) {
+    frames->limits = net::LimitsForMemory(options.memory_mb);
+    frames->limits.total = std::max(frames->limits.total, kMinFrameBudgetBytes);
+    // One frame may take all: the largest frame is larger than the part of
+    // large holders at the smallest budget.
+    frames->limits.large = frames->limits.total;
     if (!options.clock) {
       options.clock = [] {
         return std::chrono::time_point_cast<Millis>(SteadyClock::now());
@@ -125,7 +132,9 @@
       if (error == asio::error::operation_aborted) {
         co_return;
       }
-      if (!error) {
+      if (!error && self->incoming.size() >= self->options.max_incoming) {
+        self->ReportLimit("connections");
+      } else if (!error) {
         socket->set_option(tcp::no_delay(true), error);
         self->incoming.push_back(socket);
         asio::co_spawn(self->io, Receive(self, socket), asio::detached);
@@ -133,25 +142,55 @@
     }
   }
 
+  void ReportLimit(std::string_view limit) const {
+    if (events.over_limit) {
+      events.over_limit(limit);
+    }
+  }
+
+  /// Handles one frame of a peer. Returns false if the connection is to end.
+  asio::awaitable<bool> HandleFrame(tcp::socket& socket, std::string bytes,
+                                    HostId& from) {
+    auto outcome = Capture([&] { return DecodeMessage(bytes); });
+    const auto* message = std::get_if<Message>(&outcome);
+    if (message == nullptr) {
+      co_return false;  // Another version or no peer.
+    }
+    if (const auto* hello = std::get_if<Hello>(message)) {
+      from = hello->host;
+    } else if (std::holds_alternative<Ping>(*message)) {
+      const std::string pong = EncodePong();
+      co_return co_await WriteFrame(socket, pong);
+    } else if (!from.empty()) {
+      events.message(from, *message);
+    }
+    co_return true;
+  }
+
   static asio::awaitable<void> Receive(std::shared_ptr<Impl> self,
                                        std::shared_ptr<tcp::socket> socket) {
     HostId from;
-    while (const auto bytes = co_await ReadFrame(*socket)) {
-      const auto outcome = Capture([&] { return DecodeMessage(*bytes); });
-      const auto* message = std::get_if<Message>(&outcome);
-      if (message == nullptr) {
-        break;  // Another version or no peer: the connection ends.
+    auto known = std::make_shared<bool>(false);
+    asio::steady_timer hello_timer(self->io, self->options.hello_within);
+    hello_timer.async_wait([known, socket](error_code cancelled) {
+      if (!cancelled && !*known) {
+        error_code ignored;
+        socket->close(ignored);
       }
-      if (const auto* hello = std::get_if<Hello>(message)) {
-        from = hello->host;
-      } else if (std::holds_alternative<Ping>(*message)) {
-        const std::string pong = self->EncodePong();
-        if (!co_await WriteFrame(*socket, pong)) {
-          break;
-        }
-      } else if (!from.empty()) {
-        self->events.message(from, *message);
+    });
+    net::BudgetShare share(self->frames, true);
+    bool open = true;
+    while (open) {
+      const std::uint32_t most =
+          from.empty() ? kMaxSmallFrameBytes : kMaxFrameBytes;
+      FrameResult frame = co_await ReadFrame(*socket, most, share);
+      if (frame.over_limit) {
+        self->ReportLimit("frame_bytes");
       }
+      open = frame.bytes &&
+             co_await self->HandleFrame(*socket, std::move(*frame.bytes), from);
+      *known = !from.empty();
+      share.Release();
     }
     error_code ignored;
     socket->close(ignored);
@@ -221,8 +260,14 @@
   /// Reads Pongs until the connection breaks.
   static asio::awaitable<void> WatchPongs(std::shared_ptr<Impl> self,
                                           LinkPtr link, SocketPtr socket) {
-    while (const auto bytes = co_await ReadFrame(*socket)) {
-      const auto outcome = Capture([&] { return DecodeMessage(*bytes); });
+    net::BudgetShare share(nullptr, true);  // Of small frames only.
+    while (true) {
+      const FrameResult frame =
+          co_await ReadFrame(*socket, kMaxSmallFrameBytes, share);
+      if (!frame.bytes) {
+        break;
+      }
+      const auto outcome = Capture([&] { return DecodeMessage(*frame.bytes); });
       const auto* message = std::get_if<Message>(&outcome);
       const auto* pong =
           message == nullptr ? nullptr : std::get_if<Pong>(message);
@@ -389,6 +434,10 @@
   udp::socket datagrams;
   bool ended = false;
   std::vector<std::shared_ptr<tcp::socket>> incoming;
+  /// Of unfinished frames. Apart from that of callers, who could otherwise cut
+  /// hosts off from each other.
+  std::shared_ptr<net::RequestBudget> frames =
+      std::make_shared<net::RequestBudget>();
   std::mutex mutex;  ///< Guards links.
   std::map<HostId, LinkPtr> links;
 };
