--- a/src/front/front.cc
+++ b/src/front/front.cc
@@ -86,6 +86,11 @@
     options.write_timeout = settings.write_timeout;
     options.max_connections =
         static_cast<std::size_t>(settings.max_connections);
+    options.over_limit = [weak = weak_from_this()](std::string_view) {
+      if (const auto self = weak.lock()) {
+        self->wiring.metrics.Count(Counter::kRequestsOverLimit);
+      }
+    };
     server = std::make_unique<net::HttpServer>(
         io, options,
         [weak = weak_from_this()](net::HttpRequest request,
