--- a/include/buckthornmux/detail/peer/peer_links.h
+++ b/include/buckthornmux/detail/peer/peer_links.h
@@ -6,8 +6,10 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
+#include "buckthornmux/detail/net/request_budget.h"
 #include "buckthornmux/detail/net/traffic.h"
 #include "buckthornmux/detail/peer/messages.h"
 
@@ -26,6 +28,10 @@
   Millis silent_after{2000};  ///< No Pong for so long: reconnect.
   Millis reconnect_pause{200};
   std::size_t max_queued = 16'384;  ///< Messages for one peer.
+  std::size_t max_incoming = 256;   ///< Further connections are closed.
+  Millis hello_within{5000};  ///< A new connection's Hello arrives within this.
+  /// Memory of the process, which bounds unfinished frames; 0: not configured.
+  std::int64_t memory_mb = 0;
   /// Clock that peers learn, see PeerLinks::ClockOf; steady_clock if left out.
   std::function<Time()> clock;
   net::Traffic* traffic = nullptr;  ///< Outlives the links; null: not counted.
@@ -49,6 +55,8 @@
   /// A frame of any kind has arrived on a connection that the peer opened; may
   /// be left out.
   std::function<void(const HostId& peer)> frame;
+  /// A connection was closed, since it exceeded a limit; may be left out.
+  std::function<void(std::string_view limit)> over_limit;
 };
 
 /// @brief One outgoing connection per peer for what this host sends; what it
--- a/src/entry/host.cc
+++ b/src/entry/host.cc
@@ -82,8 +82,11 @@
       m_signals(m_io, SIGTERM, SIGINT, SIGHUP),
       m_timer(m_io),
       m_log(STDOUT_FILENO),
+      m_client_limits(m_settings.capacity.memory_mb, m_metrics),
       m_client(m_io,
-               WithTraffic(TargetClientOptions(kConnectTimeout), m_traffic)),
+               WithTraffic(TargetClientOptions(kConnectTimeout,
+                                               m_settings.capacity.memory_mb),
+                           m_traffic)),
       m_store_client(m_io, WithTraffic(StoreClientOptions(), m_traffic)),
       m_store(MakeStore()),
       m_rules(m_store, std::string(platform::kRulesKey), platform::ParseRules,
@@ -103,14 +106,16 @@
       m_relay(m_rules, m_gauge, RelayLinks()),
       m_evacuation_relay(m_evacuations, EvacuationLinks()),
       m_callers(m_io, m_settings.callers_address, MakeCallerCodec(), m_rules,
-                m_settings.bounds.key_trust, m_metrics, CallersLinks()),
+                m_settings.bounds.key_trust, m_metrics, CallersLinks(),
+                &m_client_limits),
       m_owner_watch(OwnerWatchHandlers()),
       m_peers(m_io, PeerOptions(), PeerHandlers()) {
   runtime::SetLogSink([this](std::string_view line) { m_log.Append(line); });
-  m_readiness =
-      ServeReadiness(m_io, m_settings.readiness_address,
-                     platform::kReadinessPath, [this] { return Ready(); });
-  m_metrics_server = ServeMetrics(m_io, m_settings.metrics_address, m_metrics);
+  m_readiness = ServeReadiness(
+      m_io, m_settings.readiness_address, platform::kReadinessPath,
+      [this] { return Ready(); }, m_client_limits);
+  m_metrics_server = ServeMetrics(m_io, m_settings.metrics_address, m_metrics,
+                                  m_client_limits);
 }
 
 int Host::Run() {
@@ -231,6 +236,7 @@
   options.listen = SelfOf(m_settings).peer_address;
   options.ping_every = kPeerPingInterval;
   options.silent_after = kPeerSilenceTimeout;
+  options.memory_mb = m_settings.capacity.memory_mb;
   options.clock = Now;
   options.traffic = &m_traffic;
   return options;
@@ -258,7 +264,10 @@
               m_offer.reset();  // The suspected owner is alive.
             }
           },
-          [this](const HostId& peer) { m_owner_watch.OnFrame(peer, Now()); }};
+          [this](const HostId& peer) { m_owner_watch.OnFrame(peer, Now()); },
+          [this](std::string_view limit) {
+            m_client_limits.Report("peers", limit, Now());
+          }};
 }
 
 OwnerWatchLinks Host::OwnerWatchHandlers() {
@@ -296,6 +305,7 @@
   m_members.Tick(now);
   m_cell.Tick(now);
   m_callers.Tick(now);
+  m_client_limits.Tick();
   CheckOwner(now);
   WatchSettings(now);
   LeaveWhenDone(now);
