Speed of targets from the run times of alike tasks

Cause: TargetHealth::slowness takes the lowest ratio of a target's runs to the median of the other targets, and only of runs that have been seen for 700 ms. It is noisy, is biased downwards, and stays 1 where all tasks are short. Targets of the new deployments differ by 0.7 to 1.7. Change: the end of each run is compared with up to 16 ended runs of its step on other targets. A target's mean difference, corrected for the speeds of those others and halved in weight each 60 s, counts if it exceeds a tenth and three standard errors. If more than a tenth of the targets differ so, the score of targets, the names for urgent advice, and the choice of places for gangs use it, and work whose slack is under 0.7 of its remaining chain counts the speed as urgent work does. Otherwise all is as before. The thresholds for targets that have turned slow are unchanged; their slowness counts if it exceeds the estimate by half. Result: unit-target-speed, 100 targets of 0.7 to 1.7, 40 runs each, tasks of a step spread by 0.3: at least 90 within a fifth of the truth; no difference found in 200 plays of 100 alike targets.

--- a/include/buckthornmux/detail/cell/state.h
+++ b/include/buckthornmux/detail/cell/state.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "buckthornmux/detail/cell/gauges.h"
+#include "buckthornmux/detail/cell/target_speed.h"
 #include "buckthornmux/detail/cell/tasks.h"
 #include "buckthornmux/detail/cell/types.h"
 #include "buckthornmux/detail/core/error.h"
@@ -132,7 +133,9 @@
   Time paused_until;      ///< Gets no work before, because of failures.
   Time suspended_until;   ///< Gets no work before, for other reasons.
   Time last_success;
-  double slowness = 1;  ///< Run time relative to other targets, smoothed.
+  /// Run time relative to other targets, from the progress of present runs.
+  double slowness = 1;
+  TargetSpeed speed;  ///< From complete runs.
 };
 
 /// A target and the runs known to be on it.
@@ -209,6 +212,12 @@
   bool blocked = false;  ///< Only the end of services would make room.
 };
 
+/// Durations of the runs of a step on one target.
+struct RunTimes {
+  Millis latest{0};    ///< Of the latest run, perhaps estimated from progress.
+  Millis complete{0};  ///< Of the latest complete run; 0 if there is none.
+};
+
 struct Step {
   TaskTable tasks;
   std::uint32_t done = 0;
@@ -220,8 +229,7 @@
   AdviceState advice;
   GangHold hold;
   Hold crash_hold;  ///< Of its tasks that aren't suspected, or of a gang.
-  /// Duration of the last complete run of one of its tasks, by target.
-  std::map<TargetId, Millis> run_times;
+  std::map<TargetId, RunTimes> run_times;
 
   /// @brief Number of tasks that have no run and are not done.
   [[nodiscard]] std::uint32_t CountWaiting() const {
--- a/src/cell/advice/advice.cc
+++ b/src/cell/advice/advice.cc
@@ -87,6 +87,7 @@
   std::uint32_t count;  ///< Tasks that fit on it now.
   bool usable;          ///< The adviser has allowed it before.
   double left;          ///< Free fraction of its CPU.
+  double run_time;      ///< Relative to other targets.
 };
 
 /// Targets and capacity available to a step.
@@ -172,7 +173,7 @@
     const double left = static_cast<double>(room.cpu_milli) /
                         static_cast<double>(std::max<std::int64_t>(
                             1, target.entry.capacity.cpu_milli));
-    placement.options.push_back({&target, count, usable, left});
+    placement.options.push_back({&target, count, usable, left, slot.run_time});
   }
   return placement;
 }
@@ -290,7 +291,7 @@
       return a.count > 0;
     }
     if (a.count > 0) {
-      return a.target->health.slowness < b.target->health.slowness;
+      return a.run_time < b.run_time;
     }
     return a.left > b.left;
   });
--- a/src/cell/placement/gangs.cc
+++ b/src/cell/placement/gangs.cc
@@ -72,6 +72,25 @@
   }
 }
 
+/// Keeps the fastest places that hold a whole gang, which runs at the speed of
+/// its slowest member.
+void KeepFastest(std::vector<Place>& places, std::size_t wanted) {
+  std::ranges::stable_sort(
+      places, {}, [](const Place& place) { return place.slot->run_time; });
+  /// Places that differ by less count as equally fast.
+  constexpr double kTolerance = 1.05;
+  std::uint32_t total = 0;
+  double slowest = 0;
+  std::erase_if(places, [&](const Place& place) {
+    if (total >= wanted && place.slot->run_time > slowest * kTolerance) {
+      return true;
+    }
+    slowest = total < wanted ? place.slot->run_time : slowest;
+    total += place.count;
+    return false;
+  });
+}
+
 Place MakePlace(Slot& slot, const Candidate& candidate) {
   const Target& target = *slot.target;
   const StepSpec& spec = candidate.Spec();
@@ -94,6 +113,9 @@
   if (spec.same_rack) {
     RestrictToOneRack(places, candidate);
   }
+  if (round.speeds_differ) {
+    KeepFastest(places, wanted);
+  }
   return Total(places) < wanted ? std::vector<Slot*>()
                                 : Fill(std::move(places), wanted);
 }
--- a/src/cell/placement/plan.cc
+++ b/src/cell/placement/plan.cc
@@ -121,16 +121,34 @@
 /// Urgent work on a target that is reserved for a gang delays the gang.
 constexpr double kReservedTargetPenalty = 1;
 
+/// Weights of a target's run time in its score.
+constexpr double kRunTimeWeight = 1;
+constexpr double kSlackRunTimeWeight = 0.2;
+
+/// Whether a step may miss its objective on a slow target.
+bool NeedsFastTarget(const Round& round, const Candidate& candidate) {
+  /// A run takes up to 0.7 times longer there.
+  constexpr int kSlowPercent = 70;
+  constexpr int kAllPercent = 100;
+  return candidate.Urgent() ||
+         (round.speeds_differ && !candidate.Spec().service && !candidate.late &&
+          !candidate.hopeless &&
+          candidate.slack < candidate.job->chains[candidate.ref.step] *
+                                kSlowPercent / kAllPercent);
+}
+
 /// Scores a slot for a task; lower is better.
-double Score(const Slot& slot, const Resources& room, const StepSpec& spec,
-             const Task* task, const Candidate& candidate) {
+double Score(const Round& round, const Slot& slot, const Resources& room,
+             const StepSpec& spec, const Task* task,
+             const Candidate& candidate) {
   const Target& target = *slot.target;
   const auto total = static_cast<double>(
       std::max<std::int64_t>(1, target.entry.capacity.cpu_milli));
   const double left =
       static_cast<double>(room.cpu_milli - spec.demand.cpu_milli) / total;
-  double score =
-      left + target.health.slowness * (candidate.Urgent() ? 1.0 : 0.2);
+  double score = left + slot.run_time * (NeedsFastTarget(round, candidate)
+                                             ? kRunTimeWeight
+                                             : kSlackRunTimeWeight);
   if (slot.reserved.cpu_milli > 0) {
     score += kReservedTargetPenalty;
   }
@@ -162,7 +180,7 @@
     if (taken > 0 && taken > round.beyond_headroom) {
       continue;
     }
-    const double score = Score(*slot, room, spec, task, candidate);
+    const double score = Score(round, *slot, room, spec, task, candidate);
     if (best == nullptr || score < best_score) {
       best = slot;
       best_score = score;
--- a/src/cell/placement/round.cc
+++ b/src/cell/placement/round.cc
@@ -10,6 +10,7 @@
 #include "src/cell/placement/headroom.h"
 #include "src/cell/placement/health.h"
 #include "src/cell/placement/isolation.h"
+#include "src/cell/placement/target_speed.h"
 
 namespace buckthornmux::cell {
 namespace {
@@ -95,6 +96,23 @@
 
 namespace {
 
+/// Sets the run times of the slots. Where targets don't differ in speed, only
+/// the progress of present runs counts.
+void RateSpeeds(Round& round) {
+  std::vector<double> run_times;
+  run_times.reserve(round.slots.size());
+  for (const Slot& slot : round.slots) {
+    run_times.push_back(RelativeRunTime(slot.target->health.speed, round.now));
+  }
+  round.speeds_differ = DoSpeedsDiffer(run_times);
+  for (std::size_t i = 0; i < round.slots.size(); ++i) {
+    const double slowness = round.slots[i].target->health.slowness;
+    round.slots[i].run_time = round.speeds_differ
+                                  ? ExpectedRunTime(run_times[i], slowness)
+                                  : slowness;
+  }
+}
+
 /// Returns the longest time that a ticket of any queue is valid.
 Millis LongestTicket(const Cell& cell) {
   Millis longest{0};
@@ -162,6 +180,7 @@
     round.by_id[PlaceOf(round, round.slots[i].target->entry.id)] =
         static_cast<std::uint32_t>(i + 1);
   }
+  RateSpeeds(round);
   ControlOverload(round);
   return round;
 }
--- a/src/cell/placement/round.h
+++ b/src/cell/placement/round.h
@@ -37,7 +37,8 @@
   /// Kept for waiting gangs; urgent work may use it, and work that ends before
   /// these gangs can start.
   Resources reserved;
-  Resources services;  ///< Held by services, which don't end by themselves.
+  Resources services;   ///< Held by services, which don't end by themselves.
+  double run_time = 1;  ///< Relative to other targets.
   /// Job with a run on probation there; no other job may start on it.
   const JobId* probation = nullptr;
   /// Tasks there that are suspected repeatedly and kept apart from others.
@@ -121,6 +122,7 @@
   std::size_t gang_looks = 0;
   StepRef last_look;
   std::size_t starts_left = 0;  ///< Tasks that may still start in the round.
+  bool speeds_differ = false;   ///< Targets are known to differ in speed.
   bool overload_control = false;
   /// Processor of a typical urgent task, in millicores.
   std::int64_t urgent_task_cpu = 0;
--- a/src/cell/runs/reports.cc
+++ b/src/cell/runs/reports.cc
@@ -239,9 +239,9 @@
 std::optional<double> SlownessRatio(const Step& step, const TargetId& target) {
   const auto own = step.run_times.find(target);
   std::vector<Millis> others;
-  for (const auto& [id, run_time] : step.run_times) {
+  for (const auto& [id, run_times] : step.run_times) {
     if (id != target) {
-      others.push_back(run_time);
+      others.push_back(run_times.latest);
     }
   }
   if (own == step.run_times.end() || others.empty()) {
@@ -250,7 +250,7 @@
   const auto middle =
       others.begin() + static_cast<std::ptrdiff_t>(others.size() / 2);
   std::ranges::nth_element(others, middle);
-  return static_cast<double>(own->second.count()) /
+  return static_cast<double>(own->second.latest.count()) /
          static_cast<double>(std::max<std::int64_t>(1, middle->count()));
 }
 
@@ -267,7 +267,7 @@
     if (step == nullptr) {
       continue;
     }
-    step->run_times[target.entry.id] = *run_time;
+    step->run_times[target.entry.id].latest = *run_time;
     if (const auto ratio = SlownessRatio(*step, target.entry.id)) {
       least = std::min(least.value_or(*ratio), *ratio);
     }
--- a/src/cell/runs/steps.cc
+++ b/src/cell/runs/steps.cc
@@ -3,6 +3,7 @@
 #include "buckthornmux/detail/core/invariant.h"
 #include "src/cell/admission/queues.h"
 #include "src/cell/placement/health.h"
+#include "src/cell/placement/target_speed.h"
 #include "src/cell/runs/verdicts.h"
 
 namespace buckthornmux::cell {
@@ -129,12 +130,50 @@
   }
 }
 
+/// Whether the duration of a run tells how fast its target is. Members of a
+/// gang wait for each other, and a run that resumes is shorter.
+bool ShowsSpeed(const Run& run, const StepSpec& spec, const Task& task) {
+  return !spec.gang && !spec.service && !spec.fills && spec.data_rack.empty() &&
+         task.checkpoint.empty() && !run.of_former_owner && !run.inherited;
+}
+
+/// Returns the run times of a step on other targets: those next in order of id,
+/// so that a step of many tasks doesn't take long to compare.
+std::vector<SpeedPeer> PeersOf(Cell& cell, const Step& step,
+                               const TargetId& target) {
+  constexpr std::size_t kMaxPeers = 16;
+  std::vector<SpeedPeer> peers;
+  const auto own = step.run_times.upper_bound(target);
+  const auto add = [&](auto next, auto end) {
+    for (; next != end && peers.size() < kMaxPeers; ++next) {
+      Target* other =
+          next->first == target || next->second.complete == Millis(0)
+              ? nullptr
+              : FindTarget(cell, next->first);
+      if (other != nullptr) {
+        peers.push_back({&other->health.speed, next->second.complete});
+      }
+    }
+  };
+  add(own, step.run_times.end());
+  add(step.run_times.begin(), own);
+  return peers;
+}
+
 /// Records the duration of a complete run, to compare other runs with it.
-void RecordRunTime(Job& job, const Target& target, const RunId& id, Time now) {
-  const auto run = target.runs.find(id);
-  if (run != target.runs.end() && run->second.phase == RunPhase::kRunning) {
-    FindStep(job, id.task.occurrence, id.task.step)
-        ->run_times[target.entry.id] = now - run->second.confirmed_at;
+void RecordRunTime(Cell& cell, Job& job, Target& target, const RunId& id,
+                   const Task& task, Time now) {
+  const auto found = target.runs.find(id);
+  if (found == target.runs.end() || found->second.phase != RunPhase::kRunning) {
+    return;
+  }
+  const Run& run = found->second;
+  const Millis run_time = std::max(Millis(1), now - run.confirmed_at);
+  Step& step = *FindStep(job, id.task.occurrence, id.task.step);
+  step.run_times[target.entry.id] = {run_time, run_time};
+  if (ShowsSpeed(run, job.spec.steps[id.task.step], task)) {
+    AddRunTime(target.health.speed, run_time,
+               PeersOf(cell, step, target.entry.id), now);
   }
 }
 
@@ -256,7 +295,7 @@
         {"end", std::string(EndName(end.end))},
         {"sequence", std::to_string(end.sequence)}});
   if (task != nullptr && end.end == RunEnd::kDone) {
-    RecordRunTime(*job, target, end.run, now);
+    RecordRunTime(cell, *job, target, end.run, *task, now);
   }
   ReleaseRun(cell, target, end.run);
   if (task == nullptr) {
