Interference between kinds of tasks is found and avoided

Cause: tasks that slow each other down were placed beside each other as any others. Change: for each run that ends, the table learns which kinds (queue and image, or size class) were beside it for half of its time. Runs of one step with and without a kind beside are compared, at the usual speed of their targets. A pair is found at a slowdown of 1.15 and 4.5 standard errors, with evidence of two jobs, and ends below 1.07 or two errors. Weights halve each 60 s. A kind that disturbs another one keeps away from it only if no single team makes up the evidence. The slowdown is a term of a target's score, which is 0 while nothing was found. Log lines interference_found and interference_gone, a gauge, and the setting interference=off.

--- a/include/buckthornmux/detail/cell/cell.h
+++ b/include/buckthornmux/detail/cell/cell.h
@@ -130,6 +130,8 @@
   std::size_t suspects_waiting = 0;
   /// Longest current wait that such a suspicion causes, for any task.
   Millis longest_crash_hold{0};
+  /// Pairs of kinds of tasks that slow each other down.
+  std::size_t interfering_pairs = 0;
   /// Processor that is kept free for urgent work, in millicores.
   std::int64_t headroom_cpu_milli = 0;
   /// How long room has been free beside waiting work that fits into it.
--- a/include/buckthornmux/detail/cell/state.h
+++ b/include/buckthornmux/detail/cell/state.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "buckthornmux/detail/cell/gauges.h"
+#include "buckthornmux/detail/cell/interference_table.h"
 #include "buckthornmux/detail/cell/target_speed.h"
 #include "buckthornmux/detail/cell/tasks.h"
 #include "buckthornmux/detail/cell/types.h"
@@ -70,6 +71,8 @@
   double busy_backlog = 0.3;
   /// Maximum free fraction of the CPU capacity at which such jobs are refused.
   double busy_free = 0.15;
+  /// Finds kinds of tasks that slow each other down, and keeps them apart.
+  bool interference = true;
 };
 
 enum class RunPhase : std::uint8_t {
@@ -116,6 +119,9 @@
   /// it.
   Millis apart_for{0};
   Millis estimate{0};
+  KindNumber kind = 0;  ///< Of its task; 0 for a run of a former owner.
+  /// Kinds of runs that have ended beside it, and the times with them.
+  std::vector<BesideTime> beside;
 };
 
 /// A run's end that has not been acknowledged to its target yet.
@@ -216,6 +222,7 @@
 struct RunTimes {
   Millis latest{0};    ///< Of the latest run, perhaps estimated from progress.
   Millis complete{0};  ///< Of the latest complete run; 0 if there is none.
+  KindSet beside = 0;  ///< Kinds beside the latest complete run.
 };
 
 struct Step {
@@ -501,6 +508,7 @@
   /// there is none.
   std::optional<Time> idle_since;
   Millis idle_longest{0};  ///< Longest such time since the last report.
+  InterferenceTable interference;
   WriteQueues writes;
   Bundles bundles;
   /// Unstarted jobs by the queue that accepted them.
--- a/include/buckthornmux/detail/entry/settings.h
+++ b/include/buckthornmux/detail/entry/settings.h
@@ -42,6 +42,8 @@
   std::size_t max_value_bytes = 1'048'576;  ///< Of a value in the store.
   std::string adviser_address;              ///< Empty if there is no adviser.
   bool first_start = false;  ///< First start of the whole system.
+  /// Keeps tasks apart that slow each other down.
+  bool interference = true;
   HostCapacity capacity;
   Bounds bounds;
 };
--- a/include/buckthornmux/detail/runtime/metrics.h
+++ b/include/buckthornmux/detail/runtime/metrics.h
@@ -45,6 +45,7 @@
   kTargetsReserved,     ///< Targets reserved for a task on probation.
   kSuspectsWaiting,     ///< Waiting tasks that may have crashed targets.
   kLongestCrashHold,    ///< Longest wait that such tasks cause, ms.
+  kInterferingPairs,    ///< Kinds of tasks that slow each other down.
   kCount,
 };
 
--- a/src/cell/placement/plan.cc
+++ b/src/cell/placement/plan.cc
@@ -1,7 +1,9 @@
 #include <algorithm>
+#include <cmath>
 
 #include "src/cell/admission/queues.h"
 #include "src/cell/admission/team_limits.h"
+#include "src/cell/placement/interference.h"
 #include "src/cell/placement/isolation.h"
 #include "src/cell/runs/verdicts.h"
 
@@ -121,6 +123,8 @@
 /// Urgent work on a target that is reserved for a gang delays the gang.
 constexpr double kReservedTargetPenalty = 1;
 
+/// A slowdown by interference outweighs that the target is fuller than others.
+constexpr double kInterferenceWeight = 2;
 /// Weights of a target's run time in its score.
 constexpr double kRunTimeWeight = 1;
 constexpr double kSlackRunTimeWeight = 0.2;
@@ -149,6 +153,10 @@
   double score = left + slot.run_time * (NeedsFastTarget(round, candidate)
                                              ? kRunTimeWeight
                                              : kSlackRunTimeWeight);
+  if (candidate.kind != 0) {
+    score += kInterferenceWeight *
+             Disturbance(round.cell.interference, candidate.kind, slot.kinds);
+  }
   if (slot.reserved.cpu_milli > 0) {
     score += kReservedTargetPenalty;
   }
@@ -486,6 +494,9 @@
     }
   }
   candidate.ends_before_gangs = EndsBeforeGangs(round, candidate);
+  if (round.cell.interference.found > 0) {
+    candidate.kind = KindOf(round.cell, candidate, round.now);
+  }
   PlanStep(round, candidate);
 }
 
@@ -522,6 +533,24 @@
   cell.idle_longest = std::max(cell.idle_longest, round.now - *cell.idle_since);
 }
 
+/// Ages the evidence on interference, and logs what was found or has ended.
+void AgeInterference(Cell& cell, Actions& actions, Time now) {
+  constexpr Millis kInterval{500};
+  if (!cell.options.interference ||
+      now - cell.interference.judged_at < kInterval) {
+    return;
+  }
+  for (const PairChange& change : Age(cell.interference, now)) {
+    constexpr int kAllPercent = 100;
+    Note(actions, change.found ? "interference_found" : "interference_gone",
+         {{"kind", change.kind},
+          {"beside", change.beside},
+          {"run_time_percent",
+           std::to_string(std::lround(change.slowdown * kAllPercent))},
+          {"pairs", std::to_string(cell.interference.found)}});
+  }
+}
+
 std::size_t CountReserved(const Cell& cell, Time now) {
   return static_cast<std::size_t>(
       std::ranges::count_if(cell.targets, [&](const auto& entry) {
@@ -579,6 +608,7 @@
   }
   load.headroom_cpu_milli = cell.headroom_cpu;
   load.idle_beside_work = cell.idle_since ? now - *cell.idle_since : Millis(0);
+  load.interfering_pairs = cell.interference.found;
   load.runs = cell.run_count;
   load.job_bytes = cell.job_bytes;
   load.lanes_busy = static_cast<std::size_t>(std::ranges::count_if(
@@ -592,6 +622,7 @@
     return;
   }
   JudgeAccused(cell, actions, now);
+  AgeInterference(cell, actions, now);
   OpenDue(cell, actions, now);
   std::vector<Candidate> candidates = WaitingSteps(cell, now);
   CountCapacity(cell);
--- a/src/cell/placement/round.cc
+++ b/src/cell/placement/round.cc
@@ -9,6 +9,7 @@
 #include "src/cell/admission/team_limits.h"
 #include "src/cell/placement/headroom.h"
 #include "src/cell/placement/health.h"
+#include "src/cell/placement/interference.h"
 #include "src/cell/placement/isolation.h"
 #include "src/cell/placement/target_speed.h"
 
@@ -63,6 +64,7 @@
 void MarkRecentRuns(Cell& cell, Slot& slot, Time now) {
   slot.empty = slot.target->runs.empty();
   for (const auto& [id, run] : slot.target->runs) {
+    slot.kinds |= SetOf(run.kind);
     if (ReservesTarget(cell.options, run, now)) {
       slot.probation = &id.task.job;
     }
@@ -154,6 +156,14 @@
 
 }  // namespace
 
+KindNumber KindOf(Cell& cell, const Candidate& candidate, Time now) {
+  const StepSpec& spec = candidate.Spec();
+  return cell.options.interference
+             ? KindOf(cell.interference, candidate.job->spec.queue, spec.image,
+                      spec.demand.cpu_milli, now)
+             : KindNumber{0};
+}
+
 Round BeginRound(Cell& cell, Actions& actions, Time now) {
   Round round{cell, actions, now, {}, {}, {}, LaneCallTimes(cell)};
   const std::size_t most = cell.options.max_runs;
--- a/src/cell/placement/round.h
+++ b/src/cell/placement/round.h
@@ -39,6 +39,7 @@
   Resources reserved;
   Resources services;   ///< Held by services, which don't end by themselves.
   double run_time = 1;  ///< Relative to other targets.
+  KindSet kinds = 0;    ///< Kinds of the tasks that run there.
   /// Job with a run on probation there; no other job may start on it.
   const JobId* probation = nullptr;
   /// Tasks there that are suspected repeatedly and kept apart from others.
@@ -67,7 +68,8 @@
   bool ends_before_gangs = false;
   /// May ask the adviser, whose time late steps would take from others.
   bool may_ask = false;
-  Millis slack{0};  ///< Time left until its latest start.
+  Millis slack{0};      ///< Time left until its latest start.
+  KindNumber kind = 0;  ///< Of its tasks; 0 while nothing interferes.
   /// Order among late steps: by the earlier occurrences of the job that wait
   /// too, and the late tasks that it has started.
   std::uint64_t rank = 0;
@@ -132,6 +134,10 @@
   AdviceLimit advice_limit;
 };
 
+/// @brief Returns the kind of a step's tasks; 0 if interference is off.
+[[nodiscard]] KindNumber KindOf(Cell& cell, const Candidate& candidate,
+                                Time now);
+
 /// @brief Begins a round with the targets that accept work.
 [[nodiscard]] Round BeginRound(Cell& cell, Actions& actions, Time now);
 
--- a/src/cell/placement/starts.cc
+++ b/src/cell/placement/starts.cc
@@ -1,5 +1,6 @@
 // Placement restrictions for retried tasks, and the start of tasks.
 #include "src/cell/placement/health.h"
+#include "src/cell/placement/interference.h"
 #include "src/cell/placement/isolation.h"
 
 namespace buckthornmux::cell {
@@ -61,6 +62,7 @@
   run.service = spec.service;
   run.trial = IsOnProbation(target);
   run.estimate = spec.estimate;
+  run.kind = KindOf(round.cell, candidate, round.now);
   run.probation = spec.gang ? candidate.suspect : IsSuspect(task);
   if (IsRepeatedSuspect(task)) {
     run.apart_for = ApartFor(round.cell.options, task);
@@ -74,6 +76,7 @@
     slot.services += run.demand;
   }
   slot.trial_begun = run.trial;
+  slot.kinds |= SetOf(run.kind);
   slot.fresh = true;
   slot.empty = false;
   if (run.probation) {
--- a/src/cell/placement/target_speed.cc
+++ b/src/cell/placement/target_speed.cc
@@ -53,6 +53,10 @@
 
 }  // namespace
 
+double LogTimeAtUsualSpeed(const TargetSpeed& target, Millis run_time) {
+  return LogOf(run_time) - MeanOf(target);
+}
+
 void AddRunTime(TargetSpeed& target, Millis run_time,
                 std::span<const SpeedPeer> peers, Time now) {
   if (peers.empty()) {
@@ -63,7 +67,7 @@
   const double mean = MeanOf(target);
   double elsewhere = 0;
   for (const SpeedPeer& peer : peers) {
-    elsewhere += (LogOf(peer.run_time) - MeanOf(*peer.speed)) / count;
+    elsewhere += LogTimeAtUsualSpeed(*peer.speed, peer.run_time) / count;
   }
   const double difference =
       std::clamp(LogOf(run_time) - mean - elsewhere, -kMaxSample, kMaxSample);
--- a/src/cell/placement/target_speed.h
+++ b/src/cell/placement/target_speed.h
@@ -23,6 +23,11 @@
 void AddRunTime(TargetSpeed& target, Millis run_time,
                 std::span<const SpeedPeer> peers, Time now);
 
+/// @brief Logarithm of the run time that a task would have at the usual speed,
+///   as far as that of its target is known.
+[[nodiscard]] double LogTimeAtUsualSpeed(const TargetSpeed& target,
+                                         Millis run_time);
+
 /// @brief Run time of a target relative to the others, within 0.25 to 4. Is 1
 ///   unless the evidence for a difference exceeds what chance explains.
 [[nodiscard]] double RelativeRunTime(const TargetSpeed& target, Time now);
--- a/src/cell/runs/steps.cc
+++ b/src/cell/runs/steps.cc
@@ -1,8 +1,10 @@
 #include <algorithm>
+#include <array>
 
 #include "buckthornmux/detail/core/invariant.h"
 #include "src/cell/admission/queues.h"
 #include "src/cell/placement/health.h"
+#include "src/cell/placement/interference.h"
 #include "src/cell/placement/target_speed.h"
 #include "src/cell/runs/verdicts.h"
 
@@ -137,21 +139,29 @@
          task.checkpoint.empty() && !run.of_former_owner && !run.inherited;
 }
 
-/// Returns the run times of a step on other targets: those next in order of id,
-/// so that a step of many tasks doesn't take long to compare.
-std::vector<SpeedPeer> PeersOf(Cell& cell, const Step& step,
-                               const TargetId& target) {
-  constexpr std::size_t kMaxPeers = 16;
-  std::vector<SpeedPeer> peers;
+/// Complete runs of a step on other targets.
+struct Peers {
+  std::vector<SpeedPeer> speeds;
+  std::vector<StepRun> runs;
+};
+
+/// Returns the complete runs on the targets that come next in order of id, so
+/// that a step of many tasks doesn't take long to compare.
+Peers PeersOf(Cell& cell, const Step& step, const TargetId& target) {
+  constexpr std::size_t kMaxPeers = 32;
+  Peers peers;
   const auto own = step.run_times.upper_bound(target);
   const auto add = [&](auto next, auto end) {
-    for (; next != end && peers.size() < kMaxPeers; ++next) {
-      Target* other =
-          next->first == target || next->second.complete == Millis(0)
-              ? nullptr
-              : FindTarget(cell, next->first);
+    for (; next != end && peers.runs.size() < kMaxPeers; ++next) {
+      const RunTimes& times = next->second;
+      Target* other = next->first == target || times.complete == Millis(0)
+                          ? nullptr
+                          : FindTarget(cell, next->first);
       if (other != nullptr) {
-        peers.push_back({&other->health.speed, next->second.complete});
+        TargetSpeed& speed = other->health.speed;
+        peers.speeds.push_back({&speed, times.complete});
+        peers.runs.push_back(
+            {LogTimeAtUsualSpeed(speed, times.complete), times.beside});
       }
     }
   };
@@ -160,6 +170,57 @@
   return peers;
 }
 
+/// Time that a run has had beside another one that is there now.
+Millis SharedTime(const Run& run, const Run& other, Time now) {
+  return now - std::max(BeganAt(run), BeganAt(other));
+}
+
+/// Notes the time of a run that ends for those beside it.
+void NoteSharedTime(Target& target, const RunId& id, Time now) {
+  /// Further kinds are too many to tell what each does.
+  constexpr std::size_t kMaxBeside = 8;
+  const auto ending = target.runs.find(id);
+  if (ending == target.runs.end() || ending->second.kind == 0) {
+    return;
+  }
+  const KindNumber kind = ending->second.kind;
+  for (auto& [other_id, other] : target.runs) {
+    if (other_id == id || other.kind == 0) {
+      continue;
+    }
+    const Millis shared = SharedTime(ending->second, other, now);
+    const auto known = std::ranges::find(other.beside, kind, &BesideTime::kind);
+    if (known != other.beside.end()) {
+      known->time += shared;
+    } else if (other.beside.size() < kMaxBeside) {
+      other.beside.push_back({kind, shared});
+    }
+  }
+}
+
+/// Returns the kinds that were beside a run for at least half of its time.
+KindSet KindsBeside(const Target& target, const RunId& id, const Run& run,
+                    Time now) {
+  std::array<Millis, kMaxKinds> times{};
+  for (const auto& [other_id, other] : target.runs) {
+    if (other_id != id) {
+      times[other.kind] =
+          std::max(times[other.kind], SharedTime(run, other, now));
+    }
+  }
+  for (const BesideTime& beside : run.beside) {
+    times[beside.kind] += beside.time;
+  }
+  KindSet kinds = 0;
+  for (std::size_t kind = 1; kind < kMaxKinds; ++kind) {
+    kinds |=
+        2 * times[kind] >= now - run.confirmed_at && times[kind] > Millis(0)
+            ? SetOf(static_cast<KindNumber>(kind))
+            : 0;
+  }
+  return kinds;
+}
+
 /// Records the duration of a complete run, to compare other runs with it.
 void RecordRunTime(Cell& cell, Job& job, Target& target, const RunId& id,
                    const Task& task, Time now) {
@@ -170,10 +231,23 @@
   const Run& run = found->second;
   const Millis run_time = std::max(Millis(1), now - run.confirmed_at);
   Step& step = *FindStep(job, id.task.occurrence, id.task.step);
-  step.run_times[target.entry.id] = {run_time, run_time};
-  if (ShowsSpeed(run, job.spec.steps[id.task.step], task)) {
-    AddRunTime(target.health.speed, run_time,
-               PeersOf(cell, step, target.entry.id), now);
+  RunTimes& times = step.run_times[target.entry.id];
+  times.latest = run_time;
+  if (!ShowsSpeed(run, job.spec.steps[id.task.step], task)) {
+    return;
+  }
+  TargetSpeed& speed = target.health.speed;
+  const Peers peers = PeersOf(cell, step, target.entry.id);
+  times.complete = run_time;
+  if (cell.options.interference) {
+    times.beside = KindsBeside(target, id, run, now);
+    Observe(cell.interference, run.kind,
+            {LogTimeAtUsualSpeed(speed, run_time), times.beside}, peers.runs,
+            id.task.job, run.team, now);
+  }
+  // The target isn't to blame for what is known to be beside the run.
+  if ((cell.interference.apart[run.kind] & times.beside) == 0) {
+    AddRunTime(speed, run_time, peers.speeds, now);
   }
 }
 
@@ -297,6 +371,7 @@
   if (task != nullptr && end.end == RunEnd::kDone) {
     RecordRunTime(cell, *job, target, end.run, *task, now);
   }
+  NoteSharedTime(target, end.run, now);
   ReleaseRun(cell, target, end.run);
   if (task == nullptr) {
     return;
--- a/src/entry/cell_host.cc
+++ b/src/entry/cell_host.cc
@@ -48,6 +48,7 @@
   options.max_value_bytes = settings.max_value_bytes;
   options.lease = std::min(kMaxTargetLease, bounds.longest_lease);
   options.stop_time = bounds.stop_time;
+  options.interference = settings.interference;
   // Work that waited for a gang begins before it would count as lost.
   constexpr Millis kStartSlack{1000};
   options.first_hold_limit =
@@ -119,7 +120,7 @@
   m_cell.reset();
   for (const Gauge gauge :
        {Gauge::kOccurrencesWaiting, Gauge::kJobsBehind, Gauge::kStepsWaiting,
-        Gauge::kRuns, Gauge::kJobBytes}) {
+        Gauge::kRuns, Gauge::kJobBytes, Gauge::kInterferingPairs}) {
     m_metrics.Set(gauge, 0);
   }
   m_reports.clear();
@@ -462,6 +463,7 @@
   m_metrics.Set(Gauge::kJobBytes, load.job_bytes);
   m_metrics.Set(Gauge::kTargetsReserved, load.targets_reserved);
   m_metrics.Set(Gauge::kSuspectsWaiting, load.suspects_waiting);
+  m_metrics.Set(Gauge::kInterferingPairs, load.interfering_pairs);
   m_metrics.Set(Gauge::kLongestCrashHold,
                 static_cast<std::uint64_t>(load.longest_crash_hold.count()));
   LogLine("cell_load")
@@ -482,6 +484,8 @@
       .With("job_bytes", static_cast<std::uint64_t>(load.job_bytes))
       .With("max_job_bytes",
             static_cast<std::uint64_t>(m_cell->options.max_job_bytes))
+      .With("interfering_pairs",
+            static_cast<std::uint64_t>(load.interfering_pairs))
       .With("headroom_cpu_milli", load.headroom_cpu_milli)
       .With("idle_beside_work_ms", load.idle_beside_work.count())
       .With("unstored_jobs", static_cast<std::uint64_t>(m_cell->writes.count))
--- a/src/runtime/metrics.cc
+++ b/src/runtime/metrics.cc
@@ -28,7 +28,8 @@
     "occurrences_waiting", "jobs_behind",
     "steps_waiting",       "runs",
     "job_bytes",           "targets_reserved",
-    "suspects_waiting",    "longest_crash_hold_ms"};
+    "suspects_waiting",    "longest_crash_hold_ms",
+    "interfering_pairs"};
 
 constexpr std::array<std::string_view, kTimings> kTimingNames = {
     "urgent_answer_ms", "patient_accept_ms", "journal_write_ms",
--- a/tests/standins/sim_target.cc
+++ b/tests/standins/sim_target.cc
@@ -91,8 +91,15 @@
   run.demand = demand;
   run.fails = target.faults.fails_all;
   run.stuck = target.faults.stuck;
-  const double took =
-      static_cast<double>(work.count()) * target.faults.slowdown / target.speed;
+  const PairSlowdown& pair = target.pair;
+  const bool disturbed =
+      !pair.job.empty() && id.task.job.starts_with(pair.job) &&
+      std::ranges::any_of(target.running, [&](const auto& other) {
+        return other.first.task.job.starts_with(pair.beside);
+      });
+  const double took = static_cast<double>(work.count()) *
+                      target.faults.slowdown * (disturbed ? pair.factor : 1) /
+                      target.speed;
   run.ends =
       run.stuck ? Time::max() : now + Millis(static_cast<std::int64_t>(took));
   Renew(target, deadline_ms, now);
--- a/tests/standins/sim_target.h
+++ b/tests/standins/sim_target.h
@@ -46,10 +46,18 @@
   double clock_slow = 0;  ///< Share by which its own clock is slow.
 };
 
+/// Slowdown of tasks that begin beside others, by prefixes of their jobs' ids.
+struct PairSlowdown {
+  std::string job;
+  std::string beside;
+  double factor = 1;
+};
+
 struct SimTarget {
   cell::TargetEntry entry;
   double speed = 1;
   SimFaults faults;
+  PairSlowdown pair;
   Epoch fence = 0;
   std::map<cell::RunId, SimRun> running;
   std::map<cell::TaskId, std::uint32_t> refused_up_to;  ///< Run numbers.
