--- a/tests/unit-platform.cc
+++ b/tests/unit-platform.cc
@@ -66,6 +66,11 @@
     CPPUNIT_ASSERT_EQUAL(std::uint16_t{7420}, settings.peer_port);
     CPPUNIT_ASSERT_EQUAL(std::string("10.200.1.9:8182"),
                          settings.adviser_address);
+    CPPUNIT_ASSERT(settings.interference);
+    const auto off = ValueOf([] {
+      return ParseSettings(std::string(kSettings) + "interference=off");
+    });
+    CPPUNIT_ASSERT(!off.interference);
     CPPUNIT_ASSERT(settings.first_start);
     CPPUNIT_ASSERT(settings.bounds.shutdown == Millis(6000));
     CPPUNIT_ASSERT(settings.bounds.longest_lease == Millis(10'000));
