--- a/include/buckthornmux/detail/cell/state.h
+++ b/include/buckthornmux/detail/cell/state.h
@@ -11,6 +11,8 @@
 #include <vector>
 
 #include "buckthornmux/detail/cell/gauges.h"
+#include "buckthornmux/detail/cell/interference_table.h"
+#include "buckthornmux/detail/cell/target_speed.h"
 #include "buckthornmux/detail/cell/tasks.h"
 #include "buckthornmux/detail/cell/types.h"
 #include "buckthornmux/detail/core/error.h"
@@ -75,6 +77,8 @@
   /// Urgent tasks start on targets that still warm up only if no other target
   /// has room.
   bool avoid_cold = false;
+  /// Finds kinds of tasks that slow each other down, and keeps them apart.
+  bool interference = true;
 };
 
 enum class RunPhase : std::uint8_t {
@@ -121,6 +125,9 @@
   /// it.
   Millis apart_for{0};
   Millis estimate{0};
+  KindNumber kind = 0;  ///< Of its task; 0 for a run of a former owner.
+  /// Kinds of runs that have ended beside it, and the times with them.
+  std::vector<BesideTime> beside;
 };
 
 /// A run's end that has not been acknowledged to its target yet.
@@ -138,7 +145,9 @@
   Time paused_until;      ///< Gets no work before, because of failures.
   Time suspended_until;   ///< Gets no work before, for other reasons.
   Time last_success;
-  double slowness = 1;  ///< Run time relative to other targets, smoothed.
+  /// Run time relative to other targets, from the progress of present runs.
+  double slowness = 1;
+  TargetSpeed speed;  ///< From complete runs.
 };
 
 /// A target and the runs known to be on it.
@@ -215,6 +224,13 @@
   bool blocked = false;  ///< Only the end of services would make room.
 };
 
+/// Durations of the runs of a step on one target.
+struct RunTimes {
+  Millis latest{0};    ///< Of the latest run, perhaps estimated from progress.
+  Millis complete{0};  ///< Of the latest complete run; 0 if there is none.
+  KindSet beside = 0;  ///< Kinds beside the latest complete run.
+};
+
 struct Step {
   TaskTable tasks;
   std::uint32_t done = 0;
@@ -226,8 +242,7 @@
   AdviceState advice;
   GangHold hold;
   Hold crash_hold;  ///< Of its tasks that aren't suspected, or of a gang.
-  /// Duration of the last complete run of one of its tasks, by target.
-  std::map<TargetId, Millis> run_times;
+  std::map<TargetId, RunTimes> run_times;
 
   /// @brief Number of tasks that have no run and are not done.
   [[nodiscard]] std::uint32_t CountWaiting() const {
@@ -502,6 +517,7 @@
   /// there is none.
   std::optional<Time> idle_since;
   Millis idle_longest{0};  ///< Longest such time since the last report.
+  InterferenceTable interference;
   WriteQueues writes;
   Bundles bundles;
   /// Unstarted jobs by the queue that accepted them.
--- a/include/buckthornmux/detail/runtime/metrics.h
+++ b/include/buckthornmux/detail/runtime/metrics.h
@@ -50,6 +50,7 @@
   kOwnerBusyPermille,   ///< Processor use of the owner, of its share.
   kTargetsEvacuated,    ///< Targets of evacuated data centres.
   kRequestBytes,        ///< Bytes held for unanswered requests of clients.
+  kInterferingPairs,    ///< Kinds of tasks that slow each other down.
   kCount,
 };
 
--- a/src/cell/placement/plan.cc
+++ b/src/cell/placement/plan.cc
@@ -1,7 +1,9 @@
 #include <algorithm>
+#include <cmath>
 
 #include "src/cell/admission/queues.h"
 #include "src/cell/admission/team_limits.h"
+#include "src/cell/placement/interference.h"
 #include "src/cell/placement/isolation.h"
 #include "src/cell/runs/verdicts.h"
 
@@ -123,21 +125,44 @@
 /// A cold target gets urgent work only if no warm one near the data has room.
 constexpr double kColdTargetPenalty = 4;
 
+/// A slowdown by interference outweighs that the target is fuller than others.
+constexpr double kInterferenceWeight = 2;
+/// Weights of a target's run time in its score.
+constexpr double kRunTimeWeight = 1;
+constexpr double kSlackRunTimeWeight = 0.2;
+
+/// Whether a step may miss its objective on a slow target.
+bool NeedsFastTarget(const Round& round, const Candidate& candidate) {
+  /// A run takes up to 0.7 times longer there.
+  constexpr int kSlowPercent = 70;
+  constexpr int kAllPercent = 100;
+  return candidate.Urgent() ||
+         (round.speeds_differ && !candidate.Spec().service && !candidate.late &&
+          !candidate.hopeless &&
+          candidate.slack < candidate.job->chains[candidate.ref.step] *
+                                kSlowPercent / kAllPercent);
+}
+
 /// Scores a slot for a task; lower is better.
-double Score(const Options& options, const Slot& slot, const Resources& room,
-             const Task* task, const Candidate& candidate) {
+double Score(const Round& round, const Slot& slot, const Resources& room,
+             const StepSpec& spec, const Task* task,
+             const Candidate& candidate) {
   const Target& target = *slot.target;
-  const StepSpec& spec = candidate.Spec();
   const auto total = static_cast<double>(
       std::max<std::int64_t>(1, target.entry.capacity.cpu_milli));
   const double left =
       static_cast<double>(room.cpu_milli - spec.demand.cpu_milli) / total;
-  double score =
-      left + target.health.slowness * (candidate.Urgent() ? 1.0 : 0.2);
+  double score = left + slot.run_time * (NeedsFastTarget(round, candidate)
+                                             ? kRunTimeWeight
+                                             : kSlackRunTimeWeight);
+  if (candidate.kind != 0) {
+    score += kInterferenceWeight *
+             Disturbance(round.cell.interference, candidate.kind, slot.kinds);
+  }
   if (slot.reserved.cpu_milli > 0) {
     score += kReservedTargetPenalty;
   }
-  if (options.avoid_cold && candidate.Urgent() &&
+  if (round.cell.options.avoid_cold && candidate.Urgent() &&
       target.entry.cold > Millis(0)) {
     score += kColdTargetPenalty;
   }
@@ -169,8 +194,7 @@
     if (taken > 0 && taken > round.beyond_headroom) {
       continue;
     }
-    const double score =
-        Score(round.cell.options, *slot, room, task, candidate);
+    const double score = Score(round, *slot, room, spec, task, candidate);
     if (best == nullptr || score < best_score) {
       best = slot;
       best_score = score;
@@ -486,6 +510,9 @@
     }
   }
   candidate.ends_before_gangs = EndsBeforeGangs(round, candidate);
+  if (round.cell.interference.found > 0) {
+    candidate.kind = KindOf(round.cell, candidate, round.now);
+  }
   PlanStep(round, candidate);
 }
 
@@ -522,6 +549,24 @@
   cell.idle_longest = std::max(cell.idle_longest, round.now - *cell.idle_since);
 }
 
+/// Ages the evidence on interference, and logs what was found or has ended.
+void AgeInterference(Cell& cell, Actions& actions, Time now) {
+  constexpr Millis kInterval{500};
+  if (!cell.options.interference ||
+      now - cell.interference.judged_at < kInterval) {
+    return;
+  }
+  for (const PairChange& change : Age(cell.interference, now)) {
+    constexpr int kAllPercent = 100;
+    Note(actions, change.found ? "interference_found" : "interference_gone",
+         {{"kind", change.kind},
+          {"beside", change.beside},
+          {"run_time_percent",
+           std::to_string(std::lround(change.slowdown * kAllPercent))},
+          {"pairs", std::to_string(cell.interference.found)}});
+  }
+}
+
 std::size_t CountReserved(const Cell& cell, Time now) {
   return static_cast<std::size_t>(
       std::ranges::count_if(cell.targets, [&](const auto& entry) {
@@ -579,6 +624,7 @@
   }
   load.headroom_cpu_milli = cell.headroom_cpu;
   load.idle_beside_work = cell.idle_since ? now - *cell.idle_since : Millis(0);
+  load.interfering_pairs = cell.interference.found;
   load.runs = cell.run_count;
   load.job_bytes = cell.job_bytes;
   load.lanes_busy = static_cast<std::size_t>(std::ranges::count_if(
@@ -592,6 +638,7 @@
     return;
   }
   JudgeAccused(cell, actions, now);
+  AgeInterference(cell, actions, now);
   OpenDue(cell, actions, now);
   std::vector<Candidate> candidates = WaitingSteps(cell, now);
   CountCapacity(cell);
--- a/src/cell/placement/round.cc
+++ b/src/cell/placement/round.cc
@@ -9,7 +9,9 @@
 #include "src/cell/admission/team_limits.h"
 #include "src/cell/placement/headroom.h"
 #include "src/cell/placement/health.h"
+#include "src/cell/placement/interference.h"
 #include "src/cell/placement/isolation.h"
+#include "src/cell/placement/target_speed.h"
 
 namespace buckthornmux::cell {
 namespace {
@@ -62,6 +64,7 @@
 void MarkRecentRuns(Cell& cell, Slot& slot, Time now) {
   slot.empty = slot.target->runs.empty();
   for (const auto& [id, run] : slot.target->runs) {
+    slot.kinds |= SetOf(run.kind);
     if (ReservesTarget(cell.options, run, now)) {
       slot.probation = &id.task.job;
     }
@@ -95,6 +98,23 @@
 
 namespace {
 
+/// Sets the run times of the slots. Where targets don't differ in speed, only
+/// the progress of present runs counts.
+void RateSpeeds(Round& round) {
+  std::vector<double> run_times;
+  run_times.reserve(round.slots.size());
+  for (const Slot& slot : round.slots) {
+    run_times.push_back(RelativeRunTime(slot.target->health.speed, round.now));
+  }
+  round.speeds_differ = DoSpeedsDiffer(run_times);
+  for (std::size_t i = 0; i < round.slots.size(); ++i) {
+    const double slowness = round.slots[i].target->health.slowness;
+    round.slots[i].run_time = round.speeds_differ
+                                  ? ExpectedRunTime(run_times[i], slowness)
+                                  : slowness;
+  }
+}
+
 /// Returns the longest time that a ticket of any queue is valid.
 Millis LongestTicket(const Cell& cell) {
   Millis longest{0};
@@ -136,6 +156,14 @@
 
 }  // namespace
 
+KindNumber KindOf(Cell& cell, const Candidate& candidate, Time now) {
+  const StepSpec& spec = candidate.Spec();
+  return cell.options.interference
+             ? KindOf(cell.interference, candidate.job->spec.queue, spec.image,
+                      spec.demand.cpu_milli, now)
+             : KindNumber{0};
+}
+
 Round BeginRound(Cell& cell, Actions& actions, Time now) {
   Round round{cell, actions, now, {}, {}, {}, LaneCallTimes(cell)};
   const std::size_t most = cell.options.max_runs;
@@ -163,6 +191,7 @@
     round.by_id[PlaceOf(round, round.slots[i].target->entry.id)] =
         static_cast<std::uint32_t>(i + 1);
   }
+  RateSpeeds(round);
   ControlOverload(round);
   return round;
 }
--- a/src/runtime/metrics.cc
+++ b/src/runtime/metrics.cc
@@ -32,7 +32,8 @@
     "job_bytes",           "targets_reserved",
     "suspects_waiting",    "longest_crash_hold_ms",
     "owner_link_kbps",     "owner_busy_permille",
-    "targets_evacuated",   "request_bytes"};
+    "targets_evacuated",   "request_bytes",
+    "interfering_pairs"};
 
 constexpr std::array<std::string_view, kTimings> kTimingNames = {
     "urgent_answer_ms", "patient_accept_ms", "journal_write_ms",
