Bound a team's excess; start tasks larger than a lowered maximum; admission by completion time

Cause: excess was refused only while hardly any room was free, so in a flood the backlog grew without a bound. A new owner didn't know which jobs are excess. An accepted task above its team's lowered maximum was never allowed to start.

Change: more excess is refused while waiting excess needs over the cell's processors (Options::excess_backlog); a new owner plays the arrivals through the token buckets; of the excess, what is in time goes before what is late. A task larger than its team's maximum starts while its team uses less than half of it; the model's checker allows exactly that, since a team may exceed its maximum by one task. With OverloadControlOn a job that would end after three times its objective is refused (cell_full) with Retry-After.

--- a/include/buckthornmux/detail/cell/cell.h
+++ b/include/buckthornmux/detail/cell/cell.h
@@ -20,6 +20,7 @@
   std::optional<Error> error;  ///< Empty if the job was accepted.
   /// A job of this id exists: a refusal must not say that it doesn't run.
   bool exists = false;
+  Millis retry_after{0};  ///< After a refusal; 0: as usual for the error.
 };
 /// Answers a cancel: the job has ended, and that is stored, or no such job
 /// exists, or the caller may not act on it.
--- a/include/buckthornmux/detail/cell/gauges.h
+++ b/include/buckthornmux/detail/cell/gauges.h
@@ -30,6 +30,17 @@
 /// @brief Largest amount within any `length` of the buckets.
 [[nodiscard]] std::int64_t PeakWithin(const RateGauge& gauge, Millis length);
 
+/// Declared work of waiting tasks: their processor times their estimated run
+/// time, in millicore-milliseconds.
+struct WaitingWork {
+  /// Priorities from this one on are counted together.
+  static constexpr std::size_t kPriorities = 10;
+  /// Of jobs within their team's share that can still be of use, by priority.
+  std::array<std::int64_t, kPriorities> within{};
+  /// Of jobs beyond their team's share.
+  std::array<std::int64_t, kPriorities> excess{};
+};
+
 /// Arrivals of urgent jobs.
 struct UrgentArrivals {
   RateGauge cpu;           ///< Demand of all their tasks, in millicores.
--- a/include/buckthornmux/detail/cell/state.h
+++ b/include/buckthornmux/detail/cell/state.h
@@ -69,6 +69,11 @@
   double busy_backlog = 0.3;
   /// Maximum free fraction of the CPU capacity at which such jobs are refused.
   double busy_free = 0.15;
+  /// Backlog of such jobs, as a fraction of the total CPU capacity, at which
+  /// more of them are refused, whatever is free: without tickets, or at their
+  /// team's limit, they don't use what is free, and each waiting step costs
+  /// planning time.
+  double excess_backlog = 1.0;
 };
 
 enum class RunPhase : std::uint8_t {
@@ -487,6 +492,10 @@
   RateGauge freed_cpu;                 ///< Released by runs, in millicores.
   std::int64_t freed_since_round = 0;  ///< Not in `freed_cpu` yet.
   RateGauge urgent_advice;             ///< Adviser time of urgent calls, in ms.
+  RateGauge ended_work;  ///< Declared work of tasks that ended well.
+  WaitingWork waiting_work;
+  /// Since when more work has waited than Options::busy_backlog; empty if not.
+  std::optional<Time> backlog_since;
   /// Processor that is kept free for urgent work, in millicores.
   std::int64_t headroom_cpu = 0;
   /// Since when work has waited that fits into room that is free; empty if
@@ -499,6 +508,8 @@
   std::map<QueueName, std::uint32_t> pending;
   /// CPU demand of waiting tasks, in millicores.
   std::int64_t backlog_cpu = 0;
+  /// Part of `backlog_cpu` of jobs beyond their team's share, in millicores.
+  std::int64_t excess_cpu = 0;
   /// CPU capacity of the targets that accept work, in millicores.
   std::int64_t capacity_cpu = 0;
   /// Part of `capacity_cpu` that no run holds, in millicores.
--- a/include/buckthornmux/detail/entry/calls.h
+++ b/include/buckthornmux/detail/entry/calls.h
@@ -47,6 +47,8 @@
   std::uint32_t attempt = 0;
   CallResult end = CallResult::kUnknown;
   cell::JobPhase phase = cell::JobPhase::kQueued;
+  /// Number of pending jobs. In a refusal: after how many milliseconds a next
+  /// try is useful, 0 as usual for the error; earlier builds ignore it.
   std::uint32_t pending = 0;
   ErrorKind error = ErrorKind::kInternal;
   std::string message;
--- a/include/buckthornmux/detail/entry/open_call.h
+++ b/include/buckthornmux/detail/entry/open_call.h
@@ -45,6 +45,7 @@
   bool unknown = false;  ///< The call may have had an effect, or may yet.
   ErrorKind error = ErrorKind::kInternal;
   std::string reason;
+  Millis retry_after{0};  ///< 0: as usual for the error.
 };
 
 /// @brief Opens a call.
--- a/include/buckthornmux/detail/runtime/metrics.h
+++ b/include/buckthornmux/detail/runtime/metrics.h
@@ -13,25 +13,26 @@
 
 /// Everything that is counted, by the names that docs/OPERATIONS.md lists.
 enum class Counter : std::uint8_t {
-  kRequests,        ///< HTTP requests read whole.
-  kJobsSubmitted,   ///< Submits with a good key.
-  kJobsAnswered,    ///< Answered with a result or an acceptance.
-  kJobsRefused,     ///< Answered with an error.
-  kKeysRefused,     ///< Requests with no good key.
-  kCallsRerouted,   ///< Calls sent to another home than at first.
-  kTasksStarted,    ///< Starts sent to targets.
-  kTasksEnded,      ///< Ends reported by targets.
-  kTasksStopped,    ///< Stops sent to targets.
-  kJournalWrites,   ///< Segments written.
-  kJournalRecords,  ///< Records written.
-  kStoreErrors,     ///< Store calls without a good answer.
-  kLedgerWrites,    ///< Allowance records written.
-  kRangesGained,    ///< Ranges this process became the owner of.
-  kRangesLost,      ///< Ranges lost or released.
-  kPeerMessages,    ///< Messages received from entry hosts.
-  kRingsFull,       ///< Messages refused by a full ring.
-  kRecordsOmitted,  ///< Records left out, since the store rejects them.
-  kCallsStale,      ///< Calls of other hosts that arrived too late.
+  kRequests,         ///< HTTP requests read whole.
+  kJobsSubmitted,    ///< Submits with a good key.
+  kJobsAnswered,     ///< Answered with a result or an acceptance.
+  kJobsRefused,      ///< Answered with an error.
+  kKeysRefused,      ///< Requests with no good key.
+  kCallsRerouted,    ///< Calls sent to another home than at first.
+  kTasksStarted,     ///< Starts sent to targets.
+  kTasksEnded,       ///< Ends reported by targets.
+  kTasksStopped,     ///< Stops sent to targets.
+  kJournalWrites,    ///< Segments written.
+  kJournalRecords,   ///< Records written.
+  kStoreErrors,      ///< Store calls without a good answer.
+  kLedgerWrites,     ///< Allowance records written.
+  kRangesGained,     ///< Ranges this process became the owner of.
+  kRangesLost,       ///< Ranges lost or released.
+  kPeerMessages,     ///< Messages received from entry hosts.
+  kRingsFull,        ///< Messages refused by a full ring.
+  kRecordsOmitted,   ///< Records left out, since the store rejects them.
+  kCallsStale,       ///< Calls of other hosts that arrived too late.
+  kJobsRefusedLate,  ///< Refused, since they would end without any value.
   kCount,
 };
 
--- a/src/cell/admission/jobs.cc
+++ b/src/cell/admission/jobs.cc
@@ -2,8 +2,10 @@
 #include <utility>
 
 #include "buckthornmux/detail/core/invariant.h"
+#include "src/cell/admission/admission.h"
 #include "src/cell/admission/permissions.h"
 #include "src/cell/admission/queues.h"
+#include "src/cell/admission/shares.h"
 #include "src/cell/admission/team_limits.h"
 #include "src/cell/records/record_codec.h"
 
@@ -124,6 +126,37 @@
   return ReasonToRefuseNow(cell, spec);
 }
 
+/// Returns the refusal of a job that can't end while it is of use, if so.
+Verdict JudgeCompletion(Cell& cell, const JobSpec& spec, const Queue& queue,
+                        bool excess, Time now) {
+  const bool ends = std::ranges::none_of(
+      spec.steps, [](const StepSpec& step) { return step.service; });
+  if (!ends || spec.recurrence.count > 0) {
+    return {};
+  }
+  const std::vector<Millis> chains = ChainsOf(spec);
+  const Millis chain =
+      chains.empty() ? Millis(0) : *std::ranges::max_element(chains);
+  return Admit(MakeAdmissionView(cell, queue.priority, excess, now),
+               {spec.id, chain, ObjectiveOf(queue, spec)});
+}
+
+void RefuseLate(Actions& actions, CallId call, const JobSpec& spec,
+                const Verdict& verdict) {
+  constexpr std::string_view kReason = "can't end while it is of use";
+  Note(actions, "job_refused",
+       {{"job", spec.id},
+        {"queue", spec.queue},
+        {"team", spec.team},
+        {"error", std::string(AnswerFor(ErrorKind::kCellFull).name)},
+        {"reason", std::string(kReason)},
+        {"ends_in_ms", std::to_string(verdict.ends_in.count())},
+        {"retry_after_ms", std::to_string(verdict.retry_after.count())}});
+  actions.emplace_back(
+      AnswerSubmit{call, Error{ErrorKind::kCellFull, std::string(kReason), {}},
+                   false, verdict.retry_after});
+}
+
 /// Whether no write has been sent for a new job, so that it can still be
 /// refused.
 bool IsUnsent(const Job& job) {
@@ -147,34 +180,6 @@
   }
 }
 
-/// Takes a token from a team's bucket; true if the team exceeds its rate.
-bool TakeToken(Cell& cell, const TeamName& name, Time now) {
-  const auto team = cell.teams.find(name);
-  if (team == cell.teams.end()) {
-    return false;
-  }
-  constexpr double kMillisPerSecond = 1000;
-  TeamUsage& usage = cell.usage[name];
-  const double rate = team->second.weight;
-  const double max_tokens =
-      rate * static_cast<double>(cell.options.share_burst.count()) /
-      kMillisPerSecond;
-  if (!usage.tokens_set) {
-    usage.tokens_set = true;
-    usage.tokens = max_tokens;
-    usage.tokens_at = now;
-  }
-  const auto passed = static_cast<double>((now - usage.tokens_at).count());
-  usage.tokens_at = now;
-  usage.tokens =
-      std::min(max_tokens, usage.tokens + passed * rate / kMillisPerSecond);
-  if (usage.tokens < 1) {
-    return true;
-  }
-  usage.tokens -= 1;
-  return false;
-}
-
 /// Notes the arrival of an urgent job that ends by itself and starts now.
 void NoteIfUrgent(Cell& cell, const Queue& queue, const JobSpec& spec,
                   Time now) {
@@ -366,13 +371,18 @@
     Refuse(actions, call, spec, reason->kind, std::move(reason->message));
     return;
   }
-  const bool excess = TakeToken(cell, spec.team, now);
-  if (excess && IsBusy(cell)) {
+  const bool excess = !TakeToken(cell, spec.team, now);
+  if (excess && (IsBusy(cell) || IsExcessFull(cell))) {
     Refuse(actions, call, spec, ErrorKind::kTeamLimit,
            "the team sends more than its share while work waits");
     return;
   }
   const Queue& queue = *FindQueue(cell, spec.queue);
+  if (const Verdict verdict = JudgeCompletion(cell, spec, queue, excess, now);
+      !verdict.admitted) {
+    RefuseLate(actions, call, spec, verdict);
+    return;
+  }
   KeepQueue(cell, queue, now);
   KeepTeam(cell, spec.team, now);
   NoteIfUrgent(cell, queue, spec, now);
--- a/src/cell/admission/team_limits.cc
+++ b/src/cell/admission/team_limits.cc
@@ -22,6 +22,21 @@
          within(used.accelerators, most.accelerators);
 }
 
+/// Whether a team may exceed its limit by one task that is larger than it: only
+/// while the team uses less than half of the limit of each resource that the
+/// task exceeds. Work that uses more is within its right, and ends.
+bool MayExceed(const Resources& used, const Resources& task,
+               const Resources& most) {
+  const auto allows = [](std::int64_t in_use, std::int64_t demand,
+                         std::int64_t limit) {
+    return limit == 0 || in_use + demand <= limit ||
+           (demand > limit && in_use < limit - limit / 2);
+  };
+  return allows(used.cpu_milli, task.cpu_milli, most.cpu_milli) &&
+         allows(used.memory_mb, task.memory_mb, most.memory_mb) &&
+         allows(used.accelerators, task.accelerators, most.accelerators);
+}
+
 /// Formats resources for log lines as CPU/memory/accelerators.
 std::string Text(const Resources& resources) {
   return std::to_string(resources.cpu_milli) + '/' +
@@ -302,6 +317,37 @@
   return KnownRunsAllow(cell, team, with_unknown);
 }
 
+bool TeamAllowsTask(const Cell& cell, const TeamName& name,
+                    const Resources& task) {
+  if (TeamAllows(cell, name, task)) {
+    return true;
+  }
+  const auto team = cell.teams.find(name);
+  if (team == cell.teams.end() || IsWithin(task, team->second.maximum)) {
+    return false;
+  }
+  const TeamCount count = CountOf(cell, name);
+  Resources used = count.known;
+  used += count.unknown;
+  return MayExceed(used, task, team->second.maximum);
+}
+
+bool TeamAllowsRun(const Cell& cell, const Run& run) {
+  if (TeamAllows(cell, run.team, {})) {
+    return true;
+  }
+  const auto team = cell.teams.find(run.team);
+  if (run.team_unknown || team == cell.teams.end()) {
+    return false;
+  }
+  const TeamCount count = CountOf(cell, run.team);
+  Resources others = count.known;
+  others += count.unknown;
+  others -= run.charged;
+  return !IsWithin(run.charged, team->second.maximum) &&
+         MayExceed(others, run.charged, team->second.maximum);
+}
+
 void NoteLimits(Cell& cell, Actions& actions,
                 const std::map<TeamName, bool>& limited, Time now) {
   for (const auto& [name, team] : cell.teams) {
--- a/src/cell/admission/team_limits.h
+++ b/src/cell/admission/team_limits.h
@@ -38,7 +38,16 @@
 [[nodiscard]] bool TeamAllows(const Cell& cell, const TeamName& team,
                               const Resources& more);
 
-/// @brief Whether it would, if there were no unknown runs.
+/// @brief Whether a team's limit allows one more task. A task that is larger
+///   than the limit, which was lowered after it was accepted, may start while
+///   its team uses less than half of the limit.
+[[nodiscard]] bool TeamAllowsTask(const Cell& cell, const TeamName& team,
+                                  const Resources& task);
+
+/// @brief Whether a team's limit allows a run that is counted already.
+[[nodiscard]] bool TeamAllowsRun(const Cell& cell, const Run& run);
+
+/// @brief Whether TeamAllows would hold, if there were no unknown runs.
 [[nodiscard]] bool KnownRunsAllow(const Cell& cell, const TeamName& team,
                                   const Resources& more);
 
--- a/src/cell/placement/plan.cc
+++ b/src/cell/placement/plan.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "src/cell/admission/admission.h"
 #include "src/cell/admission/queues.h"
 #include "src/cell/admission/team_limits.h"
 #include "src/cell/placement/isolation.h"
@@ -33,9 +34,23 @@
 
 /// Returns the priority class of a step; lower classes are planned first.
 int ClassOf(const Candidate& candidate) {
-  enum Class : int { kUrgent, kUrgentLate, kInTime, kLate, kHopeless, kExcess };
+  enum Class : int {
+    kUrgent,
+    kUrgentLate,
+    kInTime,
+    kLate,
+    kHopeless,
+    kExcess,
+    kExcessLate,
+    kExcessHopeless
+  };
   if (candidate.excess) {
-    return kExcess;
+    // Otherwise what is overdue for longest, and may never find targets, would
+    // be all of the excess that a round looks at.
+    if (candidate.hopeless) {
+      return kExcessHopeless;
+    }
+    return candidate.late ? kExcessLate : kExcess;
   }
   const bool far_behind =
       candidate.hopeless && candidate.job->spec.recurrence.count > 0;
@@ -417,10 +432,24 @@
   cell.free_cpu = load.free.cpu_milli;
 }
 
+/// Counts what a step adds to the backlog that admission looks at.
+void CountWaiting(Cell& cell, const Candidate& candidate) {
+  const StepSpec& spec = candidate.Spec();
+  const bool excess = candidate.job->excess;
+  cell.excess_cpu += excess ? WaitingCpu(*candidate.step, spec) : 0;
+  // What has no value any more comes after all that has.
+  if (!spec.service && !candidate.hopeless) {
+    AddWaitingWork(cell.waiting_work, candidate.priority, excess,
+                   WorkOf(spec, candidate.step->CountWaiting()));
+  }
+}
+
 /// Returns the waiting steps, and updates the backlog of the cell.
 std::vector<Candidate> WaitingSteps(Cell& cell, Time now) {
   std::vector<Candidate> candidates;
   std::int64_t backlog = 0;
+  cell.excess_cpu = 0;
+  cell.waiting_work = {};
   std::uint32_t rank = 0;
   const StepRef* last = nullptr;
   for (const StepRef& ref : cell.ready) {
@@ -436,9 +465,15 @@
     candidate.rank = rank + job.late_starts / kLateStartsPerRank;
     candidate.order_class = ClassOf(candidate);
     backlog += WaitingCpu(*candidate.step, candidate.Spec());
+    CountWaiting(cell, candidate);
     candidates.push_back(std::move(candidate));
   }
   cell.backlog_cpu = backlog;
+  const bool much =
+      static_cast<double>(backlog) >
+      cell.options.busy_backlog * static_cast<double>(cell.capacity_cpu);
+  cell.backlog_since =
+      much ? std::optional(cell.backlog_since.value_or(now)) : std::nullopt;
   return candidates;
 }
 
@@ -546,7 +581,7 @@
     AddCrashHolds(step, load, now);
     const std::int64_t waiting = WaitingCpu(step, spec);
     load.waiting_cpu_milli += waiting;
-    if (!TeamAllows(cell, job.spec.team, spec.demand)) {
+    if (!TeamAllowsTask(cell, job.spec.team, spec.demand)) {
       load.limited_cpu_milli += waiting;
     } else if (step.advice.tickets.empty()) {
       ++load.steps_without_ticket;
--- a/src/cell/placement/round.cc
+++ b/src/cell/placement/round.cc
@@ -270,7 +270,10 @@
 bool MayUseMore(Round& round, const Candidate& candidate,
                 const Resources& more) {
   const TeamName& team = candidate.job->spec.team;
-  if (TeamAllows(round.cell, team, more)) {
+  const StepSpec& spec = candidate.Spec();
+  const bool one_task = !spec.gang || spec.count == 1;
+  if (one_task ? TeamAllowsTask(round.cell, team, more)
+               : TeamAllows(round.cell, team, more)) {
     return true;
   }
   bool& only_unknown = round.limited[team];
--- a/src/cell/runs/runs.cc
+++ b/src/cell/runs/runs.cc
@@ -46,8 +46,7 @@
 /// Whether a start may be sent again. The target's room may have shrunk, or the
 /// team's limit may have been lowered, since the run was reserved.
 bool MayResendStart(const Cell& cell, const Target& target, const Run& run) {
-  return target.used.FitsIn(target.entry.capacity) &&
-         TeamAllows(cell, run.team, {});
+  return target.used.FitsIn(target.entry.capacity) && TeamAllowsRun(cell, run);
 }
 
 void ResendStart(Cell& cell, Actions& actions, Target& target, const RunId& id,
--- a/src/cell/runs/steps.cc
+++ b/src/cell/runs/steps.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "buckthornmux/detail/core/invariant.h"
+#include "src/cell/admission/admission.h"
 #include "src/cell/admission/queues.h"
 #include "src/cell/placement/health.h"
 #include "src/cell/runs/verdicts.h"
@@ -71,7 +72,9 @@
               Time now) {
   Step& step = *FindStep(job, id.occurrence, id.step);
   const StepSpec& spec = job.spec.steps[id.step];
+  const std::uint32_t done = step.done;
   MarkDone(step, spec, id.index);
+  AddAmount(cell.ended_work, WorkOf(spec, step.done - done), now);
   MarkChanged(cell, job, false, now);
   RefreshStep(cell, job, id.occurrence, id.step);
   if (step.done < spec.count) {
--- a/src/cell/tick.cc
+++ b/src/cell/tick.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "src/cell/admission/queues.h"
+#include "src/cell/admission/shares.h"
 #include "src/cell/internal.h"
 #include "src/cell/placement/health.h"
 
@@ -44,6 +45,7 @@
     BeginDue(cell, job, now);
   }
   NoteUnknownQueues(cell, actions);
+  RestoreShares(cell, now);
   InheritRuns(cell, actions, now);
   CheckRecovery(cell, actions, now);
 }
--- a/src/entry/callers.cc
+++ b/src/entry/callers.cc
@@ -263,9 +263,12 @@
 /// @param status if it had no effect
 void Callers::Fail(const Request& request, const CallFailure& failure,
                    int status) {
-  Respond(request,
-          Refusal(failure.error, failure.unknown ? kGatewayTimeout : status),
-          failure.reason);
+  net::HttpResponse response =
+      Refusal(failure.error, failure.unknown ? kGatewayTimeout : status);
+  if (response.retry_after > Millis(0) && failure.retry_after > Millis(0)) {
+    response.retry_after = failure.retry_after;
+  }
+  Respond(request, std::move(response), failure.reason);
 }
 
 void Callers::Respond(const Request& request, net::HttpResponse response,
@@ -321,6 +324,9 @@
       return;
     case CallResult::kRefused:
     case CallResult::kUnknown:
+      if (reply.error == ErrorKind::kCellFull) {
+        m_metrics.Count(Counter::kJobsRefusedLate);
+      }
       Fail(request, FailureOf(request.open, reply),
            AnswerFor(reply.error).http_status);
       return;
--- a/src/entry/open_call.cc
+++ b/src/entry/open_call.cc
@@ -110,16 +110,18 @@
   // response must not claim that it was not.
   const bool unknown = Changes(open.call.kind) && (open.in_doubt || unanswered);
   if (unanswered) {
-    return {unknown, ErrorKind::kOutcomeUnknown, "owner did not reply"};
+    return {unknown, ErrorKind::kOutcomeUnknown, "owner did not reply", {}};
   }
-  return {unknown, open.no_owner_reason,
-          std::string(AnswerFor(open.no_owner_reason).name)};
+  return {unknown,
+          open.no_owner_reason,
+          std::string(AnswerFor(open.no_owner_reason).name),
+          {}};
 }
 
 CallFailure FailureOf(const OpenCall& open, const CellReply& reply) {
   const bool in_doubt = Changes(open.call.kind) && open.in_doubt;
   return {reply.end == CallResult::kUnknown || in_doubt, reply.error,
-          reply.message};
+          reply.message, Millis(reply.pending)};
 }
 
 }  // namespace buckthornmux::entry
--- a/src/entry/owner_calls.cc
+++ b/src/entry/owner_calls.cc
@@ -139,6 +139,7 @@
         answer.exists && answer.error->kind == ErrorKind::kNotReady;
     SetError(reply, unclear ? CallResult::kUnknown : CallResult::kRefused,
              *answer.error);
+    reply.pending = static_cast<std::uint32_t>(answer.retry_after.count());
   }
   return Take(calls, answer.call, std::move(reply), now);
 }
--- a/src/runtime/metrics.cc
+++ b/src/runtime/metrics.cc
@@ -21,7 +21,7 @@
     "keys_refused",  "calls_rerouted",  "tasks_started",   "tasks_ended",
     "tasks_stopped", "journal_writes",  "journal_records", "store_errors",
     "ledger_writes", "ranges_gained",   "ranges_lost",     "peer_messages",
-    "rings_full",    "records_omitted", "calls_stale"};
+    "rings_full",    "records_omitted", "calls_stale",     "jobs_refused_late"};
 
 constexpr auto kGauges = static_cast<std::size_t>(Gauge::kCount);
 constexpr std::array<std::string_view, kGauges> kGaugeNames = {
--- a/tests/unit-team-limits.cc
+++ b/tests/unit-team-limits.cc
@@ -213,6 +213,8 @@
   CPPUNIT_TEST(RunsOfUnknownJobsCountForEveryTeam);
   CPPUNIT_TEST(RunsOfEndedJobsCountWithoutARecordOfThem);
   CPPUNIT_TEST(LogTellsWhatHoldsWorkBack);
+  CPPUNIT_TEST(TaskLargerThanALoweredLimitStarts);
+  CPPUNIT_TEST(LargerTasksWaitForTheirTeam);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -519,6 +521,51 @@
     }
     CPPUNIT_ASSERT_EQUAL(1, lines);
   }
+
+  // Guards against accepted tasks that never start, since their team's limit
+  // was lowered below one of them (review-lowered-maximum); they run one at a
+  // time.
+  void TaskLargerThanALoweredLimitStarts() {
+    World world(SmallWorld());
+    Fill(world);
+    world.Cancel("first");
+    world.RunUntil(world.NowTime() + kStopsStored);
+    world.SetRules({PlainQueue("plain")}, {MakeTeam("limited", kCoreMilli)});
+    cell::JobSpec job = TeamJob("limited", "large", 2, Millis(1000));
+    job.steps[0].demand.cpu_milli = 4 * kCoreMilli;
+    world.Submit(job);
+    world.RunUntil(world.NowTime() + Millis(500));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, RunningOf(world, "large"));
+    world.RunUntil(world.NowTime() + Millis(3000));
+    CPPUNIT_ASSERT(world.PhaseOf("large") == cell::JobPhase::kCompleted);
+    AssertNoBreach(world);
+  }
+
+  // Guards against a larger task that starts beside half of its team's limit,
+  // and against other starts of its team beside it.
+  void LargerTasksWaitForTheirTeam() {
+    World world(SmallWorld());
+    Fill(world);
+    world.Cancel("first");
+    world.RunUntil(world.NowTime() + kStopsStored);
+    world.SetRules({PlainQueue("plain")},
+                   {MakeTeam("limited", 2 * kCoreMilli)});
+    world.Submit(TeamJob("limited", "usual", 1, Millis(2000)));
+    world.RunUntil(world.NowTime() + Millis(200));
+    cell::JobSpec job = TeamJob("limited", "large", 1, Millis(2000));
+    job.steps[0].demand.cpu_milli = 4 * kCoreMilli;
+    world.Submit(job);
+    world.RunUntil(world.NowTime() + Millis(500));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, RunningOf(world, "large"));
+    world.RunUntil(world.NowTime() + Millis(1600));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, RunningOf(world, "large"));
+    world.Submit(TeamJob("limited", "next", 1, Millis(500)));
+    world.RunUntil(world.NowTime() + Millis(500));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, RunningOf(world, "next"));
+    world.RunUntil(world.NowTime() + Millis(3000));
+    CPPUNIT_ASSERT(world.PhaseOf("next") == cell::JobPhase::kCompleted);
+    AssertNoBreach(world);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TeamLimitsTest);
