Admission takes at least half of the cell's rate for granted

Cause: in an outage hardly any task ends, so that the measured rate would refuse almost all jobs once a backlog has lasted for 8 s. Change: the rate is at least half of the cell's processors.

--- a/src/cell/admission/admission.cc
+++ b/src/cell/admission/admission.cc
@@ -46,8 +46,9 @@
                       Millis backlogged) {
   const std::int64_t optimistic =
       measured / kMillisPerSecond * kOptimisticPercent / kAllPercent;
-  return backlogged >= kSettledAfter ? optimistic
-                                     : std::max(optimistic, capacity);
+  // Less than half of the cell's rate beside a backlog is an outage that ends.
+  return std::max(optimistic,
+                  backlogged >= kSettledAfter ? capacity / 2 : capacity);
 }
 
 Verdict Admit(const AdmissionView& view, const JobNeed& need) {
--- a/src/cell/admission/admission.h
+++ b/src/cell/admission/admission.h
@@ -31,6 +31,7 @@
 /// @brief Work that a cell with this state can do, in millicores, at best. The
 ///   measured rate counts only once it includes what was full all the time.
 /// @param measured work of tasks that have ended, per second
+/// @param capacity of the targets that accept work
 /// @param backlogged how long more work has waited than can start
 [[nodiscard]] std::int64_t BestRate(std::int64_t measured,
                                     std::int64_t capacity, Millis backlogged);
--- a/tests/unit-admission.cc
+++ b/tests/unit-admission.cc
@@ -60,6 +60,9 @@
     CPPUNIT_ASSERT_EQUAL(kCores, cell::BestRate(half, kCores, Millis(7999)));
     CPPUNIT_ASSERT_EQUAL(kCores / 2 * 5 / 4,
                          cell::BestRate(half, kCores, Millis(8000)));
+    // Nor does an outage, in which hardly anything ends, refuse all work.
+    CPPUNIT_ASSERT_EQUAL(kCores / 2,
+                         cell::BestRate(half / 100, kCores, Millis(8000)));
   }
 
   // Guards against refusals for less urgent work or for the excess of others.
