--- a/include/buckthornmux/detail/runtime/metrics.h
+++ b/include/buckthornmux/detail/runtime/metrics.h
@@ -33,6 +33,7 @@
   kRecordsOmitted,     ///< Records left out, since the store rejects them.
   kCallsStale,         ///< Calls of other hosts that arrived too late.
   kRequestsOverLimit,  ///< Client inputs beyond a limit.
+  kJobsRefusedLate,    ///< Refused, since they would end without any value.
   kCount,
 };
 
--- a/src/cell/runs/runs.cc
+++ b/src/cell/runs/runs.cc
@@ -48,8 +48,7 @@
 /// evacuation of the target's data centre may have begun.
 bool MayResendStart(const Cell& cell, const Target& target, const Run& run) {
   return MayStartOn(cell, target) &&
-         target.used.FitsIn(target.entry.capacity) &&
-         TeamAllows(cell, run.team, {});
+         target.used.FitsIn(target.entry.capacity) && TeamAllowsRun(cell, run);
 }
 
 void ResendStart(Cell& cell, Actions& actions, Target& target, const RunId& id,
