--- a/src/entry/host_load.cc
+++ b/src/entry/host_load.cc
@@ -1,7 +1,10 @@
 // Load of the cell's owner: what it is measured by, and the hand-over of an
 // owner that is overloaded.
+#include <algorithm>
 #include <ctime>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "host_process.h"
 
--- a/src/entry/host_ownership.cc
+++ b/src/entry/host_ownership.cc
@@ -130,9 +130,10 @@
       std::string(kRange), WeighedMembers(), [&](const HostId& host) {
         return host != m_settings.host && m_links_up.contains(host);
       });
-  std::ranges::stable_partition(hosts, [&, now = Now()](const HostId& host) {
-    return !OverloadedLately(m_overloaded, host, now);
-  });
+  std::stable_partition(hosts.begin(), hosts.end(),
+                        [&, now = Now()](const HostId& host) {
+                          return !OverloadedLately(m_overloaded, host, now);
+                        });
   return hosts;
 }
 
--- a/src/entry/owner_load.cc
+++ b/src/entry/owner_load.cc
@@ -68,6 +68,7 @@
     m_ended.pop_front();
   }
   std::vector<Millis> delays;
+  delays.reserve(m_ended.size() + m_open.size());
   for (const EndedCall& call : m_ended) {
     delays.push_back(call.took);
   }
--- a/tests/unit-fit-owner.cc
+++ b/tests/unit-fit-owner.cc
@@ -123,6 +123,7 @@
   // the best one and came first by its hash.
   void SuccessorIsTheBestReachableHost() {
     std::vector<Member> members;
+    members.reserve(12);
     for (int i = 0; i < 12; ++i) {
       members.push_back(
           MakeHost("host-" + std::to_string(i), i == 7 ? 500 : 260));
