Keep the cell from moving back by the default need

Cause: found by reading the code. An owner that doesn't carry the measured need hands over; the next owner has measured nothing for 17 s, and by the default need it may hand the cell back after 3 s. Also, members of an earlier build, whose capacity is unknown, made alike hosts count as unlike.

Change: such an owner sends OwnerOverloaded as well. ShouldCede is a function of its own, and HasUnlikeHosts does not compare members of unknown capacity.

--- a/include/buckthornmux/detail/entry/calls.h
+++ b/include/buckthornmux/detail/entry/calls.h
@@ -93,7 +93,7 @@
 };
 
 /// Sent to all hosts by an owner that hands the cell over because it is
-/// overloaded.
+/// overloaded or does not carry the measured need.
 struct OwnerOverloaded {
   Epoch epoch = 0;
 };
--- a/include/buckthornmux/detail/entry/owner_load.h
+++ b/include/buckthornmux/detail/entry/owner_load.h
@@ -101,10 +101,21 @@
 [[nodiscard]] HostCapacity CapacityOf(const member::Member& member);
 
 /// @brief Whether two members have unlike links or processors. Owners hand over
-///   because of overload only among such hosts.
+///   because of overload only among such hosts. Members of earlier builds,
+///   whose capacity is unknown, are not compared.
 [[nodiscard]] bool HasUnlikeHosts(std::span<const member::Member> members);
 
-/// Hosts that handed the cell over because they were overloaded.
+/// @brief Whether an owner hands the cell over to a host with enough capacity:
+///   it doesn't carry the need itself, or that is not measured yet, and its
+///   weight is less than half of the other one's.
+/// @param best_weight weight of the best successor for the same need
+[[nodiscard]] bool ShouldCede(const HostCapacity& own,
+                              const std::optional<HostNeed>& peak,
+                              std::uint32_t best_weight);
+
+/// Hosts that handed the cell over because they were overloaded or did not
+/// carry the measured need. The next owner, which has not measured the need
+/// yet, would hand the cell back by the default need.
 using OverloadedHosts = std::map<HostId, Time>;
 
 /// @brief Whether the host was overloaded within kOverloadedHostPause.
--- a/src/entry/host_load.cc
+++ b/src/entry/host_load.cc
@@ -90,10 +90,14 @@
   }
   const OwnerOverloaded notice{m_members.OwnedEpoch(std::string(kRange))};
   if (HandOverTo(*to, "owner overloaded")) {
-    m_overloaded[m_settings.host] = now;
-    for (const HostId& peer : m_links_up) {
-      SendTo(peer, notice);
-    }
+    TellOverloaded(notice, now);
+  }
+}
+
+void Host::TellOverloaded(const OwnerOverloaded& notice, Time now) {
+  m_overloaded[m_settings.host] = now;
+  for (const HostId& peer : m_links_up) {
+    SendTo(peer, notice);
   }
 }
 
--- a/src/entry/host_ownership.cc
+++ b/src/entry/host_ownership.cc
@@ -184,16 +184,15 @@
     return;
   }
   const auto peak = m_owner_load.Peak();
-  if (peak && Carries(m_settings.capacity, *peak)) {
+  const std::vector<HostId> hosts = Successors();
+  if (hosts.empty() || OverloadedLately(m_overloaded, hosts.front(), now) ||
+      !ShouldCede(m_settings.capacity, peak,
+                  WeightIn(WeighedMembers(), hosts.front()))) {
     return;
   }
-  const std::uint32_t own =
-      WeightOf(m_settings.capacity, peak.value_or(HostNeed{}));
-  const std::vector<HostId> hosts = Successors();
-  if (!hosts.empty() && !OverloadedLately(m_overloaded, hosts.front(), now) &&
-      member::HasInsufficientWeight(
-          own, WeightIn(WeighedMembers(), hosts.front()))) {
-    (void)HandOver("the other host has more capacity");
+  const OwnerOverloaded notice{m_members.OwnedEpoch(std::string(kRange))};
+  if (HandOver("the other host has more capacity") && peak) {
+    TellOverloaded(notice, now);
   }
 }
 
--- a/src/entry/host_process.h
+++ b/src/entry/host_process.h
@@ -109,6 +109,8 @@
   /// Hands the cell over to a host with more capacity if this one is
   /// overloaded.
   void CheckLoad(Time now);
+  /// Tells all hosts that this one gave the cell up for lack of capacity.
+  void TellOverloaded(const OwnerOverloaded& notice, Time now);
   /// Moves an offer that was not accepted on to another host.
   void CheckOffer(Time now);
   /// Tells the next owner on which targets tasks may still run.
--- a/src/entry/owner_load.cc
+++ b/src/entry/owner_load.cc
@@ -160,12 +160,23 @@
 }
 
 bool HasUnlikeHosts(std::span<const member::Member> members) {
-  return std::ranges::any_of(members, [&](const member::Member& member) {
-    return member.cores_milli != members.front().cores_milli ||
-           member.link_kbps != members.front().link_kbps;
+  const auto known = [](const member::Member& member) {
+    return member.cores_milli > 0 || member.link_kbps > 0;
+  };
+  const auto first = std::ranges::find_if(members, known);
+  return std::any_of(first, members.end(), [&](const member::Member& member) {
+    return known(member) && (member.cores_milli != first->cores_milli ||
+                             member.link_kbps != first->link_kbps);
   });
 }
 
+bool ShouldCede(const HostCapacity& own, const std::optional<HostNeed>& peak,
+                std::uint32_t best_weight) {
+  return !(peak && Carries(own, *peak)) &&
+         member::HasInsufficientWeight(WeightOf(own, peak.value_or(HostNeed{})),
+                                       best_weight);
+}
+
 bool OverloadedLately(const OverloadedHosts& overloaded, const HostId& host,
                       Time now) {
   const auto found = overloaded.find(host);
--- a/tests/unit-owner-load.cc
+++ b/tests/unit-owner-load.cc
@@ -58,6 +58,7 @@
   CPPUNIT_TEST(WeakHostsAmongThemselvesKeepTheCell);
   CPPUNIT_TEST(EqualHostsKeepTheCell);
   CPPUNIT_TEST(MeasuredNeedDecidesWhoIsFit);
+  CPPUNIT_TEST(OwnerThatCarriesTheNeedKeepsTheCell);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -167,6 +168,11 @@
     const std::vector<member::Member> hosts{MakeHost("a", kLarge),
                                             MakeHost("b", kLarge)};
     CPPUNIT_ASSERT(!entry::HasUnlikeHosts(hosts));
+    // A host of an earlier build, whose capacity is unknown.
+    CPPUNIT_ASSERT(!entry::HasUnlikeHosts(
+        std::vector<member::Member>{hosts[0], MakeHost("old", {}), hosts[1]}));
+    CPPUNIT_ASSERT(entry::HasUnlikeHosts(
+        std::vector<member::Member>{hosts[0], MakeHost("b", kWeakLink)}));
     CPPUNIT_ASSERT(!ChooseSuccessor(
         {kLarge, OwnerResource::kLink, HostNeed{0.4, 200}, kStart}, hosts, {},
         kLater));
@@ -198,6 +204,21 @@
     CPPUNIT_ASSERT_EQUAL(std::uint32_t{111},
                          Weighed(hosts, {0.1, 9}).front().weight);
   }
+
+  // A weak owner of a cell with little traffic would hand it over for nothing.
+  void OwnerThatCarriesTheNeedKeepsTheCell() {
+    const HostNeed light{0.02, 2};
+    const HostNeed heavy{0.3, 9};
+    const auto weight = [](const HostNeed& need) {
+      return entry::WeightOf(kLarge, need);
+    };
+    CPPUNIT_ASSERT(entry::ShouldCede(kWeakLink, std::nullopt, weight({})));
+    CPPUNIT_ASSERT(!entry::ShouldCede(kWeakLink, light, weight(light)));
+    CPPUNIT_ASSERT(!entry::ShouldCede(kWeakLink, heavy, weight(heavy)));
+    const HostNeed link_heavy{0.1, 9};
+    CPPUNIT_ASSERT(
+        entry::ShouldCede(kWeakLink, link_heavy, weight(link_heavy)));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(OwnerLoadTest);
