--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -34,7 +34,7 @@
 /// Bound of an answer's head, and of what the parser needs as a whole later: a
 /// chunk header with its extensions, all trailers. Larger parts of a body are
 /// read in pieces of this size.
-constexpr std::size_t kMaxAnswerHeadBytes = 16 * 1024;
+constexpr std::size_t kMaxAnswerHeadBytes = 16 << 10;
 /// Bytes of a chunked answer that aren't content.
 constexpr std::uint64_t kMaxAnswerFramingBytes = 1 << 20;
 /// Maximum time by which a stall time-out extends a call beyond its time-out.
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -31,24 +31,24 @@
 
 /// Bound of the request line with all header fields, and of what the parser
 /// needs as a whole later: a chunk header with its extensions, all trailers.
-constexpr std::uint32_t kMaxHeaderBytes = 16 * 1024;
+constexpr std::uint32_t kMaxHeaderBytes = 16 << 10;
 /// Usual HTTP clients send under 30 fields.
 constexpr std::ptrdiff_t kMaxHeaderFields = 128;
 /// Bytes of a chunked body that aren't content. Chunks of 1 KB need under 2 KB
 /// for a body of 262,144 bytes.
-constexpr std::uint64_t kMaxFramingBytes = 256 * 1024;
+constexpr std::uint64_t kMaxFramingBytes = 256 << 10;
 /// Buffer of a connection that waits for a request; holds most requests whole.
 /// It is bounded by max_connections, larger buffers by the budget.
-constexpr std::size_t kIdleBufferBytes = 4 * 1024;
+constexpr std::size_t kIdleBufferBytes = 4 << 10;
 constexpr std::size_t kMinReadBytes = 512;
 /// A refused body of up to this size is skipped, so that its connection can be
 /// kept.
-constexpr std::uint64_t kMaxSkippedBytes = 64 * 1024;
+constexpr std::uint64_t kMaxSkippedBytes = 64 << 10;
 /// After a refusal the rest of the input is read for this long and this far: a
 /// client that is still sending would otherwise get a reset in place of the
 /// answer.
 constexpr Millis kLingerTime{500};
-constexpr std::uint64_t kMaxLingerBytes = 256 * 1024;
+constexpr std::uint64_t kMaxLingerBytes = 256 << 10;
 constexpr std::uint64_t kMinBudgetBytes = 64 << 20;
 constexpr std::uint64_t kBodiesPerBudget = 8;
 constexpr Millis kAcceptRetryDelay{50};
--- a/src/peer/peer_links.cc
+++ b/src/peer/peer_links.cc
@@ -25,7 +25,8 @@
 
 constexpr std::size_t kMaxDatagramBytes = 60'000;
 /// Least bound of all unfinished frames: the largest one, and half as much.
-constexpr std::uint64_t kMinFrameBudgetBytes = kMaxFrameBytes / 2 * 3;
+constexpr std::uint64_t kMinFrameBudgetBytes =
+    std::uint64_t{kMaxFrameBytes} / 2 * 3;
 /// The clocks of two hosts run at the same rate, but for one part of this many.
 constexpr int kMaxDriftDivisor = 50;
 constexpr Millis kClockResolution{1};
