--- a/tests/unit-target-speed.cc
+++ b/tests/unit-target-speed.cc
@@ -54,6 +54,7 @@
 std::vector<double> Estimates(const std::vector<cell::TargetSpeed>& speeds,
                               Time now) {
   std::vector<double> estimates;
+  estimates.reserve(speeds.size());
   for (const cell::TargetSpeed& speed : speeds) {
     estimates.push_back(cell::RelativeRunTime(speed, now));
   }
@@ -112,6 +113,7 @@
   // runs a target, nine in ten must be within a fifth of the truth.
   void FindsSpeedsOfTargets() {
     std::vector<double> factors;
+    factors.reserve(100);
     for (int i = 0; i < 100; ++i) {
       factors.push_back(0.7 + i * 0.01);
     }
