--- a/include/buckthornmux/detail/cell/state.h
+++ b/include/buckthornmux/detail/cell/state.h
@@ -525,7 +525,6 @@
   /// Since when work has waited that fits into room that is free; empty if
   /// there is none.
   std::optional<Time> idle_since;
-  Millis idle_longest{0};  ///< Longest such time since the last report.
   InterferenceTable interference;
   WriteQueues writes;
   Bundles bundles;
--- a/include/buckthornmux/detail/runtime/metrics.h
+++ b/include/buckthornmux/detail/runtime/metrics.h
@@ -52,6 +52,8 @@
   kTargetsEvacuated,    ///< Targets of evacuated data centres.
   kRequestBytes,        ///< Bytes held for unanswered requests of clients.
   kInterferingPairs,    ///< Kinds of tasks that slow each other down.
+  kHeadroomCpu,         ///< Kept free for urgent work, millicores.
+  kIdleBesideWork,      ///< Time of free room beside work that fits it, ms.
   kCount,
 };
 
--- a/src/cell/placement/plan.cc
+++ b/src/cell/placement/plan.cc
@@ -581,7 +581,6 @@
     return;
   }
   cell.idle_since = cell.idle_since.value_or(round.now);
-  cell.idle_longest = std::max(cell.idle_longest, round.now - *cell.idle_since);
 }
 
 /// Ages the evidence on interference, and logs what was found or has ended.
--- a/src/entry/cell_host.cc
+++ b/src/entry/cell_host.cc
@@ -124,7 +124,8 @@
   for (const Gauge gauge :
        {Gauge::kOccurrencesWaiting, Gauge::kJobsBehind, Gauge::kStepsWaiting,
         Gauge::kRuns, Gauge::kJobBytes, Gauge::kTargetsEvacuated,
-        Gauge::kInterferingPairs}) {
+        Gauge::kInterferingPairs, Gauge::kHeadroomCpu,
+        Gauge::kIdleBesideWork}) {
     m_metrics.Set(gauge, 0);
   }
   m_reports.clear();
@@ -490,6 +491,10 @@
   m_metrics.Set(Gauge::kInterferingPairs, load.interfering_pairs);
   m_metrics.Set(Gauge::kLongestCrashHold,
                 static_cast<std::uint64_t>(load.longest_crash_hold.count()));
+  m_metrics.Set(Gauge::kHeadroomCpu,
+                static_cast<std::uint64_t>(load.headroom_cpu_milli));
+  m_metrics.Set(Gauge::kIdleBesideWork,
+                static_cast<std::uint64_t>(load.idle_beside_work.count()));
   LogLine("cell_load")
       .With("epoch", m_cell->epoch)
       .With("targets", static_cast<std::uint64_t>(load.targets))
--- a/src/runtime/metrics.cc
+++ b/src/runtime/metrics.cc
@@ -33,7 +33,8 @@
     "suspects_waiting",    "longest_crash_hold_ms",
     "owner_link_kbps",     "owner_busy_permille",
     "targets_evacuated",   "request_bytes",
-    "interfering_pairs"};
+    "interfering_pairs",   "headroom_cpu_milli",
+    "idle_beside_work_ms"};
 
 constexpr std::array<std::string_view, kTimings> kTimingNames = {
     "urgent_answer_ms", "patient_accept_ms", "journal_write_ms",
