--- a/src/entry/host_process.h
+++ b/src/entry/host_process.h
@@ -175,7 +175,7 @@
   boost::asio::steady_timer m_timer;
   LogBuffer m_log;
   runtime::Metrics m_metrics;
-  net::Traffic m_traffic;    ///< Of all connections but those of callers.
+  net::Traffic m_traffic;  ///< Of all connections but those of callers.
   ClientLimits m_client_limits;
   net::HttpClient m_client;  ///< For targets and the adviser.
   net::HttpClient m_store_client;
