--- a/src/cell/placement/gangs.cc
+++ b/src/cell/placement/gangs.cc
@@ -120,7 +120,8 @@
     RestrictToOneRack(places, candidate);
   }
   const bool cold_last = round.cell.options.avoid_cold && candidate.Urgent();
-  if (round.speeds_differ) {
+  // Elsewhere the fast targets are left to urgent work.
+  if (round.speeds_differ && (candidate.Urgent() || round.overload_control)) {
     KeepFastest(places, wanted);
   }
   return Total(places) < wanted ? std::vector<Slot*>()
