--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -339,6 +339,8 @@
   int m_resumes = 0;
   int m_starts_before_recovery = 0;
   cell::Rules m_rules;
+  /// Queues as last defined, also those that were removed since.
+  std::map<std::string, cell::Queue> m_queues;
   standins::JobChecker m_checker;
   std::map<cell::CallId, std::string> m_calls;
   cell::CallId m_next_call = 1;
--- a/tests/standins/cell_world.cc
+++ b/tests/standins/cell_world.cc
@@ -353,6 +353,9 @@
   ++m_rules.version;
   m_rules.queues = std::move(queues);
   m_rules.teams = std::move(teams);
+  for (const cell::Queue& queue : m_rules.queues) {
+    m_queues[queue.name] = queue;
+  }
   m_checker.SetTeams(m_rules.teams, m_now);
   cell::Actions actions;
   cell::SetRules(*m_cell, actions, m_rules, m_now);
@@ -986,12 +989,11 @@
     return;
   }
   const cell::Job& job = m_cell->jobs.at(ask.step.job);
-  const auto queue =
-      std::ranges::find(m_rules.queues, job.spec.queue, &cell::Queue::name);
+  const cell::AdviceRules& advice = *m_queues.at(job.spec.queue).advice;
   const Millis takes =
-      queue->advice->decide +
+      advice.decide +
       Millis(static_cast<std::int64_t>(
-          queue->advice->each_ms * static_cast<double>(ask.targets.size())));
+          advice.each_ms * static_cast<double>(ask.targets.size())));
   Time& free = m_lane_free[ask.lane];
   free = std::max(free, m_now) + takes;
   std::vector<cell::Ticket> tickets;
