Learnt speeds of targets count only under overload control

What is new has to leave earlier deployments as they were. Change: speeds rate targets only where a stop takes longer than urgent jobs may wait; elsewhere slowness from progress counts as before. unit-target-speed sets that switch; its checks are unchanged.

--- a/src/cell/placement/gangs.cc
+++ b/src/cell/placement/gangs.cc
@@ -120,8 +120,7 @@
     RestrictToOneRack(places, candidate);
   }
   const bool cold_last = round.cell.options.avoid_cold && candidate.Urgent();
-  // Elsewhere the fast targets are left to urgent work.
-  if (round.speeds_differ && (candidate.Urgent() || round.overload_control)) {
+  if (round.speeds_differ) {
     KeepFastest(places, wanted);
   }
   return Total(places) < wanted ? std::vector<Slot*>()
--- a/src/cell/placement/plan.cc
+++ b/src/cell/placement/plan.cc
@@ -152,8 +152,8 @@
   constexpr int kSlowPercent = 70;
   constexpr int kAllPercent = 100;
   return candidate.Urgent() ||
-         (round.overload_control && round.speeds_differ &&
-          !candidate.Spec().service && !candidate.late && !candidate.hopeless &&
+         (round.speeds_differ && !candidate.Spec().service && !candidate.late &&
+          !candidate.hopeless &&
           candidate.slack < candidate.job->chains[candidate.ref.step] *
                                 kSlowPercent / kAllPercent);
 }
--- a/src/cell/placement/round.cc
+++ b/src/cell/placement/round.cc
@@ -98,15 +98,15 @@
 
 namespace {
 
-/// Sets the run times of the slots. Where targets don't differ in speed, only
-/// the progress of present runs counts.
+/// Sets the run times of the slots. Where targets don't differ in speed, or
+/// urgent work can wait for a stop, only the progress of present runs counts.
 void RateSpeeds(Round& round) {
   std::vector<double> run_times;
   run_times.reserve(round.slots.size());
   for (const Slot& slot : round.slots) {
     run_times.push_back(RelativeRunTime(slot.target->health.speed, round.now));
   }
-  round.speeds_differ = DoSpeedsDiffer(run_times);
+  round.speeds_differ = round.overload_control && DoSpeedsDiffer(run_times);
   for (std::size_t i = 0; i < round.slots.size(); ++i) {
     const double slowness = round.slots[i].target->health.slowness;
     round.slots[i].run_time = round.speeds_differ
@@ -191,8 +191,8 @@
     round.by_id[PlaceOf(round, round.slots[i].target->entry.id)] =
         static_cast<std::uint32_t>(i + 1);
   }
-  RateSpeeds(round);
   ControlOverload(round);
+  RateSpeeds(round);
   return round;
 }
 
--- a/tests/unit-full-cell.cc
+++ b/tests/unit-full-cell.cc
@@ -62,6 +62,7 @@
   world.State().options.stop_time = stop_time;
   const UserQueues queues = MakeHardQueues();
   std::vector<cell::Team> teams;
+  teams.reserve(kGrownTeams);
   for (int i = 0; i < kGrownTeams; ++i) {
     teams.push_back({.name = "team-" + std::to_string(i), .weight = 100});
   }
--- a/tests/unit-target-speed.cc
+++ b/tests/unit-target-speed.cc
@@ -65,6 +65,8 @@
 
 /// Plays short jobs in a cell whose first half of targets is slow.
 void WarmUp(World& world, double slow) {
+  // Speeds count only where a stop takes longer than urgent jobs may wait.
+  world.State().options.stop_time = Millis(2000);
   for (int i = 0; i < kTargets / 2; ++i) {
     world.Target(i).faults.slowdown = slow;
   }
