--- a/tests/unit-request-limits.cc
+++ b/tests/unit-request-limits.cc
@@ -237,8 +237,10 @@
   /// Guards against idle connections that keep new callers out.
   void IdleConnectionYieldsToANewOne() {
     Server server;
+    constexpr std::size_t kIdle = 25;
     std::vector<tcp::socket> idle;
-    for (int i = 0; i < 25; ++i) {
+    idle.reserve(kIdle);
+    for (std::size_t i = 0; i < kIdle; ++i) {
       idle.push_back(server.Connect());
     }
     CPPUNIT_ASSERT(server.Send(Request("/", 3, 3, kClose)).ends_with("3"));
