An owner that is slow and answers keeps the cell

Cause: other hosts suspected an owner that answered pings after 250 to 800 ms, as their bounds were 220 to 420 ms; the next owner had the same load and was replaced as early. An owner whose ticks came late handed the cell over to one that became as slow. Change: hosts measure how long owners take to answer a ping, and allow three times the longest of the last 5 to 10 s, 900 ms at most, also for the next owner. A host that hands over because it is slow says so (OwnerSlow), and the next one keeps the cell if it is slow within 5 s; slow_owner_kept, answer_time_ms are logged. Why this works: the measure is that of the load itself, so a replacement is expected only from an owner that is later than owners have been. Evidence: with the time-out as before, SlowOwnerThatAnswersIsKept and NextOwnerGetsTheTimeThatTheFormerOneNeeded fail; without the notice, SlownessOfTwoOwnersInTurnFollowsTheCell. Hosts of earlier builds can't read the new message.

--- a/include/buckthornmux/detail/entry/calls.h
+++ b/include/buckthornmux/detail/entry/calls.h
@@ -119,6 +119,12 @@
   Epoch epoch = 0;
 };
 
+/// Sent to all hosts by an owner that hands the cell over because its machine
+/// seems to have become slow.
+struct OwnerSlow {
+  Epoch epoch = 0;
+};
+
 /// Tells the next owner on which targets tasks may still run. Sent by the
 /// former owner, which takes no further action.
 struct FormerOwnerState {
--- a/include/buckthornmux/detail/entry/owner_watch.h
+++ b/include/buckthornmux/detail/entry/owner_watch.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "buckthornmux/detail/entry/calls.h"
+#include "buckthornmux/detail/entry/recent_peak.h"
 
 namespace buckthornmux::entry {
 
@@ -50,7 +51,8 @@
   void Tick(const HostId& owner, std::optional<Time> waiting_since, Time now);
 
   /// @brief Handles a host's answer to a ping.
-  void OnPingAnswered(const HostId& host, Time now);
+  /// @param took time since the oldest ping that had no answer
+  void OnPingAnswered(const HostId& host, Millis took, Time now);
 
   /// @brief Handles a host's reply to a call. An owner that replies from the
   ///   cell's state has finished reading it.
@@ -75,7 +77,8 @@
   void ReplyToQueries(Time now);
   void Reset(Time suspect_after);
   /// Returns the time-out to use for the owner: `timeout`, or longer while the
-  /// owner reads the cell. A false detection would then repeat the reading.
+  /// owner reads the cell or if owners have answered slowly. A false detection
+  /// would repeat the reading, and the next owner has the same load.
   [[nodiscard]] Millis TimeoutFor(Millis timeout, Time now) const;
 
   OwnerWatchLinks m_links;
@@ -83,6 +86,9 @@
   std::map<HostId, Time> m_last_frame;
   Millis m_silence_bound{0};
   HostId m_owner;
+  HostId m_former_owner;
+  /// Longest times that owners took to answer a ping.
+  RecentPeak m_answer_time;
   /// Until this time an owner that has not replied to a call counts as reading
   /// the cell.
   Time m_recovering_until;
--- a/include/buckthornmux/detail/entry/slowness.h
+++ b/include/buckthornmux/detail/entry/slowness.h
@@ -2,11 +2,28 @@
 #pragma once
 
 #include <algorithm>
+#include <map>
 
 #include "buckthornmux/detail/core/time.h"
+#include "buckthornmux/detail/core/types.h"
 
 namespace buckthornmux::entry {
 
+/// Hosts that handed the cell over because they were slow, and when.
+using SlowOwners = std::map<HostId, Time>;
+
+/// Slowness of two owners within this time has the same cause.
+inline constexpr Millis kSlowOwnerMemory{5000};
+
+/// @brief Whether an owner is slow because of the cell: its predecessor was
+///   slow too, so the next owner would be as well.
+[[nodiscard]] inline bool SlownessFollowsCell(const SlowOwners& slow,
+                                              const HostId& self, Time now) {
+  return std::ranges::any_of(slow, [&](const auto& entry) {
+    return entry.first != self && now - entry.second < kSlowOwnerMemory;
+  });
+}
+
 /// @brief Decides from the lateness of ticks whether this host is too slow to
 ///   own a cell. A machine can become slow and still renew its lease in the
 ///   store.
--- a/include/buckthornmux/detail/peer/messages.h
+++ b/include/buckthornmux/detail/peer/messages.h
@@ -67,13 +67,15 @@
   Revision known = 0;
 };
 
-using Message = std::variant<
-    Hello, Ping, Pong, CallSubmit, CallCancel, CallQuery, CallGone, CallReply,
-    home::ToShard, home::FromShard, NotTaken, ConfigText, ConfigWanted,
-    entry::CellCall, entry::CellReply, entry::AdviceRequest, entry::AdviceReply,
-    entry::StoreQuery, entry::StoreStatus, entry::RangeOffer,
-    entry::LivenessQuery, entry::LivenessReply, entry::FormerOwnerState,
-    entry::OwnerOverloaded, entry::EvacuationQuery, entry::EvacuationStatus>;
+using Message =
+    std::variant<Hello, Ping, Pong, CallSubmit, CallCancel, CallQuery, CallGone,
+                 CallReply, home::ToShard, home::FromShard, NotTaken,
+                 ConfigText, ConfigWanted, entry::CellCall, entry::CellReply,
+                 entry::AdviceRequest, entry::AdviceReply, entry::StoreQuery,
+                 entry::StoreStatus, entry::RangeOffer, entry::LivenessQuery,
+                 entry::LivenessReply, entry::FormerOwnerState,
+                 entry::OwnerOverloaded, entry::EvacuationQuery,
+                 entry::EvacuationStatus, entry::OwnerSlow>;
 
 /// State of one shard in a heartbeat.
 struct ShardBeat {
--- a/include/buckthornmux/detail/peer/peer_links.h
+++ b/include/buckthornmux/detail/peer/peer_links.h
@@ -50,8 +50,9 @@
   /// not have arrived.
   std::function<void(const HostId& peer, bool up)> link;
   std::function<void(Heartbeat)> heartbeat;
-  /// The peer has answered a Ping; may be left out.
-  std::function<void(const HostId& peer)> pong;
+  /// The peer has answered a Ping, `took` after the oldest one that had no
+  /// answer was sent; may be left out.
+  std::function<void(const HostId& peer, Millis took)> pong;
   /// A frame of any kind has arrived on a connection that the peer opened; may
   /// be left out.
   std::function<void(const HostId& peer)> frame;
--- a/src/entry/host.cc
+++ b/src/entry/host.cc
@@ -258,8 +258,8 @@
             SetLanes();
           },
           [](const peer::Heartbeat&) {},
-          [this](const HostId& peer) {
-            m_owner_watch.OnPingAnswered(peer, Now());
+          [this](const HostId& peer, Millis took) {
+            m_owner_watch.OnPingAnswered(peer, took, Now());
             if (m_offer && m_offer->suspect == peer) {
               m_offer.reset();  // The suspected owner is alive.
             }
--- a/src/entry/host_calls.cc
+++ b/src/entry/host_calls.cc
@@ -70,6 +70,8 @@
     m_owner_watch.HandleReply(*liveness, Now());
   } else if (std::holds_alternative<OwnerOverloaded>(message)) {
     m_overloaded[from] = Now();
+  } else if (std::holds_alternative<OwnerSlow>(message)) {
+    m_slow_owners[from] = Now();
   } else if (const auto* state = std::get_if<FormerOwnerState>(&message)) {
     m_cell.HandleFinalState(*state);
   } else if (const auto* query = std::get_if<EvacuationQuery>(&message)) {
--- a/src/entry/host_ownership.cc
+++ b/src/entry/host_ownership.cc
@@ -252,6 +252,20 @@
       m_members.OthersActive() < kMinOtherHosts) {
     return;
   }
+  if (SlownessFollowsCell(m_slow_owners, m_settings.host, now)) {
+    if (now >= m_kept_logged + kLateLogInterval) {
+      m_kept_logged = now;
+      LogLine("slow_owner_kept", Level::kWarning)
+          .With("host", m_settings.host)
+          .With("reason", "the former owner was slow too")
+          .With("ticks_late_ms", m_slowness.Late().count());
+    }
+    return;
+  }
+  const OwnerSlow notice{m_members.OwnedEpoch(std::string(kRange))};
+  for (const HostId& peer : m_links_up) {
+    SendTo(peer, notice);
+  }
   m_passive = true;
   m_passive_until = now + kMinPassiveTime;
   LogLine("hands_over_when_slow", Level::kWarning)
--- a/src/entry/host_process.h
+++ b/src/entry/host_process.h
@@ -215,9 +215,11 @@
   OverloadedHosts m_overloaded;
   Time m_overload_logged;
   std::optional<Time> m_release_began;  ///< Start of an unfinished release.
+  SlowOwners m_slow_owners;
   bool m_passive = false;  ///< Owns nothing because this host is slow.
   Time m_passive_until;
   Time m_late_logged;
+  Time m_kept_logged;
   bool m_leaving = false;
   ShutdownState m_shutdown;
   Time m_settings_at;  ///< When the settings file is read next.
--- a/src/entry/owner_watch.cc
+++ b/src/entry/owner_watch.cc
@@ -22,6 +22,11 @@
 /// Multiplies the time-outs above while an owner reads the cell. It answers no
 /// ping while it processes a page of records or sends requests to all targets.
 constexpr int kRecoveringFactor = 5;
+/// An owner may take this many times as long as its slowest answers to pings.
+constexpr int kSlowOwnerFactor = 3;
+/// Upper bound of what slow answers add. The registration of an owner that is
+/// gone expires soon after.
+constexpr Millis kMaxSlowOwnerTimeout{900};
 /// Exceeds the time that a host with an eighth of a core and a 10 Mbit/s link
 /// takes to read 1 MB.
 constexpr Millis kRecoveryTimeout{5000};
@@ -58,6 +63,7 @@
                       Time now) {
   ReplyToQueries(now);
   if (owner != m_owner) {
+    m_former_owner = m_owner.empty() ? m_former_owner : m_owner;
     m_owner = owner;
     m_recovering_until = now + kRecoveryTimeout;
     m_disconnected_since.reset();
@@ -118,11 +124,15 @@
       .With("owner", m_owner)
       .With("alive_ms_ago",
             alive == m_last_alive.end() ? -1 : (now - alive->second).count())
+      .With("answer_time_ms", m_answer_time.Longest(now).count())
       .With("asked", static_cast<std::uint64_t>(m_open_queries.size()));
 }
 
 Millis OwnerWatch::TimeoutFor(Millis timeout, Time now) const {
-  return now < m_recovering_until ? timeout * kRecoveringFactor : timeout;
+  const Millis slow = std::min(kSlowOwnerFactor * m_answer_time.Longest(now),
+                               kMaxSlowOwnerTimeout);
+  return std::max(
+      now < m_recovering_until ? timeout * kRecoveringFactor : timeout, slow);
 }
 
 void OwnerWatch::OnCallReply(const HostId& host, const CellReply& reply) {
@@ -133,8 +143,12 @@
   }
 }
 
-void OwnerWatch::OnPingAnswered(const HostId& host, Time now) {
+void OwnerWatch::OnPingAnswered(const HostId& host, Millis took, Time now) {
   m_last_alive[host] = now;
+  // A former owner that answers after all was not given enough time.
+  if (host == m_owner || host == m_former_owner) {
+    m_answer_time.Add(took, now);
+  }
 }
 
 void OwnerWatch::HandleQuery(const HostId& from, const LivenessQuery& ask,
--- a/src/peer/peer_links.cc
+++ b/src/peer/peer_links.cc
@@ -296,15 +296,17 @@
         break;  // Another version or no peer: the connection ends.
       }
       link->last_pong = SteadyClock::now();
+      Millis took{0};
       if (link->socket == socket) {
         if (link->ping_sent) {
           link->ping_took = link->last_pong - *link->ping_sent;
+          took = std::chrono::duration_cast<Millis>(link->ping_took);
           link->ping_sent.reset();
         }
         self->LearnClock(*link, *pong);
       }
       if (self->events.pong) {
-        self->events.pong(link->peer.host);
+        self->events.pong(link->peer.host, took);
       }
     }
     error_code ignored;
--- a/tests/unit-entry.cc
+++ b/tests/unit-entry.cc
@@ -38,6 +38,7 @@
   CPPUNIT_TEST(JobLinesDoNotDisplaceOthers);
   CPPUNIT_TEST(SlownessNeedsSeveralLateTicks);
   CPPUNIT_TEST(PersistentSmallDelaysAreSlowness);
+  CPPUNIT_TEST(SlownessOfTwoOwnersInTurnFollowsTheCell);
   CPPUNIT_TEST(PauseBetweenTicksIsDetected);
   CPPUNIT_TEST(PauseWithinATickIsDetected);
   CPPUNIT_TEST_SUITE_END();
@@ -215,6 +216,19 @@
     CPPUNIT_ASSERT(gauge.Healthy());
   }
 
+  // Guards against LOST (review/7 on slow processors): each owner was slow
+  // under the cell's load and handed it over to the next, up to 28 times a day.
+  void SlownessOfTwoOwnersInTurnFollowsTheCell() {
+    const Time now{Millis(1'000'000)};
+    entry::SlowOwners slow;
+    CPPUNIT_ASSERT(!entry::SlownessFollowsCell(slow, "a", now));
+    slow["a"] = now;
+    CPPUNIT_ASSERT(!entry::SlownessFollowsCell(slow, "a", now));
+    CPPUNIT_ASSERT(entry::SlownessFollowsCell(slow, "b", now + Millis(1000)));
+    CPPUNIT_ASSERT(
+        !entry::SlownessFollowsCell(slow, "b", now + entry::kSlowOwnerMemory));
+  }
+
   // An owner whose ticks were 13 to 17 ms late, and whose callers waited half a
   // second, was not detected as slow (ppl-coop, trouble-3).
   void PersistentSmallDelaysAreSlowness() {
--- a/tests/unit-fit-owner.cc
+++ b/tests/unit-fit-owner.cc
@@ -305,7 +305,7 @@
          [](const HostId&) {}}};
     for (; now < kStart + Millis(3000); now += Millis(50)) {
       if (linked()) {
-        watch.OnPingAnswered("o", now);
+        watch.OnPingAnswered("o", Millis(0), now);
       }
       watch.Tick("o", kStart, now);
       for (const std::uint64_t ask : std::exchange(queries, {})) {
--- a/tests/unit-owner-watch.cc
+++ b/tests/unit-owner-watch.cc
@@ -70,6 +70,9 @@
   CPPUNIT_TEST(OwnerOnAFullLinkIsNotSuspected);
   CPPUNIT_TEST(SilentOwnerIsDetectedAfterTheSilenceBound);
   CPPUNIT_TEST(QueriedHostCountsFrames);
+  CPPUNIT_TEST(SlowOwnerThatAnswersIsKept);
+  CPPUNIT_TEST(NextOwnerGetsTheTimeThatTheFormerOneNeeded);
+  CPPUNIT_TEST(FailedSlowOwnerIsDetected);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -95,7 +98,7 @@
       const int before = f.probes;
       f.Pass(kTick);
       if (f.probes > before) {
-        f.watch.OnPingAnswered("o", f.now + Millis(4));
+        f.watch.OnPingAnswered("o", Millis(4), f.now + Millis(4));
       }
     }
     CPPUNIT_ASSERT(f.probes > 0);
@@ -149,7 +152,7 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.replies.size());
     // There is no connection to "x".
     CPPUNIT_ASSERT(!f.replies[0].second.alive);
-    f.watch.OnPingAnswered("o", f.now + Millis(5));
+    f.watch.OnPingAnswered("o", Millis(5), f.now + Millis(5));
     f.watch.Tick("o", std::nullopt, f.now + Millis(10));
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, f.replies.size());
     CPPUNIT_ASSERT(f.replies[1].second.alive);
@@ -225,6 +228,59 @@
     CPPUNIT_ASSERT(f.replies[0].second.alive);
     CPPUNIT_ASSERT(!f.replies[1].second.alive);
   }
+
+  // Guards against LOST (review/7 on slow processors): hosts took the cell from
+  // each other, since each owner answered pings after 250 to 800 ms.
+  void SlowOwnerThatAnswersIsKept() {
+    Fixture f;
+    f.watch.OnPingAnswered("o", Millis(400), f.now);
+    for (int i = 0; i < 20; ++i) {
+      f.Pass(Millis(750));
+      f.AllReplyNotAlive();
+      f.watch.OnPingAnswered("o", Millis(450), f.now);
+    }
+    CPPUNIT_ASSERT(f.queries.empty());
+    CPPUNIT_ASSERT(f.failed.empty());
+  }
+
+  // Guards against LOST (review/7 on slow processors): the next owner, with the
+  // same load, was suspected as early as the former one.
+  void NextOwnerGetsTheTimeThatTheFormerOneNeeded() {
+    Fixture f;
+    f.watch.Tick("c", std::nullopt, f.now);
+    // The former owner was suspected too early: it answers after all.
+    f.watch.OnPingAnswered("o", Millis(400), f.now);
+    entry::CellReply served;
+    served.end = entry::CallResult::kPhase;
+    f.watch.OnCallReply("c", served);
+    f.watch.OnPingAnswered("c", Millis(4), f.now);
+    for (int i = 0; i < 15; ++i) {
+      f.now += kTick;
+      f.watch.Tick("c", kStart, f.now);
+    }
+    CPPUNIT_ASSERT(f.queries.empty());
+  }
+
+  // What slow answers add is bounded, and forgotten once owners are quick.
+  void FailedSlowOwnerIsDetected() {
+    Fixture f;
+    f.watch.OnPingAnswered("o", Millis(5000), f.now);
+    f.Pass(Millis(2000));
+    f.AllReplyNotAlive();
+    f.Pass(kTick);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.failed.size());
+
+    Fixture quick;
+    quick.watch.OnPingAnswered("o", Millis(400), quick.now);
+    const Time begin = quick.now += 2 * entry::RecentPeak::kPeriod;
+    quick.watch.OnPingAnswered("o", Millis(4), quick.now);
+    quick.Pass(Millis(350));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, quick.queries.size());
+    quick.AllReplyNotAlive();
+    quick.Pass(kTick);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, quick.failed.size());
+    CPPUNIT_ASSERT(quick.now - begin <= Millis(500));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(OwnerWatchTest);
--- a/tests/unit-peer.cc
+++ b/tests/unit-peer.cc
@@ -183,7 +183,7 @@
     const std::string address = FreeAddress();
     // Pings of their own are far apart.
     PeerEvents events = inbox.Events();
-    events.pong = [&](const HostId&) { inbox.Note([&] { ++signs; }); };
+    events.pong = [&](const HostId&, Millis) { inbox.Note([&] { ++signs; }); };
     PeerLinks a(io.io,
                 {.self = "a",
                  .listen = FreeAddress(),
@@ -214,7 +214,7 @@
     IoThread io;
     const std::string address = FreeAddress();
     PeerEvents events = inbox.Events();
-    events.pong = [&](const HostId&) { inbox.Note([&] { ++signs; }); };
+    events.pong = [&](const HostId&, Millis) { inbox.Note([&] { ++signs; }); };
     PeerLinks a(io.io,
                 {.self = "a",
                  .listen = FreeAddress(),
