Rounds of planning leave a slow owner time for calls

Cause: a round that took longer than the interval of 8 ms was followed by the next one at once; pings, starts and callers waited between them, until others took the owner for failed. Change: a round begins no earlier than twice the duration of the last one after that one began, 400 ms at most, as a host may be paused during a round. Rounds of 4 ms and less keep their interval. Evidence: with a factor of 1, LongRoundsLeaveTimeForCalls fails.

--- a/include/buckthornmux/detail/entry/cell_host.h
+++ b/include/buckthornmux/detail/entry/cell_host.h
@@ -175,6 +175,7 @@
   Time m_load_logged;
   boost::asio::steady_timer m_pump_timer;
   bool m_pump_due = false;
+  Millis m_pump_took{0};  ///< Duration of the last pump.
   Time m_pumped_at;
 };
 
--- a/src/entry/cell_host.cc
+++ b/src/entry/cell_host.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "buckthornmux/detail/entry/clock.h"
+#include "buckthornmux/detail/entry/round_pacing.h"
 #include "buckthornmux/detail/runtime/log_line.h"
 
 namespace buckthornmux::entry {
@@ -15,8 +16,6 @@
 using Level = runtime::LogLine::Level;
 
 constexpr Millis kTickInterval{50};
-/// Events within this interval share one round of planning and one write.
-constexpr Millis kPumpInterval{8};
 /// A start or stop without an answer within this time is sent again. A healthy
 /// target answers within some milliseconds.
 constexpr Millis kOrderTimeout{150};
@@ -439,18 +438,20 @@
   }
 }
 
-/// Schedules a Pump, so that all events within kPumpInterval share it.
+/// Schedules a Pump, so that all events within kRoundInterval share it.
 void CellHost::SchedulePump() {
   if (m_pump_due) {
     return;
   }
   m_pump_due = true;
-  const Millis since = Now() - m_pumped_at;
-  m_pump_timer.expires_after(std::max(Millis(0), kPumpInterval - since));
+  m_pump_timer.expires_after(
+      DelayOfNextRound(m_pump_took, Now() - m_pumped_at));
   m_pump_timer.async_wait([this](boost::system::error_code error) {
     if (!error) {
       m_pump_due = false;
+      const Time began = Now();
       Pump();
+      m_pump_took = Now() - began;
     }
   });
 }
