A job that an earlier try may have got accepted is not called refused

Cause: hosts forgot tries that had ended, and told nobody of them. First tries are refused as before. call_answered has the epoch; call_refused has job, status and reason. Hosts of earlier builds can't read the new message.

--- a/include/buckthornmux/detail/entry/callers.h
+++ b/include/buckthornmux/detail/entry/callers.h
@@ -11,6 +11,7 @@
 #include <variant>
 
 #include "buckthornmux/detail/entry/client_limits.h"
+#include "buckthornmux/detail/entry/job_doubts.h"
 #include "buckthornmux/detail/entry/open_call.h"
 #include "buckthornmux/detail/entry/rules_reader.h"
 #include "buckthornmux/detail/net/http_server.h"
@@ -56,6 +57,8 @@
   /// Whether the store rejects this host and serves others. Responses then
   /// close their connections, so that callers reconnect to another host.
   std::function<bool()> store_serves_others;
+  /// Tells all hosts of jobs that may have been accepted; may be left out.
+  std::function<void(const JobsInDoubt& jobs)> tell_doubts;
 };
 
 /// @brief Serves callers. Each request gets exactly one response, no later than
@@ -77,6 +80,10 @@
   ///   sent again.
   void HostLost(const HostId& host);
 
+  /// @brief Handles another host's notice of jobs that may have been accepted:
+  ///   their next tries are not refused without a look at the cell.
+  void HandleDoubts(const JobsInDoubt& jobs);
+
   /// @brief Forwards calls that wait for an owner and ends overdue calls.
   void Tick(Time now);
 
@@ -124,7 +131,7 @@
   [[nodiscard]] net::HeadDecision DecideHead(const net::HttpRequest& head);
   /// Logs and counts a refusal, and returns its response.
   [[nodiscard]] net::HttpResponse Deny(const net::HttpRequest& request,
-                                       const Denial& denial, Time now) const;
+                                       const Denial& refused, Time now) const;
   void HandleRequest(const net::HttpRequest& request,
                      const net::Responder& respond);
   void Forward(CellCall call, Millis patience, const net::Responder& respond);
@@ -132,8 +139,13 @@
   void EndOverdue(std::uint64_t number);
   void Respond(const Request& request, net::HttpResponse response,
                std::string_view why);
-  void Fail(const Request& request, const CallFailure& failure, int status);
+  void Fail(const Request& request, CallFailure failure, int status);
   [[nodiscard]] net::HttpResponse Refusal(ErrorKind kind, int status) const;
+  /// Returns the denial, or an unknown outcome if it would say that a job was
+  /// not accepted which may have been.
+  [[nodiscard]] Denial TruthfulDenial(const net::HttpRequest& request,
+                                      const Denial& denial, Time now) const;
+  void TellDoubts(const JobsInDoubt& jobs) const;
 
   CallerCodec m_codec;
   const RulesReader& m_rules;
@@ -144,6 +156,7 @@
   /// reply to calls of this host's former process.
   std::uint64_t m_next;
   std::map<std::uint64_t, Request> m_open;
+  JobDoubts m_doubts;
   bool m_stopped = false;
   std::unique_ptr<net::HttpServer> m_server;
 };
--- a/include/buckthornmux/detail/entry/calls.h
+++ b/include/buckthornmux/detail/entry/calls.h
@@ -56,6 +56,18 @@
   Epoch epoch = 0;
 };
 
+/// A job that the owner of an epoch may have accepted without an answer.
+struct JobInDoubt {
+  std::string job;
+  Epoch epoch = 0;
+};
+
+/// Sent to all hosts by one that lost submits, or answered that their outcome
+/// is unknown: the next tries may arrive at any host.
+struct JobsInDoubt {
+  std::vector<JobInDoubt> jobs;
+};
+
 /// Request of the owner to the adviser, sent through another host.
 struct AdviceRequest {
   std::uint64_t ask = 0;
--- a/include/buckthornmux/detail/entry/open_call.h
+++ b/include/buckthornmux/detail/entry/open_call.h
@@ -25,7 +25,7 @@
   /// When the call ends if it still waits for an owner.
   Time owner_deadline;
   Time forward_at;  ///< Earliest time to forward it again.
-  Time sent_at;     ///< When the call was sent to `sent_to`.
+  Time sent_at;     ///< Start of the last attempt.
   /// Why no owner has accepted the call.
   ErrorKind no_owner_reason = ErrorKind::kOwnerUnknown;
 };
--- a/include/buckthornmux/detail/peer/messages.h
+++ b/include/buckthornmux/detail/peer/messages.h
@@ -75,7 +75,7 @@
                  entry::StoreStatus, entry::RangeOffer, entry::LivenessQuery,
                  entry::LivenessReply, entry::FormerOwnerState,
                  entry::OwnerOverloaded, entry::EvacuationQuery,
-                 entry::EvacuationStatus, entry::OwnerSlow>;
+                 entry::EvacuationStatus, entry::OwnerSlow, entry::JobsInDoubt>;
 
 /// State of one shard in a heartbeat.
 struct ShardBeat {
--- a/src/entry/callers.cc
+++ b/src/entry/callers.cc
@@ -86,6 +86,12 @@
   return target.substr(0, target.find('?'));
 }
 
+/// Id of the job that a path names; meaningless if it names none.
+std::string_view JobOf(const net::HttpRequest& request) {
+  const std::string_view path = PathOf(request);
+  return path.substr(path.rfind('/') + 1);
+}
+
 std::string_view WithoutPort(std::string_view host) {
   return host.substr(0, host.find(':'));
 }
@@ -186,11 +192,25 @@
   return HeadMatch{&rules, *route, team};
 }
 
+Callers::Denial Callers::TruthfulDenial(const net::HttpRequest& request,
+                                        const Denial& denial, Time now) const {
+  const std::string_view job = JobOf(request);
+  const bool claims = request.method == "POST" &&
+                      (denial.status == kUnavailable || denial.status == 429);
+  return claims && DoubtOf(m_doubts, job, now)
+             ? Denial{ErrorKind::kOutcomeUnknown, kGatewayTimeout}
+             : denial;
+}
+
 net::HttpResponse Callers::Deny(const net::HttpRequest& request,
-                                const Denial& denial, Time now) const {
+                                const Denial& refused, Time now) const {
+  const Denial denial = TruthfulDenial(request, refused, now);
   LogLine("call_refused")
       .With("method", request.method)
       .With("path", PathOf(request))
+      .With("job", JobOf(request))
+      .With("status", static_cast<std::int64_t>(denial.status))
+      .With("reason", AnswerFor(refused.kind).name)
       .With("error", AnswerFor(denial.kind).name)
       .With("rules", m_rules.Current() ? m_rules.Current()->version : 0)
       .With("rules_age_ms", (now - m_rules.ConfirmedAt()).count());
@@ -307,8 +327,14 @@
 
 /// Responds to a call that failed.
 /// @param status if it had no effect
-void Callers::Fail(const Request& request, const CallFailure& failure,
-                   int status) {
+void Callers::Fail(const Request& request, CallFailure failure, int status) {
+  const Time now = Now();
+  if (failure.unknown) {
+    if (const auto doubt = NewDoubt(m_doubts, request.open, now)) {
+      TellDoubts({{*doubt}});
+    }
+  }
+  failure = TruthfulFailure(m_doubts, request.open, std::move(failure), now);
   net::HttpResponse response =
       Refusal(failure.error, failure.unknown ? kGatewayTimeout : status);
   if (response.retry_after > Millis(0) && failure.retry_after > Millis(0)) {
@@ -336,6 +362,7 @@
         .With("status", static_cast<std::int64_t>(response.status))
         .With("reason", why)
         .With("attempts", std::uint64_t{open.call.attempt})
+        .With("epoch", open.call.epoch)
         .With("epoch_in_doubt", open.in_doubt.value_or(0))
         .With("took_ms", (now - open.began).count());
   }
@@ -347,8 +374,13 @@
   if (found == m_open.end()) {
     return;  // The deadline has passed, and the caller has a response.
   }
-  if (ApplyReply(found->second.open, reply, m_links.owner_expected(), Now()) !=
-      ReplyUse::kEnds) {
+  const Time now = Now();
+  OpenCall& open = found->second.open;
+  const ReplyUse use = ApplyReply(open, reply, m_links.owner_expected(), now);
+  if (use != ReplyUse::kIgnored) {
+    ApplyToDoubt(m_doubts, open, reply, now);
+  }
+  if (use != ReplyUse::kEnds) {
     return;
   }
   const Request request = std::move(found->second);
@@ -382,8 +414,30 @@
 
 void Callers::HostLost(const HostId& host) {
   const Time now = Now();
+  JobsInDoubt lost;
   for (auto& [number, request] : m_open) {
-    NoteHostLost(request.open, host, now);
+    OpenCall& open = request.open;
+    if (open.sent_to != host) {
+      continue;
+    }
+    NoteHostLost(open, host, now);
+    if (auto doubt = NewDoubt(m_doubts, open, now)) {
+      lost.jobs.push_back(std::move(*doubt));
+    }
+  }
+  TellDoubts(lost);
+}
+
+void Callers::TellDoubts(const JobsInDoubt& jobs) const {
+  if (!jobs.jobs.empty() && m_links.tell_doubts) {
+    m_links.tell_doubts(jobs);
+  }
+}
+
+void Callers::HandleDoubts(const JobsInDoubt& jobs) {
+  const Time now = Now();
+  for (const JobInDoubt& each : jobs.jobs) {
+    NoteDoubt(m_doubts, each.job, each.epoch, now);
   }
 }
 
--- a/src/entry/host.cc
+++ b/src/entry/host.cc
@@ -171,7 +171,12 @@
 CallerLinks Host::CallersLinks() {
   return {[this](CellCall& call, HostId& to) { return Forward(call, to); },
           [this] { return m_relay.OwnerExpected(Now()); },
-          [this] { return m_relay.StoreServesOthers(Now()); }};
+          [this] { return m_relay.StoreServesOthers(Now()); },
+          [this](const JobsInDoubt& jobs) {
+            for (const HostId& peer : m_links_up) {
+              SendTo(peer, jobs);
+            }
+          }};
 }
 
 StoreRelayLinks Host::RelayLinks() {
--- a/src/entry/host_calls.cc
+++ b/src/entry/host_calls.cc
@@ -53,6 +53,8 @@
     m_callers.HandleReply(*reply);
   } else if (const auto* ask = std::get_if<AdviceRequest>(&message)) {
     AskAdviser(from, *ask);
+  } else if (const auto* doubts = std::get_if<JobsInDoubt>(&message)) {
+    m_callers.HandleDoubts(*doubts);
   } else if (const auto* advice = std::get_if<AdviceReply>(&message)) {
     m_cell.OnAdviceAnswered(*advice);
   } else if (const auto* wanted = std::get_if<StoreQuery>(&message)) {
--- a/src/entry/open_call.cc
+++ b/src/entry/open_call.cc
@@ -39,6 +39,7 @@
 
 void BeginAttempt(OpenCall& open, Time now) {
   ++open.call.attempt;
+  open.sent_at = now;
   open.call.patience = open.deadline - now;
 }
 
@@ -51,7 +52,6 @@
   } else if (open.forward_at <= now) {
     // If `forward_at` is later, the owner has already refused the call.
     open.sent_to = to;
-    open.sent_at = now;
   }
 }
 
--- a/tests/call_world.h
+++ b/tests/call_world.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "buckthornmux/detail/entry/call_guard.h"
+#include "buckthornmux/detail/entry/job_doubts.h"
 #include "buckthornmux/detail/entry/open_call.h"
 #include "buckthornmux/detail/entry/owner_calls.h"
 #include "buckthornmux/detail/entry/pending_replies.h"
@@ -148,6 +149,7 @@
     std::optional<cell::Cell> cell;
     bool loaded = false;
     entry::OwnerCalls calls;
+    entry::JobDoubts doubts;
     std::optional<cell::Batch> batch;  ///< Write without an answer.
     bool applied = false;
     Time batch_since;
@@ -157,7 +159,8 @@
   };
 
   /// Message between hosts.
-  using Message = std::variant<entry::CellCall, entry::CellReply>;
+  using Message =
+      std::variant<entry::CellCall, entry::CellReply, entry::JobInDoubt>;
 
   // ---- Helpers --------------------------------------------------------------
 
@@ -246,7 +249,20 @@
   void Lose(std::size_t from, std::size_t to) {
     m_hosts[from].links[to].up = false;
     for (auto& [number, request] : m_hosts[from].requests) {
-      entry::NoteHostLost(request.open, m_hosts[to].id, m_now);
+      if (request.open.sent_to == m_hosts[to].id) {
+        entry::NoteHostLost(request.open, m_hosts[to].id, m_now);
+        TellDoubt(from, request.open);
+      }
+    }
+  }
+
+  /// Tells all hosts that a submit may have been accepted.
+  void TellDoubt(std::size_t at, const entry::OpenCall& open) {
+    const auto doubt = entry::NewDoubt(m_hosts[at].doubts, open, m_now);
+    for (std::size_t to = 0; doubt && to < m_hosts.size(); ++to) {
+      if (to != at) {
+        (void)Send(at, to, *doubt);
+      }
     }
   }
 
@@ -295,6 +311,8 @@
     const auto [from, to, message] = m_messages[id];
     if (const auto* call = std::get_if<entry::CellCall>(&message)) {
       HandleCall(to, m_hosts[from].id, *call);
+    } else if (const auto* doubt = std::get_if<entry::JobInDoubt>(&message)) {
+      entry::NoteDoubt(m_hosts[to].doubts, doubt->job, doubt->epoch, m_now);
     } else {
       HandleReply(to, std::get<entry::CellReply>(message));
     }
@@ -413,23 +431,33 @@
   void HandleReply(std::size_t at, const entry::CellReply& reply) {
     Host& host = m_hosts[at];
     const auto found = host.requests.find(reply.call);
-    if (found == host.requests.end() ||
-        entry::ApplyReply(found->second.open, reply, true, m_now) !=
-            entry::ReplyUse::kEnds) {
+    if (found == host.requests.end()) {
+      return;
+    }
+    const auto use = entry::ApplyReply(found->second.open, reply, true, m_now);
+    if (use != entry::ReplyUse::kIgnored) {
+      entry::ApplyToDoubt(host.doubts, found->second.open, reply, m_now);
+    }
+    if (use != entry::ReplyUse::kEnds) {
       return;
     }
     const Request request = std::move(found->second);
     host.requests.erase(found);
     if (reply.end == entry::CallResult::kRefused ||
         reply.end == entry::CallResult::kUnknown) {
-      Fail(request, entry::FailureOf(request.open, reply), true);
+      Fail(at, request, entry::FailureOf(request.open, reply), true);
     } else {
       Finish(request.job, request.number, TryEnd::kDone);
     }
   }
 
-  void Fail(const Request& request, const entry::CallFailure& failure,
+  void Fail(std::size_t at, const Request& request, entry::CallFailure failure,
             bool by_owner) {
+    if (failure.unknown) {
+      TellDoubt(at, request.open);
+    }
+    failure = entry::TruthfulFailure(m_hosts[at].doubts, request.open,
+                                     std::move(failure), m_now);
     m_jobs[request.job].tries[request.number].refused_by_owner = by_owner;
     Finish(request.job, request.number,
            failure.unknown ? TryEnd::kUnknown : TryEnd::kRefused);
@@ -455,7 +483,7 @@
       }
       const Request request = std::move(found->second);
       host.requests.erase(found);
-      Fail(request, entry::OverdueFailure(request.open), false);
+      Fail(at, request, entry::OverdueFailure(request.open), false);
     }
   }
 
--- a/tests/unit-entry-callers.cc
+++ b/tests/unit-entry-callers.cc
@@ -24,6 +24,7 @@
     "public":true}],"limits":{"max_body_bytes":2000},
     "tenants":[{"name":"red","api_keys":["k1"]}]})";
 constexpr std::string_view kJob = "/p/0123456789abcdef";
+constexpr std::string_view kSteps = R"({"steps":[{"count":1}]})";
 
 /// Callers with an owner that the test simulates.
 struct Fixture {
@@ -37,6 +38,7 @@
   bool owner_expected = true;
   bool serves_others = false;
   std::vector<entry::CellCall> forwarded;
+  std::vector<entry::JobInDoubt> doubts;  ///< That other hosts were told of.
   entry::Callers callers{
       io,
       "127.0.0.1:0",
@@ -53,7 +55,10 @@
          }
          return forward_result;
        },
-       [this] { return owner_expected; }, [this] { return serves_others; }}};
+       [this] { return owner_expected; }, [this] { return serves_others; },
+       [this](const entry::JobsInDoubt& told) {
+         doubts.insert(doubts.end(), told.jobs.begin(), told.jobs.end());
+       }}};
   net::HttpClient client{io, {}};
 
   Fixture() {
@@ -101,6 +106,16 @@
     callers.HandleReply(reply);
   }
 
+  /// A submit whose owner is lost, with no next one in time.
+  void LoseSubmit() {
+    const auto answer = Send("POST", kJob, "k1", std::string(kSteps), [this] {
+      callers.HostLost("owner");
+      forward_result = ForwardResult::kNoOwner;
+      callers.Tick(entry::Now() + Millis(1600));
+    });
+    CPPUNIT_ASSERT_EQUAL(504, answer.status);
+  }
+
   void Accept() {
     if (!forwarded.empty()) {
       entry::CellReply reply;
@@ -128,6 +143,11 @@
   CPPUNIT_TEST(LateRefusalOfAFormerOwnerIsIgnored);
   CPPUNIT_TEST(RefusalOfAnEarlierOwnerLeavesTheOutcomeOpen);
   CPPUNIT_TEST(RefusalOfALaterOwnerSettlesALostCall);
+  CPPUNIT_TEST(NextTryOfALostSubmitIsNotDenied);
+  CPPUNIT_TEST(NextTryIsNotDeniedBeforeTheCallIsOpened);
+  CPPUNIT_TEST(DoubtOfAnotherHostIsHeeded);
+  CPPUNIT_TEST(AcceptedJobIsNeverDenied);
+  CPPUNIT_TEST(RefusalOfALaterOwnerSettlesEarlierTries);
   CPPUNIT_TEST(StoppingHostAnswersOpenCalls);
   CPPUNIT_TEST(LastTryWithLittleTimeIsAnswered);
   CPPUNIT_TEST(ReplyToAFormerProcessIsIgnored);
@@ -345,6 +365,84 @@
     }
   }
 
+  // Guards against REFUSED (review/7): a try was answered 504, since its copy
+  // was lost with the owner; the next one reached a host without an owner,
+  // which said that the job was not accepted and never runs.
+  void NextTryOfALostSubmitIsNotDenied() {
+    Fixture f;
+    f.LoseSubmit();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.doubts.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("0123456789abcdef"), f.doubts[0].job);
+    CPPUNIT_ASSERT_EQUAL(Epoch{1}, f.doubts[0].epoch);
+    f.forward_result = ForwardResult::kNoOwner;
+    f.owner_expected = false;
+    const auto next = f.Send("POST", kJob, "k1", std::string(kSteps));
+    CPPUNIT_ASSERT_EQUAL(504, next.status);
+    CPPUNIT_ASSERT(next.body.find("unknown") != std::string::npos);
+    const auto other =
+        f.Send("POST", "/p/fedcba9876543210", "k1", std::string(kSteps));
+    CPPUNIT_ASSERT_EQUAL(503, other.status);
+  }
+
+  // The same for refusals that precede the call.
+  void NextTryIsNotDeniedBeforeTheCallIsOpened() {
+    constexpr int kTooShortMs = 5;
+    for (const bool lost : {false, true}) {
+      Fixture f;
+      if (lost) {
+        f.callers.HandleDoubts({{{"0123456789abcdef", 1}}});
+      }
+      const auto late =
+          f.Send("POST", kJob, "k1", std::string(kSteps), {}, kTooShortMs);
+      CPPUNIT_ASSERT_EQUAL(lost ? 504 : 503, late.status);
+      CPPUNIT_ASSERT(f.forwarded.empty());
+    }
+  }
+
+  // The next try reaches another host than the one that lost the first.
+  void DoubtOfAnotherHostIsHeeded() {
+    Fixture f;
+    f.forward_result = ForwardResult::kNoOwner;
+    f.owner_expected = false;
+    f.callers.HandleDoubts({{{"0123456789abcdef", 3}}});
+    CPPUNIT_ASSERT_EQUAL(
+        504, f.Send("POST", kJob, "k1", std::string(kSteps)).status);
+    CPPUNIT_ASSERT_EQUAL(
+        503, f.Send("POST", "/p/fedcba9876543210", "k1", std::string(kSteps))
+                 .status);
+  }
+
+  // A submit may come again after it was answered with success.
+  void AcceptedJobIsNeverDenied() {
+    Fixture f;
+    CPPUNIT_ASSERT_EQUAL(200,
+                         f.Send("POST", kJob, "k1", std::string(kSteps), [&f] {
+                            f.Accept();
+                          }).status);
+    f.forward_result = ForwardResult::kNoOwner;
+    f.owner_expected = false;
+    CPPUNIT_ASSERT_EQUAL(
+        504, f.Send("POST", kJob, "k1", std::string(kSteps)).status);
+  }
+
+  // Callers are told that a job was not accepted as soon as that is known.
+  void RefusalOfALaterOwnerSettlesEarlierTries() {
+    struct Case {
+      Epoch refused_by;
+      int status;
+    };
+    for (const Case& each :
+         std::vector<Case>{{0, 504}, {3, 504}, {4, 429}, {5, 429}}) {
+      Fixture f;
+      f.callers.HandleDoubts({{{"0123456789abcdef", 4}}});
+      f.epoch = 5;
+      const auto answer = f.Send("POST", kJob, "k1", std::string(kSteps), [&] {
+        f.Decline(CallResult::kRefused, ErrorKind::kTeamLimit, each.refused_by);
+      });
+      CPPUNIT_ASSERT_EQUAL(each.status, answer.status);
+    }
+  }
+
   // Guards against LOST (review/10): calls that waited for an owner were cut
   // without an answer at the end of a shutdown.
   void StoppingHostAnswersOpenCalls() {
