A cut that heals doesn't delay the detection of a failed owner

Cause: an owner that was cut off for seconds answers the pings of that time at once when the cut heals; they counted as slow answers, and an owner that failed in the next 5 to 10 s was given up after 2 s in place of 0.4. Change: an answer that took longer than the bound of 900 ms isn't counted. Evidence: FailedSlowOwnerIsDetected, its part on a cut, fails without the change.

--- a/src/entry/owner_watch.cc
+++ b/src/entry/owner_watch.cc
@@ -145,8 +145,10 @@
 
 void OwnerWatch::OnPingAnswered(const HostId& host, Millis took, Time now) {
   m_last_alive[host] = now;
-  // A former owner that answers after all was not given enough time.
-  if (host == m_owner || host == m_former_owner) {
+  // A former owner that answers after all was not given enough time. One that
+  // took even longer was cut off or paused.
+  if ((host == m_owner || host == m_former_owner) &&
+      took <= kMaxSlowOwnerTimeout) {
     m_answer_time.Add(took, now);
   }
 }
