--- a/include/buckthornmux/detail/entry/cell_host.h
+++ b/include/buckthornmux/detail/entry/cell_host.h
@@ -60,6 +60,8 @@
 
   /// @brief Reads the records of the cell, then starts to serve it.
   /// @param former_lease_left how much longer the former owner may renew leases
+  /// @param targets_unlisted for how much longer live targets may be missing
+  ///   from the list
   void Open(const member::OwnerRecord& owner, Millis former_lease_left,
             Millis targets_unlisted = Millis(0));
   /// @brief Stops immediately; nothing more is sent.
--- a/src/entry/callers.cc
+++ b/src/entry/callers.cc
@@ -32,6 +32,7 @@
 constexpr Millis kOwnerRetryAfter{1000};
 constexpr Millis kStoreRetryAfter{2000};
 constexpr Millis kBusyRetryAfter{1000};
+constexpr int kTooManyRequests = 429;
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
 constexpr int kUnauthorized = 401;
@@ -161,7 +162,7 @@
                        status == kForbidden || status == kConflict;
   response.body = R"({"error":")" + std::string(answer.name) + R"(","ran":")" +
                   std::string(unknown ? "unknown" : "no") + R"("})";
-  if (status == kUnavailable || status == 429) {
+  if (status == kUnavailable || status == kTooManyRequests) {
     response.retry_after = RetryAfterFor(kind);
     // Closes the connection, so that the caller's next try reaches another
     // host.
@@ -195,8 +196,9 @@
 Callers::Denial Callers::TruthfulDenial(const net::HttpRequest& request,
                                         const Denial& denial, Time now) const {
   const std::string_view job = JobOf(request);
-  const bool claims = request.method == "POST" &&
-                      (denial.status == kUnavailable || denial.status == 429);
+  const bool claims =
+      request.method == "POST" &&
+      (denial.status == kUnavailable || denial.status == kTooManyRequests);
   return claims && DoubtOf(m_doubts, job, now)
              ? Denial{ErrorKind::kOutcomeUnknown, kGatewayTimeout}
              : denial;
