--- a/review/lib3/standins.py
+++ b/review/lib3/standins.py
@@ -723,14 +723,15 @@
         )
         return status, content, name
 
-    async def submit(self, job, steps, time_ms, tries=6, **more):
+    async def submit(self, job, steps, time_ms, tries=6, quiet=False, **more):
         """Hands a job in, trying again as clients do; whether it was accepted."""
         self.times[job] = time_ms
         for _ in range(tries):
             status, content, name = await self.request(
                 "POST", f"/r1/{job}", {"spec": "x", "steps": steps, **more}
             )
-            self.record.note("submit", job=job, host=name, answer=status or content)
+            if not quiet:
+                self.record.note("submit", job=job, host=name, answer=status or content)
             if status is not None and status // 100 == 2:
                 return True
             await asyncio.sleep(0.3)
