--- a/review/lib3/standins.py
+++ b/review/lib3/standins.py
@@ -40,10 +40,33 @@
         self.file.flush()
 
 
-def free_port(ip="127.0.0.1"):
+def first_ephemeral_port():
+    """Ports from here on may be taken by outgoing connections at any time."""
+    with open("/proc/sys/net/ipv4/ip_local_port_range", encoding="utf-8") as file:
+        return int(file.read().split()[0])
+
+
+def is_free(ip, port):
     with socket.socket() as sock:
-        sock.bind((ip, 0))
-        return sock.getsockname()[1]
+        try:
+            sock.bind((ip, port))
+        except OSError:
+            return False
+    return True
+
+
+TAKEN_PORTS = set()
+
+
+def free_port(ips=("127.0.0.1",)):
+    """A port that is free at all the addresses, and isn't given out again."""
+    last = max(first_ephemeral_port(), 12_000) - 1
+    for _ in range(1000):
+        port = random.randint(max(1024, last - 10_000), last)
+        if port not in TAKEN_PORTS and all(is_free(ip, port) for ip in ips):
+            TAKEN_PORTS.add(port)
+            return port
+    raise OSError("no free port")
 
 
 # ---- HTTP -------------------------------------------------------------------
@@ -163,7 +186,7 @@
         self.server = Server(self.handle)
 
     async def start(self):
-        await self.server.listen()
+        await self.server.listen(free_port())
         asyncio.ensure_future(self.expire())
 
     @property
@@ -556,7 +579,7 @@
         self.folder = tempfile.mkdtemp(prefix="case-")
         self.store_address = store_address
         self.net = f"127.{random.randint(10, 250)}.{random.randint(1, 250)}"
-        self.ports = free_port(f"{self.net}.1")
+        self.ports = free_port([f"{self.net}.{n}" for n in range(1, count + 1)])
         self.names = [f"edge-{n}" for n in range(1, count + 1)]
         self.frontends = {}
         self.processes = {}
@@ -768,27 +791,27 @@
         ]
 
 
+HELD, BROKEN, NOT_RUN = 10, 11, 2
+
+
 def run_case(folder, play):
-    """Plays a case; returns 1 if the rule was broken, 0 if not, 2 if neither."""
+    """Plays a case, ends all that it started, and exits with its code."""
+    platform = Platform(folder)
+
+    def end(code):
+        if platform.hosts is not None:
+            platform.hosts.stop()
+        text = {HELD: "held", BROKEN: "broken"}.get(code, "not run")
+        print(text, flush=True)
+        os._exit(code)  # Open calls of the stand-ins aren't waited for.
 
     async def main():
-        platform = Platform(folder)
         try:
-            return await play(platform)
-        finally:
-            # Open calls end with the case.
-            asyncio.get_running_loop().set_exception_handler(lambda *_: None)
-            if platform.hosts is not None:
-                platform.hosts.stop()
-
-    def ended(*_):
-        raise SystemExit(2)
-
-    signal.signal(signal.SIGTERM, ended)
-    try:
-        code = asyncio.run(main())
-    except Exception as error:  # The case couldn't run.
-        print("the case couldn't run:", repr(error))
-        code = 2
-    print({0: "held", 1: "broken"}.get(code, "not run"))
-    return code
+            code = await play(platform)
+        except Exception as error:  # The case couldn't run.
+            print("the case couldn't run:", repr(error))
+            code = NOT_RUN
+        end(code)
+
+    signal.signal(signal.SIGTERM, lambda *_: end(NOT_RUN))
+    asyncio.run(main())
