Log the age of the list of targets that each start was chosen by

Change: a reading of the list carries when it began and its number of pages. The owner logs each list that it uses (targets_applied: epoch, entries, pages, age), task_start and start_resent say list_age_ms, and cell_load and the metrics have the present age. The mock store can hold back answers to list calls. No decision changes.

Result: unit-target-reader checks that a list is as old as its first page.

--- a/include/buckthornmux/detail/cell/cell.h
+++ b/include/buckthornmux/detail/cell/cell.h
@@ -139,6 +139,8 @@
   Millis idle_beside_work{0};
   /// Listed targets of evacuated data centres; not part of `targets`.
   std::size_t targets_evacuated = 0;
+  /// Age of the list of targets; before the first one, time since the claim.
+  Millis list_age{0};
 };
 [[nodiscard]] Load LoadOf(const Cell& cell, Time now);
 
@@ -178,8 +180,10 @@
 void SetRules(Cell& cell, Actions& actions, Rules rules, Time now);
 
 /// @brief Applies a new list of targets.
+/// @param as_of when the reading of the list began; it shows every earlier
+///   change
 void SetTargets(Cell& cell, Actions& actions,
-                std::span<const TargetEntry> entries, Time now);
+                std::span<const TargetEntry> entries, Time as_of, Time now);
 
 /// @brief Sets the data centres that are being evacuated. From now on no start
 ///   is sent to their targets, neither a first nor a repeated one; their runs
--- a/include/buckthornmux/detail/cell/state.h
+++ b/include/buckthornmux/detail/cell/state.h
@@ -511,6 +511,9 @@
   /// Data centres whose targets get no starts. Some may have no targets.
   std::set<DataCentre> evacuated;
   bool evacuated_known = false;  ///< SetEvacuated has been called.
+  /// The list of targets shows every change until then; empty before the first
+  /// list.
+  std::optional<Time> targets_as_of;
   std::vector<AdviceLane> lanes;
   std::map<std::uint64_t, OpenAdvice> open_advice;
   std::map<QueueName, AdviceStats> advice_stats;
--- a/include/buckthornmux/detail/entry/cell_host.h
+++ b/include/buckthornmux/detail/entry/cell_host.h
@@ -20,6 +20,7 @@
 #include "buckthornmux/detail/entry/owner_load.h"
 #include "buckthornmux/detail/entry/rules_reader.h"
 #include "buckthornmux/detail/entry/settings.h"
+#include "buckthornmux/detail/entry/target_reader.h"
 #include "buckthornmux/detail/net/http_client.h"
 #include "buckthornmux/detail/runtime/metrics.h"
 
@@ -96,7 +97,7 @@
   void HandleFinalState(const FormerOwnerState& state);
 
   void SetRules(const RulesPtr& rules);
-  void SetTargets(std::span<const cell::TargetEntry> entries);
+  void SetTargets(const TargetList& list);
   /// @brief Sets the data centres that are being evacuated, as read since the
   ///   cell was opened.
   void SetEvacuated(std::span<const DataCentre> data_centres);
@@ -128,6 +129,7 @@
 
   void OnLoaded(std::vector<cell::RecordWrite> records);
   void ApplyFormerState();
+  void ApplyTargets();
   void OnStored(const cell::Batch& batch);
   void RunActions(cell::Actions actions);
   void SchedulePump();
@@ -160,7 +162,7 @@
   std::uint64_t m_term = 0;
   bool m_lease_held = false;
   RulesPtr m_rules;
-  std::vector<cell::TargetEntry> m_entries;
+  TargetList m_targets;
   std::vector<HostId> m_lanes;
   /// Empty until a list was read since the cell was opened.
   std::optional<std::vector<DataCentre>> m_evacuated;
--- a/include/buckthornmux/detail/entry/target_reader.h
+++ b/include/buckthornmux/detail/entry/target_reader.h
@@ -11,6 +11,13 @@
 
 namespace buckthornmux::entry {
 
+/// The targets as one reading has found them.
+struct TargetList {
+  std::vector<cell::TargetEntry> entries;
+  Time as_of;  ///< When the reading began; every earlier change is shown.
+  std::size_t pages = 0;
+};
+
 /// Decodes the entry of a target.
 using TargetParser = std::function<Result<cell::TargetEntry>(
     std::string_view key, std::string_view text)>;
@@ -23,7 +30,7 @@
 ///   is skipped, and logged once for each different error while its key exists.
 class TargetReader {
  public:
-  using Listed = std::function<void(std::vector<cell::TargetEntry>)>;
+  using Listed = std::function<void(TargetList)>;
 
   TargetReader(const store::AsyncStore& store, std::string prefix,
                TargetParser parse, Listed listed);
@@ -37,7 +44,7 @@
   using Unreadable = std::map<std::string, std::string>;
   /// What the pages of one list have shown so far.
   struct Reading {
-    std::vector<cell::TargetEntry> entries;
+    TargetList list;
     Unreadable unreadable;
     std::size_t excess = 0;  ///< Unreadable entries beyond the maximum.
   };
--- a/include/buckthornmux/detail/runtime/metrics.h
+++ b/include/buckthornmux/detail/runtime/metrics.h
@@ -54,6 +54,7 @@
   kInterferingPairs,    ///< Kinds of tasks that slow each other down.
   kHeadroomCpu,         ///< Kept free for urgent work, millicores.
   kIdleBesideWork,      ///< Time of free room beside work that fits it, ms.
+  kTargetListAge,       ///< Age of the list of targets, ms.
   kCount,
 };
 
--- a/src/cell/internal.h
+++ b/src/cell/internal.h
@@ -202,6 +202,11 @@
 void StopRunsThatOutlast(Cell& cell, Actions& actions, Target& target,
                          Time now);
 
+/// Age of the list of targets; before the first one, time since the claim.
+[[nodiscard]] inline Millis ListAge(const Cell& cell, Time now) {
+  return now - cell.targets_as_of.value_or(cell.claimed_at);
+}
+
 /// Whether a target is in a data centre that is being evacuated.
 [[nodiscard]] bool IsEvacuated(const Cell& cell, const Target& target);
 
--- a/src/cell/placement/plan.cc
+++ b/src/cell/placement/plan.cc
@@ -656,6 +656,7 @@
     load.occurrences_waiting +=
         job == nullptr ? 0 : CountUnopened(cell, *job, now);
   }
+  load.list_age = ListAge(cell, now);
   load.headroom_cpu_milli = cell.headroom_cpu;
   load.idle_beside_work = cell.idle_since ? now - *cell.idle_since : Millis(0);
   load.interfering_pairs = cell.interference.found;
--- a/src/cell/placement/starts.cc
+++ b/src/cell/placement/starts.cc
@@ -104,7 +104,9 @@
         {"life", std::to_string(target.entry.life)},
         {"team", job.spec.team},
         {"waited_ms", std::to_string((round.now - step.ready_at).count())},
-        {"slack_ms", std::to_string(candidate.slack.count())}});
+        {"slack_ms", std::to_string(candidate.slack.count())},
+        {"list_age_ms",
+         std::to_string(ListAge(round.cell, round.now).count())}});
   EndHold(round, id.task,
           run.probation && !spec.gang ? task.hold : step.crash_hold);
 }
--- a/src/cell/runs/reports.cc
+++ b/src/cell/runs/reports.cc
@@ -389,7 +389,8 @@
 }
 
 void SetTargets(Cell& cell, Actions& actions,
-                std::span<const TargetEntry> entries, Time now) {
+                std::span<const TargetEntry> entries, Time as_of, Time now) {
+  cell.targets_as_of = as_of;
   std::set<TargetId> listed;
   for (const TargetEntry& entry : entries) {
     listed.insert(entry.id);
--- a/src/cell/runs/runs.cc
+++ b/src/cell/runs/runs.cc
@@ -85,7 +85,8 @@
         {"run", std::to_string(id.number)},
         {"target", target.entry.id},
         {"life", std::to_string(target.entry.life)},
-        {"send", std::to_string(run.tries)}});
+        {"send", std::to_string(run.tries)},
+        {"list_age_ms", std::to_string(ListAge(cell, now).count())}});
 }
 
 std::string_view RunPhaseName(RunPhase phase) {
--- a/src/entry/cell_host.cc
+++ b/src/entry/cell_host.cc
@@ -124,8 +124,8 @@
   for (const Gauge gauge :
        {Gauge::kOccurrencesWaiting, Gauge::kJobsBehind, Gauge::kStepsWaiting,
         Gauge::kRuns, Gauge::kJobBytes, Gauge::kTargetsEvacuated,
-        Gauge::kInterferingPairs, Gauge::kHeadroomCpu,
-        Gauge::kIdleBesideWork}) {
+        Gauge::kInterferingPairs, Gauge::kHeadroomCpu, Gauge::kIdleBesideWork,
+        Gauge::kTargetListAge}) {
     m_metrics.Set(gauge, 0);
   }
   m_reports.clear();
@@ -172,7 +172,9 @@
       .With("bytes", m_journal.LastReading().bytes)
       .With("failures", m_journal.LastReading().failures)
       .With("took_ms", (now - m_cell->claimed_at).count());
-  cell::SetTargets(*m_cell, actions, m_entries, now);
+  if (m_targets.pages > 0) {
+    ApplyTargets();
+  }
   if (m_evacuated) {
     cell::SetEvacuated(*m_cell, actions, *m_evacuated, now);
   }
@@ -234,16 +236,26 @@
   }
 }
 
-void CellHost::SetTargets(std::span<const cell::TargetEntry> entries) {
-  m_entries.assign(entries.begin(), entries.end());
+void CellHost::SetTargets(const TargetList& list) {
+  m_targets = list;
   if (Serving()) {
-    cell::Actions actions;
-    cell::SetTargets(*m_cell, actions, entries, Now());
-    RunActions(std::move(actions));
+    ApplyTargets();
     SchedulePump();
   }
 }
 
+void CellHost::ApplyTargets() {
+  const Time now = Now();
+  LogLine("targets_applied")
+      .With("epoch", m_cell->epoch)
+      .With("entries", static_cast<std::uint64_t>(m_targets.entries.size()))
+      .With("pages", static_cast<std::uint64_t>(m_targets.pages))
+      .With("age_ms", (now - m_targets.as_of).count());
+  cell::Actions actions;
+  cell::SetTargets(*m_cell, actions, m_targets.entries, m_targets.as_of, now);
+  RunActions(std::move(actions));
+}
+
 void CellHost::SetEvacuated(std::span<const DataCentre> data_centres) {
   if (!m_cell) {
     return;  // A later term of ownership needs a later list.
@@ -497,6 +509,8 @@
                 static_cast<std::uint64_t>(load.headroom_cpu_milli));
   m_metrics.Set(Gauge::kIdleBesideWork,
                 static_cast<std::uint64_t>(load.idle_beside_work.count()));
+  m_metrics.Set(Gauge::kTargetListAge,
+                static_cast<std::uint64_t>(load.list_age.count()));
   LogLine("cell_load")
       .With("epoch", m_cell->epoch)
       .With("targets", static_cast<std::uint64_t>(load.targets))
@@ -519,6 +533,7 @@
             static_cast<std::uint64_t>(load.interfering_pairs))
       .With("headroom_cpu_milli", load.headroom_cpu_milli)
       .With("idle_beside_work_ms", load.idle_beside_work.count())
+      .With("list_age_ms", load.list_age.count())
       .With("unstored_jobs", static_cast<std::uint64_t>(m_cell->writes.count))
       .With("unreported_targets", static_cast<std::uint64_t>(load.unreported))
       .With("unreported_last", load.unreported_last)
--- a/src/entry/host.cc
+++ b/src/entry/host.cc
@@ -93,7 +93,7 @@
               [this] { m_cell.SetRules(m_rules.Current()); }),
       m_targets(m_store, std::string(platform::kTargetsPrefix),
                 platform::ParseTarget,
-                [this](const auto& entries) { m_cell.SetTargets(entries); }),
+                [this](const auto& list) { m_cell.SetTargets(list); }),
       m_evacuations(m_store, std::string(platform::kEvacuationsPrefix),
                     platform::ParseEvacuation,
                     [this](const auto& data_centres) {
--- a/src/entry/target_reader.cc
+++ b/src/entry/target_reader.cc
@@ -35,14 +35,16 @@
   if (m_active && !m_reading && now >= m_next) {
     m_reading = true;
     m_next = now + kReadInterval;
-    Read({}, Reading());
+    Reading reading;
+    reading.list.as_of = now;
+    Read({}, std::move(reading));
   }
 }
 
 void TargetReader::ParseEntry(const store::Entry& item, Reading& reading) {
   auto outcome = Capture([&] { return m_parse(item.key, item.value); });
   if (auto* entry = std::get_if<cell::TargetEntry>(&outcome)) {
-    reading.entries.push_back(std::move(*entry));
+    reading.list.entries.push_back(std::move(*entry));
     return;
   }
   if (reading.unreadable.size() >= kMaxUnreadableTargets) {
@@ -67,6 +69,7 @@
                    return;
                  }
                  const auto& page = std::get<store::ItemPage>(outcome);
+                 ++reading.list.pages;
                  for (const store::Entry& item : page.items) {
                    ParseEntry(item, reading);
                  }
@@ -108,7 +111,7 @@
     LogLine("store_regained").With("by", "targets");
   }
   if (m_active) {
-    m_listed(std::move(reading.entries));
+    m_listed(std::move(reading.list));
   }
 }
 
--- a/tests/cell_owner.h
+++ b/tests/cell_owner.h
@@ -48,7 +48,7 @@
   cell::SetRules(owned, actions, rules, now);
   CPPUNIT_ASSERT(!std::holds_alternative<Error>(
       Capture([&] { return cell::LoadRecords(owned, records, now); })));
-  cell::SetTargets(owned, actions, entries, now);
+  cell::SetTargets(owned, actions, entries, now, now);
   cell::StartService(owned, actions, now);
   return owned;
 }
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -334,6 +334,7 @@
   };
   std::vector<ShownList> m_lists;  ///< All that were in force, oldest first.
   std::vector<cell::TargetEntry> m_former_list;
+  Time m_former_list_as_of;
   Time m_former_list_until;
   int m_next_port = 1000;
   int m_resumes = 0;
--- a/tests/mock_async_store.h
+++ b/tests/mock_async_store.h
@@ -82,6 +82,17 @@
   std::size_t page = 500;
   int lists = 0;
   int list_failure_interval = 0;  ///< Every n-th list call fails; 0: none.
+  /// Answers to list calls wait for AnswerLists, with what was stored when they
+  /// were called.
+  bool hold_lists = false;
+  std::vector<std::function<void()>> held_lists;
+
+  /// @brief Answers the list calls that wait.
+  void AnswerLists() {
+    for (const auto& answer : std::exchange(held_lists, {})) {
+      answer();
+    }
+  }
 
  private:
   void Get(const std::string& key,
@@ -119,6 +130,10 @@
       }
       result.items.push_back(item);
     }
+    if (hold_lists) {
+      held_lists.push_back([reply, result] { reply(result); });
+      return;
+    }
     reply(result);
   }
 
--- a/tests/standins/cell_world.cc
+++ b/tests/standins/cell_world.cc
@@ -138,14 +138,16 @@
     entries.push_back(entry);
   }
   m_lists.push_back({m_now, entries});
+  Time as_of = m_now;
   if (m_now < m_former_list_until) {
     entries = m_former_list;
+    as_of = m_former_list_as_of;
   }
   for (const cell::TargetEntry& entry : entries) {
     m_shown_addresses[entry.id] = entry.address;
   }
   cell::Actions actions;
-  cell::SetTargets(*m_cell, actions, entries, m_now);
+  cell::SetTargets(*m_cell, actions, entries, as_of, m_now);
   Act(std::move(actions));
   // The server calls each target that it knows and isn't calling.
   for (SimTarget& target : m_targets) {
@@ -161,6 +163,7 @@
       m_former_list = list.entries;
     }
   }
+  m_former_list_as_of = m_now - age;
   m_former_list_until = m_now + lasts;
   Trace("list_back", {}, "lasts=" + std::to_string(lasts.count()));
   ListTargets();
--- a/tests/unit-cell-host.cc
+++ b/tests/unit-cell-host.cc
@@ -73,6 +73,11 @@
     Run();
   }
 
+  /// Passes a list of targets on that has just been read.
+  void List(std::vector<cell::TargetEntry> entries) {
+    host.SetTargets({std::move(entries), entry::Now(), 1});
+  }
+
   void Run() {
     for (int i = 0; i < 20; ++i) {
       io.restart();
@@ -354,7 +359,7 @@
     entry.service = "service";
     entry.address = "127.0.0.1:" + std::to_string(port);
     entry.life = 1;
-    f.host.SetTargets(std::vector{entry});
+    f.List({entry});
     const auto waits_for = [&](const std::string& body) {
       const auto& received = process->Received();
       for (int i = 0; i < 100 && (received.empty() || received.back() != body);
@@ -389,7 +394,7 @@
     entry.address = target.Address();
     entry.life = 1;
     entry.capacity = {0, 16'000, 32'768, 0};
-    f.host.SetTargets(std::vector{entry});
+    f.List({entry});
     const auto waits_for = [&](const std::string& body) {
       const auto& received = target.Received();
       for (int i = 0; i < 100; ++i) {
@@ -410,7 +415,7 @@
     }
     target.SetSilent(false);
     entry.life = 2;
-    f.host.SetTargets(std::vector{entry});
+    f.List({entry});
     CPPUNIT_ASSERT(waits_for("start 2"));
     const auto& received = target.Received();
     CPPUNIT_ASSERT(std::ranges::find(received, "start 1") == received.end());
@@ -434,7 +439,7 @@
     entry.data_centre = "a";
     entry.life = 1;
     entry.capacity = {0, 16'000, 32'768, 0};
-    f.host.SetTargets(std::vector{entry});
+    f.List({entry});
     const auto starts_after_ticks = [&] {
       for (int i = 0; i < 20; ++i) {
         f.host.Tick(entry::Now());
--- a/tests/unit-entry.cc
+++ b/tests/unit-entry.cc
@@ -121,7 +121,7 @@
           }
           return cell::TargetEntry{.id = std::string(key)};
         },
-        [&seen](auto entries) { seen = std::move(entries); });
+        [&seen](auto list) { seen = std::move(list.entries); });
     reader.Tick(entry::Now());
     CPPUNIT_ASSERT(seen.empty());
     reader.SetActive(true);
--- a/tests/unit-evacuation.cc
+++ b/tests/unit-evacuation.cc
@@ -482,7 +482,7 @@
       entry.data_centre = "b";
     }
     cell::Actions actions;
-    cell::SetTargets(*f.owned, actions, f.entries, f.now);
+    cell::SetTargets(*f.owned, actions, f.entries, f.now, f.now);
     f.Submit(JobOf("job", "plain", 2));
     f.Plan();
     CPPUNIT_ASSERT(f.starts.empty());
@@ -496,7 +496,7 @@
       entry.cold = Millis(entry.data_centre == "a" ? 9000 : 0);
     }
     cell::Actions actions;
-    cell::SetTargets(*f.owned, actions, f.entries, f.now);
+    cell::SetTargets(*f.owned, actions, f.entries, f.now, f.now);
     f.Evacuate({});
     f.Submit(JobOf("first", "plain", 2));
     f.Plan();
@@ -506,7 +506,7 @@
     CPPUNIT_ASSERT_EQUAL(std::string("a0 a1 b0 b1 "), f.TargetsOf(f.starts));
     Fixture gangs("ab");
     gangs.entries = f.entries;
-    cell::SetTargets(*gangs.owned, actions, f.entries, gangs.now);
+    cell::SetTargets(*gangs.owned, actions, f.entries, gangs.now, gangs.now);
     gangs.Evacuate({});
     gangs.Submit(JobOf("gang", "plain", 2, true));
     gangs.Plan();
--- a/tests/unit-owner-changes.cc
+++ b/tests/unit-owner-changes.cc
@@ -79,7 +79,8 @@
     now += Millis(500);
     // The store rejects this host from now on.
     Report(first, "t2", now, {}, {Ended(1, *run, cell::RunEnd::kDone)});
-    cell::SetTargets(first, actions, List({"t1"}), now + Millis(500));
+    cell::SetTargets(first, actions, List({"t1"}), now + Millis(500),
+                     now + Millis(500));
     now += Millis(1700);
     cell::ReportFailed(first, actions, "t2", cell::OrderOutcome::kUnknown, now);
     cell::Tick(first, actions, now);
--- a/tests/unit-removed-queues.cc
+++ b/tests/unit-removed-queues.cc
@@ -225,7 +225,8 @@
     CPPUNIT_ASSERT_EQUAL(std::string("service"),
                          owned.kept_queues.at("plain").definition.service);
     cell::Actions actions;
-    cell::SetTargets(owned, actions, std::vector{other}, now + Millis(2000));
+    cell::SetTargets(owned, actions, std::vector{other}, now + Millis(2000),
+                     now + Millis(2000));
     Tick(owned, now + Millis(5000));
     Tick(owned, now + Millis(8000));
     CPPUNIT_ASSERT_EQUAL(std::string("other"),
@@ -394,7 +395,7 @@
     CPPUNIT_ASSERT(!std::holds_alternative<Error>(
         Capture([&] { return cell::LoadRecords(owned, records, now); })));
     cell::SetTargets(owned, actions, std::vector{Entry("t1", "127.0.0.1:1")},
-                     now);
+                     now, now);
     cell::StartService(owned, actions, now);
     return owned;
   }
--- a/tests/unit-silent-targets.cc
+++ b/tests/unit-silent-targets.cc
@@ -40,7 +40,7 @@
   cell::SetRules(owned, actions, rules, now);
   CPPUNIT_ASSERT(!std::holds_alternative<Error>(
       Capture([&] { return cell::LoadRecords(owned, records, now); })));
-  cell::SetTargets(owned, actions, entries, now);
+  cell::SetTargets(owned, actions, entries, now, now);
   cell::StartService(owned, actions, now);
   return owned;
 }
--- a/tests/unit-takeover.cc
+++ b/tests/unit-takeover.cc
@@ -22,7 +22,7 @@
   cell::SetRules(owned, actions, rules, now);
   CPPUNIT_ASSERT(!std::holds_alternative<Error>(
       Capture([&] { return cell::LoadRecords(owned, records, now); })));
-  cell::SetTargets(owned, actions, entries, now);
+  cell::SetTargets(owned, actions, entries, now, now);
   cell::StartService(owned, actions, now);
   return owned;
 }
@@ -131,7 +131,8 @@
       if (second.recovered) {
         continue;
       }
-      cell::SetTargets(second, actions, both, later + Millis(2500));
+      cell::SetTargets(second, actions, both, later + Millis(2500),
+                       later + Millis(2500));
       cell::Tick(second, actions, later + Millis(3500));
       CPPUNIT_ASSERT(!second.recovered);
       ReportNothing(second, "t2", later + Millis(3600));
--- a/tests/unit-target-address.cc
+++ b/tests/unit-target-address.cc
@@ -51,7 +51,7 @@
     Report(first, "t2", now, {running});
     // The list goes back: it shows port 1, where t1 answers.
     now += Millis(10);
-    cell::SetTargets(first, actions, list("127.0.0.1:1"), now);
+    cell::SetTargets(first, actions, list("127.0.0.1:1"), now, now);
     cell::OnReportSent(first, "t2", {}, now);
     cell::ReportFailed(first, actions, "t2", cell::OrderOutcome::kOtherLife,
                        now);
--- a/tests/unit-target-lives.cc
+++ b/tests/unit-target-lives.cc
@@ -120,7 +120,8 @@
     list[0].life = 0;
     CPPUNIT_ASSERT(!world.Target(0).running.empty());
     cell::Actions actions;
-    cell::SetTargets(world.State(), actions, list, world.NowTime());
+    cell::SetTargets(world.State(), actions, list, world.NowTime(),
+                     world.NowTime());
     world.RunUntil(world.NowTime() + Millis(3000));
     Assert(world);
   }
@@ -140,7 +141,8 @@
     list[0].life = 1;
     CPPUNIT_ASSERT(!world.Target(0).running.empty());
     cell::Actions actions;
-    cell::SetTargets(world.State(), actions, list, world.NowTime());
+    cell::SetTargets(world.State(), actions, list, world.NowTime(),
+                     world.NowTime());
     world.RunUntil(world.NowTime() + Millis(3000));
     Assert(world);
   }
--- a/tests/unit-target-reader.cc
+++ b/tests/unit-target-reader.cc
@@ -33,6 +33,7 @@
   CPPUNIT_TEST(LogsAChangingReasonOnce);
   CPPUNIT_TEST(LogsOnceWhileLaterPagesFail);
   CPPUNIT_TEST(BoundsWhatItRemembers);
+  CPPUNIT_TEST(ListIsAsOldAsItsFirstPage);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -53,8 +54,8 @@
     m_store.Put("servers/b", "bad");
     m_store.Put("servers/d", "bad");
     Read();
-    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, m_listed.size());
-    CPPUNIT_ASSERT_EQUAL(std::string("servers/e"), m_listed.back().id);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, m_listed.entries.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("servers/e"), m_listed.entries.back().id);
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Lines("target_entry_unreadable"));
   }
 
@@ -115,7 +116,7 @@
     for (int i = 0; i < 3; ++i) {
       Read();
     }
-    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_listed.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_listed.entries.size());
     CPPUNIT_ASSERT_EQUAL(kMaxUnreadableTargets,
                          Lines("target_entry_unreadable"));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Lines("target_entries_unreadable"));
@@ -128,6 +129,24 @@
                          Lines("target_entry_unreadable"));
   }
 
+  // The pages of a list don't form a snapshot: a change of an entry on the
+  // first page, while later ones are read, isn't shown.
+  void ListIsAsOldAsItsFirstPage() {
+    m_store.page = 1;
+    m_store.hold_lists = true;
+    m_store.Put("servers/a", "good");
+    m_store.Put("servers/b", "good");
+    Read();
+    const Time began = m_now;
+    for (int page = 0; page < 2; ++page) {
+      m_now += kPastInterval;
+      m_store.AnswerLists();
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_listed.entries.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_listed.pages);
+    CPPUNIT_ASSERT(began == m_listed.as_of);
+  }
+
  private:
   void Read() {
     m_now += kPastInterval;
@@ -143,15 +162,14 @@
 
   tests::MockAsyncStore m_store;
   store::AsyncStore m_calls = m_store.Calls();
-  std::vector<cell::TargetEntry> m_listed;
+  TargetList m_listed;
   std::vector<std::string> m_lines;
   // Later than the retry after a failed list, which runs on the real clock.
   Time m_now = Time(std::chrono::duration_cast<Millis>(
                    std::chrono::steady_clock::now().time_since_epoch())) +
                Millis(60'000);
-  TargetReader m_reader{m_calls, "servers/", Parse,
-                        [this](std::vector<cell::TargetEntry> entries) {
-                          m_listed = std::move(entries);
+  TargetReader m_reader{m_calls, "servers/", Parse, [this](TargetList list) {
+                          m_listed = std::move(list);
                         }};
 };
 
--- a/tests/unit-team-limits.cc
+++ b/tests/unit-team-limits.cc
@@ -145,7 +145,7 @@
       entry.capacity = {0, 16'000, 32'768, 0};
       entries.push_back(entry);
     }
-    cell::SetTargets(m_cell, m_actions, entries, m_now);
+    cell::SetTargets(m_cell, m_actions, entries, m_now, m_now);
     cell::StartService(m_cell, m_actions, m_now);
   }
 
