Log how long a new owner takes to its first start

Cause: the time from the claim of a cell to its first start can't be read from a log of a large site: a takeover logs more lines than the log's limit, and the first task_start lines are among those that are dropped.

Change: cell_load says first_start_ms each second, -1 before the first start. No decision changes.

--- a/include/buckthornmux/detail/cell/cell.h
+++ b/include/buckthornmux/detail/cell/cell.h
@@ -141,6 +141,8 @@
   std::size_t targets_evacuated = 0;
   /// Age of the list of targets; before the first one, time since the claim.
   Millis list_age{0};
+  /// Time from the claim of this owner to its first start, if it has any.
+  std::optional<Millis> first_start;
 };
 [[nodiscard]] Load LoadOf(const Cell& cell, Time now);
 
--- a/include/buckthornmux/detail/cell/state.h
+++ b/include/buckthornmux/detail/cell/state.h
@@ -514,6 +514,7 @@
   /// The list of targets shows every change until then; empty before the first
   /// list.
   std::optional<Time> targets_as_of;
+  std::optional<Time> first_start;  ///< When this owner started its first task.
   std::vector<AdviceLane> lanes;
   std::map<std::uint64_t, OpenAdvice> open_advice;
   std::map<QueueName, AdviceStats> advice_stats;
--- a/src/cell/placement/plan.cc
+++ b/src/cell/placement/plan.cc
@@ -657,6 +657,9 @@
         job == nullptr ? 0 : CountUnopened(cell, *job, now);
   }
   load.list_age = ListAge(cell, now);
+  if (cell.first_start) {
+    load.first_start = *cell.first_start - cell.claimed_at;
+  }
   load.headroom_cpu_milli = cell.headroom_cpu;
   load.idle_beside_work = cell.idle_since ? now - *cell.idle_since : Millis(0);
   load.interfering_pairs = cell.interference.found;
--- a/src/cell/placement/starts.cc
+++ b/src/cell/placement/starts.cc
@@ -69,6 +69,7 @@
     slot.suspects.push_back(&task);
   }
   AddRun(round.cell, target, id, run);
+  round.cell.first_start = round.cell.first_start.value_or(round.now);
   round.starts_left -= round.starts_left > 0 ? 1 : 0;
   round.beyond_headroom -= HeadroomTakenBy(round, candidate, slot);
   slot.room -= run.demand;
--- a/src/entry/cell_host.cc
+++ b/src/entry/cell_host.cc
@@ -534,6 +534,7 @@
       .With("headroom_cpu_milli", load.headroom_cpu_milli)
       .With("idle_beside_work_ms", load.idle_beside_work.count())
       .With("list_age_ms", load.list_age.count())
+      .With("first_start_ms", load.first_start.value_or(Millis(-1)).count())
       .With("unstored_jobs", static_cast<std::uint64_t>(m_cell->writes.count))
       .With("unreported_targets", static_cast<std::uint64_t>(load.unreported))
       .With("unreported_last", load.unreported_last)
