--- a/include/buckthornmux/detail/entry/cell_host.h
+++ b/include/buckthornmux/detail/entry/cell_host.h
@@ -97,7 +97,8 @@
   void HandleFinalState(const FormerOwnerState& state);
 
   void SetRules(const RulesPtr& rules);
-  void SetTargets(const TargetList& list);
+  /// @brief Sets the list of targets, as read since the cell was opened.
+  void SetTargets(TargetList list);
   /// @brief Sets the data centres that are being evacuated, as read since the
   ///   cell was opened.
   void SetEvacuated(std::span<const DataCentre> data_centres);
@@ -129,7 +130,7 @@
 
   void OnLoaded(std::vector<cell::RecordWrite> records);
   void ApplyFormerState();
-  void ApplyTargets();
+  void ApplyTargets(const TargetList& list);
   void OnStored(const cell::Batch& batch);
   void RunActions(cell::Actions actions);
   void SchedulePump();
@@ -162,7 +163,8 @@
   std::uint64_t m_term = 0;
   bool m_lease_held = false;
   RulesPtr m_rules;
-  TargetList m_targets;
+  /// Read before the cell's records, and applied after them.
+  std::optional<TargetList> m_early_targets;
   std::vector<HostId> m_lanes;
   /// Empty until a list was read since the cell was opened.
   std::optional<std::vector<DataCentre>> m_evacuated;
--- a/include/buckthornmux/detail/entry/target_reader.h
+++ b/include/buckthornmux/detail/entry/target_reader.h
@@ -1,6 +1,7 @@
 /// Reads the list of targets while this host owns a cell.
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <string>
@@ -35,8 +36,9 @@
   TargetReader(const store::AsyncStore& store, std::string prefix,
                TargetParser parse, Listed listed);
 
-  /// @brief Starts or stops the reading.
-  void SetActive(bool active);
+  /// @brief Starts or stops the reading. A start reads at once. Answers to
+  ///   earlier calls are ignored: their list may lack what has changed since.
+  void SetActive(bool active, Time now);
   void Tick(Time now);
 
  private:
@@ -59,6 +61,8 @@
   TargetParser m_parse;
   Listed m_listed;
   bool m_active = false;
+  /// Incremented by SetActive; answers to earlier calls are ignored.
+  std::uint64_t m_term = 0;
   bool m_reading = false;
   bool m_store_healthy = true;
   Time m_next;
--- a/src/entry/cell_host.cc
+++ b/src/entry/cell_host.cc
@@ -120,6 +120,7 @@
   m_journal.Close();
   m_owner.reset();
   m_cell.reset();
+  m_early_targets.reset();
   m_evacuated.reset();
   for (const Gauge gauge :
        {Gauge::kOccurrencesWaiting, Gauge::kJobsBehind, Gauge::kStepsWaiting,
@@ -172,8 +173,8 @@
       .With("bytes", m_journal.LastReading().bytes)
       .With("failures", m_journal.LastReading().failures)
       .With("took_ms", (now - m_cell->claimed_at).count());
-  if (m_targets.pages > 0) {
-    ApplyTargets();
+  if (const auto targets = std::exchange(m_early_targets, std::nullopt)) {
+    ApplyTargets(*targets);
   }
   if (m_evacuated) {
     cell::SetEvacuated(*m_cell, actions, *m_evacuated, now);
@@ -236,23 +237,27 @@
   }
 }
 
-void CellHost::SetTargets(const TargetList& list) {
-  m_targets = list;
-  if (Serving()) {
-    ApplyTargets();
-    SchedulePump();
+void CellHost::SetTargets(TargetList list) {
+  if (!m_cell) {
+    return;  // A later term of ownership needs a later list.
   }
+  if (!Serving()) {
+    m_early_targets = std::move(list);
+    return;
+  }
+  ApplyTargets(list);
+  SchedulePump();
 }
 
-void CellHost::ApplyTargets() {
+void CellHost::ApplyTargets(const TargetList& list) {
   const Time now = Now();
   LogLine("targets_applied")
       .With("epoch", m_cell->epoch)
-      .With("entries", static_cast<std::uint64_t>(m_targets.entries.size()))
-      .With("pages", static_cast<std::uint64_t>(m_targets.pages))
-      .With("age_ms", (now - m_targets.as_of).count());
+      .With("entries", static_cast<std::uint64_t>(list.entries.size()))
+      .With("pages", static_cast<std::uint64_t>(list.pages))
+      .With("age_ms", (now - list.as_of).count());
   cell::Actions actions;
-  cell::SetTargets(*m_cell, actions, m_targets.entries, m_targets.as_of, now);
+  cell::SetTargets(*m_cell, actions, list.entries, list.as_of, now);
   RunActions(std::move(actions));
 }
 
--- a/src/entry/host.cc
+++ b/src/entry/host.cc
@@ -93,7 +93,7 @@
               [this] { m_cell.SetRules(m_rules.Current()); }),
       m_targets(m_store, std::string(platform::kTargetsPrefix),
                 platform::ParseTarget,
-                [this](const auto& list) { m_cell.SetTargets(list); }),
+                [this](auto list) { m_cell.SetTargets(std::move(list)); }),
       m_evacuations(m_store, std::string(platform::kEvacuationsPrefix),
                     platform::ParseEvacuation,
                     [this](const auto& data_centres) {
@@ -142,8 +142,8 @@
   return {[this](const member::OwnerRecord& record) {
             m_gained_at = Now();
             m_owner_load.Restart();
-            SetReadersActive(true);
             m_cell.Open(record, FormerLeaseLeft(record), TargetsUnlisted());
+            SetReadersActive(true);
           },
           [this](const std::string& /*range*/) {
             SetReadersActive(false);
@@ -208,7 +208,7 @@
 }
 
 void Host::SetReadersActive(bool active) {
-  m_targets.SetActive(active);
+  m_targets.SetActive(active, Now());
   m_evacuations.SetActive(active && EvacuationsOn(), Now());
 }
 
--- a/src/entry/target_reader.cc
+++ b/src/entry/target_reader.cc
@@ -26,9 +26,12 @@
       m_parse(std::move(parse)),
       m_listed(std::move(listed)) {}
 
-void TargetReader::SetActive(bool active) {
+void TargetReader::SetActive(bool active, Time now) {
   m_active = active;
+  ++m_term;
+  m_reading = false;
   m_next = Time{};
+  Tick(now);
 }
 
 void TargetReader::Tick(Time now) {
@@ -63,7 +66,11 @@
 
 void TargetReader::Read(std::string after, Reading reading) {
   m_store.list(m_prefix, std::move(after),
-               [this, reading = std::move(reading)](auto outcome) mutable {
+               [this, term = m_term,
+                reading = std::move(reading)](auto outcome) mutable {
+                 if (term != m_term) {
+                   return;
+                 }
                  if (const auto* error = std::get_if<Error>(&outcome)) {
                    Fail(*error, std::move(reading));
                    return;
@@ -110,9 +117,7 @@
     m_store_healthy = true;
     LogLine("store_regained").With("by", "targets");
   }
-  if (m_active) {
-    m_listed(std::move(reading.list));
-  }
+  m_listed(std::move(reading.list));
 }
 
 }  // namespace buckthornmux::entry
--- a/tests/unit-cell-host.cc
+++ b/tests/unit-cell-host.cc
@@ -165,6 +165,49 @@
   return calls;
 }
 
+/// A cell with one target that reports, which counts its starts.
+struct OneTarget {
+  int starts = 0;
+  Fixture cell;
+  TargetProcess process{cell.io, 0, 1};
+  cell::TargetEntry entry;
+
+  explicit OneTarget(Millis evacuate_within = Millis(0))
+      : cell(CountStarts(starts), {}, evacuate_within) {
+    entry.id = "t1";
+    entry.service = "service";
+    entry.address = "127.0.0.1:" + std::to_string(process.Port());
+    entry.data_centre = "a";
+    entry.life = 1;
+    entry.capacity = {0, 16'000, 32'768, 0};
+  }
+
+  static entry::TargetCalls CountStarts(int& starts) {
+    entry::TargetCalls calls = ReportsOnly();
+    calls.start = [&starts](const cell::SendStart&, Epoch) {
+      ++starts;
+      return net::HttpRequest();
+    };
+    return calls;
+  }
+
+  /// Returns the number of starts after some ticks.
+  int StartsAfterTicks() {
+    for (int i = 0; i < 20; ++i) {
+      cell.host.Tick(entry::Now());
+      cell.Run();
+    }
+    return starts;
+  }
+
+  /// Opens the next term of ownership, and counts its starts alone.
+  void NextTerm(Epoch epoch) {
+    starts = 0;
+    cell.host.Open({.range = "cell/0", .owner = "a", .epoch = epoch},
+                   Millis(0));
+  }
+};
+
 /// A target that restarts without closing the connections of its former
 /// process, which no longer answers on them.
 class RestartingTarget {
@@ -225,6 +268,8 @@
   CPPUNIT_TEST(NewProcessOfATargetGetsNoAcknowledgementOfTheFormerOne);
   CPPUNIT_TEST(StartReachesOnlyTheProcessItIsMeantFor);
   CPPUNIT_TEST(EachTermWaitsForItsOwnListOfEvacuations);
+  CPPUNIT_TEST(EachTermStartsByItsOwnListOfTargets);
+  CPPUNIT_TEST(ListThatIsReadBeforeTheRecordsIsUsed);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -424,39 +469,46 @@
   // Guards against a new term of ownership that starts tasks by the list of an
   // earlier one, or before it has any.
   void EachTermWaitsForItsOwnListOfEvacuations() {
-    entry::TargetCalls calls = ReportsOnly();
-    int starts = 0;
-    calls.start = [&starts](const cell::SendStart&, Epoch) {
-      ++starts;
-      return net::HttpRequest();
-    };
-    Fixture f(calls, {}, Millis(5000));
-    const TargetProcess process(f.io, 0, 1);
-    cell::TargetEntry entry;
-    entry.id = "t1";
-    entry.service = "service";
-    entry.address = "127.0.0.1:" + std::to_string(process.Port());
-    entry.data_centre = "a";
-    entry.life = 1;
-    entry.capacity = {0, 16'000, 32'768, 0};
-    f.List({entry});
-    const auto starts_after_ticks = [&] {
-      for (int i = 0; i < 20; ++i) {
-        f.host.Tick(entry::Now());
-        f.Run();
-      }
-      return starts;
-    };
-    CPPUNIT_ASSERT_EQUAL(0, starts_after_ticks());
-    f.host.SetEvacuated(std::vector<DataCentre>{"a"});
-    CPPUNIT_ASSERT_EQUAL(0, starts_after_ticks());
-    CPPUNIT_ASSERT(f.metrics.Text().find("targets_evacuated 1\n") !=
+    OneTarget f(Millis(5000));
+    f.cell.List({f.entry});
+    CPPUNIT_ASSERT_EQUAL(0, f.StartsAfterTicks());
+    f.cell.host.SetEvacuated(std::vector<DataCentre>{"a"});
+    CPPUNIT_ASSERT_EQUAL(0, f.StartsAfterTicks());
+    CPPUNIT_ASSERT(f.cell.metrics.Text().find("targets_evacuated 1\n") !=
                    std::string::npos);
-    f.host.SetEvacuated({});
-    f.host.Open({.range = "cell/0", .owner = "a", .epoch = 2}, Millis(0));
-    CPPUNIT_ASSERT_EQUAL(0, starts_after_ticks());
-    f.host.SetEvacuated({});
-    CPPUNIT_ASSERT(starts_after_ticks() > 0);
+    f.cell.host.SetEvacuated({});
+    f.NextTerm(2);
+    f.cell.List({f.entry});
+    CPPUNIT_ASSERT_EQUAL(0, f.StartsAfterTicks());
+    f.cell.host.SetEvacuated({});
+    CPPUNIT_ASSERT(f.StartsAfterTicks() > 0);
+  }
+
+  // Guards against a host that owns the cell again and starts tasks by the list
+  // of its former term, on targets that have left or drain (review/12).
+  void EachTermStartsByItsOwnListOfTargets() {
+    OneTarget f;
+    f.cell.List({f.entry});
+    CPPUNIT_ASSERT(f.StartsAfterTicks() > 0);
+    f.NextTerm(2);
+    CPPUNIT_ASSERT_EQUAL(0, f.StartsAfterTicks());
+    f.cell.host.Close("owned by another host");
+    f.cell.List({f.entry});  // Of a reading that ends between two terms.
+    f.NextTerm(3);
+    CPPUNIT_ASSERT_EQUAL(0, f.StartsAfterTicks());
+    f.cell.List({f.entry});
+    CPPUNIT_ASSERT(f.StartsAfterTicks() > 0);
+  }
+
+  // Guards against a takeover that reads the list a second time.
+  void ListThatIsReadBeforeTheRecordsIsUsed() {
+    OneTarget f;
+    f.cell.store.hold_lists = true;
+    f.NextTerm(2);
+    f.cell.List({f.entry});
+    CPPUNIT_ASSERT_EQUAL(0, f.StartsAfterTicks());
+    f.cell.store.AnswerLists();
+    CPPUNIT_ASSERT(f.StartsAfterTicks() > 0);
   }
 };
 
--- a/tests/unit-entry.cc
+++ b/tests/unit-entry.cc
@@ -124,7 +124,7 @@
         [&seen](auto list) { seen = std::move(list.entries); });
     reader.Tick(entry::Now());
     CPPUNIT_ASSERT(seen.empty());
-    reader.SetActive(true);
+    reader.SetActive(true, entry::Now());
     reader.Tick(entry::Now());
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, seen.size());
   }
--- a/tests/unit-target-reader.cc
+++ b/tests/unit-target-reader.cc
@@ -34,6 +34,8 @@
   CPPUNIT_TEST(LogsOnceWhileLaterPagesFail);
   CPPUNIT_TEST(BoundsWhatItRemembers);
   CPPUNIT_TEST(ListIsAsOldAsItsFirstPage);
+  CPPUNIT_TEST(ReadingOfAFormerTermIsDropped);
+  CPPUNIT_TEST(EachTermReadsAtOnce);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -41,7 +43,8 @@
     m_lines.clear();
     runtime::SetLogSink(
         [this](std::string_view line) { m_lines.emplace_back(line); });
-    m_reader.SetActive(true);
+    m_reader.SetActive(true, m_now);
+    m_store.lists = 0;
   }
   void tearDown() override { runtime::SetLogSink({}); }
 
@@ -147,6 +150,34 @@
     CPPUNIT_ASSERT(began == m_listed.as_of);
   }
 
+  // Guards against a list that was read for a former term of ownership and is
+  // answered in the next one (review/12).
+  void ReadingOfAFormerTermIsDropped() {
+    m_store.hold_lists = true;
+    m_store.Put("servers/a", "good");
+    Read();
+    m_reader.SetActive(false, m_now);
+    m_now += kPastInterval;
+    m_lists.clear();
+    m_reader.SetActive(true, m_now);
+    m_store.AnswerLists();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_lists.size());
+    CPPUNIT_ASSERT(m_lists.front().as_of == m_now);
+  }
+
+  // Guards against a new owner that waits for an answer to its former term, or
+  // for the next tick, before it asks for the list.
+  void EachTermReadsAtOnce() {
+    m_store.hold_lists = true;
+    Read();
+    const int lists = m_store.lists;
+    m_reader.SetActive(false, m_now);
+    m_reader.SetActive(true, m_now);
+    CPPUNIT_ASSERT_EQUAL(lists + 1, m_store.lists);
+    m_reader.SetActive(false, m_now);
+    CPPUNIT_ASSERT_EQUAL(lists + 1, m_store.lists);
+  }
+
  private:
   void Read() {
     m_now += kPastInterval;
@@ -163,13 +194,15 @@
   tests::MockAsyncStore m_store;
   store::AsyncStore m_calls = m_store.Calls();
   TargetList m_listed;
+  std::vector<TargetList> m_lists;  ///< All that were passed on.
   std::vector<std::string> m_lines;
   // Later than the retry after a failed list, which runs on the real clock.
   Time m_now = Time(std::chrono::duration_cast<Millis>(
                    std::chrono::steady_clock::now().time_since_epoch())) +
                Millis(60'000);
   TargetReader m_reader{m_calls, "servers/", Parse, [this](TargetList list) {
-                          m_listed = std::move(list);
+                          m_listed = list;
+                          m_lists.push_back(std::move(list));
                         }};
 };
 
