--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -31,10 +31,14 @@
 using tcp = asio::ip::tcp;
 using SteadyClock = std::chrono::steady_clock;
 
-/// Bound of an answer's head, and of what the parser needs as a whole later: a
-/// chunk header with its extensions, all trailers. Larger parts of a body are
-/// read in pieces of this size.
+/// Bound of an answer's head.
 constexpr std::size_t kMaxAnswerHeadBytes = 16 << 10;
+/// Sizes of the parts in which an answer is read. They double while parts are
+/// filled, since each one takes a turn of the event loop; most answers are
+/// short. The maximum also bounds what the parser needs as a whole after the
+/// head: a chunk header with its extensions, all trailers.
+constexpr std::size_t kFirstAnswerPartBytes = 512;
+constexpr std::size_t kMaxAnswerPartBytes = 32 << 10;
 /// Bytes of a chunked answer that aren't content.
 constexpr std::uint64_t kMaxAnswerFramingBytes = 1 << 20;
 /// Maximum time by which a stall time-out extends a call beyond its time-out.
@@ -250,18 +254,21 @@
     if (error) {
       co_return OutcomeUnknown("sending: " + error.message());
     }
-    beast::flat_buffer buffer(kMaxAnswerHeadBytes);
+    beast::flat_buffer buffer(kMaxAnswerPartBytes);
     http::response_parser<http::string_body> parser;
     parser.header_limit(kMaxAnswerHeadBytes);
     parser.body_limit(options.max_body_bytes);
     BudgetShare share(options.budget, true);
     std::uint64_t parsed = 0;
+    std::size_t part = kFirstAnswerPartBytes;
     const Millis stall = request.stall_timeout;
     while (!error && !parser.is_done()) {
+      buffer.reserve(part);
       const std::size_t received = co_await http::async_read_some(
           connection.stream, buffer, parser,
           asio::redirect_error(asio::use_awaitable, error));
       parsed += received;
+      part = received < part ? part : std::min(2 * part, kMaxAnswerPartBytes);
       if (options.traffic != nullptr) {
         options.traffic->received += received;
       }
--- a/tests/unit-http.cc
+++ b/tests/unit-http.cc
@@ -53,6 +53,7 @@
   CPPUNIT_TEST(NewConnectionIsCheckedBeforeTheRequest);
   CPPUNIT_TEST(ConnectionIsTooNewByTheClockOfTheCaller);
   CPPUNIT_TEST(AnswerKeepsRetryAfterAndClosingIsUnknown);
+  CPPUNIT_TEST(LongAnswerTakesFewTurnsOfTheLoop);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -69,6 +70,33 @@
                          std::get<HttpResponse>(outcome).body);
   }
 
+  // Guards against an owner that reads the list of its targets for seconds,
+  // since each turn of its busy loop reads a small part (review/11).
+  void LongAnswerTakesFewTurnsOfTheLoop() {
+    constexpr std::size_t kListBytes = 340'000;  // Of 540 targets.
+    // A list may be 1,700 ms old, and a turn takes 25 ms beside many callers.
+    constexpr std::size_t kMaxTurns = 1700 / 25;
+    IoThread far;
+    HttpServer server(far.io, {}, [](HttpRequest, Responder respond) {
+      respond({.body = std::string(kListBytes, 'x')});
+    });
+    asio::io_context io;
+    HttpClient client(io, {});
+    std::size_t received = 0;
+    client.Call(AddressOf(server), {}, kCallTimeout, [&](auto outcome) {
+      const auto* answer = std::get_if<HttpResponse>(&outcome);
+      received = answer == nullptr ? 1 : answer->body.size();
+    });
+    std::size_t turns = 0;
+    // The answer arrives faster than a busy loop reads it.
+    while (received == 0 && io.run_one_for(kCallTimeout) > 0) {
+      std::this_thread::sleep_for(Millis(1));
+      ++turns;
+    }
+    CPPUNIT_ASSERT_EQUAL(kListBytes, received);
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(turns), turns <= kMaxTurns);
+  }
+
   void RefusesOversizedMalformedAndSlow() {
     IoThread io;
     HttpServerOptions options;
