Start tasks only by a list of targets that is recent enough for drain_ms

What callers saw: runs lost with targets that leave.

Cause: nothing bounds the age of the list at the moment of a start, and bounds.drain_ms isn't read. A stand-still, a slow reading, readings that fail in a row or a slow store each make the list old within one term of ownership.

Why this works: a list shows every change before its reading began. So a target that isn't draining in a list of at most drain_ms less 300 ms was listed as draining that long ago at most, and the 300 ms are for the order to arrive. MayStartOn asks this for first and repeated starts; there is no other way to a start. The reader keeps to an interval of at most half that age.

Without a store an owner loses its registration after 1.2 s and sends nothing anyway, so this costs nothing more there. targets_awaited (each second) and list_wait_ms say how long starts wait. bounds.drain_ms=0 turns the check off.

--- a/include/buckthornmux/detail/cell/cell.h
+++ b/include/buckthornmux/detail/cell/cell.h
@@ -102,6 +102,15 @@
 [[nodiscard]] ReportCall MakeReportCall(const Cell& cell, const Target& target,
                                         Time now);
 
+/// @brief Age of the list of targets; before the first one, time since the
+///   claim.
+[[nodiscard]] inline Millis ListAge(const Cell& cell, Time now) {
+  return now - cell.targets_as_of.value_or(cell.claimed_at);
+}
+
+/// @brief Whether the list of targets is recent enough to start tasks by it.
+[[nodiscard]] bool IsListRecent(const Cell& cell, Time now);
+
 /// Utilization and backlog of a cell.
 struct Load {
   std::size_t targets = 0;  ///< Targets that accept work.
--- a/include/buckthornmux/detail/cell/state.h
+++ b/include/buckthornmux/detail/cell/state.h
@@ -71,6 +71,9 @@
   double busy_backlog = 0.3;
   /// Maximum free fraction of the CPU capacity at which such jobs are refused.
   double busy_free = 0.15;
+  /// Nothing starts by an older list of targets: one of them may have been
+  /// draining for too long.
+  Millis max_list_age = Millis::max();
   /// Nothing starts before the first SetEvacuated: the former owner may have
   /// known of evacuations that this one doesn't.
   bool await_evacuations = false;
--- a/include/buckthornmux/detail/entry/cell_host.h
+++ b/include/buckthornmux/detail/entry/cell_host.h
@@ -16,6 +16,7 @@
 #include "buckthornmux/detail/entry/call_guard.h"
 #include "buckthornmux/detail/entry/calls.h"
 #include "buckthornmux/detail/entry/journal_writer.h"
+#include "buckthornmux/detail/entry/list_wait.h"
 #include "buckthornmux/detail/entry/owner_calls.h"
 #include "buckthornmux/detail/entry/owner_load.h"
 #include "buckthornmux/detail/entry/rules_reader.h"
@@ -149,6 +150,10 @@
   void Send(const cell::SendStop& stop);
   void Reply(const std::optional<AddressedReply>& reply);
   void LogLoad() const;
+  /// Whether the list of targets alone keeps this host from starting tasks.
+  [[nodiscard]] bool AwaitsList(Time now) const {
+    return Serving() && MayOrder() && !cell::IsListRecent(*m_cell, now);
+  }
   [[nodiscard]] bool MayOrder() const { return m_cell && m_lease_held; }
 
   HostSettings m_settings;
@@ -165,6 +170,7 @@
   RulesPtr m_rules;
   /// Read before the cell's records, and applied after them.
   std::optional<TargetList> m_early_targets;
+  ListWait m_list_wait;
   std::vector<HostId> m_lanes;
   /// Empty until a list was read since the cell was opened.
   std::optional<std::vector<DataCentre>> m_evacuated;
--- a/include/buckthornmux/detail/entry/settings.h
+++ b/include/buckthornmux/detail/entry/settings.h
@@ -19,6 +19,9 @@
   Millis cancel_within{3000};   ///< Tasks of a cancelled job end within this.
   Millis status_kept{120'000};  ///< How long ended jobs can be queried.
   Millis finish{14'000};  ///< Longest wait of a job that there is room for.
+  /// From this time after a target was listed as draining, no task begins on
+  /// it; 0: no limit.
+  Millis drain_within{2000};
   double far_factor = 3;  ///< Slowdown of tasks far from their data.
   /// From this time after the request, no task begins on a target of an
   /// evacuated data centre; 0: requests aren't read.
--- a/include/buckthornmux/detail/entry/target_reader.h
+++ b/include/buckthornmux/detail/entry/target_reader.h
@@ -19,6 +19,11 @@
   std::size_t pages = 0;
 };
 
+/// @brief Returns the maximum age of a list that tasks are started by.
+/// @param drain_within from this time after a target was listed as draining, no
+///   task may begin on it; 0: no limit
+[[nodiscard]] Millis MaxListAge(Millis drain_within);
+
 /// Decodes the entry of a target.
 using TargetParser = std::function<Result<cell::TargetEntry>(
     std::string_view key, std::string_view text)>;
@@ -27,14 +32,16 @@
 /// one.
 inline constexpr std::size_t kMaxUnreadableTargets = 256;
 
-/// @brief Lists all entries at a fixed interval. An entry that can't be parsed
+/// @brief Lists all entries at a fixed interval, several times within the
+///   maximum age of a list. An entry that can't be parsed
 ///   is skipped, and logged once for each different error while its key exists.
 class TargetReader {
  public:
   using Listed = std::function<void(TargetList)>;
 
   TargetReader(const store::AsyncStore& store, std::string prefix,
-               TargetParser parse, Listed listed);
+               TargetParser parse, Listed listed,
+               Millis max_age = Millis::max());
 
   /// @brief Starts or stops the reading. A start reads at once. Answers to
   ///   earlier calls are ignored: their list may lack what has changed since.
@@ -60,6 +67,8 @@
   std::string m_prefix;
   TargetParser m_parse;
   Listed m_listed;
+  Millis m_interval;
+  Time m_now;  ///< Of the latest tick.
   bool m_active = false;
   /// Incremented by SetActive; answers to earlier calls are ignored.
   std::uint64_t m_term = 0;
--- a/src/cell/internal.h
+++ b/src/cell/internal.h
@@ -202,17 +202,13 @@
 void StopRunsThatOutlast(Cell& cell, Actions& actions, Target& target,
                          Time now);
 
-/// Age of the list of targets; before the first one, time since the claim.
-[[nodiscard]] inline Millis ListAge(const Cell& cell, Time now) {
-  return now - cell.targets_as_of.value_or(cell.claimed_at);
-}
-
 /// Whether a target is in a data centre that is being evacuated.
 [[nodiscard]] bool IsEvacuated(const Cell& cell, const Target& target);
 
 /// Whether a start, a first or a repeated one, may be sent to a target. It may
-/// not if the target is evacuated, or while that isn't known.
-[[nodiscard]] bool MayStartOn(const Cell& cell, const Target& target);
+/// not if the target is evacuated, or while that isn't known, or if it may have
+/// been draining for too long.
+[[nodiscard]] bool MayStartOn(const Cell& cell, const Target& target, Time now);
 
 /// Advances the acknowledged end up to the first whose job isn't stored.
 void AdvanceAcks(Cell& cell, Target& target);
--- a/src/cell/placement/evacuation.cc
+++ b/src/cell/placement/evacuation.cc
@@ -57,8 +57,9 @@
   return cell.evacuated.contains(target.entry.data_centre);
 }
 
-bool MayStartOn(const Cell& cell, const Target& target) {
-  return (cell.evacuated_known || !cell.options.await_evacuations) &&
+bool MayStartOn(const Cell& cell, const Target& target, Time now) {
+  return IsListRecent(cell, now) &&
+         (cell.evacuated_known || !cell.options.await_evacuations) &&
          !IsEvacuated(cell, target);
 }
 
--- a/src/cell/placement/leaving.cc
+++ b/src/cell/placement/leaving.cc
@@ -29,6 +29,11 @@
 
 }  // namespace
 
+bool IsListRecent(const Cell& cell, Time now) {
+  return cell.targets_as_of &&
+         now - *cell.targets_as_of <= cell.options.max_list_age;
+}
+
 void StopRunsThatOutlast(Cell& cell, Actions& actions, Target& target,
                          Time now) {
   if (!target.leaves_at || target.silent) {
--- a/src/cell/placement/round.cc
+++ b/src/cell/placement/round.cc
@@ -175,7 +175,7 @@
         target.listed_life == target.entry.life && !target.entry.draining &&
         !target.silent && !target.failing_since && target.unknown_runs == 0 &&
         now >= target.health.suspended_until && MayTry(target, now) &&
-        MayStartOn(cell, target)) {
+        MayStartOn(cell, target, now)) {
       round.slots.push_back({&target, RoomOf(target), {}});
       MarkRecentRuns(cell, round.slots.back(), now);
     }
--- a/src/cell/runs/runs.cc
+++ b/src/cell/runs/runs.cc
@@ -44,10 +44,11 @@
 }
 
 /// Whether a start may be sent again. Since the run was reserved, the target's
-/// room may have shrunk, the team's limit may have been lowered, or the
-/// evacuation of the target's data centre may have begun.
-bool MayResendStart(const Cell& cell, const Target& target, const Run& run) {
-  return MayStartOn(cell, target) &&
+/// room may have shrunk, the team's limit may have been lowered, the evacuation
+/// of the target's data centre may have begun, or the list become too old.
+bool MayResendStart(const Cell& cell, const Target& target, const Run& run,
+                    Time now) {
+  return MayStartOn(cell, target, now) &&
          target.used.FitsIn(target.entry.capacity) && TeamAllowsRun(cell, run);
 }
 
@@ -341,7 +342,8 @@
     case OrderOutcome::kUnknown:
       run.unsure = true;
       run.next_try = now;
-      if (run.phase == RunPhase::kSent && MayResendStart(cell, *target, run)) {
+      if (run.phase == RunPhase::kSent &&
+          MayResendStart(cell, *target, run, now)) {
         ResendStart(cell, actions, *target, id, run, now);
       }
       return;
@@ -446,7 +448,7 @@
   }
   for (const RunId& id : held) {
     Run& run = target.runs.at(id);
-    if (MayResendStart(cell, target, run)) {
+    if (MayResendStart(cell, target, run, now)) {
       ResendStart(cell, actions, target, id, run, now);
     } else if (target.life_confirmed > run.next_try) {
       StopRun(cell, actions, target, id, "start not answered", now);
--- a/src/entry/cell_host.cc
+++ b/src/entry/cell_host.cc
@@ -52,6 +52,7 @@
   constexpr Millis kStartSlack{1000};
   options.first_hold_limit =
       std::max(bounds.finish / 2, bounds.finish - kStartSlack);
+  options.max_list_age = MaxListAge(bounds.drain_within);
   options.await_evacuations = bounds.evacuate_within > Millis(0);
   options.avoid_cold = options.await_evacuations;
   options.job_retention = bounds.status_kept + kStatusSlack;
@@ -121,6 +122,7 @@
   m_owner.reset();
   m_cell.reset();
   m_early_targets.reset();
+  m_list_wait = {};
   m_evacuated.reset();
   for (const Gauge gauge :
        {Gauge::kOccurrencesWaiting, Gauge::kJobsBehind, Gauge::kStepsWaiting,
@@ -498,7 +500,8 @@
 
 /// Logs the load of the cell, which gives context to the logged decisions.
 void CellHost::LogLoad() const {
-  const cell::Load load = cell::LoadOf(*m_cell, Now());
+  const Time now = Now();
+  const cell::Load load = cell::LoadOf(*m_cell, now);
   m_metrics.Set(Gauge::kOccurrencesWaiting, load.occurrences_waiting);
   m_metrics.Set(Gauge::kJobsBehind, load.jobs_behind);
   m_metrics.Set(Gauge::kStepsWaiting, load.steps_waiting);
@@ -539,6 +542,7 @@
       .With("headroom_cpu_milli", load.headroom_cpu_milli)
       .With("idle_beside_work_ms", load.idle_beside_work.count())
       .With("list_age_ms", load.list_age.count())
+      .With("list_wait_ms", TotalOf(m_list_wait, now).count())
       .With("first_start_ms", load.first_start.value_or(Millis(-1)).count())
       .With("unstored_jobs", static_cast<std::uint64_t>(m_cell->writes.count))
       .With("unreported_targets", static_cast<std::uint64_t>(load.unreported))
@@ -557,6 +561,7 @@
     return;
   }
   m_tick_at = now + kTickInterval;
+  NoteListWait(m_list_wait, AwaitsList(now), cell::ListAge(*m_cell, now), now);
   cell::Actions actions;
   const auto waiting = m_journal.WaitingSince();
   if (waiting && now - *waiting > kStoreStallTimeout) {
--- a/src/entry/host.cc
+++ b/src/entry/host.cc
@@ -91,9 +91,10 @@
       m_store(MakeStore()),
       m_rules(m_store, std::string(platform::kRulesKey), platform::ParseRules,
               [this] { m_cell.SetRules(m_rules.Current()); }),
-      m_targets(m_store, std::string(platform::kTargetsPrefix),
-                platform::ParseTarget,
-                [this](auto list) { m_cell.SetTargets(std::move(list)); }),
+      m_targets(
+          m_store, std::string(platform::kTargetsPrefix), platform::ParseTarget,
+          [this](auto list) { m_cell.SetTargets(std::move(list)); },
+          MaxListAge(m_settings.bounds.drain_within)),
       m_evacuations(m_store, std::string(platform::kEvacuationsPrefix),
                     platform::ParseEvacuation,
                     [this](const auto& data_centres) {
--- a/src/entry/target_reader.cc
+++ b/src/entry/target_reader.cc
@@ -1,9 +1,9 @@
 #include "buckthornmux/detail/entry/target_reader.h"
 
+#include <algorithm>
 #include <iterator>
 #include <utility>
 
-#include "buckthornmux/detail/entry/clock.h"
 #include "buckthornmux/detail/runtime/log_line.h"
 
 namespace buckthornmux::entry {
@@ -12,19 +12,29 @@
 using runtime::LogLine;
 using Level = runtime::LogLine::Level;
 
-/// Limits how long a target still gets new work after it was marked as
-/// draining.
+/// Longest interval between the begins of two readings.
 constexpr Millis kReadInterval{600};
+constexpr Millis kMinReadInterval{100};
+/// Longest time from the decision to start a task until its target has the
+/// order: the rest of the planning round and the time-out of the call.
+constexpr Millis kStartTime{300};
 constexpr Millis kRetryDelay{200};
 
 }  // namespace
 
+Millis MaxListAge(Millis drain_within) {
+  return drain_within <= Millis(0)
+             ? Millis::max()
+             : std::max(drain_within - kStartTime, drain_within / 2);
+}
+
 TargetReader::TargetReader(const store::AsyncStore& store, std::string prefix,
-                           TargetParser parse, Listed listed)
+                           TargetParser parse, Listed listed, Millis max_age)
     : m_store(store),
       m_prefix(std::move(prefix)),
       m_parse(std::move(parse)),
-      m_listed(std::move(listed)) {}
+      m_listed(std::move(listed)),
+      m_interval(std::clamp(max_age / 2, kMinReadInterval, kReadInterval)) {}
 
 void TargetReader::SetActive(bool active, Time now) {
   m_active = active;
@@ -35,9 +45,10 @@
 }
 
 void TargetReader::Tick(Time now) {
+  m_now = now;
   if (m_active && !m_reading && now >= m_next) {
     m_reading = true;
-    m_next = now + kReadInterval;
+    m_next = now + m_interval;
     Reading reading;
     reading.list.as_of = now;
     Read({}, std::move(reading));
@@ -90,7 +101,7 @@
 
 void TargetReader::Fail(const Error& error, Reading reading) {
   m_reading = false;
-  m_next = Now() + kRetryDelay;
+  m_next = m_now + kRetryDelay;
   // The keys of the pages that weren't read may still exist.
   reading.unreadable.merge(m_unreadable);
   m_unreadable = std::move(reading.unreadable);
--- a/tests/unit-cell-host.cc
+++ b/tests/unit-cell-host.cc
@@ -9,6 +9,7 @@
 #include "buckthornmux/detail/entry/cell_host.h"
 #include "buckthornmux/detail/entry/clock.h"
 #include "buckthornmux/detail/net/http_server.h"
+#include "buckthornmux/detail/runtime/log_line.h"
 #include "mock_async_store.h"
 #include "plain_cell.h"
 
@@ -270,6 +271,7 @@
   CPPUNIT_TEST(EachTermWaitsForItsOwnListOfEvacuations);
   CPPUNIT_TEST(EachTermStartsByItsOwnListOfTargets);
   CPPUNIT_TEST(ListThatIsReadBeforeTheRecordsIsUsed);
+  CPPUNIT_TEST(OwnerWithAnOldListStartsNothingAndSaysSo);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -500,6 +502,22 @@
     CPPUNIT_ASSERT(f.StartsAfterTicks() > 0);
   }
 
+  // Guards against an owner that loses sight of the list, and starts tasks on
+  // targets that may have been draining for longer than its settings allow.
+  void OwnerWithAnOldListStartsNothingAndSaysSo() {
+    std::string log;
+    runtime::SetLogSink([&log](std::string_view line) { log += line; });
+    OneTarget f;
+    const Millis age = f.cell.settings.bounds.drain_within;
+    f.cell.host.SetTargets({{f.entry}, entry::Now() - age, 1});
+    CPPUNIT_ASSERT_EQUAL(0, f.StartsAfterTicks());
+    runtime::SetLogSink({});
+    CPPUNIT_ASSERT(log.find("event=targets_awaited") != std::string::npos);
+    CPPUNIT_ASSERT(log.find("list_wait_ms=") != std::string::npos);
+    f.cell.List({f.entry});
+    CPPUNIT_ASSERT(f.StartsAfterTicks() > 0);
+  }
+
   // Guards against a takeover that reads the list a second time.
   void ListThatIsReadBeforeTheRecordsIsUsed() {
     OneTarget f;
--- a/tests/unit-evacuation.cc
+++ b/tests/unit-evacuation.cc
@@ -242,7 +242,8 @@
   void WithoutTheSettingNothingWaitsForAList() {
     Fixture f("a");
     f.owned->options.await_evacuations = false;
-    CPPUNIT_ASSERT(cell::MayStartOn(*f.owned, f.owned->targets.at("a0")));
+    CPPUNIT_ASSERT(
+        cell::MayStartOn(*f.owned, f.owned->targets.at("a0"), f.now));
   }
 
   // Guards against starts on the targets of an evacuated data centre.
--- a/tests/unit-platform.cc
+++ b/tests/unit-platform.cc
@@ -78,6 +78,11 @@
     CPPUNIT_ASSERT(settings.bounds.shutdown == Millis(6000));
     CPPUNIT_ASSERT(settings.bounds.longest_lease == Millis(10'000));
     CPPUNIT_ASSERT(settings.bounds.finish == Millis(8000));
+    CPPUNIT_ASSERT(settings.bounds.drain_within == Millis(2000));
+    const auto slow = ValueOf([] {
+      return ParseSettings(std::string(kSettings) + "bounds.drain_ms=4000");
+    });
+    CPPUNIT_ASSERT(slow.bounds.drain_within == Millis(4000));
     CPPUNIT_ASSERT_EQUAL(std::size_t{65'536}, settings.max_value_bytes);
     CPPUNIT_ASSERT_EQUAL(1.5, settings.bounds.far_factor);
     CPPUNIT_ASSERT(settings.bounds.status_kept == Millis(120'000));
@@ -122,9 +127,11 @@
       CPPUNIT_ASSERT(KindOf([&] { return ParseSettings(text); }) ==
                      ErrorKind::kMalformed);
     }
-    const std::string number = std::string(kSettings) + "bounds.stop_ms=soon\n";
-    CPPUNIT_ASSERT(KindOf([&] { return ParseSettings(number); }) ==
-                   ErrorKind::kMalformed);
+    for (const char* line : {"bounds.stop_ms=soon\n", "bounds.drain_ms=-1\n"}) {
+      const std::string number = std::string(kSettings) + line;
+      CPPUNIT_ASSERT(KindOf([&] { return ParseSettings(number); }) ==
+                     ErrorKind::kMalformed);
+    }
   }
 
   void ParsesRules() {
--- a/tests/unit-target-reader.cc
+++ b/tests/unit-target-reader.cc
@@ -36,6 +36,7 @@
   CPPUNIT_TEST(ListIsAsOldAsItsFirstPage);
   CPPUNIT_TEST(ReadingOfAFormerTermIsDropped);
   CPPUNIT_TEST(EachTermReadsAtOnce);
+  CPPUNIT_TEST(ReadsSeveralTimesWithinTheMaximumAge);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -178,6 +179,22 @@
     CPPUNIT_ASSERT_EQUAL(lists + 1, m_store.lists);
   }
 
+  // Guards against a fixed interval that leaves an owner without a list that is
+  // recent enough, where targets have little time to leave.
+  void ReadsSeveralTimesWithinTheMaximumAge() {
+    constexpr Millis kMaxAge{400};
+    constexpr Millis kTick{50};
+    TargetReader reader(
+        m_calls, "servers/", Parse, [](const auto&) {}, kMaxAge);
+    reader.SetActive(true, m_now);
+    m_store.lists = 0;
+    for (const Time end = m_now + 4 * kMaxAge; m_now < end;) {
+      m_now += kTick;
+      reader.Tick(m_now);
+    }
+    CPPUNIT_ASSERT_EQUAL(8, m_store.lists);
+  }
+
  private:
   void Read() {
     m_now += kPastInterval;
