Repeat no start on a target that drains

What callers would see: a task begins on a target that leaves, longer than drain_ms after it was listed as draining, and is lost with it.

Cause: an unanswered start that may not be repeated at once (room, team limit, evacuation, and now an old list) is sent again as soon as it may. Planning leaves out draining targets, but MayResendStart didn't ask, so that the repeated start could be the first to arrive.

Why this works: the check is in MayStartOn, which both kinds of start ask. The run is stopped once a report shows that it isn't there, as after a shrunken room.

Test that failed before: HeldStartIsNotRepeatedOnADrainingTarget (a start was sent).

--- a/src/cell/internal.h
+++ b/src/cell/internal.h
@@ -206,8 +206,7 @@
 [[nodiscard]] bool IsEvacuated(const Cell& cell, const Target& target);
 
 /// Whether a start, a first or a repeated one, may be sent to a target. It may
-/// not if the target is evacuated, or while that isn't known, or if it may have
-/// been draining for too long.
+/// not if the target is evacuated or drains, or while that isn't known.
 [[nodiscard]] bool MayStartOn(const Cell& cell, const Target& target, Time now);
 
 /// Advances the acknowledged end up to the first whose job isn't stored.
--- a/src/cell/placement/round.cc
+++ b/src/cell/placement/round.cc
@@ -172,8 +172,8 @@
   round.slots.reserve(cell.targets.size());
   for (auto& [id, target] : cell.targets) {
     if (target.reported && target.recorded && target.listed &&
-        target.listed_life == target.entry.life && !target.entry.draining &&
-        !target.silent && !target.failing_since && target.unknown_runs == 0 &&
+        target.listed_life == target.entry.life && !target.silent &&
+        !target.failing_since && target.unknown_runs == 0 &&
         now >= target.health.suspended_until && MayTry(target, now) &&
         MayStartOn(cell, target, now)) {
       round.slots.push_back({&target, RoomOf(target), {}});
--- a/tests/unit-list-age.cc
+++ b/tests/unit-list-age.cc
@@ -80,6 +80,7 @@
   CPPUNIT_TEST(NothingStartsByAnOldList);
   CPPUNIT_TEST(ListThatIsOldWhenItArrivesStartsNothing);
   CPPUNIT_TEST(UnansweredStartIsNotRepeatedByAnOldList);
+  CPPUNIT_TEST(HeldStartIsNotRepeatedOnADrainingTarget);
   CPPUNIT_TEST(BoundLeavesTimeForTheOrder);
   CPPUNIT_TEST(WaitsAreLoggedOnceASecond);
   CPPUNIT_TEST_SUITE_END();
@@ -120,6 +121,24 @@
                          OrdersOf<cell::SendStart>(owner.Tick()).size());
   }
 
+  // Guards against a start that was held back, here by an old list, and is
+  // repeated on a target that has been draining meanwhile.
+  void HeldStartIsNotRepeatedOnADrainingTarget() {
+    Owner owner;
+    owner.now += entry::MaxListAge(kDrainWithin);
+    const cell::RunId run = owner.StartWithoutAnswer();
+    owner.now += Millis(150);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, owner.StartsAfterNoAnswer(run));
+    owner.entries.front().draining = true;
+    owner.now += Millis(600);
+    (void)owner.List(owner.now);
+    CPPUNIT_ASSERT(OrdersOf<cell::SendStart>(owner.Tick()).empty());
+    // A report shows that the task doesn't run, which frees it for others.
+    Report(owner.owned, "t1", owner.now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         OrdersOf<cell::SendStop>(owner.Tick()).size());
+  }
+
   void BoundLeavesTimeForTheOrder() {
     CPPUNIT_ASSERT(entry::MaxListAge(Millis(2000)) == Millis(1700));
     CPPUNIT_ASSERT(entry::MaxListAge(Millis(400)) == Millis(200));
