Count the time until a target leaves from the reading of the list

What callers would see: a task is lost with its target and begins anew after its lease, instead of being stopped in time and going on elsewhere.

Cause: remaining_ms was counted from when a list was applied.

Why this works: the entry was written before the reading of a list that shows it, or while the list was read, so that the time ends no later than counted from the begin of the reading plus the time of the reading; the owner can't know of more, since the entry has no time of its own.

Test that failed before: DepartureCountsFromTheReading.

--- a/src/cell/runs/reports.cc
+++ b/src/cell/runs/reports.cc
@@ -112,8 +112,9 @@
   largest.accelerators = std::max(largest.accelerators, listed.accelerators);
 }
 
+/// @param as_of when the reading of the list began
 void UpdateTarget(Cell& cell, Actions& actions, Target& target,
-                  const TargetEntry& entry, Time now) {
+                  const TargetEntry& entry, Time as_of) {
   UpdateListedLife(actions, target, entry.life);
   if (entry.draining && !target.entry.draining) {
     Note(actions, "target_draining",
@@ -127,7 +128,7 @@
   if (!entry.draining || entry.remaining <= Millis(0)) {
     target.leaves_at.reset();
   } else if (!target.leaves_at || entry.remaining != target.entry.remaining) {
-    target.leaves_at = now + entry.remaining;
+    target.leaves_at = as_of + entry.remaining;
   }
   const std::int64_t life = target.entry.life;
   target.entry = entry;
@@ -407,7 +408,7 @@
       }
       found->second.recorded = MayHaveAnyRuns(cell, entry.id);
       if (entry.draining && entry.remaining > Millis(0)) {
-        found->second.leaves_at = now + entry.remaining;
+        found->second.leaves_at = as_of + entry.remaining;
       }
       cell.targets_dirty = true;
       Note(actions, "target_found",
@@ -415,7 +416,7 @@
             {"address", entry.address},
             {"service", entry.service}});
     } else {
-      UpdateTarget(cell, actions, found->second, entry, now);
+      UpdateTarget(cell, actions, found->second, entry, as_of);
     }
   }
   for (auto& [id, target] : cell.targets) {
--- a/tests/unit-list-age.cc
+++ b/tests/unit-list-age.cc
@@ -81,6 +81,7 @@
   CPPUNIT_TEST(ListThatIsOldWhenItArrivesStartsNothing);
   CPPUNIT_TEST(UnansweredStartIsNotRepeatedByAnOldList);
   CPPUNIT_TEST(HeldStartIsNotRepeatedOnADrainingTarget);
+  CPPUNIT_TEST(DepartureCountsFromTheReading);
   CPPUNIT_TEST(BoundLeavesTimeForTheOrder);
   CPPUNIT_TEST(WaitsAreLoggedOnceASecond);
   CPPUNIT_TEST_SUITE_END();
@@ -139,6 +140,26 @@
                          OrdersOf<cell::SendStop>(owner.Tick()).size());
   }
 
+  // Guards against a task that is lost with its target, since the announced
+  // time was counted from when the list was applied.
+  void DepartureCountsFromTheReading() {
+    constexpr Millis kRemaining{5000};
+    Owner owner;
+    const Time read_at = owner.now + Millis(100);
+    owner.now += Millis(1000);
+    owner.entries.front().draining = true;
+    owner.entries.front().remaining = kRemaining;
+    (void)owner.List(read_at);
+    CPPUNIT_ASSERT(owner.owned.targets.at("t1").leaves_at ==
+                   read_at + kRemaining);
+    owner.entries.push_back(Entry("t2", "127.0.0.1:2"));
+    owner.entries.back().draining = true;
+    owner.entries.back().remaining = kRemaining;
+    (void)owner.List(read_at);
+    CPPUNIT_ASSERT(owner.owned.targets.at("t2").leaves_at ==
+                   read_at + kRemaining);
+  }
+
   void BoundLeavesTimeForTheOrder() {
     CPPUNIT_ASSERT(entry::MaxListAge(Millis(2000)) == Millis(1700));
     CPPUNIT_ASSERT(entry::MaxListAge(Millis(400)) == Millis(200));
