A release ends with its term of ownership

What callers would see: a host that owns the cell again hands it over at once, a second gap of some tenths of a second.

Cause: Host kept the begin of a release until it offered the cell to another host. If the release was completed without one to offer it to, or another host took the cell, the time stayed; in a later term CheckRelease took it for a release that had timed out, and CheckOwnership and CheckLoad did nothing.

Why this works: CellHost has the time now, beside the callback of the release, and drops both when the term ends.

Test: ReleaseEndsWithItsTerm, of the new place. It can't be shown failing on the former one: the state was in Host, which no test can open as a whole.

--- a/include/buckthornmux/detail/entry/cell_host.h
+++ b/include/buckthornmux/detail/entry/cell_host.h
@@ -70,6 +70,11 @@
   void Close(std::string_view why);
   /// @brief Accepts no new work; calls `done` once everything is stored.
   void Release(std::function<void()> done);
+  /// @brief When the release began that isn't complete; nothing if none is in
+  ///   progress.
+  [[nodiscard]] std::optional<Time> ReleasingSince() const {
+    return m_releasing_since;
+  }
   /// @brief Sets whether this host's registration is valid. Without it, this
   ///   host sends no orders to targets.
   void SetLeaseHeld(bool held);
@@ -177,7 +182,8 @@
   std::map<TargetId, ReportLoop> m_reports;
   OwnerCalls m_owner_calls;
   CallDelays m_start_delays;
-  std::function<void()> m_released;
+  std::function<void()> m_released;  ///< Set while a release is in progress.
+  std::optional<Time> m_releasing_since;
   /// State of the targets when this host last closed the cell.
   std::optional<FormerOwnerState> m_final_state;
   Time m_final_state_at;
--- a/src/cell/runs/runs.cc
+++ b/src/cell/runs/runs.cc
@@ -45,8 +45,8 @@
 
 /// Whether a start may be sent again. Since the run was reserved, the target's
 /// room may have shrunk, the team's limit may have been lowered, the evacuation
-/// of the target's data centre may have begun, the target may drain, or the list
-/// be too old.
+/// of the target's data centre may have begun, the target may drain, or the
+/// list be too old.
 bool MayResendStart(const Cell& cell, const Target& target, const Run& run,
                     Time now) {
   return MayStartOn(cell, target, now) &&
--- a/src/entry/cell_host.cc
+++ b/src/entry/cell_host.cc
@@ -133,6 +133,7 @@
   }
   m_reports.clear();
   m_released = nullptr;
+  m_releasing_since.reset();
   for (const AddressedReply& late : CloseCalls(m_owner_calls)) {
     m_events.reply(late.to, late.reply);
   }
@@ -145,6 +146,7 @@
     return;
   }
   m_released = std::move(done);
+  m_releasing_since = Now();
   m_cell->options.write_delay = Millis(0);
   SchedulePump();
 }
--- a/src/entry/host.cc
+++ b/src/entry/host.cc
@@ -151,7 +151,6 @@
             m_cell.Close("owned by another host");
           },
           [this](const std::string& range) {
-            m_release_began = Now();
             m_cell.Release([this, range] {
               if (!HandOver("released")) {
                 SetReadersActive(false);
--- a/src/entry/host_load.cc
+++ b/src/entry/host_load.cc
@@ -55,7 +55,7 @@
 
 void Host::CheckLoad(Time now) {
   const auto limiting = m_owner_load.Overloaded(m_settings.capacity);
-  if (!limiting || m_leaving || m_passive || m_release_began ||
+  if (!limiting || m_leaving || m_passive || m_cell.ReleasingSince() ||
       !m_cell.Owning() || !HasUnlikeHosts(m_members.Members())) {
     return;
   }
--- a/src/entry/host_ownership.cc
+++ b/src/entry/host_ownership.cc
@@ -48,7 +48,6 @@
       .With("epoch", epoch)
       .With("to", to)
       .With("reason", why);
-  m_release_began.reset();
   m_members.Abandon(range);
   m_offer = OpenOffer{epoch, to, Now() + kOfferTimeout, {}};
   SendTo(to, RangeOffer{range, epoch});
@@ -118,9 +117,9 @@
 }
 
 void Host::CheckRelease(Time now) {
-  if (m_release_began && now - *m_release_began > kReleaseTimeout &&
-      !HandOver("release timed out")) {
-    m_release_began = now;
+  const auto since = m_cell.ReleasingSince();
+  if (since && now - *since > kReleaseTimeout) {
+    (void)HandOver("release timed out");
   }
 }
 
@@ -178,7 +177,7 @@
 }
 
 void Host::CheckOwnership(Time now) {
-  if (m_leaving || m_passive || m_release_began || !m_cell.Owning() ||
+  if (m_leaving || m_passive || m_cell.ReleasingSince() || !m_cell.Owning() ||
       now - m_gained_at < kMinOwnershipTime) {
     return;
   }
--- a/src/entry/host_process.h
+++ b/src/entry/host_process.h
@@ -216,7 +216,6 @@
   OwnerLoadGauge m_owner_load;
   OverloadedHosts m_overloaded;
   Time m_overload_logged;
-  std::optional<Time> m_release_began;  ///< Start of an unfinished release.
   SlowOwners m_slow_owners;
   bool m_passive = false;  ///< Owns nothing because this host is slow.
   Time m_passive_until;
--- a/tests/unit-cell-host.cc
+++ b/tests/unit-cell-host.cc
@@ -272,6 +272,7 @@
   CPPUNIT_TEST(EachTermStartsByItsOwnListOfTargets);
   CPPUNIT_TEST(ListThatIsReadBeforeTheRecordsIsUsed);
   CPPUNIT_TEST(OwnerWithAnOldListStartsNothingAndSaysSo);
+  CPPUNIT_TEST(ReleaseEndsWithItsTerm);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -518,6 +519,28 @@
     CPPUNIT_ASSERT(f.StartsAfterTicks() > 0);
   }
 
+  // Guards against a host that gives the cell up as soon as it owns it again,
+  // since the release of a former term seems to have timed out.
+  void ReleaseEndsWithItsTerm() {
+    Fixture f;
+    int releases = 0;
+    const auto release = [&] { f.host.Release([&releases] { ++releases; }); };
+    f.store.commit_outcomes.push_back(CommitOutcome::kSilentBefore);
+    (void)f.Call(CallKind::kSubmit, "j2");
+    release();
+    CPPUNIT_ASSERT(f.host.ReleasingSince().has_value());
+    f.host.Close("owned by another host");
+    CPPUNIT_ASSERT(!f.host.ReleasingSince().has_value());
+    f.host.Open({.range = "cell/0", .owner = "a", .epoch = 2}, Millis(0));
+    f.Run();
+    CPPUNIT_ASSERT(!f.host.ReleasingSince().has_value());
+    CPPUNIT_ASSERT_EQUAL(0, releases);
+    release();
+    f.Run();
+    CPPUNIT_ASSERT_EQUAL(1, releases);
+    CPPUNIT_ASSERT(!f.host.ReleasingSince().has_value());
+  }
+
   // Guards against a takeover that reads the list a second time.
   void ListThatIsReadBeforeTheRecordsIsUsed() {
     OneTarget f;
