--- a/tests/unit-http.cc
+++ b/tests/unit-http.cc
@@ -73,8 +73,8 @@
   // Guards against an owner that reads the list of its targets for seconds,
   // since each turn of its busy loop reads a small part (review/11).
   void LongAnswerTakesFewTurnsOfTheLoop() {
-    constexpr std::size_t kListBytes = 340'000;  // Of 540 targets.
-    // A list may be 1,700 ms old, and a turn takes 25 ms beside many callers.
+    constexpr std::size_t kListBytes = 340'000;  // Assumed for 540 targets.
+    // A list may be 1,700 ms old; 25 ms are assumed for a turn of a busy loop.
     constexpr std::size_t kMaxTurns = 1700 / 25;
     IoThread far;
     HttpServer server(far.io, {}, [](HttpRequest, Responder respond) {
