Bound the wait for former owners' runs by when they were replaced

Cause: an owner stored every 0.5 s what was left of a wait, and the next one counted that from its claim. The time between the last record and the claim was lost; an owner that lived for less than 0.5 s handed on all of it.

Change: each host notes when it first saw each epoch claimed. A new owner asks eight others for how long ago that was. An owner that was replaced renews nothing after 2.7 s, so the runs of owners up to epoch k are over that time and the longest lease after epoch k + 1 was seen. Errors only make the wait longer: a host sees a claim after it took effect, ages are told by a clock that counts suspensions, and clocks of two hosts are never compared.

--- a/include/buckthornmux/detail/cell/cell.h
+++ b/include/buckthornmux/detail/cell/cell.h
@@ -134,6 +134,14 @@
   TargetId unreported_last;  ///< Unreported target whose lease ends last.
   /// Time until the lease of `unreported_last` ends.
   Millis unreported_for{0};
+  /// Last owner that may have sent orders to it, and what shows its end.
+  Epoch unreported_owner = 0;
+  std::string_view unreported_bound = "none";
+  /// How long jobs that were taken over have not been able to start, over all
+  /// owners in a row; time without an owner is missing in it.
+  Millis unrecovered{0};
+  /// Steps of such jobs that could start.
+  std::size_t adopted_waiting = 0;
   /// Targets that are reserved for a task on probation.
   std::size_t targets_reserved = 0;
   /// Tasks that wait and are suspected of having crashed targets.
@@ -187,6 +195,12 @@
                                           std::string_view state, Millis age,
                                           Time now);
 
+/// @brief Applies when former owners were replaced: an owner renews no lease
+///   after Options::owner_discovery from then on, however many owners came
+///   since. Times that are too late only prolong the wait.
+void ApplySightings(Cell& cell, Actions& actions,
+                    std::span<const EpochSighting> sightings, Time now);
+
 /// @brief Applies a configuration.
 void SetRules(Cell& cell, Actions& actions, Rules rules, Time now);
 
--- a/include/buckthornmux/detail/cell/state.h
+++ b/include/buckthornmux/detail/cell/state.h
@@ -210,11 +210,25 @@
   TargetHealth health;
 };
 
+/// What shows when the leases of former owners' runs are over.
+enum class LeaseBound : std::uint8_t {
+  kStored,       ///< The stored list of targets.
+  kFormerOwner,  ///< What the former owner told as it handed the cell over.
+  kSeen,         ///< When the owner after the last one that gave orders came.
+};
+
 /// A target that may run tasks of former owners.
 struct ExpectedTarget {
   Time until;  ///< When the leases of these tasks end.
   /// Last owner that may have sent orders to the target.
   Epoch last_owner = 0;
+  LeaseBound bound = LeaseBound::kStored;
+};
+
+/// When an epoch was first known to have been claimed.
+struct EpochSighting {
+  Epoch epoch = 0;
+  Time seen;
 };
 
 /// A ticket and its expiry time.
--- a/include/buckthornmux/detail/entry/calls.h
+++ b/include/buckthornmux/detail/entry/calls.h
@@ -146,6 +146,22 @@
   Millis age{0};        ///< Time since the former owner's last action.
 };
 
+/// How long ago a host first knew that an epoch of the cell had been claimed.
+struct EpochAge {
+  Epoch epoch = 0;
+  Millis age{0};
+};
+
+/// Sent by a new owner: asks another host when the former ones came.
+struct EpochQuery {
+  Epoch epoch = 0;  ///< Of the sender.
+};
+
+/// Reply to an EpochQuery.
+struct EpochAges {
+  std::vector<EpochAge> ages;
+};
+
 /// Asks whether a host that does not answer the sender's pings answers those of
 /// the receiver.
 struct LivenessQuery {
--- a/include/buckthornmux/detail/entry/cell_host.h
+++ b/include/buckthornmux/detail/entry/cell_host.h
@@ -102,6 +102,11 @@
   /// @brief Handles the target state that the former owner of the cell sent.
   void HandleFinalState(const FormerOwnerState& state);
 
+  /// @brief Sets when former owners came, as far as it is known.
+  void SetSightings(std::vector<cell::EpochSighting> sightings);
+  /// @brief Whether jobs that were taken over wait for former owners' runs.
+  [[nodiscard]] bool Recovering() const { return m_cell && !m_cell->recovered; }
+
   void SetRules(const RulesPtr& rules);
   /// @brief Sets the list of targets, as read since the cell was opened.
   void SetTargets(TargetList list);
@@ -136,6 +141,7 @@
 
   void OnLoaded(std::vector<cell::RecordWrite> records);
   void ApplyFormerState();
+  void ApplySightings();
   void ApplyTargets(const TargetList& list);
   void OnStored(const cell::Batch& batch);
   void RunActions(cell::Actions actions);
@@ -155,6 +161,8 @@
   void Send(const cell::SendStop& stop);
   void Reply(const std::optional<AddressedReply>& reply);
   void LogLoad() const;
+  /// Logs what jobs that were taken over wait for.
+  void LogRecovery(const cell::Load& load) const;
   /// Whether the list of targets alone keeps this host from starting tasks.
   [[nodiscard]] bool AwaitsList(Time now) const {
     return Serving() && MayOrder() && !cell::IsListRecent(*m_cell, now);
@@ -190,6 +198,8 @@
   /// State of the targets as sent by the former owner.
   std::optional<FormerOwnerState> m_former_state;
   Time m_former_state_at;
+  /// When former owners came, on this host's clock.
+  std::vector<cell::EpochSighting> m_sightings;
   Time m_tick_at;
   Time m_load_logged;
   boost::asio::steady_timer m_pump_timer;
--- a/include/buckthornmux/detail/peer/messages.h
+++ b/include/buckthornmux/detail/peer/messages.h
@@ -67,15 +67,14 @@
   Revision known = 0;
 };
 
-using Message =
-    std::variant<Hello, Ping, Pong, CallSubmit, CallCancel, CallQuery, CallGone,
-                 CallReply, home::ToShard, home::FromShard, NotTaken,
-                 ConfigText, ConfigWanted, entry::CellCall, entry::CellReply,
-                 entry::AdviceRequest, entry::AdviceReply, entry::StoreQuery,
-                 entry::StoreStatus, entry::RangeOffer, entry::LivenessQuery,
-                 entry::LivenessReply, entry::FormerOwnerState,
-                 entry::OwnerOverloaded, entry::EvacuationQuery,
-                 entry::EvacuationStatus, entry::OwnerSlow, entry::JobsInDoubt>;
+using Message = std::variant<
+    Hello, Ping, Pong, CallSubmit, CallCancel, CallQuery, CallGone, CallReply,
+    home::ToShard, home::FromShard, NotTaken, ConfigText, ConfigWanted,
+    entry::CellCall, entry::CellReply, entry::AdviceRequest, entry::AdviceReply,
+    entry::StoreQuery, entry::StoreStatus, entry::RangeOffer,
+    entry::LivenessQuery, entry::LivenessReply, entry::FormerOwnerState,
+    entry::OwnerOverloaded, entry::EvacuationQuery, entry::EvacuationStatus,
+    entry::OwnerSlow, entry::JobsInDoubt, entry::EpochQuery, entry::EpochAges>;
 
 /// State of one shard in a heartbeat.
 struct ShardBeat {
--- a/include/buckthornmux/detail/runtime/metrics.h
+++ b/include/buckthornmux/detail/runtime/metrics.h
@@ -55,6 +55,7 @@
   kHeadroomCpu,         ///< Kept free for urgent work, millicores.
   kIdleBesideWork,      ///< Time of free room beside work that fits it, ms.
   kTargetListAge,       ///< Age of the list of targets, ms.
+  kUnrecovered,         ///< Time that jobs taken over have not started, ms.
   kCount,
 };
 
--- a/src/cell/internal.h
+++ b/src/cell/internal.h
@@ -226,6 +226,9 @@
 /// @brief Returns the targets that may have unreported runs of a former owner.
 [[nodiscard]] std::vector<TargetId> Unreported(const Cell& cell, Time now);
 
+/// How long former owners in a row and this one have not recovered.
+[[nodiscard]] Millis UnrecoveredFor(const Cell& cell, Time now);
+
 /// Ends recovery once no unreported run of a former owner can be left.
 void CheckRecovery(Cell& cell, Actions& actions, Time now);
 
--- a/src/cell/placement/plan.cc
+++ b/src/cell/placement/plan.cc
@@ -610,6 +610,18 @@
       }));
 }
 
+std::string_view NameOf(LeaseBound bound) {
+  switch (bound) {
+    case LeaseBound::kStored:
+      return "stored";
+    case LeaseBound::kFormerOwner:
+      return "told by the former owner";
+    case LeaseBound::kSeen:
+      return "seen when replaced";
+  }
+  return "unknown";
+}
+
 /// Adds the waits of a step that suspicions cause.
 void AddCrashHolds(const Step& step, Load& load, Time now) {
   Millis longest = HeldFor(step.crash_hold, now);
@@ -629,18 +641,22 @@
   AddTargets(cell, load);
   for (const TargetId& id : Unreported(cell, now)) {
     ++load.unreported;
-    if (const Millis left = cell.expected.at(id).until - now;
-        left > load.unreported_for) {
+    const ExpectedTarget& expected = cell.expected.at(id);
+    if (const Millis left = expected.until - now; left > load.unreported_for) {
       load.unreported_last = id;
       load.unreported_for = left;
+      load.unreported_owner = expected.last_owner;
+      load.unreported_bound = NameOf(expected.bound);
     }
   }
+  load.unrecovered = UnrecoveredFor(cell, now);
   load.targets_reserved = CountReserved(cell, now);
   for (const StepRef& ref : cell.ready) {
     const Job& job = *FindJob(cell, ref.job);
     const Step& step = *FindStep(job, ref.occurrence, ref.step);
     const StepSpec& spec = job.spec.steps[ref.step];
     AddCrashHolds(step, load, now);
+    load.adopted_waiting += cell.recovered || !job.adopted ? 0U : 1U;
     const std::int64_t waiting = WaitingCpu(step, spec);
     load.waiting_cpu_milli += waiting;
     if (!TeamAllowsTask(cell, job.spec.team, spec.demand)) {
--- a/src/cell/records/record_targets.cc
+++ b/src/cell/records/record_targets.cc
@@ -24,12 +24,6 @@
 /// Maximum number of capacities stored for a service.
 constexpr std::size_t kMaxCapacities = 8;
 
-/// How long former owners and this one have not recovered.
-Millis UnrecoveredFor(const Cell& cell, Time now) {
-  return cell.recovered ? Millis(0)
-                        : cell.unrecovered_before + (now - cell.claimed_at);
-}
-
 /// Whether a target that hasn't reported to this owner must be stored as one
 /// that may get orders. Those whose former leases are over are stored once they
 /// report.
@@ -190,6 +184,11 @@
 
 }  // namespace
 
+Millis UnrecoveredFor(const Cell& cell, Time now) {
+  return cell.recovered ? Millis(0)
+                        : cell.unrecovered_before + (now - cell.claimed_at);
+}
+
 Result<std::size_t> InheritTargets(Cell& cell, std::string_view value,
                                    std::string_view key) {
   BOOST_LEAF_AUTO(stored, DecodeTargets(cell, value, key));
@@ -335,7 +334,10 @@
     return !until.contains(entry.first);
   });
   for (auto& [id, expected] : cell.expected) {
-    expected.until = std::min(expected.until, until.at(id));
+    if (until.at(id) < expected.until) {
+      expected.until = until.at(id);
+      expected.bound = LeaseBound::kFormerOwner;
+    }
   }
   cell.targets_dirty = true;
   Note(actions, "former_owner_told",
@@ -347,4 +349,48 @@
   return cell.expected.size();
 }
 
+void ApplySightings(Cell& cell, Actions& actions,
+                    std::span<const EpochSighting> sightings, Time now) {
+  // The earliest sighting of each epoch or a later one.
+  std::map<Epoch, Time> earliest;
+  for (const EpochSighting& each : sightings) {
+    const auto [found, added] = earliest.try_emplace(each.epoch, each.seen);
+    found->second = std::min(found->second, each.seen);
+  }
+  Time least = Time::max();
+  for (auto each = earliest.rbegin(); each != earliest.rend(); ++each) {
+    least = std::min(least, each->second);
+    each->second = least;
+  }
+  const Millis lasts =
+      cell.options.owner_discovery + MaxLeaseLifetime(cell.options);
+  const auto end_of = [&](Epoch last_owner) {
+    const auto next = earliest.upper_bound(last_owner);
+    return next == earliest.end() ? Time::max() : next->second + lasts;
+  };
+  std::size_t shortened = 0;
+  for (auto& [id, expected] : cell.expected) {
+    if (const Time end = end_of(expected.last_owner); end < expected.until) {
+      expected.until = end;
+      expected.bound = LeaseBound::kSeen;
+      ++shortened;
+    }
+  }
+  for (auto& [id, target] : cell.targets) {
+    // Former owners' leases only: this one may renew what it has stored.
+    if (target.last_owner > 0 && target.last_owner < cell.epoch) {
+      target.lease_until =
+          std::min(target.lease_until, end_of(target.last_owner));
+    }
+  }
+  if (shortened > 0) {
+    cell.targets_dirty = true;
+    Note(actions, "leases_bounded",
+         {{"epoch", std::to_string(cell.epoch)},
+          {"targets", std::to_string(shortened)},
+          {"sightings", std::to_string(sightings.size())}});
+  }
+  CheckRecovery(cell, actions, now);
+}
+
 }  // namespace buckthornmux::cell
--- a/src/entry/cell_host.cc
+++ b/src/entry/cell_host.cc
@@ -114,6 +114,7 @@
   m_metrics.Count(Counter::kRangesLost);
   if (Serving()) {
     m_final_state_at = Now();
+    LogRecovery(cell::LoadOf(*m_cell, m_final_state_at));
     m_final_state = FormerOwnerState{
         m_owner->range, m_owner->epoch,
         cell::EncodeFormerOwnerState(*m_cell, m_final_state_at), Millis(0)};
@@ -128,7 +129,7 @@
        {Gauge::kOccurrencesWaiting, Gauge::kJobsBehind, Gauge::kStepsWaiting,
         Gauge::kRuns, Gauge::kJobBytes, Gauge::kTargetsEvacuated,
         Gauge::kInterferingPairs, Gauge::kHeadroomCpu, Gauge::kIdleBesideWork,
-        Gauge::kTargetListAge}) {
+        Gauge::kTargetListAge, Gauge::kUnrecovered}) {
     m_metrics.Set(gauge, 0);
   }
   m_reports.clear();
@@ -187,6 +188,8 @@
   cell::StartService(*m_cell, actions, now);
   RunActions(std::move(actions));
   ApplyFormerState();
+  ApplySightings();
+  LogRecovery(cell::LoadOf(*m_cell, now));
   SchedulePump();
 }
 
@@ -221,6 +224,21 @@
   SchedulePump();
 }
 
+void CellHost::SetSightings(std::vector<cell::EpochSighting> sightings) {
+  m_sightings = std::move(sightings);
+  ApplySightings();
+}
+
+void CellHost::ApplySightings() {
+  if (!Serving() || m_cell->recovered) {
+    return;
+  }
+  cell::Actions actions;
+  cell::ApplySightings(*m_cell, actions, m_sightings, Now());
+  RunActions(std::move(actions));
+  SchedulePump();
+}
+
 void CellHost::OnStored(const cell::Batch& batch) {
   m_metrics.Count(Counter::kJournalWrites);
   m_metrics.Count(Counter::kJournalRecords, batch.writes.size());
@@ -500,6 +518,22 @@
   }
 }
 
+void CellHost::LogRecovery(const cell::Load& load) const {
+  if (m_cell->recovered) {
+    return;
+  }
+  LogLine("recovery_awaited")
+      .With("epoch", m_cell->epoch)
+      .With("owned_ms", (Now() - m_cell->claimed_at).count())
+      .With("unrecovered_ms", load.unrecovered.count())
+      .With("targets", static_cast<std::uint64_t>(load.unreported))
+      .With("last", load.unreported_last)
+      .With("last_owner", load.unreported_owner)
+      .With("left_ms", load.unreported_for.count())
+      .With("bound", load.unreported_bound)
+      .With("steps", static_cast<std::uint64_t>(load.adopted_waiting));
+}
+
 /// Logs the load of the cell, which gives context to the logged decisions.
 void CellHost::LogLoad() const {
   const Time now = Now();
@@ -521,6 +555,9 @@
                 static_cast<std::uint64_t>(load.idle_beside_work.count()));
   m_metrics.Set(Gauge::kTargetListAge,
                 static_cast<std::uint64_t>(load.list_age.count()));
+  m_metrics.Set(Gauge::kUnrecovered,
+                static_cast<std::uint64_t>(load.unrecovered.count()));
+  LogRecovery(load);
   LogLine("cell_load")
       .With("epoch", m_cell->epoch)
       .With("targets", static_cast<std::uint64_t>(load.targets))
--- a/src/entry/host.cc
+++ b/src/entry/host.cc
@@ -145,6 +145,9 @@
             m_owner_load.Restart();
             m_cell.Open(record, FormerLeaseLeft(record), TargetsUnlisted());
             SetReadersActive(true);
+            m_sightings_asked_at = Time{};
+            CheckSightings(Now());
+            SetSightings();
           },
           [this](const std::string& /*range*/) {
             SetReadersActive(false);
@@ -312,6 +315,7 @@
   m_callers.Tick(now);
   m_client_limits.Tick();
   CheckOwner(now);
+  CheckSightings(now);
   WatchSettings(now);
   LeaveWhenDone(now);
   m_log.Flush();
--- a/src/entry/host_calls.cc
+++ b/src/entry/host_calls.cc
@@ -74,6 +74,13 @@
     m_overloaded[from] = Now();
   } else if (std::holds_alternative<OwnerSlow>(message)) {
     m_slow_owners[from] = Now();
+  } else if (std::holds_alternative<EpochQuery>(message)) {
+    const Time now = Now();
+    CheckSightings(now);
+    SendTo(from, EpochAges{AgesOf(m_sightings, now)});
+  } else if (const auto* seen = std::get_if<EpochAges>(&message)) {
+    MergeAges(m_sightings, seen->ages, Now());
+    SetSightings();
   } else if (const auto* state = std::get_if<FormerOwnerState>(&message)) {
     m_cell.HandleFinalState(*state);
   } else if (const auto* query = std::get_if<EvacuationQuery>(&message)) {
--- a/src/entry/host_ownership.cc
+++ b/src/entry/host_ownership.cc
@@ -22,6 +22,8 @@
 /// within about two seconds of its return.
 constexpr Millis kListReturnTimeout{3000};
 constexpr Millis kLateLogInterval{1000};
+/// Interval between queries for sightings while the cell recovers.
+constexpr Millis kSightingsInterval{500};
 constexpr Millis kMeasureInterval{250};
 /// Minimum time that a new owner keeps the cell if it can, since a move
 /// requires reading all records. Longer than cell::Options::owner_discovery, so
@@ -214,6 +216,20 @@
   m_owner_watch.Tick(owner, m_callers.WaitingSince(owner), now);
 }
 
+void Host::CheckSightings(Time now) {
+  NoteEpoch(m_sightings, m_members.KnownEpoch(std::string(kRange)), now);
+  if (!m_cell.Recovering() || now - m_sightings_asked_at < kSightingsInterval) {
+    return;
+  }
+  m_sightings_asked_at = now;
+  const EpochQuery query{m_cell.OwnedEpoch()};
+  for (const HostId& host : HostsToAsk(m_links_up, m_sightings_round++)) {
+    SendTo(host, query);
+  }
+}
+
+void Host::SetSightings() { m_cell.SetSightings(ListOf(m_sightings)); }
+
 void Host::HandlePause(Millis pause) {
   if (pause > Millis(0) && m_cell.Owning()) {
     LogLine("paused", Level::kWarning).With("for_ms", pause.count());
--- a/src/entry/host_process.h
+++ b/src/entry/host_process.h
@@ -18,6 +18,7 @@
 #include "buckthornmux/detail/entry/callers.h"
 #include "buckthornmux/detail/entry/cell_host.h"
 #include "buckthornmux/detail/entry/clock.h"
+#include "buckthornmux/detail/entry/epoch_sightings.h"
 #include "buckthornmux/detail/entry/evacuation_reader.h"
 #include "buckthornmux/detail/entry/evacuation_relay.h"
 #include "buckthornmux/detail/entry/log_buffer.h"
@@ -148,6 +149,11 @@
   /// Returns for how much longer live targets may be missing from the list.
   [[nodiscard]] Millis TargetsUnlisted() const;
   void CheckOwner(Time now);
+  /// Notes the owners that this host sees and, while the cell recovers, asks
+  /// other hosts for what they have seen.
+  void CheckSightings(Time now);
+  /// Passes the sightings on to the cell.
+  void SetSightings();
   /// Makes a slow owner hand the cell over if there are enough other hosts, and
   /// lets it claim again once it has recovered.
   /// @param late how late this tick came
@@ -204,6 +210,9 @@
   PauseWatch m_pauses;
   Time m_gained_at;       ///< When this host last became the owner.
   Epoch m_suspected = 0;  ///< Epoch of the last suspected owner.
+  EpochSightings m_sightings;
+  Time m_sightings_asked_at;
+  std::size_t m_sightings_round = 0;
   std::optional<OpenOffer> m_offer;
   ServedPeers m_served_peers;
   struct LoadCounters {
--- a/src/runtime/metrics.cc
+++ b/src/runtime/metrics.cc
@@ -34,7 +34,8 @@
     "owner_link_kbps",     "owner_busy_permille",
     "targets_evacuated",   "request_bytes",
     "interfering_pairs",   "headroom_cpu_milli",
-    "idle_beside_work_ms", "target_list_age_ms"};
+    "idle_beside_work_ms", "target_list_age_ms",
+    "unrecovered_ms"};
 
 constexpr std::array<std::string_view, kTimings> kTimingNames = {
     "urgent_answer_ms", "patient_accept_ms", "journal_write_ms",
--- a/tests/unit-takeover-waits-random.cc
+++ b/tests/unit-takeover-waits-random.cc
@@ -70,6 +70,7 @@
   bool isolated = false;
   std::optional<cell::Batch> writing;
   Time written_at;
+  Time told_at = Time::max();  ///< When a host tells it what it has seen.
 };
 
 /// What happened in some plays.
@@ -165,6 +166,11 @@
     if (!m_options.guarded) {
       owner.cell.options.owner_discovery = Millis(0);
     }
+    // A host that lives on sees each claim, at times late.
+    m_seen.push_back({m_epoch, m_now + Span(0, 2000)});
+    if (!Chance(3)) {
+      owner.told_at = owner.serves_at + Span(0, 500);
+    }
     ++m_tally.owners;
   }
 
@@ -265,6 +271,10 @@
     cell::Actions actions;
     cell::SetTargets(owner.cell, actions, Listed(), m_now, m_now);
     cell::Tick(owner.cell, actions, m_now);
+    if (m_now >= owner.told_at) {
+      owner.told_at = Time::max();
+      Tell(owner, actions);
+    }
     if (owner.epoch == 1 && m_next_job < kJobs) {
       const std::string id = "j" + std::to_string(m_next_job++);
       cell::Submit(owner.cell, actions, 1, PlainJob(id, 2, 60'000), m_now,
@@ -280,6 +290,13 @@
     }
   }
 
+  void Tell(SimOwner& owner, cell::Actions& actions) const {
+    std::vector<cell::EpochSighting> seen;
+    std::ranges::copy_if(m_seen, std::back_inserter(seen),
+                         [&](const auto& each) { return each.seen <= m_now; });
+    cell::ApplySightings(owner.cell, actions, seen, m_now);
+  }
+
   void Report(SimOwner& owner, cell::Actions& actions, SimTarget& target) {
     const auto known = owner.cell.targets.find(target.id);
     if (known == owner.cell.targets.end() || Chance(3)) {
@@ -396,6 +413,7 @@
   std::list<SimOwner> m_owners;
   Records m_stored;
   Epoch m_epoch = 0;
+  std::vector<cell::EpochSighting> m_seen;
   int m_next_job = 0;
   Tally m_tally;
 };
--- a/tests/unit-takeover-waits.cc
+++ b/tests/unit-takeover-waits.cc
@@ -22,6 +22,9 @@
   Time now = kBegin;
   Epoch epoch = 1;
   bool suspected = true;
+  /// Whether a host that lives on tells each owner when the others came.
+  bool told = false;
+  std::vector<cell::EpochSighting> seen;
   Time replaced_at;  ///< When the first one was replaced.
 };
 
@@ -54,6 +57,7 @@
 std::optional<Time> OwnFor(Owners& owners, Millis life) {
   const Time claimed = owners.now;
   const Time end = claimed + life;
+  owners.seen.push_back({owners.epoch + 1, claimed});
   owners.now += std::min(kLoadTime, life);
   if (kLoadTime >= life) {
     ++owners.epoch;
@@ -63,6 +67,10 @@
       ++owners.epoch, owners.stored, {Entry("here", "127.0.0.1:1")}, claimed,
       owners.suspected ? cell::Options{}.owner_discovery : Millis(0));
   Report(owned, "here", owners.now);
+  if (owners.told) {
+    cell::Actions actions;
+    cell::ApplySightings(owned, actions, owners.seen, owners.now);
+  }
   for (; owners.now < end; owners.now += kTick) {
     cell::Actions actions;
     cell::Tick(owned, actions, owners.now);
@@ -96,6 +104,8 @@
 class TakeoverWaitsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(TakeoverWaitsTest);
   CPPUNIT_TEST(WaitDoesNotGrowWithTheNumberOfOwners);
+  CPPUNIT_TEST(WaitShrinksByTheTimeThatPasses);
+  CPPUNIT_TEST(LaterOwnersLeaseIsNotCutShort);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -119,6 +129,55 @@
       }
     }
   }
+
+  // Guards against LOST (review/13): an owner counted what was left of a wait
+  // from its claim, although time had passed since its predecessor stored it,
+  // so that owners that lived for less than 0.5 s handed on all of it.
+  void WaitShrinksByTheTimeThatPasses() {
+    for (const bool suspected : {false, true}) {
+      for (const Millis life : kLives) {
+        for (const int count : kCounts) {
+          Owners owners = FirstOwner();
+          owners.suspected = suspected;
+          owners.told = true;
+          const Time recovered = RecoveryTime(owners, count, life);
+          const Time bound = owners.replaced_at + LongestLease() +
+                             cell::Options{}.owner_discovery;
+          CPPUNIT_ASSERT_MESSAGE(
+              std::to_string(count) + " owners of " +
+                  std::to_string(life.count()) + " ms: recovered " +
+                  std::to_string((recovered - owners.replaced_at).count()) +
+                  " ms after the first one was replaced",
+              recovered <= bound + kLoadTime + 2 * kTick);
+        }
+      }
+    }
+  }
+
+  // Guards against a wait that ends before the lease of the last owner that
+  // gave orders: only its own replacement counts, not that of earlier ones.
+  void LaterOwnersLeaseIsNotCutShort() {
+    Owners owners = FirstOwner();
+    const std::vector<cell::TargetEntry> both{Entry("here", "127.0.0.1:1"),
+                                              Entry("left", "127.0.0.1:2")};
+    const Time long_ago = owners.now - Millis(60'000);
+    cell::Cell second = Open(2, owners.stored, both, owners.now);
+    Report(second, "here", owners.now);
+    Report(second, "left", owners.now);
+    Store(second, owners.stored, owners.now);
+    CPPUNIT_ASSERT(second.recovered);
+    cell::Cell third =
+        Open(3, owners.stored, {Entry("here", "127.0.0.1:1")}, owners.now);
+    Report(third, "here", owners.now);
+    cell::Actions actions;
+    const std::vector<cell::EpochSighting> seen{{1, long_ago}, {2, long_ago}};
+    cell::ApplySightings(third, actions, seen, owners.now);
+    const Time over = owners.now + LongestLease();
+    cell::Tick(third, actions, over - Millis(1));
+    CPPUNIT_ASSERT(!third.recovered);
+    cell::Tick(third, actions, over);
+    CPPUNIT_ASSERT(third.recovered);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TakeoverWaitsTest);
