Take a lease for over only as the owner of the cell

What callers would see: a task runs twice at the same time.

Owner 5 renews the leases of a target that owner 4 never reached. Owner 4 counts these leases from what it read, takes them for over and starts the tasks elsewhere.

Cause: that the time of a lease has passed shows its end only if no next owner has renewed it.

Change: leases of targets that haven't reported, and of silent ones, are taken for over only if a write that was begun after their end has been stored, which happens only while the cell is this owner's. A lease that ends has the list of targets stored at once. A next owner that comes after the end renews nothing.

Tests: ReplacedOwnerTakesNoLeaseForOver fails without the change.

--- a/include/buckthornmux/detail/cell/state.h
+++ b/include/buckthornmux/detail/cell/state.h
@@ -500,6 +500,7 @@
   std::vector<TargetId> targets;  ///< Stored target list, if in this batch.
   std::vector<TargetId> closed;   ///< Those whose runs are stored.
   std::vector<OmittedRecord> omitted;  ///< Longer than the store accepts.
+  Time taken_at;  ///< Once it is stored: this host owned the cell then.
 };
 
 struct Cell {
@@ -513,6 +514,9 @@
   /// Until then live targets may be missing from the list, since the store was
   /// unavailable. They can't be asked what they have run.
   Time targets_listed_by;
+  /// The latest time at which this host owned the cell for certain. Leases that
+  /// end later may have been renewed by a next owner.
+  Time owned_at;
   bool loaded = false;        ///< Stored jobs are loaded; work is accepted.
   bool recovered = false;     ///< No unreported run of a former owner is left.
   bool store_healthy = true;  ///< The store answers writes in time.
--- a/src/cell/records/records.cc
+++ b/src/cell/records/records.cc
@@ -386,6 +386,7 @@
     return std::nullopt;
   }
   Batch batch;
+  batch.taken_at = now;
   if (cell.targets_dirty) {
     WriteTargets(cell, batch, now);
   }
@@ -447,6 +448,8 @@
 }
 
 void OnBatchStored(Cell& cell, Actions& actions, const Batch& batch, Time now) {
+  // A write takes effect only while this host owns the cell.
+  cell.owned_at = std::max(cell.owned_at, batch.taken_at);
   for (const auto& [id, version] : batch.versions) {
     Job* job = FindJob(cell, id);
     if (job == nullptr) {
@@ -472,6 +475,7 @@
   for (auto& [id, target] : cell.targets) {
     AdvanceAcks(cell, target);
   }
+  CheckRecovery(cell, actions, now);
 }
 
 }  // namespace buckthornmux::cell
--- a/src/cell/runs/reports.cc
+++ b/src/cell/runs/reports.cc
@@ -545,7 +545,7 @@
 /// the target once it is neither listed nor answering.
 void ExpireTarget(Cell& cell, Actions& actions, Target& target, Time now) {
   const std::vector<RunId> lapsed =
-      RunsWith(cell, target, Silence(), RunVerdict::kLapsed, now);
+      RunsWith(cell, target, Silence{OwnedAt(cell)}, RunVerdict::kLapsed, now);
   for (const RunId& id : lapsed) {
     DropRun(cell, actions, target, id, "lease over");
   }
--- a/src/cell/runs/verdicts.cc
+++ b/src/cell/runs/verdicts.cc
@@ -46,10 +46,10 @@
                : RunVerdict::kPossible;
   }
 
-  RunVerdict operator()(const Silence&) const {
+  RunVerdict operator()(const Silence& silence) const {
     // A missing entry in the list doesn't count: a target that can't reach the
     // store loses its entry and runs on.
-    return IsSilent(target, now) && now > target.lease_until
+    return IsSilent(target, now) && silence.owned_at > target.lease_until
                ? RunVerdict::kLapsed
                : RunVerdict::kPossible;
   }
@@ -62,6 +62,10 @@
   return std::visit(JudgeRun{options, target, run, now}, evidence);
 }
 
+Time OwnedAt(const Cell& cell) {
+  return std::max(cell.claimed_at, cell.owned_at);
+}
+
 bool IsSilent(const Target& target, Time now) {
   return now - target.last_answer > kSilenceTimeout;
 }
@@ -86,12 +90,12 @@
                         Time now) {
   const auto target = cell.targets.find(id);
   if (target == cell.targets.end()) {
-    return now < std::max(until, cell.targets_listed_by);
+    return OwnedAt(cell) < until || now < cell.targets_listed_by;
   }
   // What ran may have ended before its lease, which only the target knows.
   const bool may_report = cell.targets_listed_by > cell.claimed_at &&
                           !IsSilent(target->second, now);
-  return !target->second.reported && (now < until || may_report);
+  return !target->second.reported && (OwnedAt(cell) < until || may_report);
 }
 
 bool MayStartTasks(const Cell& cell, const Job& job) {
--- a/src/cell/runs/verdicts.h
+++ b/src/cell/runs/verdicts.h
@@ -36,8 +36,10 @@
   std::string_view address;
   Time requested;
 };
-/// Nothing but the passing of time.
-struct Silence {};
+/// Nothing but the passing of time, up to when the cell was still owned.
+struct Silence {
+  Time owned_at;
+};
 
 using RunEvidence =
     std::variant<StartOutcome, NotListed, OtherLife, OtherTarget, Silence>;
@@ -49,6 +51,11 @@
                                const Run& run, const RunEvidence& evidence,
                                Time now);
 
+/// @brief Returns the latest time at which this host owned the cell for
+/// certain.
+///   A lease that ended by then was renewed by no next owner.
+[[nodiscard]] Time OwnedAt(const Cell& cell);
+
 /// @brief Whether a target has left calls unanswered for so long that its lease
 ///   isn't renewed.
 [[nodiscard]] bool IsSilent(const Target& target, Time now);
--- a/src/cell/tick.cc
+++ b/src/cell/tick.cc
@@ -4,6 +4,7 @@
 #include "src/cell/admission/shares.h"
 #include "src/cell/internal.h"
 #include "src/cell/placement/health.h"
+#include "src/cell/runs/verdicts.h"
 
 namespace buckthornmux::cell {
 namespace {
@@ -20,6 +21,24 @@
   }
 }
 
+/// Whether leases have ended since the list of targets was last stored. Storing
+/// it shows that this host still owns the cell.
+bool MustConfirmLapses(const Cell& cell, Time now) {
+  const auto unconfirmed = [&](Time end) {
+    return end <= now && OwnedAt(cell) <= end && cell.expected_stored <= end;
+  };
+  return (!cell.recovered &&
+          std::ranges::any_of(cell.expected,
+                              [&](const auto& entry) {
+                                return unconfirmed(entry.second.until);
+                              })) ||
+         std::ranges::any_of(cell.targets, [&](const auto& entry) {
+           const Target& target = entry.second;
+           return !target.runs.empty() && IsSilent(target, now) &&
+                  unconfirmed(target.lease_until);
+         });
+}
+
 /// Periodically stores lease ends of silent targets, so that a next owner waits
 /// for unreported runs no longer than this one would.
 void ScheduleLeaseStore(Cell& cell, Time now) {
@@ -29,7 +48,8 @@
       std::ranges::any_of(cell.targets, [&](const auto& entry) {
         return entry.second.silent && entry.second.lease_until > now;
       });
-  if (lapsing && now - cell.expected_stored >= kLeaseStoreInterval) {
+  if ((lapsing && now - cell.expected_stored >= kLeaseStoreInterval) ||
+      MustConfirmLapses(cell, now)) {
     cell.targets_dirty = true;
   }
 }
--- a/tests/unit-owner-changes.cc
+++ b/tests/unit-owner-changes.cc
@@ -172,6 +172,8 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, second.targets.at("t1").runs.size());
     now = first.targets.at("t1").lease_until + Millis(1000);
     cell::Tick(second, actions, now);
+    Store(second, stored, now);
+    cell::Tick(second, actions, now);
     CPPUNIT_ASSERT(second.targets.at("t1").runs.empty());
   }
 
--- a/tests/unit-takeover-waits.cc
+++ b/tests/unit-takeover-waits.cc
@@ -123,6 +123,7 @@
   CPPUNIT_TEST(LaterOwnersLeaseIsNotCutShort);
   CPPUNIT_TEST(TargetThatLeftCostsItsOwnTasksOnly);
   CPPUNIT_TEST(NothingStartsOnATargetThatIsStoredAsLeaving);
+  CPPUNIT_TEST(ReplacedOwnerTakesNoLeaseForOver);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -191,8 +192,10 @@
     cell::ApplySightings(third, actions, seen, owners.now);
     const Time over = owners.now + LongestLease();
     cell::Tick(third, actions, over - Millis(1));
+    Store(third, owners.stored, over - Millis(1));
     CPPUNIT_ASSERT(!third.recovered);
-    cell::Tick(third, actions, over);
+    third.targets_dirty = true;
+    Store(third, owners.stored, over);
     CPPUNIT_ASSERT(third.recovered);
   }
 
@@ -251,6 +254,8 @@
     Store(second, stored, now);
     CPPUNIT_ASSERT(StartsOf(second, now).empty());
     cell::Tick(second, actions, lapsed);
+    Store(second, stored, lapsed);
+    cell::Tick(second, actions, lapsed);
     Report(second, "here", lapsed);
     cell::SetTargets(second, actions, std::vector{here}, lapsed, lapsed);
     const auto again = StartsOf(second, lapsed);
@@ -286,6 +291,40 @@
     Store(owned, stored, now);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, StartsOf(owned, now).size());
   }
+
+  // Guards against TWICE: an owner that has been replaced and can't store
+  // anything lets a lease end that the next owner has renewed.
+  void ReplacedOwnerTakesNoLeaseForOver() {
+    Owners owners = FirstOwner();
+    cell::Cell second =
+        Open(2, owners.stored, {Entry("here", "127.0.0.1:1")}, owners.now);
+    Report(second, "here", owners.now);
+    Store(second, owners.stored, owners.now);
+    const Time over = owners.now + LongestLease();
+    cell::Actions actions;
+    cell::Tick(second, actions, over + kTick);
+    CPPUNIT_ASSERT(!second.recovered);
+    Store(second, owners.stored, over + kTick);
+    CPPUNIT_ASSERT(second.recovered);
+    // The same for a target that has fallen silent.
+    cell::Cell third =
+        Open(3, owners.stored, {Entry("here", "127.0.0.1:1")}, over + kTick);
+    const Time now = over + kTick;
+    Report(third, "here", now);
+    Store(third, owners.stored, now);
+    cell::RunningReport running;
+    running.run = {{"unknown", 0, 0, 0}, 1};
+    Report(third, "here", now, {running});
+    cell::OnLeaseSent(third, "here", now);
+    const Time end = now + LongestLease() + kTick;
+    cell::ReportFailed(third, actions, "here", cell::OrderOutcome::kUnknown,
+                       end);
+    cell::Tick(third, actions, end);
+    CPPUNIT_ASSERT(!third.targets.at("here").runs.empty());
+    Store(third, owners.stored, end);
+    cell::Tick(third, actions, end);
+    CPPUNIT_ASSERT(third.targets.at("here").runs.empty());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TakeoverWaitsTest);
--- a/tests/unit-takeover.cc
+++ b/tests/unit-takeover.cc
@@ -49,6 +49,16 @@
   return *batch;
 }
 
+/// Ticks, and stores what is due. An owner takes leases for over only once a
+/// write shows that it still owns the cell.
+void TickAndStore(cell::Cell& owned, Time now) {
+  cell::Actions actions;
+  cell::Tick(owned, actions, now);
+  while (const auto batch = cell::TakeBatch(owned, 29, now)) {
+    cell::OnBatchStored(owned, actions, *batch, now);
+  }
+}
+
 class TakeoverTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(TakeoverTest);
   CPPUNIT_TEST(UnlistedTargetsAreRememberedOverTakeovers);
@@ -81,7 +91,7 @@
     ReportNothing(third, "t1", now);
     CPPUNIT_ASSERT(!third.recovered);
     cell::Actions actions;
-    cell::Tick(third, actions, now + third.options.lease + Millis(1000));
+    TickAndStore(third, now + third.options.lease + Millis(1000));
     CPPUNIT_ASSERT(third.recovered);
   }
 
@@ -101,9 +111,9 @@
     cell::Tick(second, actions, later);
     cell::Cell third = MakeCell(StoreNow(second, later).writes, one, later);
     ReportNothing(third, "t1", later);
-    cell::Tick(third, actions, later + Millis(1000));
+    TickAndStore(third, later + Millis(1000));
     CPPUNIT_ASSERT(!third.recovered);
-    cell::Tick(third, actions, now + third.options.lease + Millis(1000));
+    TickAndStore(third, now + third.options.lease + Millis(1000));
     CPPUNIT_ASSERT(third.recovered);
   }
 
@@ -126,14 +136,14 @@
       second.expected["t2"].until = later + Millis(1000);
       ReportNothing(second, "t1", later);
       cell::Actions actions;
-      cell::Tick(second, actions, later + Millis(2000));
+      TickAndStore(second, later + Millis(2000));
       CPPUNIT_ASSERT_EQUAL(unlisted == Millis(0), second.recovered);
       if (second.recovered) {
         continue;
       }
       cell::SetTargets(second, actions, both, later + Millis(2500),
                        later + Millis(2500));
-      cell::Tick(second, actions, later + Millis(3500));
+      TickAndStore(second, later + Millis(3500));
       CPPUNIT_ASSERT(!second.recovered);
       ReportNothing(second, "t2", later + Millis(3600));
       CPPUNIT_ASSERT(second.recovered);
@@ -142,7 +152,7 @@
       third.targets_listed_by = later + unlisted;
       third.expected["t2"].until = later + Millis(1000);
       ReportNothing(third, "t1", later);
-      cell::Tick(third, actions, later + unlisted);
+      TickAndStore(third, later + unlisted);
       CPPUNIT_ASSERT(third.recovered);
     }
   }
@@ -166,9 +176,9 @@
     cell::Tick(first, actions, later);
     cell::Cell second = MakeCell(StoreNow(first, later).writes, entries, later);
     ReportNothing(second, "t1", later);
-    cell::Tick(second, actions, later + Millis(1000));
+    TickAndStore(second, later + Millis(1000));
     CPPUNIT_ASSERT(!second.recovered);
-    cell::Tick(second, actions, now + second.options.lease + Millis(1000));
+    TickAndStore(second, now + second.options.lease + Millis(1000));
     CPPUNIT_ASSERT(second.recovered);
   }
 
@@ -191,7 +201,7 @@
     const Time later = now + Millis(3000);
     cell::Cell third = MakeCell(stored.writes, {}, later);
     cell::Actions actions;
-    cell::Tick(third, actions, later + third.options.lease + Millis(1000));
+    TickAndStore(third, later + third.options.lease + Millis(1000));
     CPPUNIT_ASSERT(third.recovered);
   }
 
@@ -243,9 +253,9 @@
                                          later);
     })));
     const Time over = first.targets.at("t1").lease_until;
-    cell::Tick(second, actions, over - Millis(1));
+    TickAndStore(second, over - Millis(1));
     CPPUNIT_ASSERT(!second.recovered);
-    cell::Tick(second, actions, over);
+    TickAndStore(second, over);
     CPPUNIT_ASSERT(second.recovered);
   }
 
