Don't send a start once the list it was chosen by is too old

What callers would see: a task begins on a target that has been draining for too long, and is lost with it.

Cause: a start is decided by a list that is at most drain_ms - 300 ms old, but nothing bounded the time until it left: the rest of the round, the target's queue, a connection that is being made. The call's time-out is on the steady clock, so a host that was suspended in between sent the start as it woke up. HttpRequest::send_by was there, but starts didn't set it, and it was compared with the steady clock too.

Change: starts carry until when the list may be used, and aren't sent later, by the clock that the client is given. start_sent_late tells of starts that left 20 ms or more after the decision, with the age of the list then.

--- a/include/buckthornmux/detail/cell/cell.h
+++ b/include/buckthornmux/detail/cell/cell.h
@@ -42,6 +42,8 @@
   std::int64_t deadline_ms = 0;  ///< On the target's clock.
   /// A connection that was open by this time leads to that process or to none.
   Time connected_by;
+  /// Not sent later: the target may have been draining for too long by then.
+  Time send_by = Time::max();
 };
 /// Sends a stop to a target; the outcome is passed to OnStopAnswered.
 struct SendStop {
@@ -111,6 +113,9 @@
 /// @brief Whether the list of targets is recent enough to start tasks by it.
 [[nodiscard]] bool IsListRecent(const Cell& cell, Time now);
 
+/// @brief Returns until when tasks may be started by the present list.
+[[nodiscard]] Time ListUsableUntil(const Cell& cell);
+
 /// Utilization and backlog of a cell.
 struct Load {
   std::size_t targets = 0;  ///< Targets that accept work.
--- a/include/buckthornmux/detail/net/http_types.h
+++ b/include/buckthornmux/detail/net/http_types.h
@@ -24,10 +24,12 @@
 /// A request, either received or to be sent.
 struct HttpRequest {
   std::string method = "GET";
-  std::string target = "/";    ///< Path and query.
-  std::string body;            ///< JSON, or empty.
-  std::string authorization;   ///< "Bearer <key>", or empty.
-  Time send_by = Time::max();  ///< Outgoing: not sent after this time.
+  std::string target = "/";   ///< Path and query.
+  std::string body;           ///< JSON, or empty.
+  std::string authorization;  ///< "Bearer <key>", or empty.
+  /// Outgoing: not sent after this time, on the client's clock.
+  Time send_by = Time::max();
+  std::function<void()> on_send;  ///< Outgoing: called as it is written.
   /// Outgoing: sent only on a connection that is open since this time or
   /// longer; without one the call fails, and nothing is sent.
   Time connected_by = Time::max();
--- a/src/cell/placement/leaving.cc
+++ b/src/cell/placement/leaving.cc
@@ -34,6 +34,15 @@
          now - *cell.targets_as_of <= cell.options.max_list_age;
 }
 
+Time ListUsableUntil(const Cell& cell) {
+  if (!cell.targets_as_of) {
+    return Time::min();
+  }
+  return cell.options.max_list_age == Millis::max()
+             ? Time::max()
+             : *cell.targets_as_of + cell.options.max_list_age;
+}
+
 void StopRunsThatOutlast(Cell& cell, Actions& actions, Target& target,
                          Time now) {
   if (!target.leaves_at || target.silent) {
--- a/src/cell/placement/starts.cc
+++ b/src/cell/placement/starts.cc
@@ -95,7 +95,8 @@
   round.actions.emplace_back(SendStart{
       target.entry.id, target.entry.life, id, job.spec.payload, checkpoint,
       ticket == step.advice.tickets.end() ? std::string() : ticket->second.text,
-      DeadlineAt(round.cell, target, round.now), target.life_confirmed});
+      DeadlineAt(round.cell, target, round.now), target.life_confirmed,
+      ListUsableUntil(round.cell)});
   OnLeaseSent(round.cell, target.entry.id, round.now);
   Note(round.actions, "task_start",
        {{"job", job.spec.id},
--- a/src/cell/runs/runs.cc
+++ b/src/cell/runs/runs.cc
@@ -76,7 +76,8 @@
                   ticket == step->advice.tickets.end() ? std::string()
                                                        : ticket->second.text,
                   DeadlineAt(cell, target, now),
-                  target.life_confirmed};
+                  target.life_confirmed,
+                  ListUsableUntil(cell)};
   ++run.tries;
   run.in_flight = true;
   OnLeaseSent(cell, target.entry.id, now);
--- a/src/entry/cell_host.cc
+++ b/src/entry/cell_host.cc
@@ -20,6 +20,8 @@
 /// target answers within some milliseconds.
 constexpr Millis kOrderTimeout{150};
 constexpr Millis kLoadLogInterval{1000};
+/// A start that leaves this much later than it was decided is logged.
+constexpr Millis kLoggedStartDelay{20};
 /// If a write waits longer, the store counts as failing.
 constexpr Millis kStoreStallTimeout{500};
 /// Upper bound of a target's lease. A new owner is elected and reads the cell's
@@ -411,7 +413,20 @@
   net::HttpRequest request = m_calls.start(start, m_cell->epoch);
   request.connected_by = start.connected_by;
   request.check = CheckOf(start);
+  request.send_by = start.send_by;
   const Time began = Now();
+  const Millis list_age = cell::ListAge(*m_cell, began);
+  request.on_send = [id = start.target, run = start.run, began, list_age] {
+    const Millis delay = Now() - began;
+    if (delay >= kLoggedStartDelay) {
+      LogLine("start_sent_late", Level::kWarning)
+          .With("job", run.task.job)
+          .With("run", std::uint64_t{run.number})
+          .With("target", id)
+          .With("delay_ms", delay.count())
+          .With("list_age_ms", (list_age + delay).count());
+    }
+  };
   m_start_delays.Began(began);
   m_client.Call(target->second.entry.address, std::move(request), kOrderTimeout,
                 [this, answered, began](const auto& answer) {
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -388,9 +388,11 @@
       outcome = *error;
     } else {
       const auto& connection = std::get<ConnectionPtr>(connected);
-      const bool in_time = std::chrono::time_point_cast<Millis>(
-                               SteadyClock::now()) <= call.request.send_by;
+      const bool in_time = self->Clock() <= call.request.send_by;
       bool reusable = !in_time;
+      if (in_time && call.request.on_send) {
+        call.request.on_send();
+      }
       if (in_time) {
         outcome = co_await self->Exchange(*connection, call.request,
                                           call.deadline, reusable);
--- a/tests/unit-http.cc
+++ b/tests/unit-http.cc
@@ -49,6 +49,7 @@
   CPPUNIT_TEST(UnresponsiveConnectionsAreClosed);
   CPPUNIT_TEST(QueueTimeCountsTowardsTheTimeout);
   CPPUNIT_TEST(NothingIsSentAfterSendBy);
+  CPPUNIT_TEST(SendByIsOnTheClientsClock);
   CPPUNIT_TEST(NothingIsSentOnAConnectionThatIsTooNew);
   CPPUNIT_TEST(NewConnectionIsCheckedBeforeTheRequest);
   CPPUNIT_TEST(ConnectionIsTooNewByTheClockOfTheCaller);
@@ -190,6 +191,37 @@
     CPPUNIT_ASSERT_EQUAL(1, received);
   }
 
+  // Guards against a request that is sent after a suspension, which the steady
+  // clock doesn't count.
+  void SendByIsOnTheClientsClock() {
+    IoThread io;
+    std::atomic<int> received = 0;
+    HttpServer server(io.io, {}, [&](const HttpRequest&, const Responder& r) {
+      ++received;
+      r({});
+    });
+    const Time ahead =
+        std::chrono::time_point_cast<Millis>(std::chrono::steady_clock::now()) +
+        Millis(60'000);
+    net::HttpClientOptions options;
+    options.clock = [ahead] { return ahead; };
+    HttpClient client(io.io, options);
+    std::atomic<int> sent = 0;
+    HttpRequest late;
+    late.on_send = [&sent] { ++sent; };
+    late.send_by = ahead - Millis(1);
+    const auto unsent =
+        client.CallAndWait(AddressOf(server), late, kCallTimeout);
+    CPPUNIT_ASSERT(std::holds_alternative<Error>(unsent));
+    CPPUNIT_ASSERT_EQUAL(0, sent.load());
+    late.send_by = ahead;
+    const auto answer =
+        client.CallAndWait(AddressOf(server), late, kCallTimeout);
+    CPPUNIT_ASSERT(std::holds_alternative<HttpResponse>(answer));
+    CPPUNIT_ASSERT_EQUAL(1, sent.load());
+    CPPUNIT_ASSERT_EQUAL(1, received.load());
+  }
+
   // Guards against a call for one process that reaches the next one at the same
   // address.
   void NothingIsSentOnAConnectionThatIsTooNew() {
--- a/tests/unit-list-age.cc
+++ b/tests/unit-list-age.cc
@@ -78,6 +78,7 @@
 class ListAgeTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ListAgeTest);
   CPPUNIT_TEST(NothingStartsByAnOldList);
+  CPPUNIT_TEST(StartIsNotSentOnceTheListIsOld);
   CPPUNIT_TEST(ListThatIsOldWhenItArrivesStartsNothing);
   CPPUNIT_TEST(UnansweredStartIsNotRepeatedByAnOldList);
   CPPUNIT_TEST(HeldStartIsNotRepeatedOnADrainingTarget);
@@ -97,6 +98,28 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, owner.Starts());
   }
 
+  // Guards against DRAIN: a start that waits for a connection, or for a loop
+  // that is busy, leaves later than the list that it was decided by allows.
+  void StartIsNotSentOnceTheListIsOld() {
+    Owner owner;
+    const Time as_of = owner.now;
+    const Time until = as_of + entry::MaxListAge(kDrainWithin);
+    owner.now += Millis(1000);
+    cell::Actions actions;
+    cell::Plan(owner.owned, actions, owner.now);
+    const auto starts = OrdersOf<cell::SendStart>(actions);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, starts.size());
+    CPPUNIT_ASSERT(starts[0].send_by == until);
+    cell::Actions repeated;
+    cell::StartAnswered(owner.owned, repeated, "t1", starts[0].run,
+                        cell::OrderOutcome::kUnknown, owner.now);
+    const auto again = OrdersOf<cell::SendStart>(repeated);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, again.size());
+    CPPUNIT_ASSERT(again[0].send_by == until);
+    owner.owned.options.max_list_age = Millis::max();
+    CPPUNIT_ASSERT(cell::ListUsableUntil(owner.owned) == Time::max());
+  }
+
   // Guards against the age of a list that counts from its arrival: reading it
   // took longer than a target has to get no more work.
   void ListThatIsOldWhenItArrivesStartsNothing() {
