Leave no outdated list of known runs behind a rejected one

Cause, by reading beside the list of draining targets: if the store rejects a batch for its length, the list of targets whose runs are known may be left out. The one before stayed stored, with the same epoch, so that a next owner would have taken it for complete, though tasks may have started since.

Change: an empty list is stored in its place; the next owner waits for the targets' reports, or for their leases.

Test: OmittedKnownRunsLeaveNoOldOnes, fails without the change.

--- a/src/cell/records/records.cc
+++ b/src/cell/records/records.cc
@@ -420,13 +420,16 @@
 }
 
 std::optional<OmittedRecord> ShortenBatch(Batch& batch) {
+  // An earlier list of known runs must not stay stored: it would outlive the
+  // list of targets that it belongs to.
+  const std::string no_runs = EncodeBinary(StoredSilentTargets{});
   auto longest = batch.writes.end();
   for (auto write = batch.writes.begin(); write != batch.writes.end();
        ++write) {
     const bool optional =
         write->key.starts_with(kProgressKey) || write->key == kSilentKey ||
         write->key == kEndedRunsKey || write->key == kCapacitiesKey;
-    if (optional && !write->erase &&
+    if (optional && !write->erase && write->value != no_runs &&
         (longest == batch.writes.end() ||
          write->value.size() > longest->value.size())) {
       longest = write;
@@ -442,7 +445,11 @@
     std::erase_if(batch.versions,
                   [&](const auto& version) { return version.first == job; });
   }
-  batch.writes.erase(longest);
+  if (longest->key == kSilentKey) {
+    longest->value = no_runs;
+  } else {
+    batch.writes.erase(longest);
+  }
   batch.omitted.push_back(omitted);
   return omitted;
 }
--- a/tests/unit-takeover-waits.cc
+++ b/tests/unit-takeover-waits.cc
@@ -124,6 +124,7 @@
   CPPUNIT_TEST(TargetThatLeftCostsItsOwnTasksOnly);
   CPPUNIT_TEST(NothingStartsOnATargetThatIsStoredAsLeaving);
   CPPUNIT_TEST(ReplacedOwnerTakesNoLeaseForOver);
+  CPPUNIT_TEST(OmittedKnownRunsLeaveNoOldOnes);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -325,6 +326,35 @@
     cell::Tick(third, actions, end);
     CPPUNIT_ASSERT(third.targets.at("here").runs.empty());
   }
+
+  // Guards against a list of known runs that stays stored while the store
+  // rejects the next one: a next owner would take it for complete.
+  void OmittedKnownRunsLeaveNoOldOnes() {
+    Records stored;
+    Time now = kBegin;
+    auto entry = Entry("left", "127.0.0.1:2");
+    entry.draining = true;
+    cell::Cell owned = Open(1, stored, {entry}, now);
+    cell::RunningReport running;
+    running.run = {{"unknown", 0, 0, 0}, 1};
+    Report(owned, "left", now, {running});
+    constexpr std::size_t kMaxBatchWrites = 29;
+    auto batch = cell::TakeBatch(owned, kMaxBatchWrites, now);
+    CPPUNIT_ASSERT(batch.has_value());
+    std::size_t omitted = 0;
+    while (cell::ShortenBatch(*batch)) {
+      ++omitted;
+    }
+    CPPUNIT_ASSERT(omitted > 0);
+    for (const cell::RecordWrite& write : batch->writes) {
+      stored[write.key] = write;
+    }
+    CPPUNIT_ASSERT(stored.contains("silent"));
+    now += Millis(500);
+    const cell::Cell next = Open(2, stored, {}, now);
+    CPPUNIT_ASSERT(next.expected.contains("left"));
+    CPPUNIT_ASSERT(!next.recovered);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TakeoverWaitsTest);
