--- a/src/cell/records/record_layout.h
+++ b/src/cell/records/record_layout.h
@@ -53,7 +53,8 @@
   Millis unrecovered{0};
 };
 
-/// A target that has stopped answering or drains, and all runs that it may have.
+/// A target that has stopped answering or drains, and all runs that it may
+/// have.
 struct StoredSilentTarget {
   TargetId id;
   std::string address;
@@ -86,11 +87,15 @@
 /// @brief Takes over the largest capacities that former owners have seen.
 void InheritCapacities(Cell& cell, std::vector<StoredCapacities> stored);
 
-/// @brief Takes over the targets that a next owner must query.
+/// @brief Parses a list of targets. One of an earlier build doesn't tell whose
+///   orders its targets may have: those of every former owner.
 /// Errors: kMalformed
-[[nodiscard]] Result<std::size_t> InheritTargets(Cell& cell,
-                                                 std::string_view value,
-                                                 std::string_view key);
+[[nodiscard]] Result<StoredTargets> DecodeTargets(const Cell& cell,
+                                                  std::string_view value,
+                                                  std::string_view key);
+
+/// @brief Takes over the targets that may have runs of former owners.
+void InheritTargets(Cell& cell, const StoredTargets& stored);
 
 /// @brief Takes over the targets whose runs the former owner knew, so that jobs
 ///   don't wait for the reports of these targets.
--- a/src/cell/records/record_load.cc
+++ b/src/cell/records/record_load.cc
@@ -192,7 +192,8 @@
         RestoreProgress(cell, *job, progress);
       }
     } else if (key == kTargetsKey) {
-      BOOST_LEAF_CHECK(InheritTargets(cell, record.value, key));
+      BOOST_LEAF_AUTO(targets, DecodeTargets(cell, record.value, key));
+      InheritTargets(cell, targets);
     } else if (key.starts_with(kQueuesKey)) {
       BOOST_LEAF_AUTO(queue, DecodeBinary<Queue>(record.value, key));
       valid_key =
--- a/src/cell/records/record_targets.cc
+++ b/src/cell/records/record_targets.cc
@@ -67,26 +67,6 @@
   return stored;
 }
 
-/// Reads a list of targets. One of an earlier build doesn't tell whose orders
-/// its targets may have: those of every former owner.
-Result<StoredTargets> DecodeTargets(const Cell& cell, std::string_view value,
-                                    std::string_view key) {
-  auto read = Capture([&] { return DecodeBinary<StoredTargets>(value, key); });
-  auto* stored = std::get_if<StoredTargets>(&read);
-  if (stored != nullptr && stored->format == kTargetsFormat) {
-    if (stored->renewals.size() != stored->targets.size()) {
-      return Fail(ErrorKind::kMalformed,
-                  "not one owner for each target in " + std::string(key));
-    }
-    return std::move(*stored);
-  }
-  BOOST_LEAF_AUTO(targets, DecodeBinary<std::vector<StoredTarget>>(value, key));
-  const std::size_t count = targets.size();
-  return StoredTargets{
-      kTargetsFormat, std::move(targets),
-      std::vector<StoredRenewal>(count, {cell.epoch - 1, true}), Millis(0)};
-}
-
 /// Returns when the runs end that former owners may have on a stored target.
 Time LeasesEnd(const Cell& cell, Millis lasts, const StoredRenewal& renewal) {
   if (!renewal.open) {
@@ -189,9 +169,25 @@
                         : cell.unrecovered_before + (now - cell.claimed_at);
 }
 
-Result<std::size_t> InheritTargets(Cell& cell, std::string_view value,
-                                   std::string_view key) {
-  BOOST_LEAF_AUTO(stored, DecodeTargets(cell, value, key));
+Result<StoredTargets> DecodeTargets(const Cell& cell, std::string_view value,
+                                    std::string_view key) {
+  auto read = Capture([&] { return DecodeBinary<StoredTargets>(value, key); });
+  auto* stored = std::get_if<StoredTargets>(&read);
+  if (stored != nullptr && stored->format == kTargetsFormat) {
+    if (stored->renewals.size() != stored->targets.size()) {
+      return Fail(ErrorKind::kMalformed,
+                  "not one owner for each target in " + std::string(key));
+    }
+    return std::move(*stored);
+  }
+  BOOST_LEAF_AUTO(targets, DecodeBinary<std::vector<StoredTarget>>(value, key));
+  const std::size_t count = targets.size();
+  return StoredTargets{
+      kTargetsFormat, std::move(targets),
+      std::vector<StoredRenewal>(count, {cell.epoch - 1, true}), Millis(0)};
+}
+
+void InheritTargets(Cell& cell, const StoredTargets& stored) {
   for (std::size_t i = 0; i < stored.targets.size(); ++i) {
     const StoredTarget& target = stored.targets[i];
     const StoredRenewal& renewal = stored.renewals[i];
@@ -199,7 +195,6 @@
                                 renewal.last_owner};
   }
   cell.unrecovered_before = stored.unrecovered;
-  return cell.expected.size();
 }
 
 void InheritSilentTargets(Cell& cell, const StoredSilentTargets& stored,
--- a/tests/unit-takeover-waits.cc
+++ b/tests/unit-takeover-waits.cc
@@ -7,7 +7,13 @@
 #include <string>
 #include <vector>
 
+#include "buckthornmux/detail/core/archive.h"
 #include "cell_owner.h"
+#include "src/cell/records/record_layout.h"
+
+namespace buckthornmux::cell {
+using buckthornmux::serialize;
+}  // namespace buckthornmux::cell
 
 namespace buckthornmux::tests {
 namespace {
@@ -125,6 +131,7 @@
   CPPUNIT_TEST(NothingStartsOnATargetThatIsStoredAsLeaving);
   CPPUNIT_TEST(ReplacedOwnerTakesNoLeaseForOver);
   CPPUNIT_TEST(OmittedKnownRunsLeaveNoOldOnes);
+  CPPUNIT_TEST(ListOfAnEarlierBuildIsRead);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -355,6 +362,18 @@
     CPPUNIT_ASSERT(next.expected.contains("left"));
     CPPUNIT_ASSERT(!next.recovered);
   }
+
+  // The former owner may renew each target that an earlier build has listed.
+  void ListOfAnEarlierBuildIsRead() {
+    const std::vector<cell::StoredTarget> targets{{"left", Millis(700)}};
+    const Records stored{
+        {"targets", {"targets", EncodeBinary(targets), false}}};
+    constexpr Millis kFormerLease{2700};
+    const cell::Cell owned = Open(5, stored, {}, kBegin, kFormerLease);
+    const auto& expected = owned.expected.at("left");
+    CPPUNIT_ASSERT(expected.until == kBegin + kFormerLease + Millis(700));
+    CPPUNIT_ASSERT_EQUAL(Epoch{4}, expected.last_owner);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TakeoverWaitsTest);
