--- a/include/buckthornmux/detail/entry/epoch_sightings.h
+++ b/include/buckthornmux/detail/entry/epoch_sightings.h
@@ -23,24 +23,24 @@
 inline constexpr std::size_t kEpochHostsAsked = 8;
 
 /// @brief Notes the epoch of the last owner that is known at `now`.
-void NoteEpoch(EpochSightings &sightings, Epoch epoch, Time now);
+void NoteEpoch(EpochSightings& sightings, Epoch epoch, Time now);
 
 /// @brief Merges what another host has seen. Its answer takes time, so that the
 ///   merged times are later than the true ones, never earlier.
-void MergeAges(EpochSightings &sightings, std::span<const EpochAge> ages,
+void MergeAges(EpochSightings& sightings, std::span<const EpochAge> ages,
                Time now);
 
 /// @brief Returns how long ago each epoch was first known.
-[[nodiscard]] std::vector<EpochAge> AgesOf(const EpochSightings &sightings,
+[[nodiscard]] std::vector<EpochAge> AgesOf(const EpochSightings& sightings,
                                            Time now);
 
 /// @brief Returns the sightings as the cell takes them.
 [[nodiscard]] std::vector<cell::EpochSighting> ListOf(
-    const EpochSightings &sightings);
+    const EpochSightings& sightings);
 
 /// @brief Chooses some of the hosts to be asked for what they have seen, spread
 ///   over all of them and others each `round`.
-[[nodiscard]] std::vector<HostId> HostsToAsk(const std::set<HostId> &hosts,
+[[nodiscard]] std::vector<HostId> HostsToAsk(const std::set<HostId>& hosts,
                                              std::size_t round);
 
 }  // namespace buckthornmux::entry
--- a/src/cell/runs/verdicts.h
+++ b/src/cell/runs/verdicts.h
@@ -51,9 +51,8 @@
                                const Run& run, const RunEvidence& evidence,
                                Time now);
 
-/// @brief Returns the latest time at which this host owned the cell for
-/// certain.
-///   A lease that ended by then was renewed by no next owner.
+/// @brief Returns the latest time at which this host certainly owned the cell.
+///   No next owner has renewed a lease that ended by then.
 [[nodiscard]] Time OwnedAt(const Cell& cell);
 
 /// @brief Whether a target has left calls unanswered for so long that its lease
--- a/src/entry/epoch_sightings.cc
+++ b/src/entry/epoch_sightings.cc
@@ -5,7 +5,7 @@
 namespace buckthornmux::entry {
 namespace {
 
-void DropOldest(EpochSightings &sightings) {
+void DropOldest(EpochSightings& sightings) {
   while (sightings.size() > kMaxEpochSightings) {
     sightings.erase(sightings.begin());
   }
@@ -13,7 +13,7 @@
 
 }  // namespace
 
-void NoteEpoch(EpochSightings &sightings, Epoch epoch, Time now) {
+void NoteEpoch(EpochSightings& sightings, Epoch epoch, Time now) {
   if (epoch == 0 ||
       (!sightings.empty() && sightings.rbegin()->first >= epoch)) {
     return;
@@ -22,9 +22,9 @@
   DropOldest(sightings);
 }
 
-void MergeAges(EpochSightings &sightings, std::span<const EpochAge> ages,
+void MergeAges(EpochSightings& sightings, std::span<const EpochAge> ages,
                Time now) {
-  for (const EpochAge &each : ages) {
+  for (const EpochAge& each : ages) {
     if (each.epoch == 0 || each.age < Millis(0)) {
       continue;
     }
@@ -35,25 +35,25 @@
   DropOldest(sightings);
 }
 
-std::vector<EpochAge> AgesOf(const EpochSightings &sightings, Time now) {
+std::vector<EpochAge> AgesOf(const EpochSightings& sightings, Time now) {
   std::vector<EpochAge> ages;
   ages.reserve(sightings.size());
-  for (const auto &[epoch, seen] : sightings) {
+  for (const auto& [epoch, seen] : sightings) {
     ages.push_back({epoch, std::max(Millis(0), now - seen)});
   }
   return ages;
 }
 
-std::vector<cell::EpochSighting> ListOf(const EpochSightings &sightings) {
+std::vector<cell::EpochSighting> ListOf(const EpochSightings& sightings) {
   std::vector<cell::EpochSighting> list;
   list.reserve(sightings.size());
-  for (const auto &[epoch, seen] : sightings) {
+  for (const auto& [epoch, seen] : sightings) {
     list.push_back({epoch, seen});
   }
   return list;
 }
 
-std::vector<HostId> HostsToAsk(const std::set<HostId> &hosts,
+std::vector<HostId> HostsToAsk(const std::set<HostId>& hosts,
                                std::size_t round) {
   const std::vector<HostId> all(hosts.begin(), hosts.end());
   const std::size_t count = std::min(kEpochHostsAsked, all.size());
