Log gangs that wait beside room for them, and what they wait for

Change: once a second up to 20 gangs that have waited for longest are compared with the room of that moment; those that it would hold are counted (gauges gangs_waiting, longest_gang_wait_ms), and up to five that have waited a second or more get a line gang_waits each: the reason, the open call and its lane, calls and lost answers, tasks that fit on usable and ticketed targets. The simulated world can lose or delay the answers of lanes.

--- a/include/buckthornmux/detail/cell/cell.h
+++ b/include/buckthornmux/detail/cell/cell.h
@@ -159,6 +159,9 @@
   std::int64_t headroom_cpu_milli = 0;
   /// How long room has been free beside waiting work that fits into it.
   Millis idle_beside_work{0};
+  /// Gangs that wait beside room for them, and the longest wait of these.
+  std::size_t gangs_waiting = 0;
+  Millis longest_gang_wait{0};
   /// Listed targets of evacuated data centres; not part of `targets`.
   std::size_t targets_evacuated = 0;
   /// Age of the list of targets; before the first one, time since the claim.
--- a/include/buckthornmux/detail/cell/state.h
+++ b/include/buckthornmux/detail/cell/state.h
@@ -263,6 +263,13 @@
   bool blocked = false;  ///< Only the end of services would make room.
 };
 
+/// A gang's wait beside room that would hold all of it, as far as is known.
+struct GangWait {
+  std::optional<Time> since;     ///< Unset while there is no such room.
+  std::uint32_t calls = 0;       ///< To the adviser since the last start.
+  std::uint32_t unanswered = 0;  ///< Of `calls`.
+};
+
 /// Durations of the runs of a step on one target.
 struct RunTimes {
   Millis latest{0};    ///< Of the latest run, perhaps estimated from progress.
@@ -280,6 +287,7 @@
   Time ready_at;
   AdviceState advice;
   GangHold hold;
+  GangWait wait;
   Hold crash_hold;  ///< Of its tasks that aren't suspected, or of a gang.
   std::map<TargetId, RunTimes> run_times;
 
@@ -393,6 +401,13 @@
   std::vector<TargetId> named;
 };
 
+/// Gangs that wait beside room for them, as last looked at.
+struct GangWaits {
+  Time looked_at;
+  std::size_t count = 0;
+  Millis longest{0};
+};
+
 /// Moving average of the fraction of queried targets that the adviser allows.
 struct AdviceStats {
   double good_rate = 0.5;
@@ -559,6 +574,7 @@
   std::vector<AdviceLane> lanes;
   std::map<std::uint64_t, OpenAdvice> open_advice;
   std::map<QueueName, AdviceStats> advice_stats;
+  GangWaits gang_waits;
   std::uint64_t next_ask = 1;
   UrgentArrivals urgent_arrivals;
   RateGauge freed_cpu;                 ///< Released by runs, in millicores.
--- a/include/buckthornmux/detail/runtime/metrics.h
+++ b/include/buckthornmux/detail/runtime/metrics.h
@@ -56,6 +56,8 @@
   kIdleBesideWork,      ///< Time of free room beside work that fits it, ms.
   kTargetListAge,       ///< Age of the list of targets, ms.
   kUnrecovered,         ///< Time that jobs taken over have not started, ms.
+  kGangsWaiting,        ///< Gangs that wait beside room for them.
+  kLongestGangWait,     ///< Longest such wait, ms.
   kCount,
 };
 
--- a/src/cell/advice/advice.cc
+++ b/src/cell/advice/advice.cc
@@ -341,6 +341,10 @@
          candidate.queue->advice && advice.tickets.size() < kTicketsAhead;
 }
 
+bool HasFreeLane(Round& round, Millis time) {
+  return FreeLane(round, time) != nullptr;
+}
+
 void SetLanes(Cell& cell, std::span<const HostId> hosts) {
   std::erase_if(cell.lanes, [&](const AdviceLane& lane) {
     return std::ranges::count(hosts, lane.host) == 0;
@@ -402,6 +406,7 @@
   }
   advice.asking = true;
   advice.ask = cell.next_ask++;
+  ++candidate.step->wait.calls;
   const Millis timeout = time + cell.options.advice_timeout;
   cell.open_advice.emplace(
       advice.ask, OpenAdvice{ref, lane->host, now, now + timeout + Millis(100),
@@ -455,6 +460,7 @@
     advice.asking = false;
   }
   if (!answered) {
+    ++step->wait.unanswered;
     return;
   }
   for (const TargetId& id : open.named) {
--- a/src/cell/placement/gangs.cc
+++ b/src/cell/placement/gangs.cc
@@ -371,6 +371,7 @@
     StartTask(round, candidate, i, number, *chosen[i]);
   }
   candidate.step->hold = {};
+  candidate.step->wait = {};
 }
 
 bool HoldsRoom(const Step& step, Time now) {
--- a/src/cell/placement/plan.cc
+++ b/src/cell/placement/plan.cc
@@ -4,6 +4,7 @@
 #include "src/cell/admission/admission.h"
 #include "src/cell/admission/queues.h"
 #include "src/cell/admission/team_limits.h"
+#include "src/cell/placement/gang_waits.h"
 #include "src/cell/placement/interference.h"
 #include "src/cell/placement/isolation.h"
 #include "src/cell/runs/verdicts.h"
@@ -679,6 +680,9 @@
   load.headroom_cpu_milli = cell.headroom_cpu;
   load.idle_beside_work = cell.idle_since ? now - *cell.idle_since : Millis(0);
   load.interfering_pairs = cell.interference.found;
+  const GangWaits gangs = GangWaitsAt(cell, now);
+  load.gangs_waiting = gangs.count;
+  load.longest_gang_wait = gangs.longest;
   load.runs = cell.run_count;
   load.job_bytes = cell.job_bytes;
   load.lanes_busy = static_cast<std::size_t>(std::ranges::count_if(
@@ -731,6 +735,7 @@
     candidate.held_by = HoldReason::kNone;
     PlanStep(round, candidate);
   }
+  NoteGangWaits(round, candidates);
   NoteLimits(cell, actions, round.limited, now);
   // Those that this round didn't get to start in the next one.
   cell.plan_due = cell.plan_due || (round.starts_left == 0 &&
--- a/src/cell/placement/round.h
+++ b/src/cell/placement/round.h
@@ -240,6 +240,9 @@
 ///   that has tickets.
 [[nodiscard]] bool MayAskAhead(const Round& round, const Candidate& candidate);
 
+/// @brief Whether some lane can answer a query of this length soon.
+[[nodiscard]] bool HasFreeLane(Round& round, Millis time);
+
 /// @brief Queries the adviser if a step lacks tickets and a lane is free.
 void AskAdviceIfUseful(Round& round, const Candidate& candidate,
                        const Queue& queue);
--- a/src/entry/cell_host.cc
+++ b/src/entry/cell_host.cc
@@ -131,7 +131,8 @@
        {Gauge::kOccurrencesWaiting, Gauge::kJobsBehind, Gauge::kStepsWaiting,
         Gauge::kRuns, Gauge::kJobBytes, Gauge::kTargetsEvacuated,
         Gauge::kInterferingPairs, Gauge::kHeadroomCpu, Gauge::kIdleBesideWork,
-        Gauge::kTargetListAge, Gauge::kUnrecovered}) {
+        Gauge::kTargetListAge, Gauge::kUnrecovered, Gauge::kGangsWaiting,
+        Gauge::kLongestGangWait}) {
     m_metrics.Set(gauge, 0);
   }
   m_reports.clear();
@@ -572,6 +573,9 @@
                 static_cast<std::uint64_t>(load.list_age.count()));
   m_metrics.Set(Gauge::kUnrecovered,
                 static_cast<std::uint64_t>(load.unrecovered.count()));
+  m_metrics.Set(Gauge::kGangsWaiting, load.gangs_waiting);
+  m_metrics.Set(Gauge::kLongestGangWait,
+                static_cast<std::uint64_t>(load.longest_gang_wait.count()));
   LogRecovery(load);
   LogLine("cell_load")
       .With("epoch", m_cell->epoch)
@@ -584,6 +588,8 @@
       .With("steps_waiting", static_cast<std::uint64_t>(load.steps_waiting))
       .With("steps_without_ticket",
             static_cast<std::uint64_t>(load.steps_without_ticket))
+      .With("gangs_waiting", static_cast<std::uint64_t>(load.gangs_waiting))
+      .With("longest_gang_wait_ms", load.longest_gang_wait.count())
       .With("lanes_busy", static_cast<std::uint64_t>(load.lanes_busy))
       .With("occurrences_waiting", load.occurrences_waiting)
       .With("jobs_behind", static_cast<std::uint64_t>(load.jobs_behind))
--- a/src/runtime/metrics.cc
+++ b/src/runtime/metrics.cc
@@ -35,7 +35,8 @@
     "targets_evacuated",   "request_bytes",
     "interfering_pairs",   "headroom_cpu_milli",
     "idle_beside_work_ms", "target_list_age_ms",
-    "unrecovered_ms"};
+    "unrecovered_ms",      "gangs_waiting",
+    "longest_gang_wait_ms"};
 
 constexpr std::array<std::string_view, kTimings> kTimingNames = {
     "urgent_answer_ms", "patient_accept_ms", "journal_write_ms",
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -165,6 +165,15 @@
   ///   `list_after` later, unless it has shown a later change by then.
   void Resize(int index, const Resources& capacity, Millis list_after);
 
+  /// @brief Loses the adviser's answers through a lane that arrive until
+  /// `lasts`
+  ///   from now.
+  void CutLane(int lane, Millis lasts);
+
+  /// @brief Delays the answers to calls that are sent through a lane until
+  ///   `lasts` from now.
+  void DelayLane(int lane, Millis delay, Millis lasts);
+
   /// @brief Sets the duration of writes from now on.
   void SetStoreTime(Millis time) { m_options.store = time; }
 
@@ -277,6 +286,7 @@
   /// Crashes the target of a deadly task soon, if the task is still there.
   void CrashSoon(const SimTarget& target, const RunId& run, Millis after);
   void Ask(const cell::AskAdvice& ask);
+  static HostId LaneName(int lane) { return "host-" + std::to_string(lane); }
   void Report(SimTarget& target);
   /// Runs `action` unless the report call to a target has ended meanwhile.
   void WhileOpen(Time at, const TargetId& id, std::function<void()> action);
@@ -321,6 +331,12 @@
   /// Entries of former ids that haven't expired yet.
   std::map<TargetId, cell::TargetEntry> m_former_entries;
   std::map<HostId, Time> m_lane_free;
+  std::map<HostId, Time> m_lane_cut_until;
+  struct LaneDelay {
+    Millis delay{0};
+    Time until;
+  };
+  std::map<HostId, LaneDelay> m_lane_delays;
   std::map<std::string, std::string> m_records;
   BatchSize m_largest_batch;
   std::map<TargetId, Connection> m_connected;  ///< Of the owner.
--- a/tests/standins/cell_world.cc
+++ b/tests/standins/cell_world.cc
@@ -106,7 +106,7 @@
   std::vector<HostId> lanes;
   lanes.reserve(static_cast<std::size_t>(m_options.lanes));
   for (int i = 0; i < m_options.lanes; ++i) {
-    lanes.push_back("host-" + std::to_string(i));
+    lanes.push_back(LaneName(i));
   }
   cell::SetLanes(*m_cell, lanes);
   m_connected.clear();
@@ -1006,8 +1006,15 @@
       tickets.push_back({target, "ticket"});
     }
   }
-  At(free + 2 * m_options.link, [this, id = ask.ask, tickets, life = m_life] {
-    if (life != m_life) {
+  Time answered = free + 2 * m_options.link;
+  if (const auto late = m_lane_delays.find(ask.lane);
+      late != m_lane_delays.end() && m_now < late->second.until) {
+    answered += late->second.delay;
+  }
+  At(answered, [this, id = ask.ask, lane = ask.lane, tickets, life = m_life] {
+    const auto cut = m_lane_cut_until.find(lane);
+    if (life != m_life ||
+        (cut != m_lane_cut_until.end() && m_now < cut->second)) {
       return;
     }
     cell::Actions actions;
@@ -1016,6 +1023,14 @@
   });
 }
 
+void World::CutLane(int lane, Millis lasts) {
+  m_lane_cut_until[LaneName(lane)] = m_now + lasts;
+}
+
+void World::DelayLane(int lane, Millis delay, Millis lasts) {
+  m_lane_delays[LaneName(lane)] = {delay, m_now + lasts};
+}
+
 SimCount World::CountOf(const std::string& name) {
   SimCount count;
   const auto queue =
