A gang that has waited beside room asks the adviser through several lanes

Cause: a step had one query open at a time. A gang of 16 to 46 needs two or three answers of 0.5 to 1.1 s each while the tickets of all are valid (2 s); an answer that is lost costs 0.5 s more than one that comes, and the tickets got before expire meanwhile, so that a gang could begin anew without an end in sight.

Change: a gang that has had room for longer than gang_advice_patience (2 s) may have four queries open, each through a lane of its own and for other targets; what a late query names may be asked again. gang_waits names the gang in a field of its own, since lines with job= are the first to be dropped.

--- a/include/buckthornmux/detail/cell/state.h
+++ b/include/buckthornmux/detail/cell/state.h
@@ -41,6 +41,9 @@
   /// work may wait for it. Each further one may last twice as long, so that one
   /// is long enough in the end.
   Millis first_hold_limit{13'000};
+  /// A gang that has waited longer beside room for it may have several queries
+  /// open at a time.
+  Millis gang_advice_patience{2000};
   int start_tries = 3;  ///< Sends of a start before the run is stopped.
   Millis stop_retry_delay{250};  ///< Delay before an unanswered stop is resent.
   Millis write_delay{150};       ///< Batching delay of task ends.
@@ -243,8 +246,7 @@
 
 /// State of a step's adviser queries.
 struct AdviceState {
-  bool asking = false;
-  std::uint64_t ask = 0;  ///< Number of the open query.
+  std::vector<std::uint64_t> asks;  ///< Numbers of the open queries.
   Time next_ask;
   std::map<TargetId, HeldTicket> tickets;
   // The set of targets that a step may use is constant over its lifetime.
--- a/src/cell/advice/advice.cc
+++ b/src/cell/advice/advice.cc
@@ -28,6 +28,9 @@
 constexpr double kGangNamesFactor = 2.0;
 constexpr double kMinEachMs = 0.01;  ///< Avoids a division by zero.
 constexpr Millis kLaneFailureDelay{500};
+/// Open queries of a gang that has waited for longer than
+/// Options::gang_advice_patience.
+constexpr std::size_t kMaxGangCalls = 4;
 
 Millis CallTime(const AdviceRules& rules, std::size_t named) {
   return rules.decide +
@@ -135,6 +138,22 @@
   typename Sorted::const_iterator m_end;
 };
 
+/// Targets that the open queries of a step name, in ascending order; without
+/// those whose answer is late, since it may be lost.
+std::set<TargetId> NamedInOpenCalls(const Cell& cell, const AdviceState& advice,
+                                    Time now) {
+  constexpr Millis kLate{150};
+  std::set<TargetId> named;
+  for (const std::uint64_t ask : advice.asks) {
+    if (const auto open = cell.open_advice.find(ask);
+        open != cell.open_advice.end() &&
+        now <= open->second.sent + open->second.takes + kLate) {
+      named.insert(open->second.named.begin(), open->second.named.end());
+    }
+  }
+  return named;
+}
+
 PlacementEstimate EstimatePlacement(Round& round, const Candidate& candidate,
                                     const Queue& queue, double good_rate) {
   CountLook(round, candidate);
@@ -145,6 +164,9 @@
   SortedCursor unusables(advice.unusable);
   SortedCursor usables(advice.usable);
   SortedCursor tickets(advice.tickets);
+  const std::set<TargetId> named =
+      NamedInOpenCalls(round.cell, advice, round.now);
+  SortedCursor asked(named);
   const std::vector<std::uint32_t>& suited = Suited(round, queue, spec).places;
   placement.options.reserve(suited.size());
   for (const std::uint32_t place : suited) {
@@ -154,6 +176,7 @@
     if (unusables.Contains(id)) {
       continue;
     }
+    const bool in_open_call = asked.Contains(id);
     const bool usable = usables.Contains(id);
     if (spec.gang) {
       placement.possible +=
@@ -170,6 +193,9 @@
       placement.ticketed += count;
       continue;
     }
+    if (in_open_call) {
+      continue;
+    }
     const double left = static_cast<double>(room.cpu_milli) /
                         static_cast<double>(std::max<std::int64_t>(
                             1, target.entry.capacity.cpu_milli));
@@ -331,13 +357,21 @@
                 [&](const auto& entry) { return entry.second.until <= now; });
 }
 
+/// Queries of a step that may be open at a time.
+std::size_t MaxOpenCalls(const Round& round, const Candidate& candidate) {
+  const std::optional<Time>& since = candidate.step->wait.since;
+  return since && round.now - *since > round.cell.options.gang_advice_patience
+             ? kMaxGangCalls
+             : 1;
+}
+
 }  // namespace
 
 bool MayAskAhead(const Round& round, const Candidate& candidate) {
   /// Enough for room to come free on one of them soon.
   constexpr std::size_t kTicketsAhead = 8;
   const AdviceState& advice = candidate.step->advice;
-  return round.overload_control && candidate.Urgent() && !advice.asking &&
+  return round.overload_control && candidate.Urgent() && advice.asks.empty() &&
          candidate.queue->advice && advice.tickets.size() < kTicketsAhead;
 }
 
@@ -364,7 +398,8 @@
   const StepRef& ref = candidate.ref;
   const Step& step = *candidate.step;
   AdviceState& advice = candidate.step->advice;
-  if (advice.asking || now < advice.next_ask ||
+  if (advice.asks.size() >= MaxOpenCalls(round, candidate) ||
+      now < advice.next_ask ||
       FreeLane(round, queue.advice->decide) == nullptr) {
     return;
   }
@@ -404,13 +439,13 @@
   if (candidate.Urgent()) {
     AddAmount(cell.urgent_advice, time.count(), now);
   }
-  advice.asking = true;
-  advice.ask = cell.next_ask++;
+  const std::uint64_t ask = cell.next_ask++;
+  advice.asks.push_back(ask);
   ++candidate.step->wait.calls;
   const Millis timeout = time + cell.options.advice_timeout;
   cell.open_advice.emplace(
-      advice.ask, OpenAdvice{ref, lane->host, now, now + timeout + Millis(100),
-                             time, names});
+      ask, OpenAdvice{ref, lane->host, now, now + timeout + Millis(100), time,
+                      names});
   Note(round.actions, "advice_asked",
        {{"job", ref.job},
         {"step", std::to_string(ref.step)},
@@ -418,7 +453,7 @@
         {"named", std::to_string(names.size())},
         {"waiting", std::to_string(waiting)}});
   round.actions.emplace_back(
-      AskAdvice{advice.ask, lane->host, ref, std::move(names), timeout});
+      AskAdvice{ask, lane->host, ref, std::move(names), timeout});
 }
 
 void OnAdviceAnswered(Cell& cell, Actions& actions, std::uint64_t ask,
@@ -456,9 +491,7 @@
     return;
   }
   AdviceState& advice = step->advice;
-  if (advice.ask == ask) {
-    advice.asking = false;
-  }
+  std::erase(advice.asks, ask);
   if (!answered) {
     ++step->wait.unanswered;
     return;
--- a/src/cell/placement/gang_waits.cc
+++ b/src/cell/placement/gang_waits.cc
@@ -64,7 +64,7 @@
   if (gang.ticketed >= tasks) {
     return gang.unreserved >= tasks ? "not planned" : "room held for others";
   }
-  if (candidate.step->advice.asking) {
+  if (!candidate.step->advice.asks.empty()) {
     return "advice";
   }
   if (!candidate.may_ask) {
@@ -74,18 +74,21 @@
                                                              : "lane";
 }
 
+/// The field isn't named `job`, since lines of jobs are the first to be
+/// dropped.
 void Log(Round& round, const Candidate& candidate, const GangRoom& gang) {
   const Step& step = *candidate.step;
-  const auto open = round.cell.open_advice.find(step.advice.ask);
-  const bool asking =
-      step.advice.asking && open != round.cell.open_advice.end();
+  const std::vector<std::uint64_t>& asks = step.advice.asks;
+  const auto open = asks.empty() ? round.cell.open_advice.end()
+                                 : round.cell.open_advice.find(asks.front());
+  const bool asking = open != round.cell.open_advice.end();
   constexpr std::int64_t kAllPercent = 100;
   const std::int64_t capacity =
       std::max<std::int64_t>(1, round.cell.capacity_cpu);
   Note(round.actions, "gang_waits",
-       {{"job", candidate.ref.job},
-        {"occurrence", std::to_string(candidate.ref.occurrence)},
-        {"step", std::to_string(candidate.ref.step)},
+       {{"gang", candidate.ref.job + "." +
+                     std::to_string(candidate.ref.occurrence) + "." +
+                     std::to_string(candidate.ref.step)},
         {"tasks", std::to_string(step.tasks.Count())},
         {"ready_ms", std::to_string((round.now - step.ready_at).count())},
         {"beside_room_ms",
@@ -95,6 +98,7 @@
         {"asked_ms_ago",
          std::to_string(asking ? (round.now - open->second.sent).count() : 0)},
         {"takes_ms", std::to_string(asking ? open->second.takes.count() : 0)},
+        {"open_calls", std::to_string(asks.size())},
         {"calls", std::to_string(step.wait.calls)},
         {"unanswered", std::to_string(step.wait.unanswered)},
         {"expected", std::to_string(std::lround(gang.expected))},
--- a/src/cell/placement/plan.cc
+++ b/src/cell/placement/plan.cc
@@ -556,7 +556,7 @@
 void CoverByAdvice(Round& round, const Candidate& candidate) {
   const Step& step = *candidate.step;
   if (round.cell.ready.contains(candidate.ref) &&
-      (step.advice.asking || !step.advice.tickets.empty())) {
+      (!step.advice.asks.empty() || !step.advice.tickets.empty())) {
     round.advice_limit.covered += WaitingCpu(step, candidate.Spec());
   }
 }
