Lanes that have lost answers are asked last, and pause longer

Cause: the lane that was idle for longest was asked first. A lane that loses its calls is idle for that reason, and was tried again 0.5 s after each loss.

Change: a lane that has lost its last call is asked once no other is free; its pause of 0.5 s doubles with each further loss, up to 4 s.

--- a/include/buckthornmux/detail/cell/state.h
+++ b/include/buckthornmux/detail/cell/state.h
@@ -391,6 +391,7 @@
   int open = 0;     ///< Number of unanswered calls.
   Time free_at;     ///< Expected time of the last answer.
   Time not_before;  ///< Earliest next call, set after a failure.
+  int lost = 0;     ///< Calls in a row without an answer.
 };
 
 /// An unanswered query to the adviser.
--- a/src/cell/advice/advice.cc
+++ b/src/cell/advice/advice.cc
@@ -27,7 +27,9 @@
 /// since one target too few costs another call.
 constexpr double kGangNamesFactor = 2.0;
 constexpr double kMinEachMs = 0.01;  ///< Avoids a division by zero.
+/// Pause of a lane after a lost call; doubled with each further one in a row.
 constexpr Millis kLaneFailureDelay{500};
+constexpr Millis kMaxLaneFailureDelay{4000};
 /// Open queries of a gang that has waited for longer than
 /// Options::gang_advice_patience.
 constexpr std::size_t kMaxGangCalls = 4;
@@ -56,8 +58,17 @@
                         kLanesForShorterCalls);
 }
 
+Millis PauseAfter(int lost) {
+  Millis pause = kLaneFailureDelay;
+  for (int i = 1; i < lost && pause < kMaxLaneFailureDelay; ++i) {
+    pause *= 2;
+  }
+  return std::min(pause, kMaxLaneFailureDelay);
+}
+
 /// Finds a lane that can answer a call of this length soon, or null. Calls are
-/// sent slightly before the adviser is free, so that it is never idle.
+/// sent slightly before the adviser is free, so that it is never idle. A lane
+/// that has lost its last call, and is idle for that reason, comes last.
 AdviceLane* FreeLane(Round& round, Millis time) {
   Cell& cell = round.cell;
   const Time now = round.now;
@@ -73,11 +84,14 @@
         CountLanesAbove(round, kMediumCallThreshold) >= medium_lanes))) {
     return nullptr;
   }
+  const auto order = [](const AdviceLane& lane) {
+    return std::pair(lane.lost > 0, lane.free_at);
+  };
   AdviceLane* best = nullptr;
   for (AdviceLane& lane : cell.lanes) {
     if (now >= lane.not_before && lane.open < kMaxOpenCallsPerLane &&
         lane.free_at <= now + kMaxAdviserQueueTime &&
-        (best == nullptr || lane.free_at < best->free_at)) {
+        (best == nullptr || order(lane) < order(*best))) {
       best = &lane;
     }
   }
@@ -470,8 +484,9 @@
     if (--lane->open == 0) {
       lane->free_at = now;
     }
+    lane->lost = answered ? 0 : lane->lost + 1;
     if (!answered) {
-      lane->not_before = now + kLaneFailureDelay;
+      lane->not_before = now + PauseAfter(lane->lost);
     }
   }
   cell.plan_due = true;
--- a/tests/unit-gang-advice.cc
+++ b/tests/unit-gang-advice.cc
@@ -47,6 +47,8 @@
   CPPUNIT_TEST_SUITE(GangAdviceTest);
   CPPUNIT_TEST(GangThatHasWaitedAsksThroughSeveralLanes);
   CPPUNIT_TEST(PatienceFollowsTheOptions);
+  CPPUNIT_TEST(LaneThatLosesAnswersIsAskedLast);
+  CPPUNIT_TEST(LaneIsAskedAgainOnceItAnswers);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -100,6 +102,61 @@
       CPPUNIT_ASSERT(world.State().open_advice.size() <= 1);
     }
   }
+
+  // Guards against an order by which a lane that has lost answers is idle for
+  // longest, and is asked first.
+  void LaneThatLosesAnswersIsAskedLast() {
+    World world(Options());
+    Open(world);
+    for (int lane = 0; lane < kCutLanes; ++lane) {
+      world.CutLane(lane, Millis(600'000));
+    }
+    SubmitGangs(world);
+    // Each lane that is cut has shown that within its first calls.
+    const int lost = LostCalls(world, Millis(40'000));
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(lost), lost <= 2 * kCutLanes);
+  }
+
+  void LaneIsAskedAgainOnceItAnswers() {
+    World world(Options());
+    Open(world);
+    for (int lane = 0; lane < kLanes; ++lane) {
+      world.CutLane(lane, Millis(12'000));
+    }
+    SubmitGangs(world);
+    Run(world, Millis(12'000));
+    CPPUNIT_ASSERT_EQUAL(0, world.StartsOf({"gang-0", 0, 0, 0}));
+    // The longest pause of a lane is 4 s, and calls take about a second.
+    Run(world, Millis(8000));
+    CPPUNIT_ASSERT(world.StartsOf({"gang-0", 0, 0, 0}) > 0);
+  }
+
+ private:
+  /// One gang each second.
+  static void SubmitGangs(World& world) {
+    for (int i = 0; i < 40; ++i) {
+      world.At(world.NowTime() + i * Millis(1000), [&world, i] {
+        world.Submit(Gang("gang-" + std::to_string(i), kTasks / 4, 2000));
+      });
+    }
+  }
+
+  /// Counts the calls through the lanes that are cut.
+  static int LostCalls(World& world, Millis lasts) {
+    std::set<std::uint64_t> lost;
+    const Time end = world.NowTime() + lasts;
+    while (world.NowTime() < end) {
+      Run(world, Millis(50));
+      for (const auto& [ask, query] : world.State().open_advice) {
+        for (int lane = 0; lane < kCutLanes; ++lane) {
+          if (query.lane == "host-" + std::to_string(lane)) {
+            lost.insert(ask);
+          }
+        }
+      }
+    }
+    return static_cast<int>(lost.size());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GangAdviceTest);
