A gang's wait beside room begins anew after a time at its team's limit

Change: a wait goes on only if the last look, a second ago, saw it too.

Measured: TimeAtTheLimitOfTheTeamDoesNotCount fails without the change.

--- a/include/buckthornmux/detail/cell/state.h
+++ b/include/buckthornmux/detail/cell/state.h
@@ -268,6 +268,7 @@
 /// A gang's wait beside room that would hold all of it, as far as is known.
 struct GangWait {
   std::optional<Time> since;     ///< Unset while there is no such room.
+  Time seen_at;                  ///< When there last was.
   std::uint32_t calls = 0;       ///< To the adviser since the last start.
   std::uint32_t unanswered = 0;  ///< Of `calls`.
 };
--- a/src/cell/placement/gang_waits.cc
+++ b/src/cell/placement/gang_waits.cc
@@ -141,7 +141,11 @@
       wait.since.reset();
       continue;
     }
-    wait.since = wait.since.value_or(round.now);
+    // Gangs at their team's limit, for example, aren't among the candidates.
+    if (!wait.since || round.now - wait.seen_at >= 2 * kLookInterval) {
+      wait.since = round.now;
+    }
+    wait.seen_at = round.now;
     ++waits.count;
     const Millis waited = round.now - *wait.since;
     waits.longest = std::max(waits.longest, waited);
--- a/tests/unit-gang-waits.cc
+++ b/tests/unit-gang-waits.cc
@@ -2,6 +2,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "cell_world.h"
 #include "plain_cell.h"
@@ -28,10 +30,10 @@
   return options;
 }
 
-void Open(World& world) {
+void Open(World& world, std::vector<cell::Team> teams = {}) {
   cell::Queue advised = PlainQueue("advised", 1);
   advised.advice = cell::AdviceRules{Millis(440), 6.2, Millis(2000)};
-  world.SetRules({advised, PlainQueue("plain", 0)});
+  world.SetRules({advised, PlainQueue("plain", 0)}, std::move(teams));
   world.RunUntil(world.NowTime() + Millis(300));
 }
 
@@ -57,6 +59,7 @@
   CPPUNIT_TEST(WaitForALaneIsShown);
   CPPUNIT_TEST(GangThatStartsIsNotShown);
   CPPUNIT_TEST(GangWithoutRoomIsNotShown);
+  CPPUNIT_TEST(TimeAtTheLimitOfTheTeamDoesNotCount);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -109,6 +112,22 @@
     Run(world, Millis(6000));
     CPPUNIT_ASSERT(world.LastDecision("gang_waits") == nullptr);
   }
+
+  void TimeAtTheLimitOfTheTeamDoesNotCount() {
+    constexpr Millis kAtLimit{5000};
+    constexpr Millis kAfter{3000};
+    World world(Options(0));
+    Open(world, {{.name = "team-0", .maximum = {0, 100'000, 0, 0}}});
+    world.Submit(Gang("gang"));
+    Run(world, Millis(4000));
+    CPPUNIT_ASSERT(world.LastDecision("gang_waits") != nullptr);
+    cell::JobSpec other = PlainJob("other", 10, kAtLimit.count());
+    other.steps[0].demand.cpu_milli = 10'000;
+    world.Submit(other);
+    Run(world, kAtLimit + kAfter);
+    CPPUNIT_ASSERT(std::stoi(FieldOf(world, "beside_room_ms")) <=
+                   kAfter.count());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GangWaitsTest);
