One query at a time is enough for a gang whose answers come

Change: targets in open queries count towards what is wanted, unless a query of this gang has been lost since its last start or the answer is late.

--- a/src/cell/advice/advice.cc
+++ b/src/cell/advice/advice.cc
@@ -112,6 +112,9 @@
   std::vector<Option> options;
   std::uint32_t ticketed = 0;  ///< Tasks that fit on targets with tickets.
   std::uint32_t usable = 0;    ///< Tasks that fit on usable targets.
+  /// Expected number of tasks that fit on targets named in open queries; 0 for
+  /// a step whose queries get lost.
+  double asked = 0;
   /// Expected number of a gang's tasks that would fit if all targets were
   /// empty.
   double possible = 0;
@@ -181,6 +184,7 @@
   const std::set<TargetId> named =
       NamedInOpenCalls(round.cell, advice, round.now);
   SortedCursor asked(named);
+  const bool losing_answers = candidate.step->wait.unanswered > 0;
   const std::vector<std::uint32_t>& suited = Suited(round, queue, spec).places;
   placement.options.reserve(suited.size());
   for (const std::uint32_t place : suited) {
@@ -208,6 +212,8 @@
       continue;
     }
     if (in_open_call) {
+      placement.asked +=
+          losing_answers ? 0 : count * (usable ? 1.0 : good_rate);
       continue;
     }
     const double left = static_cast<double>(room.cpu_milli) /
@@ -305,9 +311,13 @@
     }
     return a.count != b.count ? a.count > b.count : a.left > b.left;
   });
-  const double wanted = waiting - placement.ticketed;
-  std::vector<TargetId> names = NameFor(
-      options, wanted * (room ? kNamesFactor : kGangNamesFactor), good_rate);
+  const double wanted = (waiting - placement.ticketed) *
+                            (room ? kNamesFactor : kGangNamesFactor) -
+                        placement.asked;
+  if (wanted <= 0) {
+    return {};
+  }
+  std::vector<TargetId> names = NameFor(options, wanted, good_rate);
   // Others take room of targets with a ticket meanwhile. A query for the one
   // target that is missing would be followed by another, and so on.
   AddNames(names, options, CheapNames(rules));
--- a/tests/unit-gang-advice.cc
+++ b/tests/unit-gang-advice.cc
@@ -50,6 +50,7 @@
   CPPUNIT_TEST(LaneThatLosesAnswersIsAskedLast);
   CPPUNIT_TEST(LaneIsAskedAgainOnceItAnswers);
   CPPUNIT_TEST(QueryNamesSpareTargets);
+  CPPUNIT_TEST(OneQueryIsEnoughWhileAnswersCome);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -135,13 +136,43 @@
   // Guards against queries that name one target for each task that is missing:
   // others take its room while the adviser works, and the next query follows.
   void QueryNamesSpareTargets() {
-    constexpr std::uint32_t kFew = 4;
     WorldOptions options = Options();
     options.lanes = 0;
     World world(options);
+    OpenWithUsableTargets(world, Millis(500));
+    cell::SetLanes(world.State(), std::vector<HostId>{"host-0"});
+    Run(world, Millis(50));
+    const auto& open = world.State().open_advice;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, open.size());
+    const cell::OpenAdvice& query = open.begin()->second;
+    CPPUNIT_ASSERT(query.named.size() >= 3 * kFew);
+    // A call for one target takes 446 ms.
+    CPPUNIT_ASSERT(query.takes <= Millis(600));
+  }
+
+  // Guards against several queries of which each covers the gang.
+  void OneQueryIsEnoughWhileAnswersCome() {
+    WorldOptions options = Options();
+    options.lanes = 0;
+    World world(options);
+    OpenWithUsableTargets(world, Millis(5000));
+    std::vector<HostId> lanes;
+    for (int i = 0; i < kLanes; ++i) {
+      lanes.push_back("host-" + std::to_string(i));
+    }
+    cell::SetLanes(world.State(), lanes);
+    Run(world, Millis(300));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.State().open_advice.size());
+  }
+
+ private:
+  static constexpr std::uint32_t kFew = 4;
+
+  /// Submits a small gang whose usable targets are known, and lets it wait.
+  static void OpenWithUsableTargets(World& world, Millis wait) {
     Open(world);
     world.Submit(Gang("gang", kFew, 2000));
-    Run(world, Millis(500));
+    Run(world, wait);
     for (const cell::StepRef& ref : world.State().ready) {
       cell::AdviceState& advice = world.State()
                                       .jobs.at(ref.job)
@@ -152,17 +183,8 @@
         advice.usable.insert("target-" + std::to_string(i));
       }
     }
-    cell::SetLanes(world.State(), std::vector<HostId>{"host-0"});
-    Run(world, Millis(50));
-    const auto& open = world.State().open_advice;
-    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, open.size());
-    const cell::OpenAdvice& query = open.begin()->second;
-    CPPUNIT_ASSERT(query.named.size() >= 3 * kFew);
-    // A call for one target takes 446 ms.
-    CPPUNIT_ASSERT(query.takes <= Millis(600));
   }
 
- private:
   /// One gang each second.
   static void SubmitGangs(World& world) {
     for (int i = 0; i < 40; ++i) {
