A query ends for its step whatever its queue has become

Cause: OnAdviceAnswered returned before it noted the end of a query if the queue had no adviser at that moment; the step then never asked again under this owner.

Change: the end is noted first.

Measured: AnswerToAQueueWithoutAdviserEndsTheQuery fails before. Found by reading; no play has shown it.

--- a/src/cell/advice/advice.cc
+++ b/src/cell/advice/advice.cc
@@ -527,12 +527,15 @@
   Step* step = job == nullptr
                    ? nullptr
                    : FindStep(*job, open.step.occurrence, open.step.step);
-  const Queue* queue = job == nullptr ? nullptr : QueueOf(cell, *job);
-  if (step == nullptr || queue == nullptr || !queue->advice) {
+  if (step == nullptr) {
     return;
   }
   AdviceState& advice = step->advice;
   std::erase(advice.asks, ask);
+  const Queue* queue = QueueOf(cell, *job);
+  if (queue == nullptr || !queue->advice) {
+    return;
+  }
   if (!answered) {
     ++step->wait.unanswered;
     return;
--- a/tests/unit-gang-advice.cc
+++ b/tests/unit-gang-advice.cc
@@ -36,13 +36,24 @@
   world.RunUntil(world.NowTime() + lasts);
 }
 
-void Open(World& world) {
+cell::Queue AdvisedQueue() {
   cell::Queue advised = PlainQueue("advised", 1);
   advised.advice = cell::AdviceRules{Millis(440), 6.2, Millis(2000)};
-  world.SetRules({advised});
+  return advised;
+}
+
+void Open(World& world) {
+  world.SetRules({AdvisedQueue()});
   Run(world, Millis(300));
 }
 
+cell::Step& StepAt(World& world, const cell::StepRef& ref) {
+  return world.State()
+      .jobs.at(ref.job)
+      .occurrences.at(ref.occurrence)
+      .steps.at(ref.step);
+}
+
 class GangAdviceTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(GangAdviceTest);
   CPPUNIT_TEST(GangThatHasWaitedAsksThroughSeveralLanes);
@@ -51,6 +62,7 @@
   CPPUNIT_TEST(LaneIsAskedAgainOnceItAnswers);
   CPPUNIT_TEST(QueryNamesSpareTargets);
   CPPUNIT_TEST(OneQueryIsEnoughWhileAnswersCome);
+  CPPUNIT_TEST(AnswerToAQueueWithoutAdviserEndsTheQuery);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -165,6 +177,28 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.State().open_advice.size());
   }
 
+  // Guards against a step that waits without end for an answer that came while
+  // its queue had no adviser.
+  void AnswerToAQueueWithoutAdviserEndsTheQuery() {
+    World world(Options());
+    Open(world);
+    world.Submit(Gang("gang", kTasks, 2000));
+    Run(world, Millis(200));
+    CPPUNIT_ASSERT(!world.State().open_advice.empty());
+    for (int i = 0; i < kTargets; ++i) {
+      world.Drain(i, Millis(0));
+    }
+    cell::Queue plain = PlainQueue("advised", 1);
+    world.SetRules({plain});
+    Run(world, Millis(2000));
+    world.SetRules({AdvisedQueue()});
+    CPPUNIT_ASSERT(world.State().open_advice.empty());
+    Run(world, Millis(5000));
+    for (const cell::StepRef& ref : world.State().ready) {
+      CPPUNIT_ASSERT(StepAt(world, ref).advice.asks.empty());
+    }
+  }
+
  private:
   static constexpr std::uint32_t kFew = 4;
 
@@ -174,11 +208,7 @@
     world.Submit(Gang("gang", kFew, 2000));
     Run(world, wait);
     for (const cell::StepRef& ref : world.State().ready) {
-      cell::AdviceState& advice = world.State()
-                                      .jobs.at(ref.job)
-                                      .occurrences.at(ref.occurrence)
-                                      .steps[ref.step]
-                                      .advice;
+      cell::AdviceState& advice = StepAt(world, ref).advice;
       for (int i = 0; i < kTargets; ++i) {
         advice.usable.insert("target-" + std::to_string(i));
       }
