A host that wakes renews nothing before it has looked at its registration

Cause: whether orders may go out was noted at a tick. A host that was suspended gets to answers and timers first, which plan and renew leases.

Change: no start or report leaves once the last look is more than 1 s ago.

--- a/include/buckthornmux/detail/entry/cell_host.h
+++ b/include/buckthornmux/detail/entry/cell_host.h
@@ -167,7 +167,10 @@
   [[nodiscard]] bool AwaitsList(Time now) const {
     return Serving() && MayOrder() && !cell::IsListRecent(*m_cell, now);
   }
-  [[nodiscard]] bool MayOrder() const { return m_cell && m_lease_held; }
+  /// Whether orders may go to targets: this host's registration was valid when
+  /// it was last looked at, and that was a moment ago. A host that was
+  /// suspended gets to other events first.
+  [[nodiscard]] bool MayOrder() const;
 
   HostSettings m_settings;
   net::HttpClient& m_client;
@@ -180,6 +183,7 @@
   /// Incremented by Open and Close; answers to earlier requests are ignored.
   std::uint64_t m_term = 0;
   bool m_lease_held = false;
+  Time m_lease_checked_at;
   RulesPtr m_rules;
   /// Read before the cell's records, and applied after them.
   std::optional<TargetList> m_early_targets;
--- a/src/entry/cell_host.cc
+++ b/src/entry/cell_host.cc
@@ -20,6 +20,10 @@
 /// target answers within some milliseconds.
 constexpr Millis kOrderTimeout{150};
 constexpr Millis kLoadLogInterval{1000};
+/// No order leaves once the registration was last looked at longer ago. Less
+/// than the time in which a replaced owner learns of that, so that a next owner
+/// waits long enough for what a suspended one sends as it wakes.
+constexpr Millis kMaxLeaseCheckAge{1000};
 /// A start that leaves this much later than it was decided is logged.
 constexpr Millis kLoggedStartDelay{20};
 /// If a write waits longer, the store counts as failing.
@@ -158,7 +162,15 @@
   SchedulePump();
 }
 
-void CellHost::SetLeaseHeld(bool held) { m_lease_held = held; }
+void CellHost::SetLeaseHeld(bool held) {
+  m_lease_held = held;
+  m_lease_checked_at = Now();
+}
+
+bool CellHost::MayOrder() const {
+  return m_cell && m_lease_held &&
+         Now() - m_lease_checked_at <= kMaxLeaseCheckAge;
+}
 
 void CellHost::OnLoaded(std::vector<cell::RecordWrite> records) {
   const Time now = Now();
@@ -409,7 +421,7 @@
     RunActions(std::move(actions));
     SchedulePump();
   };
-  if (!m_lease_held || target == m_cell->targets.end()) {
+  if (!MayOrder() || target == m_cell->targets.end()) {
     answered(cell::OrderOutcome::kNotSent);
     return;
   }
@@ -529,7 +541,7 @@
     RunActions(std::move(actions));
   }
   WriteBatch(now);
-  if (!m_cell || !m_lease_held) {
+  if (!MayOrder()) {
     return;
   }
   for (const auto& [id, target] : m_cell->targets) {
@@ -619,6 +631,7 @@
 }
 
 void CellHost::Tick(Time now) {
+  m_lease_checked_at = now;
   m_journal.Tick(now);
   if (!Serving() || now < m_tick_at) {
     return;
--- a/tests/unit-cell-host.cc
+++ b/tests/unit-cell-host.cc
@@ -268,6 +268,7 @@
   CPPUNIT_TEST(RefusalWhileNotServingOvertakesEarlierCalls);
   CPPUNIT_TEST(NewProcessOfATargetGetsNoAcknowledgementOfTheFormerOne);
   CPPUNIT_TEST(StartReachesOnlyTheProcessItIsMeantFor);
+  CPPUNIT_TEST(NothingIsRenewedWithoutALookAtTheRegistration);
   CPPUNIT_TEST(EachTermWaitsForItsOwnListOfEvacuations);
   CPPUNIT_TEST(EachTermStartsByItsOwnListOfTargets);
   CPPUNIT_TEST(ListThatIsReadBeforeTheRecordsIsUsed);
@@ -425,6 +426,44 @@
     CPPUNIT_ASSERT_EQUAL(std::string("look"), process->Received().front());
   }
 
+  // Guards against renewals by a host that was suspended: as it wakes, it gets
+  // to answers and timers before the tick that finds its registration over.
+  void NothingIsRenewedWithoutALookAtTheRegistration() {
+    Fixture f(ReportsOnly());
+    TargetProcess process(f.io, 0, 1);
+    cell::TargetEntry entry;
+    entry.id = "t1";
+    entry.service = "service";
+    entry.address = "127.0.0.1:" + std::to_string(process.Port());
+    entry.life = 1;
+    f.List({entry});
+    const auto& received = process.Received();
+    const auto renews = [&] {
+      return std::ranges::count_if(received, [](const std::string& body) {
+        return body.starts_with("renew");
+      });
+    };
+    for (int i = 0; i < 100 && renews() == 0; ++i) {
+      f.host.Tick(entry::Now());
+      f.Run();
+    }
+    CPPUNIT_ASSERT(renews() > 0);
+    constexpr Millis kOverdue{1100};
+    const Time last_tick = entry::Now();
+    while (entry::Now() < last_tick + kOverdue) {
+      f.Run();
+    }
+    const auto before = renews();
+    while (entry::Now() < last_tick + 2 * kOverdue) {
+      f.Run();
+    }
+    CPPUNIT_ASSERT_EQUAL(before, renews());
+    f.host.Tick(entry::Now());
+    f.Run();
+    f.Run();
+    CPPUNIT_ASSERT(renews() > before);
+  }
+
   // Guards against a start that is executed by a target's next process, whose
   // clock began anew: its lease would last longer than any owner knows.
   void StartReachesOnlyTheProcessItIsMeantFor() {
