unit-peer listens where nobody else does

Cause: the test asked for a free port, closed it and listened there later.

Change: each address is of the process's own part of the loopback network, with a port that isn't given to outgoing connections. No check is changed.

--- a/tests/unit-peer.cc
+++ b/tests/unit-peer.cc
@@ -1,5 +1,6 @@
 // Peer messages and links over loopback.
 #include <cppunit/extensions/HelperMacros.h>
+#include <unistd.h>
 
 #include <atomic>
 #include <boost/asio/io_context.hpp>
@@ -56,11 +57,20 @@
   }
 };
 
+/// Returns an address that no other process uses, nor another test here: of
+/// this process's part of the loopback network, with a port that isn't given to
+/// outgoing connections.
 std::string FreeAddress() {
-  asio::io_context io;
-  const asio::ip::tcp::acceptor acceptor(
-      io, {asio::ip::make_address("127.0.0.1"), 0});
-  return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+  constexpr int kPort = 20'000;
+  constexpr int kByte = 256;
+  constexpr int kParts = 100;  ///< 127.100.x.x to 127.199.x.x.
+  static int number = 0;
+  const int process = getpid();
+  ++number;
+  CPPUNIT_ASSERT(number < kByte);
+  return "127." + std::to_string(kParts + process / kByte % kParts) + '.' +
+         std::to_string(process % kByte) + '.' + std::to_string(number) + ':' +
+         std::to_string(kPort);
 }
 
 class PeerTest : public CppUnit::TestFixture {
