--- a/src/cell/placement/gang_waits.h
+++ b/src/cell/placement/gang_waits.h
@@ -8,7 +8,8 @@
 namespace buckthornmux::cell {
 
 /// @brief Looks once a second for gangs that wait beside room that would hold
-///   them, and logs those that have waited longest, each with its reason.
+///   them, and logs those that have waited longest, each with its reason. By
+///   these waits AskAdviceIfUseful allows several queries.
 /// @param candidates steps of the round, after they were planned
 void NoteGangWaits(Round& round, const std::vector<Candidate>& candidates);
 
