--- a/tests/unit-gang-advice.cc
+++ b/tests/unit-gang-advice.cc
@@ -157,7 +157,7 @@
     const auto& open = world.State().open_advice;
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, open.size());
     const cell::OpenAdvice& query = open.begin()->second;
-    CPPUNIT_ASSERT(query.named.size() >= 3 * kFew);
+    CPPUNIT_ASSERT(query.named.size() >= std::size_t{3} * kFew);
     // A call for one target takes 446 ms.
     CPPUNIT_ASSERT(query.takes <= Millis(600));
   }
@@ -169,6 +169,7 @@
     World world(options);
     OpenWithUsableTargets(world, Millis(5000));
     std::vector<HostId> lanes;
+    lanes.reserve(kLanes);
     for (int i = 0; i < kLanes; ++i) {
       lanes.push_back("host-" + std::to_string(i));
     }
