--- a/src/entry/cell_host.cc
+++ b/src/entry/cell_host.cc
@@ -58,7 +58,7 @@
   constexpr Millis kStartSlack{1000};
   options.first_hold_limit =
       std::max(bounds.finish / 2, bounds.finish - kStartSlack);
-  // Several queries in a row are left before the wait counts as too long.
+  // Leaves time for several queries before the wait counts as too long.
   constexpr int kPatiencePart = 7;
   options.gang_advice_patience = bounds.finish / kPatiencePart;
   options.max_list_age = MaxListAge(bounds.drain_within);
